Place, start and settle gangs under a failure domain's lease

A gang is reserved on every worker, written down, then started; a later scheduler rebuilds from job rows and worker leases. Guaranteed cells are bound to accelerators, so that reclaiming always yields the shape.

--- a/src/zinniatrestle/configuration/messages.py
+++ b/src/zinniatrestle/configuration/messages.py
@@ -73,7 +73,10 @@
 
 
 class AccountPlan(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
-    """What a client account may do, once its parameters are filled in."""
+    """What a client account may do, once its parameters are filled in.
+
+    `quota` bounds what its gangs hold at once, in accelerators (0: no bound).
+    """
 
     domains: list[FailureDomainId]
     kinds: list[RequestKind] = []
@@ -81,6 +84,7 @@
     slot_share: int = 1
     queue_limit: int = 64
     jobs: bool = True
+    quota: float = 0.0
     offline_grace_seconds: float = 30.0
 
 
--- /dev/null
+++ b/src/zinniatrestle/gangs/__init__.py
@@ -0,0 +1,16 @@
+"""Gangs: queue, placement, guarantees, starts and what becomes of them."""
+
+from zinniatrestle.gangs.guarantees import GuaranteeRule
+from zinniatrestle.gangs.jobs import JobDesk
+from zinniatrestle.gangs.messages import JobRow, JobSpec, JobState, TaskShape
+from zinniatrestle.gangs.scheduler import DomainScheduler
+
+__all__ = [
+    "DomainScheduler",
+    "GuaranteeRule",
+    "JobDesk",
+    "JobRow",
+    "JobSpec",
+    "JobState",
+    "TaskShape",
+]
--- /dev/null
+++ b/src/zinniatrestle/gangs/book.py
@@ -0,0 +1,204 @@
+"""Rows of jobs in the table service."""
+
+from collections.abc import Iterable
+
+import msgspec
+
+from zinniatrestle.errors import LeaseLostError, NotFoundError
+from zinniatrestle.gangs.messages import (
+    ENDED_STATES,
+    DomainSummary,
+    InboxAction,
+    InboxEntry,
+    JobRow,
+)
+from zinniatrestle.gangs.state import Gang
+from zinniatrestle.ids import (
+    ClientAccountId,
+    Epoch,
+    FailureDomainId,
+    JobId,
+    RowKey,
+)
+from zinniatrestle.platform.interfaces import TableService
+from zinniatrestle.platform.messages import ABSENT, Check, Put, Transaction
+from zinniatrestle.platform.settle import commit_settled, scan_all
+
+BATCH = 100
+
+
+def job_key(job: JobId) -> RowKey:
+    """Return the row of a job."""
+    return RowKey(f"job/{job}")
+
+
+def member_key(domain: FailureDomainId, job: JobId) -> RowKey:
+    """Return the row that assigns a job to a failure domain's scheduler."""
+    return RowKey(f"jobof/{domain}/{job}")
+
+
+def account_key(account: ClientAccountId, job: JobId) -> RowKey:
+    """Return the row that lists a job under its account."""
+    return RowKey(f"jobby/{account}/{job}")
+
+
+def inbox_key(domain: FailureDomainId, entry: InboxEntry) -> RowKey:
+    """Return the inbox row of an entry."""
+    return RowKey(f"inbox/{domain}/{entry.job}-{entry.action.value}")
+
+
+def epoch_key(domain: FailureDomainId) -> RowKey:
+    """Return the row that fences the writes of earlier schedulers."""
+    return RowKey(f"gangs/epoch/{domain}")
+
+
+def summary_key(domain: FailureDomainId) -> RowKey:
+    """Return the row of a failure domain's summary."""
+    return RowKey(f"gangs/summary/{domain}")
+
+
+def decode_job(value: bytes) -> JobRow:
+    """Return the job that a row holds."""
+    return msgspec.msgpack.decode(value, type=JobRow)
+
+
+def inbox_put(domain: FailureDomainId, job: JobId, action: InboxAction) -> Put:
+    """Return the write that puts an entry into an inbox."""
+    entry = InboxEntry(job, action)
+    return Put(inbox_key(domain, entry), msgspec.msgpack.encode(entry))
+
+
+class JobBook:
+    """Read jobs, for hosts that are not their scheduler."""
+
+    def __init__(self, table: TableService):
+        self.table = table
+
+    async def find(self, account: ClientAccountId, job: JobId) -> JobRow:
+        """Return one of an account's jobs; raises NotFoundError."""
+        key = job_key(job)
+        rows = await self.table.read([key])
+        if key in rows:
+            row = decode_job(rows[key].value)
+            if row.account == account:
+                return row
+        raise NotFoundError(f"Client account {account} has no job {job}.")
+
+    async def jobs_of(self, account: ClientAccountId) -> list[JobRow]:
+        """Return an account's jobs."""
+        prefix = account_key(account, JobId(""))
+        members = await scan_all(self.table, prefix)
+        return await self._read(RowKey(row.key[len(prefix) :]) for row in members)
+
+    async def summaries(
+        self, domains: Iterable[FailureDomainId]
+    ) -> dict[FailureDomainId, DomainSummary]:
+        """Return the newest summaries of failure domains."""
+        rows = await self.table.read([summary_key(domain) for domain in domains])
+        found = {}
+        for row in rows.values():
+            summary = msgspec.msgpack.decode(row.value, type=DomainSummary)
+            found[summary.domain] = summary
+        return found
+
+    async def _read(self, jobs: Iterable[str]) -> list[JobRow]:
+        keys = [job_key(JobId(job)) for job in jobs]
+        found = []
+        for first in range(0, len(keys), BATCH):
+            rows = await self.table.read(keys[first : first + BATCH])
+            found.extend(decode_job(row.value) for row in rows.values())
+        return found
+
+
+class SchedulerBook:
+    """Write jobs as the scheduler of one failure domain, fenced by its epoch."""
+
+    def __init__(self, table: TableService, domain: FailureDomainId):
+        self.table = table
+        self.domain = domain
+        self.fence = Check(epoch_key(domain), ABSENT)
+
+    async def take_over(self, epoch: Epoch) -> list[Gang]:
+        """Shut out earlier schedulers and return the jobs that have not ended."""
+        key = epoch_key(self.domain)
+        rows = await self.table.read([key])
+        row = rows.get(key)
+        known = msgspec.msgpack.decode(row.value, type=Epoch) if row else Epoch(0)
+        if known > epoch:
+            raise LeaseLostError(f"A newer scheduler serves {self.domain}.")
+        version = row.version if row else ABSENT
+        put = Put(key, msgspec.msgpack.encode(epoch))
+        transaction = Transaction(checks=[Check(key, version)], puts=[put])
+        commit = await commit_settled(self.table, transaction)
+        if not commit.committed:
+            raise LeaseLostError(f"Another scheduler takes {self.domain} over.")
+        self.fence = Check(key, version + 1)
+        prefix = member_key(self.domain, JobId(""))
+        members = await scan_all(self.table, prefix)
+        return await self.load(JobId(row.key[len(prefix) :]) for row in members)
+
+    async def load(self, jobs: Iterable[JobId]) -> list[Gang]:
+        """Return gangs by their rows."""
+        keys = [job_key(job) for job in jobs]
+        gangs = []
+        for first in range(0, len(keys), BATCH):
+            rows = await self.table.read(keys[first : first + BATCH])
+            for row in rows.values():
+                gangs.append(Gang(decode_job(row.value), row.version))
+        return gangs
+
+    async def save(self, gangs: list[Gang]):
+        """Write gangs, many in one transaction; raises LeaseLostError if fenced."""
+        for first in range(0, len(gangs), BATCH):
+            await self._save_batch(gangs[first : first + BATCH])
+
+    async def inbox(self) -> list[InboxEntry]:
+        """Return a page of the inbox."""
+        rows = await self.table.scan(f"inbox/{self.domain}/", RowKey(""), BATCH)
+        return [msgspec.msgpack.decode(row.value, type=InboxEntry) for row in rows]
+
+    async def clear(self, entries: list[InboxEntry]):
+        """Delete inbox entries that have been taken."""
+        deletes = [inbox_key(self.domain, entry) for entry in entries]
+        transaction = Transaction(checks=[self.fence], deletes=deletes)
+        commit = await self.table.commit(transaction)
+        if not commit.committed:
+            raise LeaseLostError(f"A newer scheduler serves {self.domain}.")
+
+    async def move(self, gang: Gang, target: FailureDomainId):
+        """Hand a waiting job to another failure domain's scheduler."""
+        row = msgspec.structs.replace(gang.row, domain=target)
+        job = row.job
+        transaction = Transaction(
+            checks=[self.fence, Check(job_key(job), gang.version)],
+            puts=[
+                Put(job_key(job), msgspec.msgpack.encode(row)),
+                Put(member_key(target, job), b""),
+                inbox_put(target, job, InboxAction.TAKE),
+            ],
+            deletes=[member_key(self.domain, job)],
+        )
+        commit = await commit_settled(self.table, transaction)
+        if not commit.committed:
+            raise LeaseLostError(f"The job {job} changed under its scheduler.")
+
+    async def summarize(self, summary: DomainSummary):
+        """Publish the failure domain's summary."""
+        put = Put(summary_key(self.domain), msgspec.msgpack.encode(summary))
+        await self.table.commit(Transaction(checks=[self.fence], puts=[put]))
+
+    async def _save_batch(self, gangs: list[Gang]):
+        checks = [self.fence]
+        puts = []
+        deletes = []
+        for gang in gangs:
+            key = job_key(gang.row.job)
+            checks.append(Check(key, gang.version))
+            puts.append(Put(key, msgspec.msgpack.encode(gang.row)))
+            if gang.row.state in ENDED_STATES:
+                deletes.append(member_key(self.domain, gang.row.job))
+        commit = await commit_settled(self.table, Transaction(checks, puts, deletes))
+        if not commit.committed:
+            raise LeaseLostError(f"Rows of {self.domain} changed under its scheduler.")
+        for gang in gangs:
+            gang.version += 1
--- /dev/null
+++ b/src/zinniatrestle/gangs/jobs.py
@@ -0,0 +1,223 @@
+"""Take jobs from callers and hand them to the schedulers."""
+
+import msgspec
+import xxhash
+
+from zinniatrestle.clock import Clock
+from zinniatrestle.configuration import ConfigurationFollower
+from zinniatrestle.configuration.messages import AccountRecord, DomainState
+from zinniatrestle.errors import (
+    CallerError,
+    GangError,
+    KeyReusedError,
+    NeverFitsError,
+    ResultCode,
+)
+from zinniatrestle.gangs.book import (
+    JobBook,
+    account_key,
+    decode_job,
+    inbox_put,
+    job_key,
+    member_key,
+)
+from zinniatrestle.gangs.inventory import Inventory, WorkerRoom
+from zinniatrestle.gangs.messages import (
+    ENDED_STATES,
+    DomainSummary,
+    InboxAction,
+    JobRow,
+    JobSpec,
+)
+from zinniatrestle.gangs.placement import TightestRack
+from zinniatrestle.ids import (
+    ClientAccountId,
+    FailureDomainId,
+    JobId,
+    RequestKey,
+    new_job_id,
+)
+from zinniatrestle.logs import PartLog
+from zinniatrestle.platform.interfaces import HostList, TableService
+from zinniatrestle.platform.messages import (
+    ABSENT,
+    Check,
+    HostRole,
+    ListedHost,
+    Put,
+    Transaction,
+)
+from zinniatrestle.platform.settle import commit_settled
+
+MOST_TASKS = 4096
+NO_SUMMARY = DomainSummary(FailureDomainId(""), 0.0)
+
+log = PartLog("jobs")
+
+
+class JobDesk:
+    """Accept, show and cancel jobs on any host."""
+
+    def __init__(
+        self,
+        table: TableService,
+        hosts: HostList,
+        follower: ConfigurationFollower,
+        clock: Clock,
+    ):
+        self.table = table
+        self.hosts = hosts
+        self.follower = follower
+        self.clock = clock
+        self.book = JobBook(table)
+
+    async def submit(
+        self, account: ClientAccountId, spec: JobSpec, key: RequestKey | None
+    ) -> JobRow:
+        """Accept a job; the same key returns the job accepted before.
+
+        Raises NeverFitsError for a job that no permitted failure domain can hold.
+        """
+        check_spec(spec)
+        record = self.follower.require().active_account(account)
+        domains = self._permitted(record, spec)
+        fitting = await self._fitting(spec, domains, record)
+        row = JobRow(
+            job=_job_id(record, key),
+            account=account,
+            incarnation=record.incarnation,
+            spec=spec,
+            domain=await self._least_loaded(fitting, spec),
+            submitted=self.clock.wall(),
+            queued=self.clock.wall(),
+        )
+        return await self._insert(row)
+
+    async def status(self, account: ClientAccountId, job: JobId) -> JobRow:
+        """Return one of an account's jobs; raises NotFoundError."""
+        return await self.book.find(account, job)
+
+    async def jobs(self, account: ClientAccountId) -> list[JobRow]:
+        """Return an account's jobs, newest first."""
+        rows = await self.book.jobs_of(account)
+        return sorted(rows, key=lambda row: -row.submitted)
+
+    async def cancel(self, account: ClientAccountId, job: JobId) -> JobRow:
+        """Ask for a job to be cancelled; repeating it changes nothing."""
+        row = await self.book.find(account, job)
+        if row.state in ENDED_STATES:
+            return row
+        put = inbox_put(row.domain, job, InboxAction.CANCEL)
+        await commit_settled(self.table, Transaction(puts=[put]))
+        return row
+
+    def _permitted(self, record: AccountRecord, spec: JobSpec) -> list[FailureDomainId]:
+        plan = self.follower.state.plans[record.account]
+        if not plan.jobs:
+            raise GangError(
+                f"Client account {record.account} may not run jobs.",
+                ResultCode.KIND_NOT_PERMITTED,
+            )
+        wanted = spec.domains or plan.domains
+        permitted = [domain for domain in wanted if domain in plan.domains]
+        if not permitted:
+            raise GangError(
+                f"Client account {record.account} may not run jobs in "
+                f"{', '.join(wanted)}.",
+                ResultCode.KIND_NOT_PERMITTED,
+            )
+        return permitted
+
+    async def _fitting(
+        self, spec: JobSpec, domains: list[FailureDomainId], record: AccountRecord
+    ) -> list[FailureDomainId]:
+        plan = self.follower.state.plans[record.account]
+        width = spec.shape.accelerators * spec.tasks
+        if plan.quota and width > plan.quota:
+            raise NeverFitsError(
+                f"The gang holds {width} accelerators and the account's quota is "
+                f"{plan.quota:g}."
+            )
+        listed = await self.hosts.hosts()
+        fitting = [domain for domain in domains if fits_ever(spec, domain, listed)]
+        if not fitting:
+            raise NeverFitsError(
+                f"No failure domain among {', '.join(domains)} can hold "
+                f"{spec.tasks} tasks of this shape at once."
+            )
+        return fitting
+
+    async def _least_loaded(
+        self, domains: list[FailureDomainId], spec: JobSpec
+    ) -> FailureDomainId:
+        summaries = await self.book.summaries(domains)
+        state = self.follower.state
+        best = domains[0]
+        lowest = None
+        for domain in domains:
+            out = state.domain_state(domain) is DomainState.OUT
+            load = (out, _load(summaries.get(domain, NO_SUMMARY), spec))
+            if lowest is None or load < lowest:
+                lowest = load
+                best = domain
+        return best
+
+    async def _insert(self, row: JobRow) -> JobRow:
+        key = job_key(row.job)
+        transaction = Transaction(
+            checks=[Check(key, ABSENT)],
+            puts=[
+                Put(key, msgspec.msgpack.encode(row)),
+                Put(member_key(row.domain, row.job), b""),
+                Put(account_key(row.account, row.job), b""),
+                inbox_put(row.domain, row.job, InboxAction.TAKE),
+            ],
+        )
+        commit = await commit_settled(self.table, transaction)
+        if commit.committed:
+            log.info("Job %s of %s goes to %s.", row.job, row.account, row.domain)
+            return row
+        rows = await self.table.read([key])
+        held = decode_job(rows[key].value)
+        if held.spec != row.spec:
+            raise KeyReusedError("The key was used with another job; draw a new one.")
+        return held
+
+
+def check_spec(spec: JobSpec):
+    """Refuse a job that makes no sense; raises CallerError."""
+    if not 1 <= spec.tasks <= MOST_TASKS:
+        raise CallerError(f"tasks must be between 1 and {MOST_TASKS}.")
+    shape = spec.shape
+    if shape.accelerators < 0 or shape.cores < 0 or shape.memory_gb < 0:
+        raise CallerError("A task's shape can't be below 0.")
+    if not (shape.accelerators or shape.cores or shape.memory_gb):
+        raise CallerError("A task must hold accelerators, cores or memory.")
+    if not spec.command:
+        raise CallerError("Give the command that the tasks run.")
+
+
+def fits_ever(spec: JobSpec, domain: FailureDomainId, listed: list[ListedHost]) -> bool:
+    """Tell whether a gang fits a failure domain that is otherwise empty."""
+    rooms = []
+    for host in listed:
+        if host.role is HostRole.WORKER and host.domain == domain:
+            rooms.append(WorkerRoom(host))
+    policy = TightestRack()
+    return policy.place(Inventory(rooms), spec.tasks, spec.shape, None) is not None
+
+
+def _load(summary: DomainSummary, spec: JobSpec) -> float:
+    """Return how much is wanted of what a failure domain has."""
+    if spec.shape.accelerators:
+        held = summary.accelerators - summary.accelerators_free
+        return (held + summary.accelerators_wanted) / max(1, summary.accelerators)
+    held = summary.cores - summary.cores_free
+    return (held + summary.cores_wanted) / max(1.0, summary.cores)
+
+
+def _job_id(record: AccountRecord, key: RequestKey | None) -> JobId:
+    if key is None:
+        return new_job_id()
+    name = f"{record.account}/{record.incarnation}/{key}"
+    return JobId(xxhash.xxh3_128_hexdigest(name))
--- /dev/null
+++ b/src/zinniatrestle/gangs/planner.py
@@ -0,0 +1,318 @@
+"""Decide one round: which gangs stop and which start where."""
+
+import msgspec
+
+from zinniatrestle.configuration import ConfigurationState
+from zinniatrestle.gangs.blocks import mask_of
+from zinniatrestle.gangs.guarantees import Binding
+from zinniatrestle.gangs.inventory import Inventory
+from zinniatrestle.gangs.messages import Slot, TaskShape
+from zinniatrestle.gangs.order import OrderPolicy
+from zinniatrestle.gangs.placement import Masks, PlacementPolicy
+from zinniatrestle.gangs.state import Gang
+from zinniatrestle.ids import ClientAccountId, WorkerId
+
+RESTART_SECONDS = 10.0
+
+
+class StartOrder(msgspec.Struct):
+    """Start a gang at a placement."""
+
+    gang: Gang
+    placement: list[Slot]
+    guaranteed: bool
+
+
+class Round(msgspec.Struct):
+    """What a scheduler does next: stops first, then starts."""
+
+    stops: list[Gang]
+    starts: list[StartOrder]
+
+
+class RoundInput(msgspec.Struct):
+    """What a round is decided from.
+
+    `inventory` holds only what is free and is used up by the round.
+    """
+
+    inventory: Inventory
+    binding: Binding
+    state: ConfigurationState
+    running: list[Gang]
+    waiting: list[Gang]
+    now: float
+    admitted_share: float = 1.0
+
+
+class Planner:
+    """Decide rounds by an order and a placement policy."""
+
+    def __init__(self, order: OrderPolicy, placement: PlacementPolicy):
+        self.order = order
+        self.placement = placement
+
+    def plan(self, given: RoundInput) -> Round:
+        """Return the next round."""
+        return RoundPlan(self, given).decide()
+
+
+class RoundPlan:
+    """Work out one round."""
+
+    def __init__(self, planner: Planner, given: RoundInput):
+        self.order = planner.order
+        self.placement = planner.placement
+        self.given = given
+        self.inventory = given.inventory
+        self.borrowers = [gang for gang in given.running if not gang.row.guaranteed]
+        self.by_worker: dict[WorkerId, list[Gang]] = {}
+        for gang in self.borrowers:
+            for slot in gang.row.placement:
+                self.by_worker.setdefault(slot.worker, []).append(gang)
+        self.guaranteed_masks = _held_masks(given.running)
+        self.usage = _usage(given.running)
+        self.bound = given.binding.bound()
+        self.unbound = self._unbound_masks()
+        self.stops: list[Gang] = []
+        self.starts: list[StartOrder] = []
+        # The smallest gang of a shape that found no room; a larger one can't
+        # either until something stops.
+        self.no_room: dict[TaskShape, int] = {}
+        self.no_victims: dict[tuple, int] = {}
+
+    def decide(self) -> Round:
+        """Return the round."""
+        waiting = sorted(self.given.waiting, key=self._key)
+        rest = []
+        for gang in waiting:
+            if not self._within_limits(gang):
+                continue
+            if not self._start_guaranteed(gang):
+                rest.append(gang)
+        for gang in rest:
+            if not self._within_limits(gang):
+                continue
+            self._start_borrowing(gang)
+        return Round(self.stops, self.starts)
+
+    def _key(self, gang: Gang) -> tuple:
+        # While capacity returns, gangs with a checkpoint go first.
+        resumed_first = self.given.admitted_share < 1.0 and gang.row.progress == 0.0
+        return (resumed_first, *self.order.key(gang, self.given.now))
+
+    def _start_guaranteed(self, gang: Gang) -> bool:
+        """Start a gang within its account's bound cells, if it fits them."""
+        masks = self._guaranteed_room(gang)
+        if not masks or not gang.row.spec.shape.accelerators:
+            return False
+        room = self.inventory.part(masks)
+        victims = self._borrowers_on(masks)
+        for victim in victims:
+            room.release(victim.row.placement, victim.row.spec.shape)
+        placement = self.placement.place(
+            room, gang.row.spec.tasks, gang.row.spec.shape, masks
+        )
+        if placement is None:
+            return False
+        self._evict(self._needed_victims(placement, gang.row.spec.shape, victims))
+        self._start(gang, placement, guaranteed=True)
+        return True
+
+    def _guaranteed_room(self, gang: Gang) -> Masks:
+        """Return the account's bound accelerators that none of its gangs holds."""
+        masks = {}
+        held = self.guaranteed_masks.get(gang.row.account, {})
+        for worker, mask in self.given.binding.masks(gang.row.account).items():
+            left = mask & ~held.get(worker, 0)
+            if left:
+                masks[worker] = left
+        return masks
+
+    def _start_borrowing(self, gang: Gang):
+        """Start a gang on free room, or on room that others must yield."""
+        spec = gang.row.spec
+        smallest = self.no_room.get(spec.shape)
+        if smallest is None or spec.tasks < smallest:
+            placement = self._find_free(gang)
+            if placement is not None:
+                self._start(gang, placement, guaranteed=False)
+                return
+            self.no_room[spec.shape] = spec.tasks
+        self._start_by_preemption(gang)
+
+    def _find_free(self, gang: Gang) -> list[Slot] | None:
+        spec = gang.row.spec
+        if spec.shape.accelerators and self.bound:
+            placement = self.placement.place(
+                self.inventory, spec.tasks, spec.shape, self.unbound
+            )
+            if placement is not None:
+                return placement
+        return self.placement.place(self.inventory, spec.tasks, spec.shape, None)
+
+    def _start_by_preemption(self, gang: Gang):
+        spec = gang.row.spec
+        now = self.given.now
+        key = (spec.shape, self.order.key(gang, now)[:2])
+        if self.no_victims.get(key, spec.tasks + 1) <= spec.tasks:
+            return
+        yielding = []
+        for victim in self.borrowers:
+            if victim in self.stops:
+                continue
+            if self.order.yields(victim, gang, now):
+                yielding.append(victim)
+        yielding.sort(key=eviction_cost)
+        room = self.inventory.copy()
+        count = 1
+        released = 0
+        while released < len(yielding):
+            for victim in yielding[released:count]:
+                room.release(victim.row.placement, victim.row.spec.shape)
+            released = min(count, len(yielding))
+            count *= 2
+            placement = self.placement.place(room, spec.tasks, spec.shape, None)
+            if placement is None:
+                continue
+            candidates = yielding[:released]
+            self._evict(self._needed_victims(placement, spec.shape, candidates))
+            self._start(gang, placement, guaranteed=False)
+            return
+        self.no_victims[key] = spec.tasks
+
+    def _borrowers_on(self, masks: Masks) -> list[Gang]:
+        """Return the borrowers on the workers of some masks."""
+        found = {}
+        for worker in masks:
+            for gang in self.by_worker.get(worker, []):
+                if gang not in self.stops:
+                    found[gang.row.job] = gang
+        return list(found.values())
+
+    def _needed_victims(
+        self, placement: list[Slot], shape: TaskShape, candidates: list[Gang]
+    ) -> list[Gang]:
+        """Return the candidates that must stop for a placement, cheapest first."""
+        needed: list[Gang] = []
+        for gang in candidates:
+            if _overlap(gang.row.placement, placement):
+                needed.append(gang)
+        free = self._free_after(placement, shape, needed)
+        for gang in sorted(candidates, key=eviction_cost):
+            short = {worker for worker, left in free.items() if min(left) < -1e-9}
+            if not short:
+                break
+            if gang in needed:
+                continue
+            if not any(slot.worker in short for slot in gang.row.placement):
+                continue
+            needed.append(gang)
+            free = self._free_after(placement, shape, needed)
+        return needed
+
+    def _free_after(
+        self, placement: list[Slot], shape: TaskShape, stopped: list[Gang]
+    ) -> dict[WorkerId, list[float]]:
+        """Return cores and memory left on the placement's workers."""
+        free = {}
+        for slot in placement:
+            room = self.inventory.rooms[slot.worker]
+            free[slot.worker] = [
+                room.cores_free - shape.cores * slot.tasks,
+                room.memory_free - shape.memory_gb * slot.tasks,
+            ]
+        for gang in stopped:
+            other = gang.row.spec.shape
+            for slot in gang.row.placement:
+                if slot.worker not in free:
+                    continue
+                free[slot.worker][0] += other.cores * slot.tasks
+                free[slot.worker][1] += other.memory_gb * slot.tasks
+        return free
+
+    def _evict(self, victims: list[Gang]):
+        for victim in victims:
+            self.stops.append(victim)
+            self.inventory.release(victim.row.placement, victim.row.spec.shape)
+            self.usage[victim.row.account] -= victim.width
+        if victims:
+            self.no_room.clear()
+            self.no_victims.clear()
+
+    def _start(self, gang: Gang, placement: list[Slot], guaranteed: bool):
+        self.inventory.hold(placement, gang.row.spec.shape)
+        self.starts.append(StartOrder(gang, placement, guaranteed))
+        account = gang.row.account
+        self.usage[account] = self.usage.get(account, 0.0) + gang.width
+        if guaranteed:
+            held = self.guaranteed_masks.setdefault(account, {})
+            _add_masks(held, placement)
+
+    def _within_limits(self, gang: Gang) -> bool:
+        """Tell whether the account's quota and the re-admission allow a start."""
+        plan = self.given.state.plans.get(gang.row.account)
+        if plan is None:
+            return False
+        used = self.usage.get(gang.row.account, 0.0)
+        if plan.quota and used + gang.width > plan.quota:
+            return False
+        if self.given.admitted_share >= 1.0:
+            return True
+        return self._within_readmission(gang)
+
+    def _within_readmission(self, gang: Gang) -> bool:
+        inventory = self.inventory
+        share = self.given.admitted_share
+        if gang.row.spec.shape.accelerators:
+            used = inventory.accelerators - inventory.accelerators_free
+            wanted = gang.row.spec.shape.accelerators * gang.row.spec.tasks
+            return used + wanted <= share * inventory.accelerators
+        used = inventory.cores - inventory.cores_free
+        wanted = gang.row.spec.shape.cores * gang.row.spec.tasks
+        return used + wanted <= share * inventory.cores
+
+    def _unbound_masks(self) -> Masks:
+        masks = {}
+        for worker in self.inventory.rooms:
+            masks[worker] = ~self.bound.get(worker, 0)
+        return masks
+
+
+def eviction_cost(gang: Gang) -> tuple[float, float]:
+    """Return what stopping a gang loses, in accelerator-seconds."""
+    lost = gang.width * RESTART_SECONDS
+    if not gang.row.spec.checkpoints:
+        lost += gang.row.service
+    return lost, -gang.row.started
+
+
+def _overlap(one: list[Slot], other: list[Slot]) -> bool:
+    masks = {slot.worker: mask_of(slot.accelerators) for slot in other}
+    for slot in one:
+        if masks.get(slot.worker, 0) & mask_of(slot.accelerators):
+            return True
+    return False
+
+
+def _add_masks(masks: Masks, placement: list[Slot]):
+    for slot in placement:
+        held = masks.get(slot.worker, 0)
+        masks[slot.worker] = held | mask_of(slot.accelerators)
+
+
+def _held_masks(running: list[Gang]) -> dict[ClientAccountId, Masks]:
+    held: dict[ClientAccountId, Masks] = {}
+    for gang in running:
+        if gang.row.guaranteed:
+            masks = held.setdefault(gang.row.account, {})
+            _add_masks(masks, gang.row.placement)
+    return held
+
+
+def _usage(running: list[Gang]) -> dict[ClientAccountId, float]:
+    usage: dict[ClientAccountId, float] = {}
+    for gang in running:
+        account = gang.row.account
+        usage[account] = usage.get(account, 0.0) + gang.width
+    return usage
--- /dev/null
+++ b/src/zinniatrestle/gangs/scheduler.py
@@ -0,0 +1,224 @@
+"""Serve one failure domain's gangs while this host holds its lease."""
+
+import asyncio
+
+from zinniatrestle.clock import Clock
+from zinniatrestle.configuration import ConfigurationFollower
+from zinniatrestle.domains import PermitOffice
+from zinniatrestle.errors import LeaseLostError, PlatformError
+from zinniatrestle.gangs.book import SchedulerBook
+from zinniatrestle.gangs.fleet import Fleet
+from zinniatrestle.gangs.guarantees import Binding, bind, demands_of
+from zinniatrestle.gangs.messages import DomainSummary, InboxAction
+from zinniatrestle.gangs.moving import JobMover
+from zinniatrestle.gangs.planner import Planner, RoundInput
+from zinniatrestle.gangs.settling import GangSettler
+from zinniatrestle.gangs.starting import GangStarter
+from zinniatrestle.gangs.state import Gang, GangTable
+from zinniatrestle.ids import Epoch, FailureDomainId
+from zinniatrestle.logs import PartLog
+from zinniatrestle.platform import Platform
+from zinniatrestle.platform.leases import Lease, LeaseStanding
+
+TICK_SECONDS = 0.5
+SUMMARY_SECONDS = 5.0
+POLL_PAUSE_SECONDS = 0.25
+
+log = PartLog("scheduler")
+
+
+class DomainScheduler:
+    """Take jobs, start and stop gangs, and settle what became of them.
+
+    All state is rebuilt from the job rows and the workers' leases whenever the
+    lease comes to this host or a write is refused.
+    """
+
+    def __init__(
+        self,
+        domain: FailureDomainId,
+        platform: Platform,
+        lease: Lease,
+        follower: ConfigurationFollower,
+        office: PermitOffice,
+        planner: Planner,
+        clock: Clock,
+    ):
+        self.domain = domain
+        self.platform = platform
+        self.lease = lease
+        self.follower = follower
+        self.office = office
+        self.planner = planner
+        self.clock = clock
+        self.book = SchedulerBook(platform.table, domain)
+        self.table = GangTable()
+        self.fleet = Fleet(domain, platform, follower, clock)
+        self.settler = GangSettler(self.book, self.table, self.fleet, follower, clock)
+        self.starter = GangStarter(
+            self.book, self.table, self.fleet, lease, office, follower, clock
+        )
+        self.mover = JobMover(self.book, self.table, follower, clock)
+        self.binding = Binding()
+        self.epoch = Epoch(0)
+        self.rebuild = True
+        self.summarized = 0.0
+        self.wake = asyncio.Event()
+
+    async def run(self):
+        """Serve while the lease is held, until cancelled."""
+        async with asyncio.TaskGroup() as group:
+            group.create_task(self._run_rounds())
+            group.create_task(self._run_polls())
+
+    async def _run_rounds(self):
+        while True:
+            if self.lease.standing is LeaseStanding.HELD:
+                await self.serve_round()
+            else:
+                self.rebuild = True
+            try:
+                await asyncio.wait_for(self.wake.wait(), TICK_SECONDS)
+            except TimeoutError:
+                continue
+            self.wake.clear()
+
+    async def _run_polls(self):
+        """Poll beside the rounds, so that a worker that hangs delays no start."""
+        while True:
+            held = self.lease.standing is LeaseStanding.HELD
+            if held and not self.rebuild:
+                await self.fleet.poll(self.table.holding(), self.epoch)
+            await asyncio.sleep(POLL_PAUSE_SECONDS)
+
+    async def serve_round(self):
+        """Serve one round; begin anew from the store after a failure."""
+        try:
+            await self.round()
+        except LeaseLostError as error:
+            log.warning("The round in %s ends: %s", self.domain, error.detail)
+            self.rebuild = True
+        except PlatformError as error:
+            log.warning("No round in %s: %s", self.domain, error.detail)
+            self.rebuild = True
+
+    async def round(self):
+        """Take new jobs, settle gangs, and start what fits."""
+        self.lease.require()
+        await self.fleet.refresh()
+        if self.rebuild or self.epoch != self.lease.epoch:
+            await self._rebuild()
+        await self._take_inbox()
+        await self.settler.settle(self.epoch)
+        await self.mover.move()
+        await self._start()
+        await self._summarize()
+
+    async def _rebuild(self):
+        epoch = self.lease.require()
+        gangs = await self.book.take_over(epoch)
+        self.table.gangs.clear()
+        for gang in gangs:
+            self.table.add(gang)
+        self.epoch = epoch
+        self.fleet.adopt(epoch)
+        await self.fleet.poll_all(self.table.holding(), epoch)
+        await self.starter.finish_or_undo(epoch)
+        self.rebuild = False
+        log.info("%s has %d jobs at epoch %d.", self.domain, len(gangs), epoch)
+
+    async def _take_inbox(self):
+        while True:
+            entries = await self.book.inbox()
+            if not entries:
+                return
+            wanted = []
+            for entry in entries:
+                gang = self.table.gangs.get(entry.job)
+                if entry.action is InboxAction.CANCEL and gang is not None:
+                    gang.cancelled = True
+                    continue
+                if gang is None:
+                    wanted.append(entry.job)
+            cancelled = {e.job for e in entries if e.action is InboxAction.CANCEL}
+            for gang in await self.book.load(wanted):
+                if gang.row.domain != self.domain or gang.ended:
+                    continue
+                gang.cancelled = gang.row.job in cancelled
+                self.table.add(gang)
+            await self.settler.cancel_marked(self.epoch)
+            await self.book.clear(entries)
+
+    async def _start(self):
+        if self.office.refusal(self.domain) is not None:
+            return
+        waiting = self.table.queued()
+        if not waiting:
+            return
+        state = self.follower.state
+        workers = self.fleet.listed.values()
+        self.binding = bind(demands_of(state, self.domain), workers, self.binding)
+        now = self.clock.wall()
+        running = self.table.holding()
+        given = RoundInput(
+            inventory=self.fleet.inventory(running, now),
+            binding=self.binding,
+            state=state,
+            running=running,
+            waiting=waiting,
+            now=now,
+            admitted_share=self.office.admitted_share(self.domain),
+        )
+        plan = self.planner.plan(given)
+        await self.settler.suspend(plan.stops, self.epoch)
+        await self.starter.start(plan.starts, self.epoch)
+
+    async def _summarize(self):
+        now = self.clock.wall()
+        if now - self.summarized < SUMMARY_SECONDS:
+            return
+        self.summarized = now
+        await self.book.summarize(self.summary())
+
+    def summary(self) -> DomainSummary:
+        """Return how full the failure domain is."""
+        now = self.clock.wall()
+        running = self.table.holding()
+        inventory = self.fleet.inventory(running, now)
+        waiting = self.table.queued()
+        return DomainSummary(
+            domain=self.domain,
+            wall=now,
+            accelerators=inventory.accelerators,
+            accelerators_free=inventory.accelerators_free,
+            accelerators_wanted=sum(_accelerators(gang) for gang in waiting),
+            cores=inventory.cores,
+            cores_free=inventory.cores_free,
+            cores_wanted=sum(_cores(gang) for gang in waiting),
+            unusable=self._unusable(inventory, waiting),
+            running=len(running),
+            queued=len(waiting),
+            done=self.settler.done,
+            service_done=self.settler.service_done,
+            completion_mean=self.settler.completion_mean(),
+        )
+
+    def _unusable(self, inventory, waiting: list[Gang]) -> int:
+        """Return the free accelerators that the largest waiting gang can't use."""
+        if not waiting:
+            return 0
+        largest = max(waiting, key=_accelerators)
+        spec = largest.row.spec
+        wanted = _accelerators(largest)
+        if not wanted or wanted > inventory.accelerators_free:
+            return 0
+        placed = self.planner.placement.place(inventory, spec.tasks, spec.shape, None)
+        return 0 if placed is not None else inventory.accelerators_free
+
+
+def _accelerators(gang: Gang) -> int:
+    return gang.row.spec.tasks * gang.row.spec.shape.accelerators
+
+
+def _cores(gang: Gang) -> float:
+    return gang.row.spec.tasks * gang.row.spec.shape.cores
--- a/src/zinniatrestle/platform/embedded.py
+++ b/src/zinniatrestle/platform/embedded.py
@@ -98,9 +98,9 @@
         """Start the tasks of a reserved attempt."""
         self.state(worker).start(command)
 
-    async def renew(self, worker: WorkerId, command: Renew):
-        """Extend the leases of running attempts."""
-        self.state(worker).renew(command)
+    async def renew(self, worker: WorkerId, command: Renew) -> WorkerReport:
+        """Extend the leases of running attempts and report."""
+        return self.state(worker).renew(command)
 
     async def stop(self, worker: WorkerId, command: Stop) -> float:
         """End an attempt and return its checkpointed progress in seconds."""
--- a/src/zinniatrestle/platform/interfaces.py
+++ b/src/zinniatrestle/platform/interfaces.py
@@ -68,8 +68,8 @@
         """Start the tasks of a reserved attempt."""
 
     @abstractmethod
-    async def renew(self, worker: WorkerId, command: Renew):
-        """Extend the leases of running attempts."""
+    async def renew(self, worker: WorkerId, command: Renew) -> WorkerReport:
+        """Extend the leases of running attempts and return what the worker holds."""
 
     @abstractmethod
     async def stop(self, worker: WorkerId, command: Stop) -> float:
--- a/src/zinniatrestle/platform/messages.py
+++ b/src/zinniatrestle/platform/messages.py
@@ -106,6 +106,7 @@
     state: LeaseState
     expires: float
     progress: float = 0.0
+    checkpointed: float = 0.0
 
 
 class Reserve(msgspec.Struct, frozen=True):
@@ -136,16 +137,23 @@
     epoch: Epoch
     start_by: float
     expires: float
-    work_seconds: float
+    command: list[str]
     progress: float = 0.0
 
 
+class Renewal(msgspec.Struct, frozen=True):
+    """Let one attempt run on until `expires`, and write a checkpoint if wanted."""
+
+    attempt: AttemptId
+    expires: float
+    checkpoint: bool = False
+
+
 class Renew(msgspec.Struct, frozen=True):
-    """Ask a worker to let the named attempts run on until `expires`."""
+    """Extend the leases of running attempts on one worker."""
 
-    attempts: list[AttemptId]
+    renewals: list[Renewal]
     epoch: Epoch
-    expires: float
 
 
 class Stop(msgspec.Struct, frozen=True):
--- a/src/zinniatrestle/platform/state.py
+++ b/src/zinniatrestle/platform/state.py
@@ -18,6 +18,9 @@
     WorkerReport,
 )
 
+SLEEP_PROGRAM = "sleep"
+FAIL_PROGRAM = "fail"
+
 
 class TableState:
     """Hold rows and apply transactions, one after another."""
@@ -58,6 +61,16 @@
         return Commit(committed=True)
 
 
+def program_seconds(command: list[str]) -> float:
+    """Return how long a `sleep SECONDS` command runs; any other ends at once."""
+    if len(command) != 2 or command[0] != SLEEP_PROGRAM:
+        return 0.0
+    try:
+        return float(command[1])
+    except ValueError:
+        return 0.0
+
+
 class WorkerTask:
     """Hold one attempt's task on a worker."""
 
@@ -67,6 +80,7 @@
         self.expires = command.expires
         self.work_seconds = 0.0
         self.progress = 0.0
+        self.checkpointed = 0.0
         self.started = 0.0
 
 
@@ -112,22 +126,26 @@
         now = self.clock.wall()
         task.state = LeaseState.RUNNING
         task.expires = command.expires
-        task.work_seconds = command.work_seconds
+        task.work_seconds = program_seconds(command.command)
         task.progress = command.progress
+        task.checkpointed = command.progress
         task.started = now
         self.starts.append((now, command.job, command.attempt))
-        if self.fails_everything:
+        if self.fails_everything or command.command == [FAIL_PROGRAM]:
             task.state = LeaseState.FAILED
 
-    def renew(self, command: Renew):
-        """Extend the leases of running attempts."""
+    def renew(self, command: Renew) -> WorkerReport:
+        """Extend the leases of running attempts and report."""
         self.settle()
         self._obey(command.epoch, self.clock.wall())
-        for attempt in command.attempts:
-            task = self.tasks.get(attempt)
+        for renewal in command.renewals:
+            task = self.tasks.get(renewal.attempt)
             if task is None:
                 continue
-            task.expires = max(task.expires, command.expires)
+            task.expires = max(task.expires, renewal.expires)
+            if renewal.checkpoint:
+                task.checkpointed = self._progress(task)
+        return self.report()
 
     def stop(self, command: Stop) -> float:
         """End an attempt; return its checkpointed progress in seconds."""
@@ -154,6 +172,7 @@
                 state=task.state,
                 expires=task.expires,
                 progress=self._progress(task),
+                checkpointed=task.checkpointed,
             )
             leases.append(lease)
         return WorkerReport(self.worker, leases, self.epoch, self.clock.wall())
--- /dev/null
+++ b/tests/common/cluster.py
@@ -0,0 +1,142 @@
+"""Small clusters on the embedded platform."""
+
+import asyncio
+
+from zinniatrestle.clock import LoopClock
+from zinniatrestle.configuration import ChangeDesk, ConfigurationFollower
+from zinniatrestle.configuration.messages import (
+    ApplyAccount,
+    Change,
+    PutTemplate,
+    Template,
+)
+from zinniatrestle.domains import PermitOffice
+from zinniatrestle.gangs import DomainScheduler, GuaranteeRule, JobDesk
+from zinniatrestle.gangs.book import JobBook
+from zinniatrestle.gangs.messages import JobRow, JobSpec
+from zinniatrestle.gangs.order import AttainedServiceOrder
+from zinniatrestle.gangs.placement import TightestRack
+from zinniatrestle.gangs.planner import Planner
+from zinniatrestle.ids import (
+    ClientAccountId,
+    FailureDomainId,
+    HostId,
+    JobId,
+    RackId,
+    Revision,
+    TemplateName,
+    new_operation_token,
+)
+from zinniatrestle.platform.embedded import EmbeddedPlatform
+from zinniatrestle.platform.leases import Lease
+from zinniatrestle.platform.messages import HostRole, ListedHost
+
+DOMAIN = FailureDomainId("lima")
+ACCOUNT = ClientAccountId("norte")
+WORKERS_PER_RACK = 8
+GRACE_SECONDS = 30.0
+
+
+def worker(number: int, domain: FailureDomainId = DOMAIN) -> ListedHost:
+    """Return a worker of 8 accelerators in a rack of 8."""
+    return ListedHost(
+        name=f"{domain}-w{number}",
+        role=HostRole.WORKER,
+        domain=domain,
+        address="127.0.0.1:1",
+        rack=RackId(f"{domain}-r{number // WORKERS_PER_RACK}"),
+        accelerators=8,
+        cores=32.0,
+        memory_gb=128.0,
+    )
+
+
+def plan(**changes) -> dict:
+    """Return the plan of a template, with changes."""
+    body = {"domains": [DOMAIN], "offline_grace_seconds": GRACE_SECONDS}
+    body.update(changes)
+    return body
+
+
+class GangCluster:
+    """One failure domain with a scheduler on each of some hosts."""
+
+    def __init__(self, workers: int, hosts: int = 1):
+        self.clock = LoopClock()
+        listed = [worker(number) for number in range(workers)]
+        self.platform = EmbeddedPlatform(listed, self.clock)
+        self.schedulers: list[DomainScheduler] = []
+        self.tasks: list[list[asyncio.Task]] = []
+        for number in range(hosts):
+            self.schedulers.append(self._scheduler(HostId(f"h{number}")))
+        self.follower = self.schedulers[0].follower
+        rules = [GuaranteeRule(self.platform.hosts)]
+        self.changes = ChangeDesk(
+            self.platform.table, self.follower, self.clock, rules
+        )
+        self.desk = JobDesk(
+            self.platform.table, self.platform.hosts, self.follower, self.clock
+        )
+
+    @classmethod
+    async def start(cls, workers: int, hosts: int = 1, **changes) -> "GangCluster":
+        """Return a running cluster with one account."""
+        cluster = cls(workers, hosts)
+        for scheduler in cluster.schedulers:
+            cluster.tasks.append(cluster._run(scheduler))
+        await cluster.account(ACCOUNT, **changes)
+        await asyncio.sleep(2)
+        return cluster
+
+    async def account(self, account: ClientAccountId, **changes):
+        """Apply an account with a template of its own."""
+        name = TemplateName(f"for-{account}")
+        await self.change(PutTemplate(Template(name, plan(**changes))))
+        await self.change(ApplyAccount(account, name, f"digest-{account}"))
+
+    async def change(self, change: Change) -> Revision:
+        """Make a change."""
+        return await self.changes.submit(change, new_operation_token())
+
+    async def submit(
+        self, spec: JobSpec, account: ClientAccountId = ACCOUNT
+    ) -> JobId:
+        """Submit a job."""
+        return (await self.desk.submit(account, spec, None)).job
+
+    async def row(self, job: JobId, account: ClientAccountId = ACCOUNT) -> JobRow:
+        """Return a job's row."""
+        return await JobBook(self.platform.table).find(account, job)
+
+    def held_leases(self) -> int:
+        """Return how many leases the workers hold."""
+        total = 0
+        for state in self.platform.workers.states.values():
+            total += len(state.report().leases)
+        return total
+
+    async def kill(self, number: int):
+        """End a host's tasks without a farewell."""
+        for task in self.tasks[number]:
+            task.cancel()
+        await asyncio.gather(*self.tasks[number], return_exceptions=True)
+
+    def _scheduler(self, host: HostId) -> DomainScheduler:
+        follower = ConfigurationFollower(self.platform.table, self.clock)
+        lease = Lease(f"domain/{DOMAIN}", host, self.platform.table)
+        return DomainScheduler(
+            DOMAIN,
+            self.platform,
+            lease,
+            follower,
+            PermitOffice(follower, self.clock),
+            Planner(AttainedServiceOrder(), TightestRack()),
+            self.clock,
+        )
+
+    def _run(self, scheduler: DomainScheduler) -> list[asyncio.Task]:
+        return [
+            asyncio.create_task(scheduler.lease.keep()),
+            asyncio.create_task(scheduler.follower.follow()),
+            asyncio.create_task(scheduler.run()),
+        ]
