--- a/src/zinniatrestle/configuration/messages.py
+++ b/src/zinniatrestle/configuration/messages.py
@@ -152,10 +152,15 @@
 
 
 class TemplateRecord(msgspec.Struct, frozen=True, tag="template"):
-    """A template as it is in force."""
+    """A template as it is in force.
+
+    `graces` keeps the longest offline grace, in seconds, that each of its accounts
+    had under an earlier version: a host that was cut off may still go by it.
+    """
 
     template: Template
     revision: Revision
+    graces: dict[ClientAccountId, float] = {}
 
 
 class AccountRecord(msgspec.Struct, frozen=True, tag="account"):
@@ -169,6 +174,7 @@
     incarnation: Revision
     revision: Revision
     retired_wall: float = 0.0
+    longest_grace: float = 0.0
 
 
 class DomainRecord(msgspec.Struct, frozen=True, tag="domain"):
--- a/src/zinniatrestle/configuration/state.py
+++ b/src/zinniatrestle/configuration/state.py
@@ -77,7 +77,8 @@
         match change:
             case PutTemplate():
                 check_template(change.template)
-                return TemplateRecord(change.template, record.revision)
+                graces = self._graces_of(change.template.name)
+                return TemplateRecord(change.template, record.revision, graces)
             case ApplyAccount():
                 return self._applied(change, record)
             case ChangeAccount():
@@ -113,6 +114,23 @@
         record = self.domains.get(domain)
         return record.state if record else DomainState.IN
 
+    def longest_grace(self, account: ClientAccountId) -> float:
+        """Return the longest offline grace that any host may go by, in seconds."""
+        record = self.accounts[account]
+        template = self.templates[record.template]
+        return max(
+            self.plans[account].offline_grace_seconds,
+            record.longest_grace,
+            template.graces.get(account, 0.0),
+        )
+
+    def _graces_of(self, name: TemplateName) -> dict[ClientAccountId, float]:
+        graces = {}
+        for account, record in self.accounts.items():
+            if record.template == name:
+                graces[account] = self.longest_grace(account)
+        return graces
+
     def _applied(self, change: ApplyAccount, record: ChangeRecord) -> AccountRecord:
         old = self.accounts.get(change.account)
         if old is not None and old.state is AccountState.ACTIVE:
@@ -132,6 +150,7 @@
             state=AccountState.ACTIVE,
             incarnation=record.revision,
             revision=record.revision,
+            longest_grace=self.longest_grace(change.account) if old else 0.0,
         )
         self._plan(applied)
         return applied
@@ -142,6 +161,7 @@
             old,
             parameters={**old.parameters, **change.parameters},
             revision=record.revision,
+            longest_grace=self.longest_grace(change.account),
         )
         self._plan(changed)
         return changed
--- /dev/null
+++ b/src/zinniatrestle/entry/app.py
@@ -0,0 +1,75 @@
+"""The HTTP application of an entry host."""
+
+import contextlib
+
+import uvicorn
+from starlette.applications import Starlette
+from starlette.requests import Request as HttpRequest
+from starlette.responses import Response
+from starlette.routing import Route
+
+from zinniatrestle.entry.host import EntryHost
+from zinniatrestle.errors import ResultCode
+from zinniatrestle.gangs.routes import JobRoutes
+from zinniatrestle.operators.routes import OperatorRoutes
+from zinniatrestle.requests.routes import RequestRoutes
+from zinniatrestle.web import problem, reply
+
+NOT_FOUND = 404
+NOT_ALLOWED = 405
+
+
+def build_app(host: EntryHost) -> Starlette:
+    """Return the application with all routes of a host."""
+    settings = host.settings
+    routes = [
+        Route("/healthz", _healthy, methods=["GET"]),
+        Route("/readyz", _readiness(host), methods=["GET"]),
+    ]
+    routes.extend(RequestRoutes(host.handler, host.follower, settings).routes())
+    routes.extend(JobRoutes(host.jobs, host.follower, settings).routes())
+    routes.extend(OperatorRoutes(host).routes())
+    handlers = {NOT_FOUND: _unknown_path, NOT_ALLOWED: _unknown_path}
+    return Starlette(routes=routes, exception_handlers=handlers)
+
+
+class HostServer(uvicorn.Server):
+    """Serve HTTP and leave signals to the daemon."""
+
+    @contextlib.contextmanager
+    def capture_signals(self):
+        """Leave signals alone."""
+        yield
+
+
+def build_server(host: EntryHost) -> HostServer:
+    """Return the HTTP server of a host."""
+    settings = host.settings
+    config = uvicorn.Config(
+        build_app(host),
+        host=settings.address,
+        port=settings.port,
+        log_config=None,
+        access_log=False,
+        lifespan="off",
+        server_header=False,
+        timeout_graceful_shutdown=int(settings.drain_seconds) + 1,
+    )
+    return HostServer(config)
+
+
+async def _healthy(http: HttpRequest) -> Response:
+    return reply({"state": "healthy"})
+
+
+def _readiness(host: EntryHost):
+    async def readiness(http: HttpRequest) -> Response:
+        if host.ready:
+            return reply({"state": host.state.value})
+        return problem(ResultCode.STOPPING, f"The host is {host.state.value}.")
+
+    return readiness
+
+
+async def _unknown_path(http: HttpRequest, error: Exception) -> Response:
+    return problem(ResultCode.NO_SUCH_THING, "No such path or method.")
--- /dev/null
+++ b/src/zinniatrestle/entry/host.py
@@ -0,0 +1,186 @@
+"""One entry host: all its parts, from settings, a platform and a transport."""
+
+import asyncio
+import secrets
+from collections.abc import Callable
+
+from zinniatrestle.burn import BurnLedger
+from zinniatrestle.clock import Clock
+from zinniatrestle.configuration import ChangeDesk, ConfigurationFollower
+from zinniatrestle.domains import PermitOffice
+from zinniatrestle.entry.state import HostState
+from zinniatrestle.errors import PlatformError
+from zinniatrestle.gangs import DomainScheduler, GuaranteeRule, JobDesk
+from zinniatrestle.gangs.order import AttainedServiceOrder
+from zinniatrestle.gangs.placement import TightestRack
+from zinniatrestle.gangs.planner import Planner
+from zinniatrestle.ids import FailureDomainId, HostId, RegionId
+from zinniatrestle.logs import PartLog
+from zinniatrestle.peers import Identity, PeerMesh
+from zinniatrestle.platform import Platform
+from zinniatrestle.platform.leases import Lease
+from zinniatrestle.progress import InProgress
+from zinniatrestle.requests import RequestHandler
+from zinniatrestle.requests.claims import ClaimBook
+from zinniatrestle.requests.sending import Sender
+from zinniatrestle.retirement import EvidenceCollector, RetirementProver
+from zinniatrestle.settings import HostSettings
+from zinniatrestle.upstreams import UpstreamPool, UpstreamTransport
+
+LIST_SECONDS = 1.0
+DRAIN_LOOK_SECONDS = 0.05
+BOOT_BYTES = 8
+
+log = PartLog("host")
+
+
+class EntryHost:
+    """Hold the parts of an entry host and run their tasks."""
+
+    def __init__(
+        self,
+        settings: HostSettings,
+        platform: Platform,
+        transport: UpstreamTransport,
+        clock: Clock,
+    ):
+        host = HostId(settings.host)
+        domain = FailureDomainId(settings.domain)
+        self.settings = settings
+        self.platform = platform
+        self.transport = transport
+        self.clock = clock
+        self.state = HostState.STARTING
+        self.in_progress = InProgress()
+        self.follower = ConfigurationFollower(platform.table, clock)
+        self.burn = BurnLedger(host, self.follower)
+        self.identity = Identity(
+            host,
+            domain,
+            secrets.token_hex(BOOT_BYTES),
+            settings.cluster_key.encode(),
+        )
+        self.mesh = PeerMesh(
+            self.identity,
+            RegionId(settings.region),
+            settings.peer_addresses(),
+            self.follower,
+            self.in_progress,
+            self.burn,
+            clock,
+        )
+        self.pool = UpstreamPool(
+            domain, host, self.mesh, settings.minion_slots, settings.seed
+        )
+        self.claims = ClaimBook(
+            platform.table, settings.claim_batch, settings.claim_lanes
+        )
+        self.sender = Sender(self.pool, transport, self.in_progress, clock)
+        self.handler = RequestHandler(
+            host,
+            domain,
+            self.follower,
+            self.claims,
+            self.sender,
+            self.mesh,
+            self.burn,
+            clock,
+        )
+        self.mesh.attach(self.pool, self.handler)
+        self.lease = Lease(f"domain/{domain}", host, platform.table)
+        self.scheduler = DomainScheduler(
+            domain,
+            platform,
+            self.lease,
+            self.follower,
+            PermitOffice(self.follower, clock),
+            Planner(AttainedServiceOrder(), TightestRack()),
+            self.in_progress,
+            clock,
+        )
+        self.jobs = JobDesk(platform.table, platform.hosts, self.follower, clock)
+        self.changes = ChangeDesk(
+            platform.table, self.follower, clock, [GuaranteeRule(platform.hosts)]
+        )
+        collector = EvidenceCollector(self.mesh, platform, transport, clock)
+        self.prover = RetirementProver(
+            host, self.follower, collector, platform.objects, clock
+        )
+        self.metrics: Callable[[], dict[str, float]] = dict
+        self.tasks: list[asyncio.Task] = []
+        self.peer_server: asyncio.Server | None = None
+
+    async def start(self):
+        """Start all tasks and listen for peers."""
+        settings = self.settings
+        self.peer_server = await self.mesh.server.start(
+            settings.address, settings.peer_port
+        )
+        for run in (
+            self.follower.follow(),
+            self.claims.run(),
+            self.mesh.run(),
+            self.lease.keep(),
+            self.scheduler.run(),
+            self._watch_list(),
+        ):
+            self.tasks.append(asyncio.create_task(run))
+        self.state = HostState.SERVING
+        log.info("Host %s serves %s.", settings.host, settings.domain)
+
+    @property
+    def ready(self) -> bool:
+        """Tell whether the balancer should send callers here."""
+        knows = self.follower.state.revision > 0 or self.follower.confirmed_wall > 0
+        return self.state is HostState.SERVING and knows
+
+    async def leave(self):
+        """Prepare a planned stop: hand roles over and let the balancer notice."""
+        log.info("Host %s leaves.", self.settings.host)
+        self.state = HostState.LEAVING
+        self.mesh.leaving = True
+        self.mesh.announce()
+        await self._hand_over_lease()
+        await asyncio.sleep(self.settings.notice_seconds)
+
+    async def drain(self):
+        """Wait until nothing is in progress, at most `drain_seconds`."""
+        try:
+            async with asyncio.timeout(self.settings.drain_seconds):
+                while self.in_progress.total:
+                    await asyncio.sleep(DRAIN_LOOK_SECONDS)
+                await self.handler.drain()
+        except TimeoutError:
+            log.warning("%d are still in progress.", self.in_progress.total)
+
+    async def stop(self):
+        """Say farewell to peers and end all tasks."""
+        self.mesh.announce()
+        await asyncio.sleep(DRAIN_LOOK_SECONDS)
+        self.state = HostState.STOPPED
+        for task in self.tasks:
+            task.cancel()
+        await asyncio.gather(*self.tasks, return_exceptions=True)
+        if self.peer_server is not None:
+            self.peer_server.close()
+        await self.transport.close()
+        await self.platform.close()
+        log.info("Host %s has stopped.", self.settings.host)
+
+    async def _hand_over_lease(self):
+        await self.scheduler.resign()
+        try:
+            await self.lease.release()
+        except PlatformError as error:
+            log.warning("The lease is left to expire: %s", error.detail)
+
+    async def _watch_list(self):
+        """Follow the platform's list of minions; an old one serves while it is out."""
+        while True:
+            try:
+                self.pool.refresh(await self.platform.hosts.hosts())
+            except PlatformError as error:
+                log.warning("The list of minions is old: %s", error.detail)
+            for queue in self.sender.queues.values():
+                queue.dispatch()
+            await asyncio.sleep(LIST_SECONDS)
--- a/src/zinniatrestle/gangs/fleet.py
+++ b/src/zinniatrestle/gangs/fleet.py
@@ -6,6 +6,7 @@
 
 from zinniatrestle.clock import Clock, monotonic
 from zinniatrestle.configuration import ConfigurationFollower
+from zinniatrestle.configuration.messages import AccountState
 from zinniatrestle.errors import PlatformError, WorkerError
 from zinniatrestle.gangs.health import HealthBook
 from zinniatrestle.gangs.inventory import Inventory, WorkerRoom
@@ -136,6 +137,13 @@
         plan = self.follower.state.plans.get(account)
         return plan.offline_grace_seconds if plan else 0.0
 
+    def served(self, gang: Gang) -> bool:
+        """Tell whether the account's life that a gang belongs to is active."""
+        record = self.follower.state.accounts.get(gang.row.account)
+        if record is None or record.state is not AccountState.ACTIVE:
+            return False
+        return record.incarnation == gang.row.incarnation
+
     def lease_end(self, account: ClientAccountId) -> float:
         """Return the wall time to which a task lease may run now."""
         return self.follower.confirmed_wall + self.grace(account)
@@ -228,7 +236,7 @@
         renewals: dict[WorkerId, list[Renewal]] = {}
         now = self.clock.wall()
         for gang in gangs:
-            if gang.row.state is not JobState.RUNNING:
+            if gang.row.state is not JobState.RUNNING or not self.served(gang):
                 continue
             renewal = Renewal(
                 gang.row.attempt,
--- /dev/null
+++ b/src/zinniatrestle/gangs/routes.py
@@ -0,0 +1,62 @@
+"""The callers' HTTP routes for jobs."""
+
+from starlette.requests import Request as HttpRequest
+from starlette.responses import Response
+from starlette.routing import Route
+
+from zinniatrestle.configuration import ConfigurationFollower
+from zinniatrestle.gangs.jobs import JobDesk
+from zinniatrestle.gangs.messages import JobSpec
+from zinniatrestle.ids import JobId
+from zinniatrestle.requests.routes import authenticate, request_key
+from zinniatrestle.settings import HostSettings
+from zinniatrestle.web import decode_body, guarded, read_body, reply
+
+ACCEPTED = 202
+
+
+class JobRoutes:
+    """Decode calls on jobs and encode their answers."""
+
+    def __init__(
+        self, desk: JobDesk, follower: ConfigurationFollower, settings: HostSettings
+    ):
+        self.desk = desk
+        self.follower = follower
+        self.settings = settings
+
+    def routes(self) -> list[Route]:
+        """Return the routes."""
+        return [
+            Route("/v1/jobs", guarded(self.submit), methods=["POST"]),
+            Route("/v1/jobs", guarded(self.list), methods=["GET"]),
+            Route("/v1/jobs/{job}", guarded(self.show), methods=["GET"]),
+            Route("/v1/jobs/{job}", guarded(self.cancel), methods=["DELETE"]),
+        ]
+
+    async def submit(self, http: HttpRequest) -> Response:
+        """Take a job."""
+        account = authenticate(http, self.follower)
+        body = await read_body(http, self.settings.largest_body)
+        spec = decode_body(body, JobSpec)
+        row = await self.desk.submit(account, spec, request_key(http))
+        return reply(row, ACCEPTED)
+
+    async def list(self, http: HttpRequest) -> Response:
+        """Show an account's jobs."""
+        account = authenticate(http, self.follower)
+        return reply(await self.desk.jobs(account))
+
+    async def show(self, http: HttpRequest) -> Response:
+        """Show one job."""
+        account = authenticate(http, self.follower)
+        return reply(await self.desk.status(account, _job(http)))
+
+    async def cancel(self, http: HttpRequest) -> Response:
+        """Cancel one job."""
+        account = authenticate(http, self.follower)
+        return reply(await self.desk.cancel(account, _job(http)), ACCEPTED)
+
+
+def _job(http: HttpRequest) -> JobId:
+    return JobId(http.path_params["job"])
--- a/src/zinniatrestle/gangs/scheduler.py
+++ b/src/zinniatrestle/gangs/scheduler.py
@@ -19,6 +19,7 @@
 from zinniatrestle.logs import PartLog
 from zinniatrestle.platform import Platform
 from zinniatrestle.platform.leases import Lease, LeaseStanding
+from zinniatrestle.progress import InProgress
 
 TICK_SECONDS = 0.5
 SUMMARY_SECONDS = 5.0
@@ -42,6 +43,7 @@
         follower: ConfigurationFollower,
         office: PermitOffice,
         planner: Planner,
+        in_progress: InProgress,
         clock: Clock,
     ):
         self.domain = domain
@@ -56,7 +58,7 @@
         self.fleet = Fleet(domain, platform, follower, clock)
         self.settler = GangSettler(self.book, self.table, self.fleet, follower, clock)
         self.starter = GangStarter(
-            self.book, self.table, self.fleet, lease, office, follower, clock
+            self.book, self.table, self.fleet, lease, office, in_progress, clock
         )
         self.mover = JobMover(self.book, self.table, follower, clock)
         self.binding = Binding()
@@ -64,6 +66,8 @@
         self.rebuild = True
         self.summarized = 0.0
         self.wake = asyncio.Event()
+        self.resigned = False
+        self.round_lock = asyncio.Lock()
 
     async def run(self):
         """Serve while the lease is held, until cancelled."""
@@ -71,8 +75,14 @@
             group.create_task(self._run_rounds())
             group.create_task(self._run_polls())
 
+    async def resign(self):
+        """End the round under way and serve no more."""
+        self.resigned = True
+        async with self.round_lock:
+            self.rebuild = True
+
     async def _run_rounds(self):
-        while True:
+        while not self.resigned:
             if self.lease.standing is LeaseStanding.HELD:
                 await self.serve_round()
             else:
@@ -87,14 +97,15 @@
         """Poll beside the rounds, so that a worker that hangs delays no start."""
         while True:
             held = self.lease.standing is LeaseStanding.HELD
-            if held and not self.rebuild:
+            if held and not self.rebuild and not self.resigned:
                 await self.fleet.poll(self.table.holding(), self.epoch)
             await asyncio.sleep(POLL_PAUSE_SECONDS)
 
     async def serve_round(self):
         """Serve one round; begin anew from the store after a failure."""
         try:
-            await self.round()
+            async with self.round_lock:
+                await self.round()
         except LeaseLostError as error:
             log.warning("The round in %s ends: %s", self.domain, error.detail)
             self.rebuild = True
--- a/src/zinniatrestle/gangs/settling.py
+++ b/src/zinniatrestle/gangs/settling.py
@@ -6,7 +6,6 @@
 from zinniatrestle.clock import Clock
 from zinniatrestle.configuration import ConfigurationFollower
 from zinniatrestle.configuration.messages import (
-    AccountState,
     DomainState,
     Semantics,
 )
@@ -218,11 +217,8 @@
     async def _end_retired(self, epoch: Epoch):
         retired = []
         for gang in self.table.gangs.values():
-            record = self.follower.state.accounts.get(gang.row.account)
-            if record is None:
-                continue
-            gone = record.state is AccountState.RETIRED
-            if gone or record.incarnation != gang.row.incarnation:
+            known = gang.row.account in self.follower.state.accounts
+            if known and not self.fleet.served(gang):
                 retired.append(gang)
         detail = "Its client account is retired."
         await self._end(retired, epoch, ResultCode.ACCOUNT_RETIRED, detail)
--- a/src/zinniatrestle/gangs/starting.py
+++ b/src/zinniatrestle/gangs/starting.py
@@ -1,21 +1,23 @@
 """Start gangs whole or not at all."""
 
 import asyncio
+from collections.abc import Coroutine, Iterator
+from contextlib import contextmanager
 
 from zinniatrestle.clock import Clock
-from zinniatrestle.configuration import ConfigurationFollower
-from zinniatrestle.configuration.messages import AccountState, Semantics
+from zinniatrestle.configuration.messages import Semantics
 from zinniatrestle.domains import PermitOffice
-from zinniatrestle.errors import GangError, ResultCode
+from zinniatrestle.errors import GangError, ResultCode, WorkerError
 from zinniatrestle.gangs.book import SchedulerBook
 from zinniatrestle.gangs.fleet import Fleet
 from zinniatrestle.gangs.messages import NO_ATTEMPT, JobState, Slot
 from zinniatrestle.gangs.planner import StartOrder
 from zinniatrestle.gangs.state import Gang, GangTable
-from zinniatrestle.ids import Epoch, new_attempt_id
+from zinniatrestle.ids import Epoch, WorkerId, new_attempt_id
 from zinniatrestle.logs import PartLog
 from zinniatrestle.platform.leases import Lease
 from zinniatrestle.platform.messages import LeaseState, Reserve, Start
+from zinniatrestle.progress import InProgress
 
 RESERVATION_SECONDS = 15.0
 
@@ -36,7 +38,7 @@
         fleet: Fleet,
         lease: Lease,
         office: PermitOffice,
-        follower: ConfigurationFollower,
+        in_progress: InProgress,
         clock: Clock,
     ):
         self.book = book
@@ -44,7 +46,7 @@
         self.fleet = fleet
         self.lease = lease
         self.office = office
-        self.follower = follower
+        self.in_progress = in_progress
         self.clock = clock
 
     async def start(self, orders: list[StartOrder], epoch: Epoch):
@@ -52,6 +54,11 @@
         if not orders:
             return
         gangs = [order.gang for order in orders]
+        with self._counted(gangs):
+            await self._start_orders(orders, epoch)
+
+    async def _start_orders(self, orders: list[StartOrder], epoch: Epoch):
+        gangs = [order.gang for order in orders]
         for order in orders:
             order.gang.update(
                 state=JobState.STARTING,
@@ -86,7 +93,20 @@
                 half_started.append(gang)
         if undone:
             await self.book.save(undone)
-        await self._start_reserved(half_started, epoch)
+        with self._counted(half_started):
+            await self._start_reserved(half_started, epoch)
+
+    @contextmanager
+    def _counted(self, gangs: list[Gang]) -> Iterator[None]:
+        """Count gangs as in progress while commands for them may be under way."""
+        lives = [(gang.row.account, gang.row.incarnation) for gang in gangs]
+        for life in lives:
+            self.in_progress.enter(*life)
+        try:
+            yield
+        finally:
+            for life in lives:
+                self.in_progress.leave(*life)
 
     async def _start_reserved(self, gangs: list[Gang], epoch: Epoch):
         started = await asyncio.gather(*[self._start(gang, epoch) for gang in gangs])
@@ -127,8 +147,8 @@
             cores=spec.shape.cores * slot.tasks,
             memory_gb=spec.shape.memory_gb * slot.tasks,
         )
-        self.fleet.may_extend(slot.worker)
-        await self.fleet.call(self.fleet.workers.reserve(slot.worker, command))
+        call = self.fleet.workers.reserve(slot.worker, command)
+        await self._command(gang, slot.worker, start_by, call)
 
     async def _start(self, gang: Gang, epoch: Epoch) -> bool:
         """Start on every worker; stop all again when one refuses."""
@@ -142,17 +162,30 @@
         return True
 
     async def _start_slot(self, gang: Gang, slot: Slot, epoch: Epoch):
+        start_by = self._leave_to_start(gang, epoch)
         command = Start(
             job=gang.row.job,
             attempt=gang.row.attempt,
             epoch=epoch,
-            start_by=self._leave_to_start(gang, epoch),
+            start_by=start_by,
             expires=self.fleet.lease_end(gang.row.account),
             command=gang.row.spec.command,
             progress=gang.row.progress,
         )
-        self.fleet.may_extend(slot.worker)
-        await self.fleet.call(self.fleet.workers.start(slot.worker, command))
+        call = self.fleet.workers.start(slot.worker, command)
+        await self._command(gang, slot.worker, start_by, call)
+
+    async def _command(
+        self, gang: Gang, worker: WorkerId, start_by: float, call: Coroutine
+    ):
+        """Send a command that may take effect late, but not after `start_by`."""
+        self.fleet.may_extend(worker)
+        try:
+            await self.fleet.call(call)
+        except WorkerError:
+            row = gang.row
+            self.in_progress.give_up(row.account, row.incarnation, start_by)
+            raise
 
     async def _undo_start(self, gang: Gang, epoch: Epoch) -> bool:
         """Stop a half-started gang; tell whether its row changed."""
@@ -178,8 +211,7 @@
         """Return the wall time by which a start must happen; raises GangError."""
         if self.lease.require() != epoch:
             raise GangError("The lease changed hands.", ResultCode.STALE_EPOCH)
-        record = self.follower.state.accounts.get(gang.row.account)
-        if record is None or record.state is not AccountState.ACTIVE:
+        if not self.fleet.served(gang):
             raise GangError("The account is retired.", ResultCode.ACCOUNT_RETIRED)
         permit = self.office.permit(gang.row.domain, epoch)
         return permit.start_by
--- /dev/null
+++ b/src/zinniatrestle/operators/routes.py
@@ -0,0 +1,79 @@
+"""The operators' HTTP routes."""
+
+from starlette.requests import Request as HttpRequest
+from starlette.responses import Response
+from starlette.routing import Route
+
+from zinniatrestle.entry.host import EntryHost
+from zinniatrestle.ids import ClientAccountId
+from zinniatrestle.operators.messages import ChangeAnswer, ChangeCall
+from zinniatrestle.operators.views import (
+    configuration_view,
+    host_view,
+    report_view,
+    status_view,
+)
+from zinniatrestle.web import (
+    Handler,
+    decode_body,
+    guarded,
+    read_body,
+    reply,
+    require_token,
+)
+
+PREFIX = "/v1/operator"
+
+
+class OperatorRoutes:
+    """Decode calls of operators and encode what they are shown."""
+
+    def __init__(self, host: EntryHost):
+        self.host = host
+
+    def routes(self) -> list[Route]:
+        """Return the routes."""
+        return [
+            self._route("/changes", self.change, "POST"),
+            self._route("/configuration", self.configuration, "GET"),
+            self._route("/status", self.status, "GET"),
+            self._route("/host", self.show_host, "GET"),
+            self._route("/proof/{account}", self.proof, "GET"),
+            self._route("/report/burn", self.burn, "GET"),
+        ]
+
+    async def change(self, http: HttpRequest) -> Response:
+        """Accept a change."""
+        body = await read_body(http, self.host.settings.largest_body)
+        call = decode_body(body, ChangeCall)
+        changes = self.host.changes
+        revision = await changes.submit(call.change, call.token, call.expected)
+        return reply(ChangeAnswer(revision))
+
+    async def configuration(self, http: HttpRequest) -> Response:
+        """Show the configuration in force."""
+        return reply(configuration_view(self.host))
+
+    async def status(self, http: HttpRequest) -> Response:
+        """Show where the newest revision is in force."""
+        return reply(status_view(self.host))
+
+    async def show_host(self, http: HttpRequest) -> Response:
+        """Show what this host knows and refuses."""
+        return reply(host_view(self.host, self.host.metrics()))
+
+    async def proof(self, http: HttpRequest) -> Response:
+        """Prove that a client account is gone, or show what is open."""
+        account = ClientAccountId(http.path_params["account"])
+        return reply(await self.host.prover.prove(account))
+
+    async def burn(self, http: HttpRequest) -> Response:
+        """Show the service-level burn report."""
+        return reply(await report_view(self.host))
+
+    def _route(self, path: str, handler: Handler, method: str) -> Route:
+        async def authorized(http: HttpRequest) -> Response:
+            require_token(http, self.host.settings.operator_token)
+            return await handler(http)
+
+        return Route(PREFIX + path, guarded(authorized), methods=[method])
--- /dev/null
+++ b/src/zinniatrestle/peers/__init__.py
@@ -0,0 +1,7 @@
+"""Links between entry hosts, and what peers know of each other."""
+
+from zinniatrestle.peers.framing import Identity
+from zinniatrestle.peers.mesh import PeerMesh
+from zinniatrestle.peers.state import PeerAddress, PeerStanding
+
+__all__ = ["Identity", "PeerAddress", "PeerMesh", "PeerStanding"]
--- /dev/null
+++ b/src/zinniatrestle/peers/framing.py
@@ -0,0 +1,115 @@
+"""Frames on a stream, and the handshake that opens a link."""
+
+import asyncio
+import hmac
+import secrets
+
+import capnp
+
+from zinniatrestle.errors import PeerError, ResultCode
+from zinniatrestle.ids import FailureDomainId, HostId
+from zinniatrestle.peers.messages import Content, Frame, Hello, decode, encode
+
+LENGTH_BYTES = 4
+LONGEST_FRAME = 16 * 1024 * 1024
+LONGEST_HELLO = 4096
+NONCE_BYTES = 16
+HANDSHAKE_SECONDS = 2.0
+DIAL_ROLE = b"dial"
+ACCEPT_ROLE = b"accept"
+
+
+class Wire:
+    """Read and write frames on one connection."""
+
+    def __init__(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter):
+        self.reader = reader
+        self.writer = writer
+        self.sent_bytes = 0
+        self.received_bytes = 0
+
+    async def send(self, number: int, content: Content):
+        """Write one frame."""
+        body = encode(Frame(number, content))
+        self.writer.write(len(body).to_bytes(LENGTH_BYTES, "big") + body)
+        self.sent_bytes += LENGTH_BYTES + len(body)
+        await self.writer.drain()
+
+    async def receive(self, longest: int = LONGEST_FRAME) -> Frame:
+        """Read one frame; raises PeerError on nonsense and at the end."""
+        try:
+            head = await self.reader.readexactly(LENGTH_BYTES)
+            length = int.from_bytes(head, "big")
+            if length > longest:
+                raise PeerError("The frame is too long.", ResultCode.PEER_REFUSED)
+            body = await self.reader.readexactly(length)
+        except (asyncio.IncompleteReadError, OSError) as error:
+            raise PeerError("The link is closed.") from error
+        self.received_bytes += LENGTH_BYTES + length
+        try:
+            return decode(body)
+        except (capnp.KjException, ValueError) as error:
+            raise PeerError("No such frame.", ResultCode.PEER_REFUSED) from error
+
+    def close(self):
+        """Close the connection."""
+        self.writer.close()
+
+
+class Identity:
+    """Name a host to its peers and prove that it holds the cluster's key."""
+
+    def __init__(self, host: HostId, domain: FailureDomainId, boot: str, key: bytes):
+        self.host = host
+        self.domain = domain
+        self.boot = boot
+        self.key = key
+
+    def hello(self, nonce: bytes, proof: bytes = b"") -> Hello:
+        """Return an introduction."""
+        return Hello(self.host, self.domain, self.boot, nonce, proof)
+
+    def proof(self, role: bytes, mine: bytes, theirs: bytes, host: HostId) -> bytes:
+        """Return the proof that `host` owes in a role."""
+        text = b"|".join([role, mine, theirs, host.encode()])
+        return hmac.new(self.key, text, "sha256").digest()
+
+
+async def dial_handshake(wire: Wire, identity: Identity, expected: HostId) -> Hello:
+    """Introduce this host and check the peer; raises PeerError."""
+    async with asyncio.timeout(HANDSHAKE_SECONDS):
+        nonce = secrets.token_bytes(NONCE_BYTES)
+        await wire.send(0, identity.hello(nonce))
+        theirs = await _receive_hello(wire)
+        proof = identity.proof(ACCEPT_ROLE, theirs.nonce, nonce, theirs.host)
+        right = hmac.compare_digest(proof, theirs.proof)
+        if theirs.host != expected or not right:
+            raise PeerError("The peer is not who it should be.")
+        mine = identity.proof(DIAL_ROLE, nonce, theirs.nonce, identity.host)
+        await wire.send(0, identity.hello(nonce, mine))
+        return theirs
+
+
+async def accept_handshake(
+    wire: Wire, identity: Identity, permitted: set[HostId]
+) -> Hello:
+    """Check a caller and introduce this host; raises PeerError."""
+    async with asyncio.timeout(HANDSHAKE_SECONDS):
+        theirs = await _receive_hello(wire)
+        if theirs.host not in permitted:
+            raise PeerError("The host is not a peer.", ResultCode.PEER_REFUSED)
+        nonce = secrets.token_bytes(NONCE_BYTES)
+        proof = identity.proof(ACCEPT_ROLE, nonce, theirs.nonce, identity.host)
+        await wire.send(0, identity.hello(nonce, proof))
+        final = await _receive_hello(wire)
+        expected = identity.proof(DIAL_ROLE, theirs.nonce, nonce, theirs.host)
+        if not hmac.compare_digest(expected, final.proof):
+            raise PeerError("The key is wrong.", ResultCode.PEER_REFUSED)
+        return theirs
+
+
+async def _receive_hello(wire: Wire) -> Hello:
+    frame = await wire.receive(LONGEST_HELLO)
+    if not isinstance(frame.content, Hello):
+        raise PeerError("A link opens with a hello.", ResultCode.PEER_REFUSED)
+    return frame.content
--- /dev/null
+++ b/src/zinniatrestle/peers/links.py
@@ -0,0 +1,235 @@
+"""Links to peers: one task dials each peer, one serves each connection."""
+
+import asyncio
+from abc import ABC, abstractmethod
+
+from zinniatrestle.errors import PeerError, ResultCode, ZinniatrestleError
+from zinniatrestle.ids import HostId
+from zinniatrestle.logs import PartLog
+from zinniatrestle.peers.framing import (
+    Identity,
+    Wire,
+    accept_handshake,
+    dial_handshake,
+)
+from zinniatrestle.peers.messages import Answer, Call, Duty, Heartbeat
+from zinniatrestle.peers.state import SILENT_SECONDS, Peer, PeerStanding
+
+BEAT_SECONDS = 1.0
+CONNECT_SECONDS = 1.0
+FIRST_PAUSE_SECONDS = 0.1
+LONGEST_PAUSE_SECONDS = 2.0
+CALLS_AT_ONCE = 256
+
+log = PartLog("peers")
+
+
+class PeerDuties(ABC):
+    """What a host does for its peers."""
+
+    @abstractmethod
+    def heartbeat(self) -> Heartbeat:
+        """Return what to tell peers now."""
+
+    @abstractmethod
+    def heard(self, peer: Peer):
+        """Take in what a peer has told."""
+
+    @abstractmethod
+    async def serve(self, duty: Duty, body: bytes) -> bytes:
+        """Answer a peer's call; raises ZinniatrestleError to refuse."""
+
+
+class PeerLink:
+    """Dial one peer, beat, and carry calls to it."""
+
+    def __init__(self, peer: Peer, identity: Identity, duties: PeerDuties):
+        self.peer = peer
+        self.identity = identity
+        self.duties = duties
+        self.wire: Wire | None = None
+        self.waiting: dict[int, asyncio.Future] = {}
+        self.last_number = 0
+        self.beat_now = asyncio.Event()
+        self.sent_bytes = 0
+        self.received_bytes = 0
+
+    async def run(self):
+        """Keep the link up until cancelled."""
+        pause = FIRST_PAUSE_SECONDS
+        while True:
+            try:
+                await self._run_once()
+                pause = FIRST_PAUSE_SECONDS
+            except ConnectionRefusedError:
+                self.peer.miss(PeerStanding.DEAD)
+            except (PeerError, OSError, TimeoutError):
+                self.peer.miss(PeerStanding.CUT_OFF)
+            await asyncio.sleep(pause)
+            pause = min(2 * pause, LONGEST_PAUSE_SECONDS)
+
+    async def call(self, duty: Duty, body: bytes, timeout: float) -> bytes:
+        """Return the peer's answer.
+
+        Raises PeerError with PEER_UNREACHABLE when nothing was sent, with UNKNOWN
+        when no answer came, and with the peer's code when it refused.
+        """
+        if self.wire is None:
+            raise PeerError(f"Peer {self.peer.address.host} is not linked.")
+        self.last_number += 1
+        number = self.last_number
+        future = asyncio.get_running_loop().create_future()
+        self.waiting[number] = future
+        try:
+            async with asyncio.timeout(timeout):
+                await self.wire.send(number, Call(duty, body))
+                answer = await future
+        except (TimeoutError, OSError):
+            raise PeerError(
+                f"Peer {self.peer.address.host} did not answer.", ResultCode.UNKNOWN
+            ) from None
+        finally:
+            self.waiting.pop(number, None)
+        if answer.code != ResultCode.OK:
+            raise PeerError(answer.detail, ResultCode(answer.code))
+        return answer.body
+
+    async def _run_once(self):
+        address = self.peer.address
+        async with asyncio.timeout(CONNECT_SECONDS):
+            reader, writer = await asyncio.open_connection(
+                address.address, address.port
+            )
+        wire = Wire(reader, writer)
+        try:
+            hello = await dial_handshake(wire, self.identity, address.host)
+            self.peer.boot = hello.boot
+            self.wire = wire
+            log.info("Peer %s is linked.", address.host)
+            await self._beat_and_receive(wire)
+        finally:
+            self._drop(wire)
+
+    async def _beat_and_receive(self, wire: Wire):
+        receiver = asyncio.create_task(self._receive(wire))
+        beater = asyncio.create_task(self._beat(wire))
+        try:
+            done, _ = await asyncio.wait(
+                {receiver, beater}, return_when=asyncio.FIRST_COMPLETED
+            )
+            for task in done:
+                task.result()
+        finally:
+            receiver.cancel()
+            beater.cancel()
+            await asyncio.gather(receiver, beater, return_exceptions=True)
+
+    async def _beat(self, wire: Wire):
+        while True:
+            await wire.send(0, self.duties.heartbeat())
+            try:
+                await asyncio.wait_for(self.beat_now.wait(), BEAT_SECONDS)
+            except TimeoutError:
+                continue
+            self.beat_now.clear()
+
+    async def _receive(self, wire: Wire):
+        while True:
+            try:
+                async with asyncio.timeout(SILENT_SECONDS):
+                    frame = await wire.receive()
+            except TimeoutError:
+                self.peer.miss(PeerStanding.FROZEN)
+                continue
+            if isinstance(frame.content, Heartbeat):
+                self.peer.hear(frame.content)
+                self.duties.heard(self.peer)
+                continue
+            future = self.waiting.get(frame.number)
+            if future is not None and not future.done():
+                future.set_result(frame.content)
+
+    def _drop(self, wire: Wire):
+        self.wire = None
+        self.sent_bytes += wire.sent_bytes
+        self.received_bytes += wire.received_bytes
+        wire.close()
+        for future in self.waiting.values():
+            if not future.done():
+                future.set_exception(
+                    PeerError("The link broke before the answer.", ResultCode.UNKNOWN)
+                )
+        log.info("Peer %s is not linked any more.", self.peer.address.host)
+
+
+class PeerServer:
+    """Serve the connections that peers open."""
+
+    def __init__(
+        self, identity: Identity, peers: dict[HostId, Peer], duties: PeerDuties
+    ):
+        self.identity = identity
+        self.peers = peers
+        self.duties = duties
+        self.connections: set[asyncio.Task] = set()
+        self.sent_bytes = 0
+        self.received_bytes = 0
+
+    async def start(self, address: str, port: int) -> asyncio.Server:
+        """Listen for peers."""
+        return await asyncio.start_server(self._connected, address, port)
+
+    async def _connected(
+        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ):
+        task = asyncio.current_task()
+        self.connections.add(task)
+        wire = Wire(reader, writer)
+        try:
+            await self._serve(wire)
+        except (PeerError, OSError, TimeoutError) as error:
+            if isinstance(error, PeerError) and error.code is ResultCode.PEER_REFUSED:
+                log.warning("A connection is refused: %s", error.detail)
+        finally:
+            self.sent_bytes += wire.sent_bytes
+            self.received_bytes += wire.received_bytes
+            self.connections.discard(task)
+            wire.close()
+
+    async def _serve(self, wire: Wire):
+        """Answer heartbeats in order and calls each in a task of its own."""
+        hello = await accept_handshake(wire, self.identity, set(self.peers))
+        peer = self.peers[hello.host]
+        limit = asyncio.Semaphore(CALLS_AT_ONCE)
+        async with asyncio.TaskGroup() as calls:
+            while True:
+                try:
+                    frame = await wire.receive()
+                except PeerError:
+                    break
+                if isinstance(frame.content, Heartbeat):
+                    peer.boot = hello.boot
+                    peer.hear(frame.content)
+                    self.duties.heard(peer)
+                    await wire.send(0, self.duties.heartbeat())
+                    continue
+                if isinstance(frame.content, Call):
+                    await limit.acquire()
+                    calls.create_task(
+                        self._answer(wire, frame.number, frame.content, limit)
+                    )
+
+    async def _answer(
+        self, wire: Wire, number: int, call: Call, limit: asyncio.Semaphore
+    ):
+        try:
+            body = await self.duties.serve(call.duty, call.body)
+            answer = Answer(ResultCode.OK, "", body)
+        except ZinniatrestleError as error:
+            answer = Answer(error.code, error.detail, b"")
+        finally:
+            limit.release()
+        try:
+            await wire.send(number, answer)
+        except OSError:
+            log.warning("An answer to a peer was lost.")
--- /dev/null
+++ b/src/zinniatrestle/peers/mesh.py
@@ -0,0 +1,265 @@
+"""All peers of a host, and what they do for each other."""
+
+import asyncio
+
+import msgspec
+
+from zinniatrestle.burn import BurnLedger, HostBurn
+from zinniatrestle.clock import Clock
+from zinniatrestle.configuration import ConfigurationFollower
+from zinniatrestle.errors import (
+    PeerError,
+    ResultCode,
+    UnknownOutcomeError,
+)
+from zinniatrestle.ids import (
+    ClientAccountId,
+    FailureDomainId,
+    HostId,
+    RegionId,
+    Revision,
+)
+from zinniatrestle.logs import PartLog
+from zinniatrestle.peers.framing import Identity
+from zinniatrestle.peers.links import PeerDuties, PeerLink, PeerServer
+from zinniatrestle.peers.messages import (
+    Duty,
+    EvidenceCall,
+    Heartbeat,
+    PullAnswer,
+    PullCall,
+)
+from zinniatrestle.peers.state import Peer, PeerAddress, PeerStanding
+from zinniatrestle.progress import InProgress
+from zinniatrestle.requests.handler import Remote, RequestHandler
+from zinniatrestle.requests.messages import Answer, Request
+from zinniatrestle.retirement import EntryHosts, HostEvidence
+from zinniatrestle.upstreams import SlotSharers, UpstreamPool
+
+PULL_SECONDS = 2.0
+EVIDENCE_SECONDS = 2.0
+BURN_SECONDS = 2.0
+FORWARD_MARGIN_SECONDS = 1.0
+
+log = PartLog("peers")
+
+
+class PeerMesh(PeerDuties, EntryHosts, Remote, SlotSharers):
+    """Link this host to its peers and answer them."""
+
+    def __init__(
+        self,
+        identity: Identity,
+        region: RegionId,
+        addresses: list[PeerAddress],
+        follower: ConfigurationFollower,
+        in_progress: InProgress,
+        burn: BurnLedger,
+        clock: Clock,
+    ):
+        self.identity = identity
+        self.region = region
+        self.follower = follower
+        self.in_progress = in_progress
+        self.burn = burn
+        self.clock = clock
+        self.peers = {address.host: Peer(address) for address in addresses}
+        self.links: dict[HostId, PeerLink] = {}
+        for host, peer in self.peers.items():
+            self.links[host] = PeerLink(peer, identity, self)
+        self.server = PeerServer(identity, self.peers, self)
+        self.pool: UpstreamPool | None = None
+        self.handler: RequestHandler | None = None
+        self.leaving = False
+        self.cross_region_bytes = 0
+        self.pulls: dict[HostId, asyncio.Task] = {}
+
+    def attach(self, pool: UpstreamPool, handler: RequestHandler):
+        """Take in the parts that are built after the mesh."""
+        self.pool = pool
+        self.handler = handler
+
+    async def run(self):
+        """Keep all links up until cancelled."""
+        async with asyncio.TaskGroup() as group:
+            for link in self.links.values():
+                group.create_task(link.run())
+            group.create_task(self._announce_changes())
+
+    def announce(self):
+        """Beat at once instead of at the next second."""
+        for link in self.links.values():
+            link.beat_now.set()
+
+    # Duties towards peers.
+
+    def heartbeat(self) -> Heartbeat:
+        """Return what to tell peers now."""
+        return Heartbeat(
+            revision=self.follower.state.revision,
+            confirmed_wall=self.follower.confirmed_wall,
+            leaving=self.leaving,
+            in_progress=self.in_progress.total,
+            leaving_minions=self.pool.leaving(),
+            free_slots=self.pool.free_slots(),
+        )
+
+    def heard(self, peer: Peer):
+        """Take in what a peer has told."""
+        heartbeat = peer.heartbeat
+        if heartbeat.revision > self.follower.state.revision:
+            self._pull_from(peer.address.host)
+        else:
+            self.follower.adopt(heartbeat.confirmed_wall, heartbeat.revision)
+        for minion in heartbeat.leaving_minions:
+            self.pool.mark_leaving(minion, observed=False)
+
+    async def serve(self, duty: Duty, body: bytes) -> bytes:
+        """Answer a peer's call."""
+        match duty:
+            case Duty.PULL:
+                return self._serve_pull(msgspec.msgpack.decode(body, type=PullCall))
+            case Duty.EVIDENCE:
+                call = msgspec.msgpack.decode(body, type=EvidenceCall)
+                evidence = self.own_evidence(call.account, call.incarnation)
+                return msgspec.msgpack.encode(evidence)
+            case Duty.BURN:
+                return msgspec.msgpack.encode(self.burn.host_burn())
+            case Duty.FORWARD:
+                request = msgspec.msgpack.decode(body, type=Request)
+                answer = await self.handler.handle(request, forwarded=True)
+                return msgspec.msgpack.encode(answer)
+
+    # What peers do for this host.
+
+    def known(self) -> dict[HostId, FailureDomainId]:
+        """Return every entry host that there may be."""
+        hosts = {host: peer.address.domain for host, peer in self.peers.items()}
+        hosts[self.identity.host] = self.identity.domain
+        return hosts
+
+    async def evidence(
+        self, host: HostId, account: ClientAccountId, incarnation: Revision
+    ) -> HostEvidence:
+        """Return a host's own word; raises PeerError when it can't be asked."""
+        if host == self.identity.host:
+            return self.own_evidence(account, incarnation)
+        body = msgspec.msgpack.encode(EvidenceCall(account, incarnation))
+        answer = await self.links[host].call(Duty.EVIDENCE, body, EVIDENCE_SECONDS)
+        return msgspec.msgpack.decode(answer, type=HostEvidence)
+
+    def own_evidence(
+        self, account: ClientAccountId, incarnation: Revision
+    ) -> HostEvidence:
+        """Return this host's own word."""
+        now = self.clock.wall()
+        reached = []
+        for minion in self.in_progress.reached.get(account, ()):
+            reached.append(self.pool.ever_seen[minion])
+        return HostEvidence(
+            host=self.identity.host,
+            domain=self.identity.domain,
+            boot=self.identity.boot,
+            revision=self.follower.state.revision,
+            in_progress=self.in_progress.count(account, incarnation, now),
+            wall=now,
+            reached=reached,
+        )
+
+    async def burns(self) -> tuple[list[HostBurn], list[HostId]]:
+        """Return the burn of all hosts that answer, and those that don't."""
+        hosts = list(self.links)
+        answers = await asyncio.gather(*[self._burn_of(host) for host in hosts])
+        found = [self.burn.host_burn()]
+        missing = []
+        for host, answer in zip(hosts, answers, strict=True):
+            if answer is None:
+                missing.append(host)
+                continue
+            found.append(answer)
+        return found, missing
+
+    async def forward(self, request: Request) -> Answer | None:
+        """Send a request to a host of another failure domain with free slots."""
+        for peer in self._forward_targets(request):
+            try:
+                return await self._forward_to(peer, request)
+            except PeerError as error:
+                if error.code is not ResultCode.PEER_UNREACHABLE:
+                    raise UnknownOutcomeError(
+                        "Another failure domain took the request and did not answer."
+                    ) from error
+        return None
+
+    def sharers(self) -> list[HostId]:
+        """Return the hosts of this failure domain that may use slots.
+
+        A host that is merely silent keeps its share, since it may be serving.
+        """
+        hosts = [self.identity.host]
+        for host, peer in self.peers.items():
+            if peer.address.domain == self.identity.domain and not peer.drained:
+                hosts.append(host)
+        return sorted(hosts)
+
+    async def _announce_changes(self):
+        while True:
+            await self.follower.changed.wait()
+            self.announce()
+
+    async def _burn_of(self, host: HostId) -> HostBurn | None:
+        try:
+            answer = await self.links[host].call(Duty.BURN, b"", BURN_SECONDS)
+        except PeerError:
+            return None
+        return msgspec.msgpack.decode(answer, type=HostBurn)
+
+    def _pull_from(self, host: HostId):
+        if host in self.pulls:
+            return
+        task = asyncio.create_task(self._pull(host))
+        self.pulls[host] = task
+        task.add_done_callback(lambda _: self.pulls.pop(host, None))
+
+    async def _pull(self, host: HostId):
+        body = msgspec.msgpack.encode(PullCall(self.follower.state.revision))
+        try:
+            answer = await self.links[host].call(Duty.PULL, body, PULL_SECONDS)
+        except PeerError:
+            self.follower.wake.set()
+            return
+        pulled = msgspec.msgpack.decode(answer, type=PullAnswer)
+        self.follower.offer(pulled.changes, pulled.snapshot)
+        self.follower.adopt(pulled.confirmed_wall, pulled.revision)
+
+    def _serve_pull(self, call: PullCall) -> bytes:
+        changes, snapshot = self.follower.since(call.since)
+        answer = PullAnswer(
+            self.follower.state.revision,
+            self.follower.confirmed_wall,
+            changes,
+            snapshot,
+        )
+        return msgspec.msgpack.encode(answer)
+
+    def _forward_targets(self, request: Request) -> list[Peer]:
+        """Return peers elsewhere with free slots, those of this region first."""
+        targets = []
+        for peer in self.peers.values():
+            if peer.address.domain == self.identity.domain:
+                continue
+            if peer.standing is PeerStanding.LIVE and peer.free(request.service):
+                targets.append(peer)
+        return sorted(targets, key=lambda peer: self._distance(peer, request))
+
+    def _distance(self, peer: Peer, request: Request) -> tuple[bool, int]:
+        return peer.address.region != self.region, -peer.free(request.service)
+
+    async def _forward_to(self, peer: Peer, request: Request) -> Answer:
+        body = msgspec.msgpack.encode(request)
+        timeout = request.timeout + FORWARD_MARGIN_SECONDS
+        link = self.links[peer.address.host]
+        answer = await link.call(Duty.FORWARD, body, timeout)
+        if peer.address.region != self.region:
+            self.cross_region_bytes += len(body) + len(answer)
+        return msgspec.msgpack.decode(answer, type=Answer)
--- /dev/null
+++ b/src/zinniatrestle/peers/messages.py
@@ -0,0 +1,177 @@
+"""What hosts say to each other, and its encoding in Cap'n Proto."""
+
+from enum import Enum
+from pathlib import Path
+
+import capnp
+import msgspec
+
+from zinniatrestle.configuration.messages import ChangeRecord, Snapshot
+from zinniatrestle.ids import (
+    ClientAccountId,
+    FailureDomainId,
+    HostId,
+    MinionId,
+    Revision,
+    ServiceName,
+)
+
+SCHEMA = capnp.load(str(Path(__file__).with_name("peers.capnp")))
+MS = 1000
+
+
+class Duty(Enum):
+    """What a peer can be asked for."""
+
+    PULL = "pull"
+    EVIDENCE = "evidence"
+    BURN = "burn"
+    FORWARD = "forward"
+
+
+class Hello(msgspec.Struct, frozen=True):
+    """A host's introduction; `proof` shows that it holds the cluster's key."""
+
+    host: HostId
+    domain: FailureDomainId
+    boot: str
+    nonce: bytes
+    proof: bytes = b""
+
+
+class Heartbeat(msgspec.Struct, frozen=True):
+    """What a host tells its peers each second."""
+
+    revision: Revision
+    confirmed_wall: float
+    leaving: bool = False
+    in_progress: int = 0
+    leaving_minions: list[MinionId] = []
+    free_slots: dict[ServiceName, int] = {}
+
+
+class Call(msgspec.Struct, frozen=True):
+    """A question to a peer; its body is MessagePack."""
+
+    duty: Duty
+    body: bytes
+
+
+class Answer(msgspec.Struct, frozen=True):
+    """A peer's answer; a code other than 0 is a refusal."""
+
+    code: int
+    detail: str
+    body: bytes
+
+
+Content = Hello | Heartbeat | Call | Answer
+
+
+class Frame(msgspec.Struct, frozen=True):
+    """One message on a link; answers bear the number of their call."""
+
+    number: int
+    content: Content
+
+
+class PullCall(msgspec.Struct, frozen=True):
+    """Ask for the configuration after a revision."""
+
+    since: Revision
+
+
+class PullAnswer(msgspec.Struct, frozen=True):
+    """Newer changes, or a snapshot when they are no longer held."""
+
+    revision: Revision
+    confirmed_wall: float
+    changes: list[ChangeRecord]
+    snapshot: Snapshot | None = None
+
+
+class EvidenceCall(msgspec.Struct, frozen=True):
+    """Ask what a host has in progress for one life of an account."""
+
+    account: ClientAccountId
+    incarnation: Revision
+
+
+def encode(frame: Frame) -> bytes:
+    """Return a frame's bytes."""
+    message = SCHEMA.Frame.new_message(id=frame.number)
+    content = frame.content
+    match content:
+        case Hello():
+            part = message.init("hello")
+            part.host = content.host
+            part.domain = content.domain
+            part.boot = content.boot
+            part.nonce = content.nonce
+            part.proof = content.proof
+        case Heartbeat():
+            _encode_heartbeat(message.init("heartbeat"), content)
+        case Call():
+            part = message.init("call")
+            part.duty = content.duty.value
+            part.body = content.body
+        case Answer():
+            part = message.init("answer")
+            part.code = content.code
+            part.detail = content.detail
+            part.body = content.body
+    return message.to_bytes()
+
+
+def decode(data: bytes) -> Frame:
+    """Return the frame that bytes hold; raises capnp.KjException on nonsense."""
+    with SCHEMA.Frame.from_bytes(data) as message:
+        return Frame(message.id, _decode_content(message))
+
+
+def _encode_heartbeat(part, heartbeat: Heartbeat):
+    part.revision = heartbeat.revision
+    part.confirmedMs = int(heartbeat.confirmed_wall * MS)
+    part.leaving = heartbeat.leaving
+    part.inProgress = heartbeat.in_progress
+    if heartbeat.leaving_minions:
+        part.leavingMinions = heartbeat.leaving_minions
+    if not heartbeat.free_slots:
+        return
+    slots = part.init("freeSlots", len(heartbeat.free_slots))
+    for entry, (service, free) in zip(slots, heartbeat.free_slots.items(), strict=True):
+        entry.service = service
+        entry.free = free
+
+
+def _decode_content(message) -> Content:
+    match str(message.which()):
+        case "hello":
+            part = message.hello
+            return Hello(
+                HostId(part.host),
+                FailureDomainId(part.domain),
+                part.boot,
+                bytes(part.nonce),
+                bytes(part.proof),
+            )
+        case "heartbeat":
+            return _decode_heartbeat(message.heartbeat)
+        case "call":
+            part = message.call
+            return Call(Duty(str(part.duty)), bytes(part.body))
+        case _:
+            part = message.answer
+            return Answer(part.code, part.detail, bytes(part.body))
+
+
+def _decode_heartbeat(part) -> Heartbeat:
+    free = {ServiceName(entry.service): entry.free for entry in part.freeSlots}
+    return Heartbeat(
+        revision=Revision(part.revision),
+        confirmed_wall=part.confirmedMs / MS,
+        leaving=part.leaving,
+        in_progress=part.inProgress,
+        leaving_minions=[MinionId(name) for name in part.leavingMinions],
+        free_slots=free,
+    )
--- /dev/null
+++ b/src/zinniatrestle/peers/state.py
@@ -0,0 +1,80 @@
+"""What a host knows of its peers."""
+
+from enum import Enum
+
+from zinniatrestle.clock import monotonic
+from zinniatrestle.ids import FailureDomainId, HostId, RegionId, ServiceName
+from zinniatrestle.peers.messages import Heartbeat
+
+SILENT_SECONDS = 3.0
+
+
+class PeerStanding(Enum):
+    """What a host makes of a peer.
+
+    DEAD: nothing listens at its address. CUT_OFF: its address can't be reached.
+    FROZEN: it is connected and says nothing.
+    """
+
+    UNKNOWN = "unknown"
+    LIVE = "live"
+    LEAVING = "leaving"
+    FROZEN = "frozen"
+    CUT_OFF = "cut off"
+    DEAD = "dead"
+
+
+class PeerAddress:
+    """Where a peer listens, and where it stands."""
+
+    def __init__(
+        self,
+        host: HostId,
+        domain: FailureDomainId,
+        region: RegionId,
+        address: str,
+        port: int,
+    ):
+        self.host = host
+        self.domain = domain
+        self.region = region
+        self.address = address
+        self.port = port
+
+
+class Peer:
+    """Hold what was last heard of one peer."""
+
+    def __init__(self, address: PeerAddress):
+        self.address = address
+        self.standing = PeerStanding.UNKNOWN
+        self.heard_at = 0.0
+        self.heartbeat: Heartbeat | None = None
+        self.boot = ""
+
+    def hear(self, heartbeat: Heartbeat):
+        """Take a heartbeat in."""
+        self.heard_at = monotonic()
+        self.heartbeat = heartbeat
+        leaving = heartbeat.leaving
+        self.standing = PeerStanding.LEAVING if leaving else PeerStanding.LIVE
+
+    def miss(self, standing: PeerStanding):
+        """Note that it can't be heard, once it has been silent for long enough."""
+        if self.drained and standing is PeerStanding.DEAD:
+            return
+        if monotonic() - self.heard_at >= SILENT_SECONDS or not self.heard_at:
+            self.standing = standing
+
+    @property
+    def drained(self) -> bool:
+        """Tell whether it said farewell with nothing in progress."""
+        if self.standing is not PeerStanding.LEAVING or self.heartbeat is None:
+            return False
+        return self.heartbeat.in_progress == 0
+
+    def free(self, service: ServiceName) -> int:
+        """Return the free slots that it told of."""
+        if self.standing is not PeerStanding.LIVE or self.heartbeat is None:
+            return 0
+        return self.heartbeat.free_slots.get(service, 0)
--- a/src/zinniatrestle/platform/leases.py
+++ b/src/zinniatrestle/platform/leases.py
@@ -52,6 +52,7 @@
         self.seen_version = ABSENT
         self.seen_at = 0.0
         self.holder = HostId("")
+        self.released = False
 
     @property
     def standing(self) -> LeaseStanding:
@@ -67,8 +68,8 @@
         return self.epoch
 
     async def keep(self):
-        """Acquire and renew the lease until cancelled."""
-        while True:
+        """Acquire and renew the lease until cancelled or released."""
+        while not self.released:
             try:
                 await self.step()
             except PlatformError as error:
@@ -102,6 +103,7 @@
 
     async def release(self):
         """Hand the role over at once instead of letting it expire."""
+        self.released = True
         if self.standing is not LeaseStanding.HELD:
             return
         self.held_until = 0.0
--- a/src/zinniatrestle/requests/claims.py
+++ b/src/zinniatrestle/requests/claims.py
@@ -57,6 +57,7 @@
         self.wake = asyncio.Event()
         self.flushes = 0
         self.written = 0
+        self.failing = False
 
     async def run(self):
         """Flush until cancelled."""
@@ -146,8 +147,10 @@
                 await self._read_back(batch)
                 return
             except PlatformError as error:
+                self.failing = True
                 _refuse(batch, error)
                 return
+            self.failing = False
             if commit.committed:
                 self.written += len(batch)
                 _accept(batch)
--- a/src/zinniatrestle/requests/handler.py
+++ b/src/zinniatrestle/requests/handler.py
@@ -141,8 +141,9 @@
             )
         plan = state.plans[request.account]
         kind = _permitted_kind(plan, request)
-        start_by = self.follower.confirmed_wall + plan.offline_grace_seconds
-        if self.clock.wall() > start_by:
+        now = self.clock.wall()
+        confirmed_until = self.follower.confirmed_wall + plan.offline_grace_seconds
+        if now > confirmed_until:
             raise NotRunError(
                 "The configuration has not been confirmed for longer than the "
                 "account's offline_grace_seconds.",
@@ -150,7 +151,12 @@
             )
         self._check_key(request, kind)
         return Admitted(
-            request, kind, plan, record.incarnation, began + request.timeout, start_by
+            request,
+            kind,
+            plan,
+            record.incarnation,
+            deadline=began + request.timeout,
+            start_by=min(confirmed_until, now + request.timeout),
         )
 
     def _check_key(self, request: Request, kind: RequestKind):
--- /dev/null
+++ b/src/zinniatrestle/requests/routes.py
@@ -0,0 +1,104 @@
+"""The callers' HTTP routes for requests."""
+
+from starlette.requests import Request as HttpRequest
+from starlette.responses import Response
+from starlette.routing import Route
+
+from zinniatrestle.configuration import ConfigurationFollower
+from zinniatrestle.errors import AuthenticationError, CallerError, ResultCode
+from zinniatrestle.ids import ClientAccountId, RequestKey, ServiceName
+from zinniatrestle.requests.handler import RequestHandler
+from zinniatrestle.requests.messages import Answer, Request
+from zinniatrestle.settings import HostSettings
+from zinniatrestle.web import (
+    CODE_HEADER,
+    bearer_token,
+    guarded,
+    problem,
+    read_body,
+    token_digest,
+)
+
+KEY_HEADER = "Idempotency-Key"
+TIMEOUT_HEADER = "Zinniatrestle-Timeout-Ms"
+KEY_STATE_HEADER = "Zinniatrestle-Key-State"
+REPEATED_HEADER = "Zinniatrestle-Repeated"
+DEFAULT_TIMEOUT_SECONDS = 10.0
+LONGEST_KEY = 200
+MS = 1000
+SENT_CODES = frozenset({ResultCode.OK, ResultCode.UPSTREAM_FAILED})
+
+
+class RequestRoutes:
+    """Decode requests of callers and encode their answers."""
+
+    def __init__(
+        self,
+        handler: RequestHandler,
+        follower: ConfigurationFollower,
+        settings: HostSettings,
+    ):
+        self.handler = handler
+        self.follower = follower
+        self.settings = settings
+
+    def routes(self) -> list[Route]:
+        """Return the routes."""
+        path = "/v1/services/{service}/{kind}"
+        return [Route(path, guarded(self.post), methods=["POST"])]
+
+    async def post(self, http: HttpRequest) -> Response:
+        """Answer one request."""
+        account = authenticate(http, self.follower)
+        request = Request(
+            account=account,
+            service=ServiceName(http.path_params["service"]),
+            kind=http.path_params["kind"],
+            body=await read_body(http, self.settings.largest_body),
+            timeout=self._timeout(http),
+            key=request_key(http),
+        )
+        return _response(await self.handler.handle(request))
+
+    def _timeout(self, http: HttpRequest) -> float:
+        text = http.headers.get(TIMEOUT_HEADER)
+        if text is None:
+            return min(DEFAULT_TIMEOUT_SECONDS, self.settings.longest_timeout)
+        if not text.isdecimal() or int(text) == 0:
+            raise CallerError(f"{TIMEOUT_HEADER} must be a whole number above 0.")
+        return min(int(text) / MS, self.settings.longest_timeout)
+
+
+def authenticate(http: HttpRequest, follower: ConfigurationFollower) -> ClientAccountId:
+    """Return the account whose token was sent; raises AuthenticationError."""
+    state = follower.require()
+    account = state.by_digest.get(token_digest(bearer_token(http)))
+    if account is None:
+        raise AuthenticationError("No client account has this token.")
+    return account
+
+
+def request_key(http: HttpRequest) -> RequestKey | None:
+    """Return the caller's key, if one was sent; raises CallerError."""
+    key = http.headers.get(KEY_HEADER)
+    if key is None:
+        return None
+    if not key.isprintable() or "/" in key or not 0 < len(key) <= LONGEST_KEY:
+        raise CallerError(
+            f"{KEY_HEADER} must have 1 to {LONGEST_KEY} printable characters and no /."
+        )
+    return RequestKey(key)
+
+
+def _response(answer: Answer) -> Response:
+    if answer.code in SENT_CODES:
+        response = Response(
+            answer.body, answer.status, None, answer.content_type or None
+        )
+        response.headers[CODE_HEADER] = str(int(answer.code))
+    else:
+        response = problem(answer.code, answer.detail)
+    response.headers[KEY_STATE_HEADER] = answer.key_state.value
+    if answer.repeated:
+        response.headers[REPEATED_HEADER] = "1"
+    return response
--- a/src/zinniatrestle/requests/sending.py
+++ b/src/zinniatrestle/requests/sending.py
@@ -14,11 +14,11 @@
     ServiceName,
     new_attempt_id,
 )
+from zinniatrestle.progress import InProgress
 from zinniatrestle.requests.admission import FairQueue
 from zinniatrestle.requests.budget import RetryBudget
 from zinniatrestle.requests.latency import LatencyRecord
 from zinniatrestle.requests.messages import Request
-from zinniatrestle.requests.state import InProgress
 from zinniatrestle.upstreams import UpstreamPool, UpstreamTransport
 from zinniatrestle.upstreams.messages import (
     AnswerLostError,
@@ -212,8 +212,10 @@
             raise
         except AnswerLostError:
             self.pool.fail(minion)
+            self._give_up(admitted)
             raise
         except asyncio.CancelledError:
+            self._give_up(admitted)
             self._judge_cancelled(minion, admitted, began)
             raise
         finally:
@@ -228,6 +230,10 @@
         self.latency(admitted.kind).add(monotonic() - began)
         return answer
 
+    def _give_up(self, admitted: Admitted):
+        account = admitted.request.account
+        self.in_progress.give_up(account, admitted.incarnation, admitted.start_by)
+
     def _judge_cancelled(self, minion: Minion, admitted: Admitted, began: float):
         # A hung minion loses every hedge and would otherwise never be judged.
         patience = self.latency(admitted.kind).patience()
--- /dev/null
+++ b/src/zinniatrestle/retirement/__init__.py
@@ -0,0 +1,13 @@
+"""Proof that a retired client account runs nowhere."""
+
+from zinniatrestle.retirement.certificate import RetirementProver
+from zinniatrestle.retirement.evidence import EntryHosts, EvidenceCollector
+from zinniatrestle.retirement.messages import HostEvidence, Proof
+
+__all__ = [
+    "EntryHosts",
+    "EvidenceCollector",
+    "HostEvidence",
+    "Proof",
+    "RetirementProver",
+]
--- /dev/null
+++ b/src/zinniatrestle/retirement/certificate.py
@@ -0,0 +1,124 @@
+"""Issue the certificate that a client account is gone, once and complete."""
+
+import msgspec
+
+from zinniatrestle.clock import Clock
+from zinniatrestle.configuration import ConfigurationFollower
+from zinniatrestle.configuration.messages import AccountRecord, AccountState
+from zinniatrestle.errors import (
+    NotFoundError,
+    NotProvenError,
+    ResultCode,
+    StoreUncertainError,
+)
+from zinniatrestle.ids import ClientAccountId, HostId
+from zinniatrestle.logs import PartLog
+from zinniatrestle.platform.interfaces import ObjectStore
+from zinniatrestle.retirement.evidence import EvidenceCollector
+from zinniatrestle.retirement.messages import (
+    Certificate,
+    DomainStanding,
+    Proof,
+    SealedCertificate,
+    seal,
+)
+from zinniatrestle.retirement.state import Findings, Retired
+
+# Covers the skew between clocks when a bound is taken as passed.
+SKEW_SECONDS = 1.0
+
+log = PartLog("retirement")
+
+
+class RetirementProver:
+    """Prove that a client account is gone, or say what is open."""
+
+    def __init__(
+        self,
+        host: HostId,
+        follower: ConfigurationFollower,
+        collector: EvidenceCollector,
+        objects: ObjectStore,
+        clock: Clock,
+    ):
+        self.host = host
+        self.follower = follower
+        self.collector = collector
+        self.objects = objects
+        self.clock = clock
+
+    async def prove(self, account: ClientAccountId) -> Proof:
+        """Return the certificate, issued now or earlier, or the open parts.
+
+        Raises NotProvenError with NOT_RETIRED for an account that is not retired.
+        """
+        await self.follower.catch_up()
+        record = self.follower.state.accounts.get(account)
+        if record is None:
+            raise NotFoundError(f"There has been no client account {account}.")
+        if record.state is not AccountState.RETIRED:
+            raise NotProvenError(
+                f"Client account {account} is active; retire it first.",
+                ResultCode.NOT_RETIRED,
+            )
+        issued = await self._issued(record)
+        if issued is not None:
+            return Proof(account, issued, closed=len(issued.certificate.parts))
+        findings = await self.collector.collect(self._retired(record))
+        if findings.open:
+            return Proof(account, None, findings.open, len(findings.closed))
+        sealed = await self._issue(record, findings)
+        return Proof(account, sealed, closed=len(sealed.certificate.parts))
+
+    def _retired(self, record: AccountRecord) -> Retired:
+        grace = self.follower.state.longest_grace(record.account)
+        return Retired(
+            record.account,
+            record.incarnation,
+            record.revision,
+            record.retired_wall,
+            record.retired_wall + grace + SKEW_SECONDS,
+        )
+
+    async def _issue(
+        self, record: AccountRecord, findings: Findings
+    ) -> SealedCertificate:
+        domains = []
+        for domain in sorted(self.follower.state.domains):
+            state = self.follower.state.domain_state(domain)
+            domains.append(DomainStanding(domain, state.value))
+        certificate = Certificate(
+            account=record.account,
+            incarnation=record.incarnation,
+            retired_revision=record.revision,
+            retired_wall=record.retired_wall,
+            issued_wall=self.clock.wall(),
+            issuer=self.host,
+            parts=findings.closed,
+            domains=domains,
+        )
+        sealed = seal(certificate)
+        body = msgspec.json.encode(sealed)
+        try:
+            written = await self.objects.put_if_absent(certificate_name(record), body)
+        except StoreUncertainError:
+            written = False
+        if written:
+            log.info("The certificate on %s is issued.", record.account)
+            return sealed
+        # Another host was first, or the answer was lost: what is stored counts.
+        issued = await self._issued(record)
+        if issued is None:
+            raise NotProvenError("The certificate could not be stored; ask again.")
+        return issued
+
+    async def _issued(self, record: AccountRecord) -> SealedCertificate | None:
+        body = await self.objects.get(certificate_name(record))
+        if body is None:
+            return None
+        return msgspec.json.decode(body, type=SealedCertificate)
+
+
+def certificate_name(record: AccountRecord) -> str:
+    """Return the object that holds the certificate on one life of an account."""
+    return f"certificates/{record.account}/{record.incarnation}.json"
--- /dev/null
+++ b/src/zinniatrestle/retirement/evidence.py
@@ -0,0 +1,283 @@
+"""Ask every part whether it runs anything of a client account."""
+
+import asyncio
+from abc import ABC, abstractmethod
+
+from zinniatrestle.clock import Clock
+from zinniatrestle.errors import PeerError, RequestError, WorkerError
+from zinniatrestle.gangs.book import JobBook
+from zinniatrestle.gangs.messages import ENDED_STATES
+from zinniatrestle.ids import (
+    ClientAccountId,
+    FailureDomainId,
+    HostId,
+    MinionId,
+    Revision,
+    ServiceName,
+    WorkerId,
+)
+from zinniatrestle.platform import Platform
+from zinniatrestle.platform.messages import HostRole, ListedHost
+from zinniatrestle.retirement.messages import (
+    Basis,
+    ClosedPart,
+    HostEvidence,
+    OpenPart,
+    PartKind,
+)
+from zinniatrestle.retirement.state import Findings, Retired
+from zinniatrestle.upstreams import UpstreamTransport
+from zinniatrestle.upstreams.messages import MinionAddress
+
+ASK_SECONDS = 2.0
+
+
+class EntryHosts(ABC):
+    """Reach all entry hosts, this one among them."""
+
+    @abstractmethod
+    def known(self) -> dict[HostId, FailureDomainId]:
+        """Return every entry host that there may be."""
+
+    @abstractmethod
+    async def evidence(
+        self, host: HostId, account: ClientAccountId, incarnation: Revision
+    ) -> HostEvidence:
+        """Return a host's own word; raises PeerError when it can't be asked."""
+
+
+class EvidenceCollector:
+    """Collect the evidence on one retired life of an account."""
+
+    def __init__(
+        self,
+        hosts: EntryHosts,
+        platform: Platform,
+        transport: UpstreamTransport,
+        clock: Clock,
+    ):
+        self.hosts = hosts
+        self.platform = platform
+        self.transport = transport
+        self.clock = clock
+
+    async def collect(self, retired: Retired) -> Findings:
+        """Ask hosts, then minions and workers, then the hosts once more.
+
+        Between the two rounds over the hosts there is an instant at which all of
+        them have the retirement in force: within one boot a host only goes
+        upwards. From then on nothing new can start, so what minions and workers
+        say after the first round holds for good.
+        """
+        findings = Findings()
+        first = await self._ask_hosts(retired)
+        listed = await self.platform.hosts.hosts()
+        await asyncio.gather(
+            self._collect_minions(retired, first, listed, findings),
+            self._collect_workers(retired, listed, findings),
+            self._collect_jobs(retired, findings),
+        )
+        second = await self._ask_hosts(retired)
+        self._judge_hosts(retired, first, second, findings)
+        return findings
+
+    async def _ask_hosts(self, retired: Retired) -> dict[HostId, HostEvidence | None]:
+        names = list(self.hosts.known())
+        answers = await asyncio.gather(*[self._ask_host(n, retired) for n in names])
+        return dict(zip(names, answers, strict=True))
+
+    async def _ask_host(self, name: HostId, retired: Retired) -> HostEvidence | None:
+        call = self.hosts.evidence(name, retired.account, retired.incarnation)
+        try:
+            return await asyncio.wait_for(call, ASK_SECONDS)
+        except (PeerError, TimeoutError):
+            return None
+
+    def _judge_hosts(
+        self,
+        retired: Retired,
+        first: dict[HostId, HostEvidence | None],
+        second: dict[HostId, HostEvidence | None],
+        findings: Findings,
+    ):
+        for name, domain in self.hosts.known().items():
+            before = first.get(name)
+            after = second.get(name)
+            reason = _host_reason(retired, before, after)
+            if reason is None:
+                findings.closed.append(
+                    ClosedPart(
+                        PartKind.ENTRY_HOST,
+                        name,
+                        domain,
+                        Basis.OWN_REPORT,
+                        after.wall,
+                        after.revision,
+                    )
+                )
+                continue
+            unheard = before is None or after is None
+            self._close_or_open(
+                retired, findings, PartKind.ENTRY_HOST, name, domain, reason, unheard
+            )
+
+    async def _collect_minions(
+        self,
+        retired: Retired,
+        evidence: dict[HostId, HostEvidence | None],
+        listed: list[ListedHost],
+        findings: Findings,
+    ):
+        minions: dict[MinionId, MinionAddress] = {}
+        for answer in evidence.values():
+            for address in answer.reached if answer else []:
+                minions[address.minion] = address
+        for host in listed:
+            if host.role is HostRole.MINION:
+                name = MinionId(host.name)
+                minions[name] = MinionAddress(
+                    name, ServiceName(host.service), host.domain, host.address
+                )
+        asked = [self._ask_minion(m, retired, findings) for m in minions.values()]
+        await asyncio.gather(*asked)
+
+    async def _ask_minion(
+        self, minion: MinionAddress, retired: Retired, findings: Findings
+    ):
+        """Take a minion's own word; no bound closes one that can't be asked."""
+        call = self.transport.running(minion, retired.account)
+        reason = "it can't be asked"
+        try:
+            running = await asyncio.wait_for(call, ASK_SECONDS)
+        except (RequestError, TimeoutError):
+            running = None
+        if running == 0:
+            part = ClosedPart(
+                PartKind.MINION,
+                minion.minion,
+                minion.domain,
+                Basis.OWN_REPORT,
+                self.clock.wall(),
+            )
+            findings.closed.append(part)
+            return
+        if running:
+            reason = f"it runs {running} attempts of the account"
+        self._open(
+            retired, findings, PartKind.MINION, minion.minion, minion.domain, reason
+        )
+
+    async def _collect_workers(
+        self, retired: Retired, listed: list[ListedHost], findings: Findings
+    ):
+        domains = {}
+        for host in listed:
+            if host.role is HostRole.WORKER:
+                domains[WorkerId(host.name)] = host.domain
+        for row in await self._job_rows(retired):
+            for slot in row.placement:
+                domains.setdefault(slot.worker, row.domain)
+        asked = []
+        for worker, domain in domains.items():
+            asked.append(self._ask_worker(worker, domain, retired, findings))
+        await asyncio.gather(*asked)
+
+    async def _ask_worker(
+        self,
+        worker: WorkerId,
+        domain: FailureDomainId,
+        retired: Retired,
+        findings: Findings,
+    ):
+        call = self.platform.workers.report(worker)
+        try:
+            report = await asyncio.wait_for(call, ASK_SECONDS)
+        except (WorkerError, TimeoutError):
+            self._close_or_open(
+                retired,
+                findings,
+                PartKind.WORKER,
+                worker,
+                domain,
+                "it can't be asked",
+                unheard=True,
+            )
+            return
+        held = 0
+        for lease in report.leases:
+            life = (lease.account, lease.incarnation)
+            held += life == (retired.account, retired.incarnation)
+        if held:
+            reason = f"it holds {held} leases of the account"
+            self._open(retired, findings, PartKind.WORKER, worker, domain, reason)
+            return
+        part = ClosedPart(
+            PartKind.WORKER, worker, domain, Basis.OWN_REPORT, self.clock.wall()
+        )
+        findings.closed.append(part)
+
+    async def _collect_jobs(self, retired: Retired, findings: Findings):
+        for row in await self._job_rows(retired):
+            if row.state in ENDED_STATES:
+                part = ClosedPart(
+                    PartKind.JOB, row.job, row.domain, Basis.TABLE, self.clock.wall()
+                )
+                findings.closed.append(part)
+                continue
+            self._close_or_open(
+                retired,
+                findings,
+                PartKind.JOB,
+                row.job,
+                row.domain,
+                f"its row says {row.state.value}",
+                unheard=True,
+            )
+
+    async def _job_rows(self, retired: Retired) -> list:
+        rows = await JobBook(self.platform.table).jobs_of(retired.account)
+        return [row for row in rows if row.incarnation == retired.incarnation]
+
+    def _close_or_open(
+        self,
+        retired: Retired,
+        findings: Findings,
+        kind: PartKind,
+        name: str,
+        domain: FailureDomainId,
+        reason: str,
+        unheard: bool,
+    ):
+        """Close a part that can't be asked once its bound has passed."""
+        now = self.clock.wall()
+        if unheard and now > retired.bound_wall:
+            part = ClosedPart(kind, name, domain, Basis.GRACE_PASSED, now)
+            findings.closed.append(part)
+            return
+        self._open(retired, findings, kind, name, domain, reason)
+
+    def _open(
+        self,
+        retired: Retired,
+        findings: Findings,
+        kind: PartKind,
+        name: str,
+        domain: FailureDomainId,
+        reason: str,
+    ):
+        findings.open.append(OpenPart(kind, name, domain, retired.wall, reason))
+
+
+def _host_reason(
+    retired: Retired, before: HostEvidence | None, after: HostEvidence | None
+) -> str | None:
+    """Return why a host's word does not close it, or None."""
+    if before is None or after is None:
+        return "it can't be asked"
+    if before.boot != after.boot:
+        return "it restarted while it was asked"
+    if min(before.revision, after.revision) < retired.revision:
+        return f"it has revision {before.revision} in force"
+    if before.in_progress or after.in_progress:
+        return f"it has {max(before.in_progress, after.in_progress)} in progress"
+    return None
--- /dev/null
+++ b/src/zinniatrestle/retirement/state.py
@@ -0,0 +1,33 @@
+"""What a proof has found so far."""
+
+from zinniatrestle.ids import ClientAccountId, Revision
+from zinniatrestle.retirement.messages import ClosedPart, OpenPart
+
+
+class Findings:
+    """Gather closed and open parts."""
+
+    def __init__(self):
+        self.closed: list[ClosedPart] = []
+        self.open: list[OpenPart] = []
+
+
+class Retired:
+    """Name the life of an account that is to be proved over.
+
+    Whatever is not confirmed may serve it until `bound_wall` at the latest.
+    """
+
+    def __init__(
+        self,
+        account: ClientAccountId,
+        incarnation: Revision,
+        revision: Revision,
+        wall: float,
+        bound_wall: float,
+    ):
+        self.account = account
+        self.incarnation = incarnation
+        self.revision = revision
+        self.wall = wall
+        self.bound_wall = bound_wall
--- /dev/null
+++ b/src/zinniatrestle/settings.py
@@ -0,0 +1,132 @@
+"""Settings of the programs, checked before anything starts."""
+
+from dataclasses import dataclass, field, fields
+
+from zinniatrestle.errors import SettingsError
+from zinniatrestle.ids import FailureDomainId, HostId, RegionId
+from zinniatrestle.peers.state import PeerAddress
+
+ENVIRONMENT_PREFIX = "ZINNIATRESTLE_"
+SHORTEST_SECRET = 8
+HIGHEST_PORT = 65535
+
+
+def flag_of(name: str) -> str:
+    """Return the flag of a setting."""
+    return "--" + name.replace("_", "-")
+
+
+def variable_of(name: str) -> str:
+    """Return the environment variable of a setting."""
+    return ENVIRONMENT_PREFIX + name.upper()
+
+
+def refuse(name: str, advice: str) -> SettingsError:
+    """Return the error on a setting, naming its flag and variable."""
+    return SettingsError(f"{advice} Set {flag_of(name)} or {variable_of(name)}.")
+
+
+def about(text: str) -> dict[str, str]:
+    """Return the metadata of a setting's field."""
+    return {"about": text}
+
+
+@dataclass(frozen=True)
+class HostSettings:
+    """Settings of one entry host."""
+
+    host: str = field(default="", metadata=about("Name of this entry host."))
+    domain: str = field(default="", metadata=about("Failure domain of this host."))
+    region: str = field(default="", metadata=about("Region of this host."))
+    address: str = field(default="127.0.0.1", metadata=about("IP number to listen on."))
+    port: int = field(default=8080, metadata=about("Port for callers and operators."))
+    peer_port: int = field(default=8081, metadata=about("Port for peers."))
+    peers: str = field(
+        default="",
+        metadata=about("All other entry hosts: `host@domain/region=ip:port,...`."),
+    )
+    cluster_key: str = field(
+        default="", metadata=about("Secret that all entry hosts share.")
+    )
+    operator_token: str = field(
+        default="", metadata=about("Bearer token of operators.")
+    )
+    platform_url: str = field(
+        default="", metadata=about("Base address of the platform's services.")
+    )
+    minion_slots: int = field(
+        default=8, metadata=about("Requests that a minion runs at once.")
+    )
+    minion_connections: int = field(
+        default=64, metadata=about("Connections that a minion takes from all hosts.")
+    )
+    claim_batch: int = field(
+        default=64, metadata=about("Claims written in one transaction at most.")
+    )
+    claim_lanes: int = field(
+        default=2, metadata=about("Claim transactions under way at once.")
+    )
+    largest_body: int = field(
+        default=262_144, metadata=about("Largest request body, in bytes.")
+    )
+    longest_timeout: float = field(
+        default=60.0, metadata=about("Longest deadline of a request, in seconds.")
+    )
+    notice_seconds: float = field(
+        default=5.0,
+        metadata=about("Time for the balancer to notice a planned stop."),
+    )
+    drain_seconds: float = field(
+        default=60.0, metadata=about("Longest wait for work in progress at a stop.")
+    )
+    otlp_endpoint: str = field(
+        default="", metadata=about("OTLP/HTTP address for metrics; empty: none.")
+    )
+    seed: int = field(default=0, metadata=about("Seed of the choice of minions."))
+
+    def check(self):
+        """Refuse settings that a host can't run with; raises SettingsError."""
+        for name in ("host", "domain", "region", "platform_url"):
+            if not getattr(self, name):
+                raise refuse(name, f"The {name} is missing.")
+        for name in ("cluster_key", "operator_token"):
+            if len(getattr(self, name)) < SHORTEST_SECRET:
+                raise refuse(
+                    name, f"The {name} has fewer than {SHORTEST_SECRET} characters."
+                )
+        for name in ("port", "peer_port"):
+            if not 0 < getattr(self, name) <= HIGHEST_PORT:
+                raise refuse(name, f"The {name} is no port.")
+        for entry in fields(self):
+            value = getattr(self, entry.name)
+            if entry.type in (int, float) and value < 0:
+                raise refuse(entry.name, f"The {entry.name} can't be below 0.")
+        for name in ("minion_slots", "claim_batch", "claim_lanes", "largest_body"):
+            if getattr(self, name) < 1:
+                raise refuse(name, f"The {name} must be 1 at least.")
+        self.peer_addresses()
+
+    def peer_addresses(self) -> list[PeerAddress]:
+        """Return the peers; raises SettingsError."""
+        addresses = []
+        for text in filter(None, self.peers.split(",")):
+            addresses.append(_peer_address(text.strip()))
+        names = [address.host for address in addresses]
+        if len(set(names)) != len(names) or self.host in names:
+            raise refuse("peers", "A host is named twice among the peers.")
+        return addresses
+
+
+def _peer_address(text: str) -> PeerAddress:
+    try:
+        name, place = text.split("=")
+        host, where = name.split("@")
+        domain, region = where.split("/")
+        address, port = place.rsplit(":", 1)
+        return PeerAddress(
+            HostId(host), FailureDomainId(domain), RegionId(region), address, int(port)
+        )
+    except ValueError:
+        raise refuse(
+            "peers", f"The peer {text!r} is not written host@domain/region=ip:port."
+        ) from None
--- /dev/null
+++ b/src/zinniatrestle/standins/faults.py
@@ -0,0 +1,157 @@
+"""Wrap the embedded services so that they fail when told to."""
+
+import asyncio
+
+from zinniatrestle.errors import (
+    StoreUnavailableError,
+    StoreUncertainError,
+    WorkerError,
+)
+from zinniatrestle.ids import RowKey, WorkerId
+from zinniatrestle.platform.embedded import EmbeddedPlatform
+from zinniatrestle.platform.interfaces import (
+    HostList,
+    ObjectStore,
+    Platform,
+    TableService,
+    Workers,
+)
+from zinniatrestle.platform.messages import (
+    Commit,
+    ListedHost,
+    Renew,
+    Reserve,
+    Row,
+    Start,
+    Stop,
+    Transaction,
+    WorkerReport,
+)
+from zinniatrestle.standins.messages import PlatformFaults, WorkerFaults
+
+
+class FaultyTable(TableService):
+    """Keep rows, with faults."""
+
+    def __init__(self, inner: TableService, faults: PlatformFaults, host: str = ""):
+        self.inner = inner
+        self.faults = faults
+        self.host = host
+
+    async def read(self, keys: list[RowKey]) -> dict[RowKey, Row]:
+        """Return the rows that exist among `keys`."""
+        await pass_faults(self.faults, self.host)
+        return await self.inner.read(keys)
+
+    async def scan(self, prefix: str, after: RowKey, limit: int) -> list[Row]:
+        """Return rows under `prefix` behind `after`."""
+        await pass_faults(self.faults, self.host)
+        return await self.inner.scan(prefix, after, limit)
+
+    async def commit(self, transaction: Transaction) -> Commit:
+        """Apply a transaction, and lose the answer if told to."""
+        await pass_faults(self.faults, self.host)
+        commit = await self.inner.commit(transaction)
+        if self.faults.lose_answers:
+            raise StoreUncertainError("The answer was lost.")
+        return commit
+
+
+class FaultyObjects(ObjectStore):
+    """Keep objects, with faults."""
+
+    def __init__(self, inner: ObjectStore, faults: PlatformFaults, host: str = ""):
+        self.inner = inner
+        self.faults = faults
+        self.host = host
+
+    async def put_if_absent(self, name: str, body: bytes) -> bool:
+        """Write an object, and lose the answer if told to."""
+        await pass_faults(self.faults, self.host)
+        written = await self.inner.put_if_absent(name, body)
+        if self.faults.lose_answers:
+            raise StoreUncertainError("The answer was lost.")
+        return written
+
+    async def get(self, name: str) -> bytes | None:
+        """Return an object's body, or None."""
+        await pass_faults(self.faults, self.host)
+        return await self.inner.get(name)
+
+
+class FaultyHostList(HostList):
+    """List machines, with a list that can stand still."""
+
+    def __init__(self, inner: HostList, faults: PlatformFaults, host: str = ""):
+        self.inner = inner
+        self.faults = faults
+        self.host = host
+        self.last: list[ListedHost] = []
+
+    async def hosts(self) -> list[ListedHost]:
+        """Return the machines known to the platform, or the list of old."""
+        await pass_faults(self.faults, self.host)
+        if not self.faults.stale_list or not self.last:
+            self.last = await self.inner.hosts()
+        return self.last
+
+
+class FaultyWorkers(Workers):
+    """Command workers, some of which can't be reached."""
+
+    def __init__(self, inner: Workers):
+        self.inner = inner
+        self.faults: dict[WorkerId, WorkerFaults] = {}
+
+    async def reserve(self, worker: WorkerId, command: Reserve):
+        """Hold accelerators for one attempt."""
+        self._pass(worker)
+        await self.inner.reserve(worker, command)
+
+    async def start(self, worker: WorkerId, command: Start):
+        """Start the tasks of a reserved attempt."""
+        self._pass(worker)
+        await self.inner.start(worker, command)
+
+    async def renew(self, worker: WorkerId, command: Renew) -> WorkerReport:
+        """Extend the leases of running attempts and report."""
+        self._pass(worker)
+        return await self.inner.renew(worker, command)
+
+    async def stop(self, worker: WorkerId, command: Stop) -> float:
+        """End an attempt and return its checkpointed progress."""
+        self._pass(worker)
+        return await self.inner.stop(worker, command)
+
+    async def report(self, worker: WorkerId) -> WorkerReport:
+        """Return what the worker holds now."""
+        self._pass(worker)
+        return await self.inner.report(worker)
+
+    def _pass(self, worker: WorkerId):
+        faults = self.faults.get(worker)
+        if faults is not None and faults.unreachable:
+            raise WorkerError("The worker can't be reached.")
+
+
+class FaultyPlatform(Platform):
+    """See the embedded platform as one host sees it through faults."""
+
+    def __init__(self, inner: EmbeddedPlatform, faults: PlatformFaults, host: str = ""):
+        self.inner = inner
+        self.faults = faults
+        self.table = FaultyTable(inner.table, faults, host)
+        self.objects = FaultyObjects(inner.objects, faults, host)
+        self.hosts = FaultyHostList(inner.hosts, faults, host)
+        self.workers = FaultyWorkers(inner.workers)
+
+    async def close(self):
+        """Give back nothing."""
+
+
+async def pass_faults(faults: PlatformFaults, host: str):
+    """Wait as told, then raise StoreUnavailableError if told to."""
+    if faults.slow_seconds:
+        await asyncio.sleep(faults.slow_seconds)
+    if faults.outage or host in faults.cut_hosts:
+        raise StoreUnavailableError("The platform is out.")
--- /dev/null
+++ b/src/zinniatrestle/standins/minion.py
@@ -0,0 +1,116 @@
+"""A minion as a process: slots, declines, answers and faults."""
+
+import asyncio
+import time
+
+import msgspec
+from starlette.applications import Starlette
+from starlette.requests import Request
+from starlette.responses import Response
+from starlette.routing import Route
+
+from zinniatrestle.standins.messages import MinionFaults, Run
+from zinniatrestle.upstreams.http import (
+    ACCOUNT_HEADER,
+    ATTEMPT_HEADER,
+    LEAVING_HEADER,
+    NOT_RUN_HEADER,
+    START_BY_HEADER,
+    RunningCount,
+)
+
+DECLINED = 503
+FAILED = 500
+HANG_SECONDS = 3600.0
+RUNS_KEPT = 100_000
+
+
+class MinionAnswer(msgspec.Struct):
+    """What the stand-in answers: who ran what."""
+
+    minion: str
+    attempt: str
+    body: str
+
+
+class MinionProgram:
+    """Run requests on a bounded number of slots and remember each run."""
+
+    def __init__(self, name: str, slots: int):
+        self.name = name
+        self.slots = slots
+        self.faults = MinionFaults()
+        self.runs: list[Run] = []
+        self.running: dict[str, Run] = {}
+        self.most_running = 0
+
+    def app(self) -> Starlette:
+        """Return the application."""
+        routes = [
+            Route("/zinniatrestle/running/{account}", self.count, methods=["GET"]),
+            Route("/control/faults", self.set_faults, methods=["POST"]),
+            Route("/control/runs", self.show_runs, methods=["GET"]),
+            Route("/{service}/{kind}", self.run, methods=["POST"]),
+        ]
+        return Starlette(routes=routes)
+
+    async def run(self, request: Request) -> Response:
+        """Run one attempt, or decline it."""
+        attempt = request.headers.get(ATTEMPT_HEADER, "")
+        body = await request.body()
+        start_by = float(request.headers.get(START_BY_HEADER, "inf"))
+        full = len(self.running) >= self.slots
+        if self.faults.leaving or full or time.time() > start_by:
+            return self._declined()
+        run = Run(
+            attempt,
+            request.headers.get(ACCOUNT_HEADER, ""),
+            request.path_params["kind"],
+            body.decode(errors="replace"),
+            time.time(),
+        )
+        self.runs.append(run)
+        del self.runs[:-RUNS_KEPT]
+        self.running[attempt] = run
+        self.most_running = max(self.most_running, len(self.running))
+        try:
+            return await self._work(run)
+        finally:
+            run.ended = time.time()
+            self.running.pop(attempt, None)
+
+    async def count(self, request: Request) -> Response:
+        """Tell how many attempts of an account run."""
+        account = request.path_params["account"]
+        running = [run for run in self.running.values() if run.account == account]
+        return Response(msgspec.json.encode(RunningCount(len(running))))
+
+    async def set_faults(self, request: Request) -> Response:
+        """Switch faults."""
+        self.faults = msgspec.json.decode(await request.body(), type=MinionFaults)
+        return Response()
+
+    async def show_runs(self, request: Request) -> Response:
+        """Show the runs so far."""
+        return Response(msgspec.json.encode(self.runs))
+
+    async def _work(self, run: Run) -> Response:
+        if self.faults.fail_everything:
+            return Response(status_code=FAILED)
+        if self.faults.latency_seconds:
+            await asyncio.sleep(self.faults.latency_seconds)
+        if self.faults.hang:
+            await asyncio.sleep(HANG_SECONDS)
+        answer = msgspec.json.encode(MinionAnswer(self.name, run.attempt, run.body))
+        headers = {}
+        if self.faults.cut_body:
+            headers["Content-Length"] = str(len(answer) + 1)
+        if self.faults.leaving:
+            headers[LEAVING_HEADER] = "1"
+        return Response(answer, headers=headers, media_type="application/json")
+
+    def _declined(self) -> Response:
+        headers = {NOT_RUN_HEADER: "1"}
+        if self.faults.leaving:
+            headers[LEAVING_HEADER] = "1"
+        return Response(status_code=DECLINED, headers=headers)
--- /dev/null
+++ b/src/zinniatrestle/standins/workers.py
@@ -0,0 +1,85 @@
+"""Workers of one failure domain as a process."""
+
+from typing import Any
+
+import msgspec
+from starlette.applications import Starlette
+from starlette.requests import Request
+from starlette.responses import Response
+from starlette.routing import Route
+
+from zinniatrestle.clock import SystemClock
+from zinniatrestle.errors import ResultCode, WorkerError
+from zinniatrestle.ids import WorkerId
+from zinniatrestle.platform.embedded import EmbeddedWorkers
+from zinniatrestle.platform.http import StopAnswer, WorkerAnswer
+from zinniatrestle.platform.messages import ListedHost, Renew, Reserve, Start, Stop
+from zinniatrestle.standins.faults import FaultyWorkers
+from zinniatrestle.standins.messages import WorkerFaults, WorkerStart
+
+
+class WorkersProgram:
+    """Serve embedded workers over HTTP, with faults."""
+
+    def __init__(self, listed: list[ListedHost]):
+        self.embedded = EmbeddedWorkers(listed, SystemClock())
+        self.faulty = FaultyWorkers(self.embedded)
+
+    def app(self) -> Starlette:
+        """Return the application."""
+        routes = [
+            Route("/workers/{worker}/{verb}", self.command, methods=["POST"]),
+            Route("/control/faults/{worker}", self.set_faults, methods=["POST"]),
+            Route("/control/starts", self.starts, methods=["GET"]),
+            Route("/control/leases", self.leases, methods=["GET"]),
+        ]
+        return Starlette(routes=routes)
+
+    async def command(self, request: Request) -> Response:
+        """Obey one command."""
+        worker = WorkerId(request.path_params["worker"])
+        body = await request.body()
+        try:
+            result = await self._obey(worker, request.path_params["verb"], body)
+            answer = WorkerAnswer(body=msgspec.msgpack.encode(result))
+        except WorkerError as error:
+            answer = WorkerAnswer(int(error.code), error.detail)
+        return Response(msgspec.msgpack.encode(answer))
+
+    async def set_faults(self, request: Request) -> Response:
+        """Switch one worker's faults."""
+        worker = WorkerId(request.path_params["worker"])
+        faults = msgspec.json.decode(await request.body(), type=WorkerFaults)
+        self.faulty.faults[worker] = faults
+        self.embedded.state(worker).fails_everything = faults.fails_everything
+        return Response()
+
+    async def starts(self, request: Request) -> Response:
+        """Show all starts so far."""
+        found = []
+        for worker, state in self.embedded.states.items():
+            for wall, job, attempt in state.starts:
+                found.append(WorkerStart(worker, wall, job, attempt))
+        return Response(msgspec.json.encode(found))
+
+    async def leases(self, request: Request) -> Response:
+        """Show all leases held now."""
+        reports = [state.report() for state in self.embedded.states.values()]
+        return Response(msgspec.json.encode(reports))
+
+    async def _obey(self, worker: WorkerId, verb: str, body: bytes) -> Any:
+        decode = msgspec.msgpack.decode
+        match verb:
+            case "reserve":
+                return await self.faulty.reserve(worker, decode(body, type=Reserve))
+            case "start":
+                return await self.faulty.start(worker, decode(body, type=Start))
+            case "renew":
+                return await self.faulty.renew(worker, decode(body, type=Renew))
+            case "stop":
+                stopped = await self.faulty.stop(worker, decode(body, type=Stop))
+                return StopAnswer(stopped)
+            case "report":
+                return await self.faulty.report(worker)
+            case _:
+                raise WorkerError("No such command.", ResultCode.BAD_INPUT)
--- a/src/zinniatrestle/upstreams/pool.py
+++ b/src/zinniatrestle/upstreams/pool.py
@@ -49,19 +49,24 @@
             log.info("Minion %s is gone from the list.", name)
             del self.minions[name]
 
-    def mark_leaving(self, name: MinionId):
-        """Send nothing new to a minion that says it leaves, before the list does."""
+    def mark_leaving(self, name: MinionId, observed: bool = True):
+        """Send nothing new to a minion that says it leaves, before the list does.
+
+        `observed` marks are told to peers; marks that come from peers are not, or
+        they would go round for ever.
+        """
         minion = self.minions.get(name)
-        if minion is None or minion.state is MinionState.LEAVING:
+        if minion is None:
             return
-        log.info("Minion %s is leaving.", name)
-        minion.state = MinionState.LEAVING
+        if minion.state is not MinionState.LEAVING:
+            log.info("Minion %s is leaving.", name)
+        minion.leave(observed)
 
     def leaving(self) -> list[MinionId]:
-        """Return the minions known to be leaving."""
+        """Return the minions that this host itself has seen leaving."""
         names = []
         for name, minion in self.minions.items():
-            if minion.state is MinionState.LEAVING:
+            if minion.state is MinionState.LEAVING and minion.leaving_observed:
                 names.append(name)
         return names
 
@@ -80,6 +85,17 @@
             total += self.limit(name)
         return total
 
+    def free_slots(self) -> dict[ServiceName, int]:
+        """Return this host's free slots by service."""
+        free: dict[ServiceName, int] = {}
+        for name, minion in self.minions.items():
+            if minion.state is not MinionState.HEALTHY:
+                continue
+            service = minion.address.service
+            left = max(0, self.limit(name) - minion.in_use)
+            free[service] = free.get(service, 0) + left
+        return free
+
     def choose(
         self, service: ServiceName, tried: Collection[MinionId]
     ) -> Minion | None:
@@ -126,3 +142,5 @@
             self.ever_seen[name] = address
         if host.standing is HostStanding.LEAVING:
             self.mark_leaving(name)
+        else:
+            minion.return_if_long_gone()
--- a/src/zinniatrestle/upstreams/state.py
+++ b/src/zinniatrestle/upstreams/state.py
@@ -12,6 +12,8 @@
 FIRST_EJECTION_SECONDS = 1.0
 LONGEST_EJECTION_SECONDS = 30.0
 DECLINED_SECONDS = 0.05
+# The platform's list lags, so a minion that said it leaves is believed for longer.
+LEAVING_SECONDS = 60.0
 
 
 class MinionState(Enum):
@@ -34,6 +36,23 @@
         self.ejections = 0
         self.ejected_until = 0.0
         self.declined_until = 0.0
+        self.leaving_at = 0.0
+        self.leaving_observed = False
+
+    def leave(self, observed: bool):
+        """Note that the minion is leaving."""
+        self.state = MinionState.LEAVING
+        self.leaving_at = monotonic()
+        self.leaving_observed = self.leaving_observed or observed
+
+    def return_if_long_gone(self):
+        """Probe a minion that left long ago and is still listed as live."""
+        if self.state is not MinionState.LEAVING:
+            return
+        if monotonic() - self.leaving_at < LEAVING_SECONDS:
+            return
+        self.state = MinionState.PROBING
+        self.leaving_observed = False
 
     def usable(self, limit: int) -> bool:
         """Tell whether a request may be sent to it now."""
--- a/tests/common/cluster.py
+++ b/tests/common/cluster.py
@@ -30,6 +30,7 @@
 from zinniatrestle.platform.embedded import EmbeddedPlatform
 from zinniatrestle.platform.leases import Lease
 from zinniatrestle.platform.messages import HostRole, ListedHost
+from zinniatrestle.progress import InProgress
 
 DOMAIN = FailureDomainId("lima")
 ACCOUNT = ClientAccountId("norte")
@@ -71,9 +72,7 @@
             self.schedulers.append(self._scheduler(HostId(f"h{number}")))
         self.follower = self.schedulers[0].follower
         rules = [GuaranteeRule(self.platform.hosts)]
-        self.changes = ChangeDesk(
-            self.platform.table, self.follower, self.clock, rules
-        )
+        self.changes = ChangeDesk(self.platform.table, self.follower, self.clock, rules)
         self.desk = JobDesk(
             self.platform.table, self.platform.hosts, self.follower, self.clock
         )
@@ -98,9 +97,7 @@
         """Make a change."""
         return await self.changes.submit(change, new_operation_token())
 
-    async def submit(
-        self, spec: JobSpec, account: ClientAccountId = ACCOUNT
-    ) -> JobId:
+    async def submit(self, spec: JobSpec, account: ClientAccountId = ACCOUNT) -> JobId:
         """Submit a job."""
         return (await self.desk.submit(account, spec, None)).job
 
@@ -131,6 +128,7 @@
             follower,
             PermitOffice(follower, self.clock),
             Planner(AttainedServiceOrder(), TightestRack()),
+            InProgress(),
             self.clock,
         )
 
