Add the command line and run the whole path in one process

Cause of a first failure: a worker compared the clock with itself read a moment earlier and refused every renewal; the deadline is now checked only where a command carries one.

--- a/src/zinniatrestle/gangs/jobs.py
+++ b/src/zinniatrestle/gangs/jobs.py
@@ -220,4 +220,4 @@
     if key is None:
         return new_job_id()
     name = f"{record.account}/{record.incarnation}/{key}"
-    return JobId(xxhash.xxh3_128_hexdigest(name))
+    return JobId(xxhash.xxh3_128_hexdigest(name.encode()))
--- /dev/null
+++ b/src/zinniatrestle/operators/__init__.py
@@ -0,0 +1,1 @@
+"""The operators' interface and the command line."""
--- /dev/null
+++ b/src/zinniatrestle/operators/main.py
@@ -0,0 +1,85 @@
+"""The command line `zinniatrestle`."""
+
+import sys
+from typing import Annotated
+
+import cyclopts
+from absl import logging
+from cyclopts import App, Parameter
+
+from zinniatrestle import __version__
+from zinniatrestle.errors import SettingsError, ZinniatrestleError
+from zinniatrestle.operators import configuring, working
+from zinniatrestle.operators.client import UnreachableError
+from zinniatrestle.operators.exits import ExitCode
+from zinniatrestle.settings import ENVIRONMENT_PREFIX, HostSettings
+
+Settings = Annotated[HostSettings, Parameter(name="*")]
+
+app = App(
+    name="zinniatrestle",
+    help="Schedule multi-accelerator jobs under client account guarantees.",
+    version=__version__,
+    config=cyclopts.config.Env(ENVIRONMENT_PREFIX, command=False),
+)
+for group in (
+    configuring.templates,
+    configuring.accounts,
+    configuring.domains,
+    configuring.configuration,
+    working.jobs,
+    working.reports,
+):
+    app.command(group)
+app.command(working.send_request, name="request")
+app.command(working.prove, name="proof")
+app.command(working.show_host, name="host")
+app.command(working.show_codes, name="codes")
+
+
+@app.command
+async def serve(*, settings: Settings | None = None):
+    """Run an entry host until SIGTERM."""
+    # Imported here, since the client needs nothing of the daemon.
+    from zinniatrestle.entry.daemon import serve as serve_host
+
+    logging.set_verbosity(logging.INFO)
+    logging.use_absl_handler()
+    await serve_host(settings or HostSettings())
+
+
+@app.command
+async def trial(*, seconds: float = 3.0) -> ExitCode:
+    """Run requests, a gang and a retirement on an embedded platform.
+
+    Parameters
+    ----------
+    seconds
+        How long the gang's tasks run.
+    """
+    from zinniatrestle.operators.trial import run_trial
+
+    return await run_trial(seconds)
+
+
+def main(arguments: list[str] | None = None):
+    """Run one command and exit with its code."""
+    try:
+        result = app(arguments, result_action="return_value")
+    except UnreachableError as error:
+        _explain(error)
+        sys.exit(ExitCode.UNREACHABLE)
+    except SettingsError as error:
+        _explain(error)
+        sys.exit(ExitCode.USAGE)
+    except ZinniatrestleError as error:
+        _explain(error)
+        sys.exit(ExitCode.REFUSED)
+    except OSError as error:
+        sys.stderr.write(f"{error}\n")
+        sys.exit(ExitCode.USAGE)
+    sys.exit(result if isinstance(result, ExitCode) else ExitCode.DONE)
+
+
+def _explain(error: ZinniatrestleError):
+    sys.stderr.write(f"{error.code.name} ({int(error.code)}): {error.detail}\n")
--- /dev/null
+++ b/src/zinniatrestle/operators/output.py
@@ -0,0 +1,41 @@
+"""Print results: tables for people, JSON for programs."""
+
+import sys
+from collections.abc import Iterable
+from typing import Any
+
+import msgspec
+from rich.console import Console
+from rich.table import Table
+
+WIDE = 200
+
+
+def show_json(value: Any):
+    """Print a value as indented JSON."""
+    text = msgspec.json.format(msgspec.json.encode(value), indent=2)
+    sys.stdout.write(text.decode() + "\n")
+
+
+def show_table(headings: list[str], rows: Iterable[list[Any]]):
+    """Print rows under headings."""
+    table = Table(box=None, pad_edge=False, header_style=None)
+    for heading in headings:
+        table.add_column(heading)
+    for row in rows:
+        table.add_row(*[str(cell) for cell in row])
+    console = Console(highlight=False, markup=False)
+    if not sys.stdout.isatty():
+        console = Console(highlight=False, markup=False, width=WIDE)
+    console.print(table)
+
+
+def show_line(text: str):
+    """Print one line."""
+    sys.stdout.write(text + "\n")
+
+
+def show_progress(text: str):
+    """Print progress to the side, so that programs are not disturbed."""
+    sys.stderr.write(text + "\n")
+    sys.stderr.flush()
--- a/src/zinniatrestle/peers/mesh.py
+++ b/src/zinniatrestle/peers/mesh.py
@@ -111,6 +111,8 @@
             self._pull_from(peer.address.host)
         else:
             self.follower.adopt(heartbeat.confirmed_wall, heartbeat.revision)
+        if peer.share_changed():
+            self.pool.rebalance()
         for minion in heartbeat.leaving_minions:
             self.pool.mark_leaving(minion, observed=False)
 
--- a/src/zinniatrestle/peers/state.py
+++ b/src/zinniatrestle/peers/state.py
@@ -51,6 +51,13 @@
         self.heard_at = 0.0
         self.heartbeat: Heartbeat | None = None
         self.boot = ""
+        self.was_drained = False
+
+    def share_changed(self) -> bool:
+        """Tell whether the peer gave its slots back or took them up since asked."""
+        changed = self.drained != self.was_drained
+        self.was_drained = self.drained
+        return changed
 
     def hear(self, heartbeat: Heartbeat):
         """Take a heartbeat in."""
--- a/src/zinniatrestle/platform/state.py
+++ b/src/zinniatrestle/platform/state.py
@@ -100,7 +100,8 @@
     def reserve(self, command: Reserve):
         """Hold accelerators for one attempt."""
         self.settle()
-        self._obey(command.epoch, command.start_by)
+        self._obey(command.epoch)
+        self._require_in_time(command.start_by)
         if command.attempt in self.ended:
             raise WorkerError("The attempt has ended here.", ResultCode.JOB_ENDED)
         if command.attempt in self.tasks:
@@ -117,7 +118,8 @@
     def start(self, command: Start):
         """Start the tasks of a reserved attempt."""
         self.settle()
-        self._obey(command.epoch, command.start_by)
+        self._obey(command.epoch)
+        self._require_in_time(command.start_by)
         task = self.tasks.get(command.attempt)
         if task is None:
             raise WorkerError("The attempt holds nothing here.", ResultCode.JOB_ENDED)
@@ -137,7 +139,7 @@
     def renew(self, command: Renew) -> WorkerReport:
         """Extend the leases of running attempts and report."""
         self.settle()
-        self._obey(command.epoch, self.clock.wall())
+        self._obey(command.epoch)
         for renewal in command.renewals:
             task = self.tasks.get(renewal.attempt)
             if task is None:
@@ -150,7 +152,7 @@
     def stop(self, command: Stop) -> float:
         """End an attempt; return its checkpointed progress in seconds."""
         self.settle()
-        self._obey(command.epoch, self.clock.wall())
+        self._obey(command.epoch)
         self.ended.add(command.attempt)
         task = self.tasks.pop(command.attempt, None)
         if task is None or not command.checkpoint:
@@ -192,10 +194,12 @@
             del self.tasks[attempt]
             self.ended.add(attempt)
 
-    def _obey(self, epoch: Epoch, start_by: float):
+    def _obey(self, epoch: Epoch):
         if epoch < self.epoch:
             raise WorkerError("A newer epoch commands here.", ResultCode.STALE_EPOCH)
         self.epoch = epoch
+
+    def _require_in_time(self, start_by: float):
         if start_by < self.clock.wall():
             raise WorkerError("The start permit has lapsed.", ResultCode.START_TOO_LATE)
 
--- a/src/zinniatrestle/upstreams/pool.py
+++ b/src/zinniatrestle/upstreams/pool.py
@@ -48,6 +48,13 @@
                 continue
             log.info("Minion %s is gone from the list.", name)
             del self.minions[name]
+        self.rebalance()
+
+    def rebalance(self):
+        """Work out anew which slots of each minion are this host's."""
+        sharers = self.sharers.sharers()
+        for name, minion in self.minions.items():
+            minion.limit = slot_share(name, self.slots, self.host, sharers)
 
     def mark_leaving(self, name: MinionId, observed: bool = True):
         """Send nothing new to a minion that says it leaves, before the list does.
@@ -72,27 +79,27 @@
 
     def limit(self, name: MinionId) -> int:
         """Return how many slots of a minion this host may use."""
-        return slot_share(name, self.slots, self.host, self.sharers.sharers())
+        return self.minions[name].limit
 
     def capacity(self, service: ServiceName) -> int:
         """Return this host's slots on all minions of a service that take work."""
         total = 0
-        for name, minion in self.minions.items():
+        for minion in self.minions.values():
             if minion.address.service != service:
                 continue
             if minion.state in (MinionState.LEAVING, MinionState.EJECTED):
                 continue
-            total += self.limit(name)
+            total += minion.limit
         return total
 
     def free_slots(self) -> dict[ServiceName, int]:
         """Return this host's free slots by service."""
         free: dict[ServiceName, int] = {}
-        for name, minion in self.minions.items():
+        for minion in self.minions.values():
             if minion.state is not MinionState.HEALTHY:
                 continue
             service = minion.address.service
-            left = max(0, self.limit(name) - minion.in_use)
+            left = max(0, minion.limit - minion.in_use)
             free[service] = free.get(service, 0) + left
         return free
 
@@ -104,12 +111,12 @@
         for name, minion in self.minions.items():
             if minion.address.service != service or name in tried:
                 continue
-            if minion.usable(self.limit(name)):
+            if minion.usable():
                 usable.append(minion)
         if not usable:
             return None
         drawn = self.random.sample(usable, min(CHOICES, len(usable)))
-        chosen = min(drawn, key=self._load)
+        chosen = min(drawn, key=_load)
         chosen.in_use += 1
         return chosen
 
@@ -126,9 +133,6 @@
         if minion.state is MinionState.EJECTED:
             log.warning("Minion %s is ejected.", minion.address.minion)
 
-    def _load(self, minion: Minion) -> float:
-        return minion.in_use / max(1, self.limit(minion.address.minion))
-
     def _take(self, host: ListedHost):
         name = MinionId(host.name)
         address = MinionAddress(
@@ -144,3 +148,7 @@
             self.mark_leaving(name)
         else:
             minion.return_if_long_gone()
+
+
+def _load(minion: Minion) -> float:
+    return minion.in_use / max(1, minion.limit)
--- a/src/zinniatrestle/upstreams/shares.py
+++ b/src/zinniatrestle/upstreams/shares.py
@@ -37,6 +37,6 @@
     if host not in sharers:
         return 0
     base, odd = divmod(slots, len(sharers))
-    turn = xxhash.xxh32_intdigest(minion) % len(sharers)
+    turn = xxhash.xxh32_intdigest(minion.encode()) % len(sharers)
     place = (sharers.index(host) - turn) % len(sharers)
     return base + (1 if place < odd else 0)
--- a/src/zinniatrestle/upstreams/state.py
+++ b/src/zinniatrestle/upstreams/state.py
@@ -32,6 +32,7 @@
         self.address = address
         self.state = MinionState.HEALTHY
         self.in_use = 0
+        self.limit = 0
         self.outcomes: deque[bool] = deque(maxlen=OUTCOMES_KEPT)
         self.ejections = 0
         self.ejected_until = 0.0
@@ -54,14 +55,14 @@
         self.state = MinionState.PROBING
         self.leaving_observed = False
 
-    def usable(self, limit: int) -> bool:
+    def usable(self) -> bool:
         """Tell whether a request may be sent to it now."""
         self.expire_ejection()
         if self.state in (MinionState.LEAVING, MinionState.EJECTED):
             return False
         if self.state is MinionState.PROBING:
             return self.in_use == 0
-        return self.in_use < limit and monotonic() >= self.declined_until
+        return self.in_use < self.limit and monotonic() >= self.declined_until
 
     def expire_ejection(self):
         """Let an ejected minion take a canary once its time is up."""
