--- /dev/null
+++ b/src/zinniatrestle/__main__.py
@@ -0,0 +1,5 @@
+"""Run the command line: `python -m zinniatrestle`."""
+
+from zinniatrestle.operators.main import main
+
+main()
--- /dev/null
+++ b/tests/common/templates.py
@@ -0,0 +1,58 @@
+"""Templates and accounts for tests on real processes."""
+
+from common.processes import SERVICE, Site
+from zinniatrestle.configuration.messages import (
+    ApplyAccount,
+    PutTemplate,
+    Semantics,
+    Template,
+)
+from zinniatrestle.ids import ClientAccountId, TemplateName
+from zinniatrestle.operators.client import Client, RequestAnswer
+from zinniatrestle.web import token_digest
+
+TIMEOUT_MS = 8000
+
+
+def franchise(domains: list[str], **changes) -> dict:
+    """Return a plan like the brief's coding clubs."""
+    plan = {
+        "domains": domains,
+        "offline_grace_seconds": 6.0,
+        "kinds": [
+            {
+                "service": SERVICE,
+                "kind": "seat-check",
+                "semantics": Semantics.REPEATABLE.value,
+                "quick": True,
+                "objective": {"latency_ms": 250.0, "target": 0.999},
+            },
+            {
+                "service": SERVICE,
+                "kind": "enrol",
+                "semantics": Semantics.AT_MOST_ONCE.value,
+            },
+        ],
+    }
+    plan.update(changes)
+    return plan
+
+
+async def apply(site: Site, account: str, plan: dict) -> str:
+    """Apply an account, wait until it is in force everywhere, return its token."""
+    token = f"token-of-{account}"
+    name = TemplateName(f"for-{account}")
+    await site.change(PutTemplate(Template(name, plan)))
+    change = ApplyAccount(ClientAccountId(account), name, token_digest(token))
+    await site.in_force(await site.change(change))
+    return token
+
+
+async def seat_check(client: Client) -> RequestAnswer:
+    """Send a request that may be repeated."""
+    return await client.request(SERVICE, "seat-check", b"{}", None, TIMEOUT_MS)
+
+
+async def enrol(client: Client, key: str, body: bytes = b"{}") -> RequestAnswer:
+    """Send an at-most-once request."""
+    return await client.request(SERVICE, "enrol", body, key, TIMEOUT_MS)
--- /dev/null
+++ b/tests/pages/test_pages.py
@@ -0,0 +1,49 @@
+"""Tests that hold pages and code equal."""
+
+import dataclasses
+import re
+from pathlib import Path
+
+import pytest
+
+from zinniatrestle.configuration.templates import fill, read_template
+from zinniatrestle.errors import ResultCode
+from zinniatrestle.operators.client import ClientSettings
+from zinniatrestle.settings import HostSettings, flag_of, variable_of
+from zinniatrestle.web import HTTP_STATUS, OTHER_STATUS
+
+ROOT = Path(__file__).parents[2]
+
+
+def test_table_of_result_codes_is_the_enum():
+    text = (ROOT / "docs" / "RESULT-CODES.md").read_text()
+    rows = re.findall(r"^\| (\d+) \| (\w+) \| (\d+) \|", text, re.MULTILINE)
+    found = {(int(code), name, int(status)) for code, name, status in rows}
+    expected = set()
+    for code in ResultCode:
+        expected.add((int(code), code.name, HTTP_STATUS.get(code, OTHER_STATUS)))
+    assert found == expected
+
+
+@pytest.mark.parametrize("settings", [HostSettings, ClientSettings])
+def test_page_of_settings_lists_every_flag_with_its_default(settings):
+    text = (ROOT / "docs" / "CONFIGURATION.md").read_text()
+    for entry in dataclasses.fields(settings):
+        default = "" if entry.default == "" else f"`{entry.default}`"
+        row = (
+            f"| `{flag_of(entry.name)}` | `{variable_of(entry.name)}` "
+            f"| {default} | {entry.metadata['about']} |"
+        )
+        assert row in text
+
+
+@pytest.mark.parametrize(
+    "path", sorted((ROOT / "examples").glob("*/*.toml")), ids=lambda path: path.stem
+)
+def test_examples_are_templates_that_can_be_filled(path):
+    template = read_template(path.read_text())
+    given = {}
+    for name, parameter in template.parameters.items():
+        if parameter.default is None:
+            given[name] = 1
+    assert fill(template, given).domains
