Let peers answer calls, and let a host start on what a peer knows

Cause: an answer's code was an enum that the codec refuses, so every call between hosts broke its link; the path test passed all the same, because the proof then closed hosts by the bound that had passed. Seen failing: a host that starts during an outage never got a configuration, and a forwarded request got UNKNOWN. Ruled out: the handshake (heartbeats went through).

--- a/src/zinniatrestle/entry/host.py
+++ b/src/zinniatrestle/entry/host.py
@@ -108,14 +108,11 @@
         )
         self.metrics: Callable[[], dict[str, float]] = dict
         self.tasks: list[asyncio.Task] = []
-        self.peer_server: asyncio.Server | None = None
 
     async def start(self):
         """Start all tasks and listen for peers."""
         settings = self.settings
-        self.peer_server = await self.mesh.server.start(
-            settings.address, settings.peer_port
-        )
+        await self.mesh.server.start(settings.address, settings.peer_port)
         for run in (
             self.follower.follow(),
             self.claims.run(),
@@ -161,8 +158,7 @@
         for task in self.tasks:
             task.cancel()
         await asyncio.gather(*self.tasks, return_exceptions=True)
-        if self.peer_server is not None:
-            self.peer_server.close()
+        await self.mesh.server.close()
         await self.transport.close()
         await self.platform.close()
         log.info("Host %s has stopped.", self.settings.host)
--- a/src/zinniatrestle/peers/links.py
+++ b/src/zinniatrestle/peers/links.py
@@ -3,6 +3,8 @@
 import asyncio
 from abc import ABC, abstractmethod
 
+import msgspec
+
 from zinniatrestle.errors import PeerError, ResultCode, ZinniatrestleError
 from zinniatrestle.ids import HostId
 from zinniatrestle.logs import PartLog
@@ -174,10 +176,20 @@
         self.connections: set[asyncio.Task] = set()
         self.sent_bytes = 0
         self.received_bytes = 0
+        self.listener: asyncio.Server | None = None
 
-    async def start(self, address: str, port: int) -> asyncio.Server:
+    async def start(self, address: str, port: int):
         """Listen for peers."""
-        return await asyncio.start_server(self._connected, address, port)
+        self.listener = await asyncio.start_server(self._connected, address, port)
+
+    async def close(self):
+        """Listen no more and end all connections."""
+        if self.listener is not None:
+            self.listener.close()
+        connections = list(self.connections)
+        for task in connections:
+            task.cancel()
+        await asyncio.gather(*connections, return_exceptions=True)
 
     async def _connected(
         self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
@@ -187,6 +199,9 @@
         wire = Wire(reader, writer)
         try:
             await self._serve(wire)
+        except asyncio.CancelledError:
+            # Only this server cancels the task, and nobody awaits it.
+            return
         except (PeerError, OSError, TimeoutError) as error:
             if isinstance(error, PeerError) and error.code is ResultCode.PEER_REFUSED:
                 log.warning("A connection is refused: %s", error.detail)
@@ -224,9 +239,11 @@
     ):
         try:
             body = await self.duties.serve(call.duty, call.body)
-            answer = Answer(ResultCode.OK, "", body)
+            answer = Answer(int(ResultCode.OK), "", body)
         except ZinniatrestleError as error:
-            answer = Answer(error.code, error.detail, b"")
+            answer = Answer(int(error.code), error.detail, b"")
+        except msgspec.MsgspecError as error:
+            answer = Answer(int(ResultCode.BAD_INPUT), str(error), b"")
         finally:
             limit.release()
         try:
--- a/src/zinniatrestle/peers/mesh.py
+++ b/src/zinniatrestle/peers/mesh.py
@@ -232,6 +232,8 @@
             return
         pulled = msgspec.msgpack.decode(answer, type=PullAnswer)
         self.follower.offer(pulled.changes, pulled.snapshot)
+        if not self.pool.listed:
+            self.pool.refresh(pulled.machines)
         self.follower.adopt(pulled.confirmed_wall, pulled.revision)
 
     def _serve_pull(self, call: PullCall) -> bytes:
@@ -241,6 +243,7 @@
             self.follower.confirmed_wall,
             changes,
             snapshot,
+            self.pool.listed if call.since == 0 else [],
         )
         return msgspec.msgpack.encode(answer)
 
--- a/src/zinniatrestle/peers/messages.py
+++ b/src/zinniatrestle/peers/messages.py
@@ -15,6 +15,7 @@
     Revision,
     ServiceName,
 )
+from zinniatrestle.platform.messages import ListedHost
 
 SCHEMA = capnp.load(str(Path(__file__).with_name("peers.capnp")))
 MS = 1000
@@ -82,12 +83,17 @@
 
 
 class PullAnswer(msgspec.Struct, frozen=True):
-    """Newer changes, or a snapshot when they are no longer held."""
+    """Newer changes, or a snapshot when they are no longer held.
+
+    `machines` is the list that the peer last read, for a host that starts while the
+    platform is out.
+    """
 
     revision: Revision
     confirmed_wall: float
     changes: list[ChangeRecord]
     snapshot: Snapshot | None = None
+    machines: list[ListedHost] = []
 
 
 class EvidenceCall(msgspec.Struct, frozen=True):
--- /dev/null
+++ b/src/zinniatrestle/peers/tests/test_mesh.py
@@ -0,0 +1,94 @@
+"""Tests of links between whole hosts."""
+
+import asyncio
+
+import pytest
+from common.hosts import AREQUIPA, LIMA, HostCluster, until
+from common.virtual import run
+
+from zinniatrestle.configuration.messages import DomainState, SetDomain
+from zinniatrestle.errors import PeerError, ResultCode
+from zinniatrestle.ids import HostId
+from zinniatrestle.peers.framing import Identity, Wire, dial_handshake
+from zinniatrestle.peers.state import PeerStanding
+
+
+def standing(cluster: HostCluster, host: str, peer: str) -> PeerStanding:
+    return cluster.hosts[host].mesh.peers[HostId(peer)].standing
+
+
+def test_peers_see_each_other_live():
+    async def scenario():
+        cluster = await HostCluster.start([LIMA, AREQUIPA])
+        for name, host in cluster.hosts.items():
+            for peer in host.mesh.peers.values():
+                assert peer.standing is PeerStanding.LIVE, name
+
+    run(scenario())
+
+
+@pytest.mark.parametrize(
+    ("name", "key"),
+    [("lima-2", b"another-key"), ("stranger", b"cluster-key-of-the-test")],
+)
+def test_host_without_key_or_name_is_refused(name, key):
+    async def scenario():
+        cluster = await HostCluster.start([LIMA])
+        port = cluster.ports["lima-1"]
+        reader, writer = await asyncio.open_connection("127.0.0.1", port)
+        identity = Identity(HostId(name), LIMA, "boot", key)
+        with pytest.raises(PeerError):
+            await dial_handshake(Wire(reader, writer), identity, HostId("lima-1"))
+
+    run(scenario())
+
+
+def test_stopped_killed_and_cut_hosts_are_told_apart():
+    async def scenario():
+        cluster = await HostCluster.start([LIMA, AREQUIPA])
+        leaving = cluster.hosts["lima-2"]
+        await leaving.leave()
+        assert standing(cluster, "lima-1", "lima-2") is PeerStanding.LEAVING
+        await cluster.kill("arequipa-1")
+        await until(
+            lambda: standing(cluster, "lima-1", "arequipa-1") is PeerStanding.DEAD, 6
+        )
+        assert standing(cluster, "lima-1", "arequipa-2") is PeerStanding.LIVE
+
+    run(scenario())
+
+
+def test_configuration_comes_from_a_peer_while_the_store_is_down():
+    async def scenario():
+        cluster = await HostCluster.start([LIMA])
+        await cluster.kill("lima-2")
+        revision = await cluster.change(SetDomain(LIMA, DomainState.IN))
+        cluster.faults.outage = True
+        await cluster.boot("lima-2")
+        restarted = cluster.hosts["lima-2"]
+        assert not restarted.ready
+        refused = await cluster.request("lima-2")
+        assert refused.code is ResultCode.NO_CONFIGURATION
+        await until(lambda: restarted.follower.state.revision == revision, 4)
+        answer = await cluster.request("lima-2")
+        assert answer.code is ResultCode.OK
+
+    run(scenario())
+
+
+def test_request_goes_to_another_domain_only_when_the_local_one_can_not():
+    async def scenario():
+        cluster = await HostCluster.start([LIMA, AREQUIPA])
+        for _ in range(20):
+            await cluster.request("lima-1")
+        lima = [run for run in cluster.minions.runs]
+        assert cluster.hosts["lima-1"].mesh.cross_region_bytes == 0
+        await cluster.change(SetDomain(LIMA, DomainState.OUT))
+        await asyncio.sleep(2)
+        answer = await cluster.request("lima-1")
+        assert answer.code is ResultCode.OK
+        assert len(cluster.minions.runs) == len(lima) + 1
+        assert cluster.hosts["lima-1"].mesh.cross_region_bytes > 0
+        assert b"arequipa" in answer.body
+
+    run(scenario())
--- a/src/zinniatrestle/upstreams/pool.py
+++ b/src/zinniatrestle/upstreams/pool.py
@@ -33,10 +33,12 @@
         self.slots = slots
         self.random = random.Random(seed)
         self.minions: dict[MinionId, Minion] = {}
+        self.listed: list[ListedHost] = []
         self.ever_seen: dict[MinionId, MinionAddress] = {}
 
     def refresh(self, listed: list[ListedHost]):
         """Take in the platform's list of machines."""
+        self.listed = [host for host in listed if host.role is HostRole.MINION]
         seen = set()
         for host in listed:
             if host.role is not HostRole.MINION or host.domain != self.domain:
--- /dev/null
+++ b/tests/common/hosts.py
@@ -0,0 +1,282 @@
+"""Clusters of whole entry hosts in virtual time, with faults for each host."""
+
+import asyncio
+from collections.abc import Callable
+from typing import Any
+
+from zinniatrestle.clock import LoopClock, monotonic
+from zinniatrestle.configuration.messages import (
+    ApplyAccount,
+    Change,
+    PutTemplate,
+    Template,
+)
+from zinniatrestle.entry import EntryHost
+from zinniatrestle.ids import (
+    ClientAccountId,
+    FailureDomainId,
+    RequestKey,
+    Revision,
+    ServiceName,
+    TemplateName,
+    new_operation_token,
+)
+from zinniatrestle.platform.embedded import EmbeddedPlatform
+from zinniatrestle.platform.interfaces import Platform
+from zinniatrestle.requests import Answer, Request
+from zinniatrestle.retirement import Proof
+from zinniatrestle.settings import HostSettings
+from zinniatrestle.standins.embedded import EmbeddedMinions
+from zinniatrestle.standins.faults import FaultyPlatform
+from zinniatrestle.standins.messages import MinionFaults, PlatformFaults
+from zinniatrestle.standins.site import minion_list, worker_list
+from zinniatrestle.upstreams.messages import MinionAddress, UpstreamRequest
+from zinniatrestle.upstreams.transport import UpstreamTransport
+
+SERVICE = ServiceName("enrolment")
+ACCOUNT = ClientAccountId("norte")
+LIMA = FailureDomainId("lima")
+AREQUIPA = FailureDomainId("arequipa")
+GRACE_SECONDS = 20.0
+ADDRESS = "127.0.0.1:1"
+FIRST_PORT = 7000
+
+
+class Gate:
+    """Hold all calls of a frozen host until it is thawed."""
+
+    def __init__(self):
+        self.open = asyncio.Event()
+        self.open.set()
+
+    def freeze(self):
+        """Hold calls from now on."""
+        self.open.clear()
+
+    def thaw(self):
+        """Let held calls go on."""
+        self.open.set()
+
+
+class Gated:
+    """Pass every call through a gate, before it takes effect and after."""
+
+    def __init__(self, inner: Any, gate: Gate):
+        self.inner = inner
+        self.gate = gate
+
+    def __getattr__(self, name: str) -> Callable:
+        method = getattr(self.inner, name)
+
+        async def call(*arguments):
+            await self.gate.open.wait()
+            result = await method(*arguments)
+            await self.gate.open.wait()
+            return result
+
+        return call
+
+
+class GatedPlatform(Platform):
+    """The platform as one host that can freeze sees it."""
+
+    def __init__(self, inner: FaultyPlatform, gate: Gate):
+        self.inner = inner
+        self.table = Gated(inner.table, gate)
+        self.objects = Gated(inner.objects, gate)
+        self.hosts = Gated(inner.hosts, gate)
+        self.workers = Gated(inner.workers, gate)
+
+    async def close(self):
+        """Give back nothing."""
+
+
+class HostTransport(UpstreamTransport):
+    """The minions as one host that can freeze sees them."""
+
+    def __init__(self, inner: EmbeddedMinions, gate: Gate):
+        self.inner = inner
+        self.gate = gate
+
+    async def send(self, minion: MinionAddress, request: UpstreamRequest):
+        """Run one attempt once the gate is open."""
+        await self.gate.open.wait()
+        answer = await self.inner.send(minion, request)
+        await self.gate.open.wait()
+        return answer
+
+    async def running(self, minion: MinionAddress, account: ClientAccountId) -> int:
+        """Return how many attempts a minion runs."""
+        await self.gate.open.wait()
+        return await self.inner.running(minion, account)
+
+    async def close(self):
+        """Give back nothing."""
+
+
+class HostCluster:
+    """Entry hosts of several failure domains on one embedded platform."""
+
+    def __init__(
+        self,
+        domains: list[FailureDomainId],
+        hosts: int = 2,
+        minions: int = 3,
+        workers: int = 4,
+        claim_batch: int = 64,
+    ):
+        self.clock = LoopClock()
+        self.domains = domains
+        self.minions = EmbeddedMinions(self.clock)
+        listed = []
+        for domain in domains:
+            listed += minion_list(domain, SERVICE, [ADDRESS] * minions)
+            listed += worker_list(domain, workers, ADDRESS)
+        self.platform = EmbeddedPlatform(listed, self.clock)
+        self.faults = PlatformFaults()
+        self.claim_batch = claim_batch
+        self.gates: dict[str, Gate] = {}
+        self.views: dict[str, FaultyPlatform] = {}
+        self.hosts: dict[str, EntryHost] = {}
+        self.ports: dict[str, int] = {}
+        self.where: dict[str, FailureDomainId] = {}
+        for domain in domains:
+            for number in range(hosts):
+                name = f"{domain}-{number + 1}"
+                self.where[name] = domain
+                self.ports[name] = FIRST_PORT + len(self.ports)
+
+    @classmethod
+    async def start(
+        cls, domains: list[FailureDomainId], plan: dict | None = None, **sizes
+    ) -> "HostCluster":
+        """Return a running cluster with one account."""
+        cluster = cls(domains, **sizes)
+        for name in cluster.where:
+            await cluster.boot(name)
+        await asyncio.sleep(2)
+        await cluster.account(ACCOUNT, plan or default_plan(domains))
+        await asyncio.sleep(1)
+        return cluster
+
+    async def boot(self, name: str):
+        """Start a host, or start it again with nothing kept."""
+        gate = Gate()
+        view = FaultyPlatform(self.platform, self.faults, name)
+        host = EntryHost(
+            self._settings(name),
+            GatedPlatform(view, gate),
+            HostTransport(self.minions, gate),
+            self.clock,
+        )
+        self.gates[name] = gate
+        self.views[name] = view
+        self.hosts[name] = host
+        await host.start()
+
+    async def kill(self, name: str):
+        """End a host at once, without a farewell."""
+        host = self.hosts.pop(name)
+        for task in [*host.tasks, *host.handler.background]:
+            task.cancel()
+        await host.mesh.server.close()
+        await asyncio.gather(*host.tasks, return_exceptions=True)
+
+    async def account(self, account: ClientAccountId, plan: dict) -> Revision:
+        """Apply an account with a template of its own."""
+        name = TemplateName(f"for-{account}")
+        await self.change(PutTemplate(Template(name, plan)))
+        return await self.change(ApplyAccount(account, name, f"digest-{account}"))
+
+    async def change(self, change: Change, host: str | None = None) -> Revision:
+        """Make a change at one host."""
+        taker = self.hosts[host or next(iter(self.hosts))]
+        return await taker.changes.submit(change, new_operation_token())
+
+    async def request(
+        self,
+        host: str,
+        kind: str = "seat-check",
+        key: str | None = None,
+        body: bytes = b"{}",
+        timeout: float = 5.0,
+    ) -> Answer:
+        """Send a request to one host."""
+        wanted = RequestKey(key) if key is not None else None
+        request = Request(ACCOUNT, SERVICE, kind, body, timeout, wanted)
+        return await self.hosts[host].handler.handle(request)
+
+    async def prove(self, host: str) -> Proof:
+        """Ask a host for the proof on the account."""
+        return await self.hosts[host].prover.prove(ACCOUNT)
+
+    def all_minions(self, **faults):
+        """Switch the faults of all minions."""
+        for host in self.platform.hosts.listed.values():
+            if host.service:
+                self.minions.faults[host.name] = MinionFaults(**faults)
+
+    def cut(self, one: str, other: str):
+        """Cut the links between two hosts."""
+        for name, peer in ((one, other), (other, one)):
+            host = self.hosts.get(name)
+            if host is None:
+                continue
+            link = host.mesh.links[peer]
+            link.peer.address.port = 1
+            if link.wire is not None:
+                link.wire.close()
+
+    def mend(self, one: str, other: str):
+        """Mend the links between two hosts."""
+        for name, peer in ((one, other), (other, one)):
+            host = self.hosts.get(name)
+            if host is not None:
+                host.mesh.links[peer].peer.address.port = self.ports[peer]
+
+    def _settings(self, name: str) -> HostSettings:
+        peers = []
+        for other, domain in self.where.items():
+            if other != name:
+                port = self.ports[other]
+                peers.append(f"{other}@{domain}/region-{domain}=127.0.0.1:{port}")
+        return HostSettings(
+            host=name,
+            domain=self.where[name],
+            region=f"region-{self.where[name]}",
+            peer_port=self.ports[name],
+            peers=",".join(peers),
+            cluster_key="cluster-key-of-the-test",
+            operator_token="operator-token-of-the-test",
+            platform_url="embedded",
+            notice_seconds=1.0,
+            claim_batch=self.claim_batch,
+            seed=len(name),
+        )
+
+
+def default_plan(domains: list[FailureDomainId], **changes) -> dict:
+    """Return a plan with a repeatable and an at-most-once kind."""
+    plan = {
+        "domains": list(domains),
+        "offline_grace_seconds": GRACE_SECONDS,
+        "kinds": [
+            {
+                "service": SERVICE,
+                "kind": "seat-check",
+                "semantics": "repeatable",
+                "quick": True,
+            },
+            {"service": SERVICE, "kind": "enrol", "semantics": "at-most-once"},
+        ],
+    }
+    plan.update(changes)
+    return plan
+
+
+async def until(check: Callable[[], bool], seconds: float):
+    """Wait in virtual time until a check holds."""
+    deadline = monotonic() + seconds
+    while not check():
+        assert monotonic() < deadline, "the bound has passed"
+        await asyncio.sleep(0.05)
--- a/tests/end_to_end/test_path.py
+++ b/tests/end_to_end/test_path.py
@@ -12,6 +12,7 @@
 )
 from zinniatrestle.errors import ResultCode
 from zinniatrestle.gangs.messages import JobRow, JobSpec, JobState, TaskShape
+from zinniatrestle.retirement.messages import Basis
 
 DOMAINS = ["lima", "arequipa", "trujillo"]
 GANG = JobSpec(
@@ -66,6 +67,8 @@
         sealed = await eventually(proven, "the certificate")
         parts = {part.name for part in sealed.certificate.parts}
         assert set(site.hosts) <= parts
+        bases = {part.basis for part in sealed.certificate.parts}
+        assert bases == {Basis.OWN_REPORT, Basis.TABLE}
         assert set(site.minion_programs) <= parts
         assert {host.name for host in site.listed} <= parts
 
