Prove limits, retries, shares of slots, leaving minions and planned stops

Twenty-five cases in virtual time: shares sum to a minion's slots, a borrower delays an entitled account by one request at most, a full queue refuses at once, retries stay within their budget when all minions fail, a minion that fails everything attracts no work, a hung one is hedged, a leaving one gets nothing although the list stands still, a planned stop cuts off nothing.

--- /dev/null
+++ b/src/zinniatrestle/requests/tests/test_policy.py
@@ -0,0 +1,260 @@
+"""Admission, retries, hedges and membership of minions."""
+
+import asyncio
+
+import pytest
+from common.hosts import ACCOUNT, LIMA, SERVICE, HostCluster, default_plan, until
+from common.virtual import run
+
+from zinniatrestle.errors import NotRunError, ResultCode
+from zinniatrestle.ids import ClientAccountId, HostId, MinionId
+from zinniatrestle.platform.messages import HostStanding
+from zinniatrestle.requests import Request
+from zinniatrestle.requests.admission import FairQueue
+from zinniatrestle.requests.budget import RetryBudget
+from zinniatrestle.standins.messages import MinionFaults
+from zinniatrestle.upstreams.shares import slot_share
+
+GUEST = ClientAccountId("guest")
+
+
+@pytest.mark.parametrize("hosts", [1, 2, 3, 5])
+@pytest.mark.parametrize("slots", [1, 8, 13])
+def test_shares_of_a_minion_sum_to_its_slots(hosts, slots):
+    names = [HostId(f"h{number}") for number in range(hosts)]
+    for number in range(20):
+        minion = MinionId(f"m{number}")
+        shares = [slot_share(minion, slots, name, names) for name in names]
+        assert sum(shares) == slots
+        assert max(shares) - min(shares) <= 1
+
+
+def test_slots_hold_as_hosts_come_and_go():
+    async def scenario():
+        cluster = await HostCluster.start([LIMA], hosts=3, minions=2)
+        cluster.all_minions(latency_seconds=0.3)
+
+        async def load(host: str):
+            for _ in range(40):
+                if host in cluster.hosts:
+                    await cluster.request(host)
+
+        callers = []
+        for host in cluster.where:
+            callers += [asyncio.create_task(load(host)) for _ in range(30)]
+        await asyncio.sleep(1)
+        await cluster.kill("lima-3")
+        await asyncio.sleep(3)
+        await cluster.boot("lima-3")
+        await asyncio.sleep(3)
+        assert cluster.minions.most_running <= cluster.minions.slots
+        for caller in callers:
+            caller.cancel()
+
+    run(scenario())
+
+
+def test_share_is_taken_over_after_a_farewell():
+    async def scenario():
+        cluster = await HostCluster.start([LIMA], hosts=2, minions=1)
+        staying = cluster.hosts["lima-1"].pool
+        assert staying.capacity(SERVICE) == 4
+        leaving = cluster.hosts["lima-2"]
+        await leaving.leave()
+        await leaving.drain()
+        await leaving.stop()
+        await until(lambda: staying.capacity(SERVICE) == 8, 3)
+
+    run(scenario())
+
+
+def test_borrower_delays_an_entitled_account_by_one_request_at_most():
+    async def scenario():
+        queue = FairQueue(lambda: 4)
+        order = []
+
+        async def work(account, number):
+            deadline = asyncio.get_running_loop().time() + 100
+            await queue.enter(account, 1, 100, False, deadline)
+            order.append(account)
+            await asyncio.sleep(1)
+            queue.leave(account)
+
+        borrowers = [asyncio.create_task(work(GUEST, n)) for n in range(40)]
+        await asyncio.sleep(0.5)
+        began = asyncio.get_running_loop().time()
+        await work(ACCOUNT, 0)
+        assert asyncio.get_running_loop().time() - began <= 2.0
+        for task in borrowers:
+            task.cancel()
+
+    run(scenario())
+
+
+def test_full_queue_refuses_at_once():
+    async def scenario():
+        plan = default_plan([LIMA], queue_limit=2)
+        cluster = await HostCluster.start([LIMA], plan, hosts=1, minions=1)
+        cluster.all_minions(latency_seconds=2.0)
+        callers = [asyncio.create_task(cluster.request("lima-1")) for _ in range(10)]
+        await asyncio.sleep(0.1)
+        began = asyncio.get_running_loop().time()
+        answer = await cluster.request("lima-1")
+        assert answer.code is ResultCode.QUEUE_FULL
+        assert asyncio.get_running_loop().time() == began
+        await asyncio.gather(*callers)
+
+    run(scenario())
+
+
+def test_waiting_request_ends_at_its_deadline():
+    async def scenario():
+        queue = FairQueue(lambda: 0)
+        with pytest.raises(NotRunError):
+            deadline = asyncio.get_running_loop().time() + 1
+            await queue.enter(ACCOUNT, 1, 10, False, deadline)
+        assert queue.accounts[ACCOUNT].waiting == 0
+
+    run(scenario())
+
+
+def test_budget_allows_a_share_of_retries():
+    budget = RetryBudget(share=0.1, most=10.0)
+    spent = 0
+    for _ in range(1000):
+        budget.deposit()
+        spent += budget.withdraw()
+    assert spent <= 110
+
+
+def test_no_retry_storm_when_all_minions_fail():
+    async def scenario():
+        cluster = await HostCluster.start([LIMA], hosts=1, minions=6)
+        cluster.all_minions(fail_everything=True)
+        for _ in range(200):
+            await cluster.request("lima-1", timeout=1.0)
+        assert len(cluster.minions.runs) <= 200 * 1.1 + 10 + 10
+
+    run(scenario())
+
+
+def test_minion_that_fails_everything_fast_attracts_no_work():
+    async def scenario():
+        cluster = await HostCluster.start([LIMA], hosts=1, minions=6)
+        cluster.all_minions(latency_seconds=0.05)
+        bad = MinionId(f"lima-{SERVICE}-0")
+        cluster.minions.faults[bad] = MinionFaults(fail_everything=True)
+        codes = []
+        for _ in range(300):
+            answer = await cluster.request("lima-1")
+            codes.append(answer.code)
+        failed = [code for code in codes if code is not ResultCode.OK]
+        assert len(failed) <= 3
+        cluster.minions.faults[bad] = MinionFaults(latency_seconds=0.05)
+        state = cluster.hosts["lima-1"].pool.minions[bad]
+        for _ in range(2000):
+            await cluster.request("lima-1")
+            if state.outcomes.count(True) > 2:
+                break
+        assert state.outcomes.count(True) > 2
+
+    run(scenario())
+
+
+def test_hung_minion_is_hedged_and_ejected():
+    async def scenario():
+        cluster = await HostCluster.start([LIMA], hosts=1, minions=6)
+        cluster.all_minions(latency_seconds=0.05)
+        for _ in range(100):
+            await cluster.request("lima-1")
+        cluster.minions.faults[f"lima-{SERVICE}-0"] = MinionFaults(hang=True)
+        late = 0
+        for _ in range(200):
+            began = asyncio.get_running_loop().time()
+            answer = await cluster.request("lima-1")
+            late += asyncio.get_running_loop().time() - began > 0.5
+            assert answer.code is ResultCode.OK
+        assert late == 0
+
+    run(scenario())
+
+
+def test_leaving_minion_gets_nothing_new_although_the_list_lags():
+    async def scenario():
+        cluster = await HostCluster.start([LIMA], minions=3)
+        cluster.all_minions(latency_seconds=0.01)
+        cluster.faults.stale_list = True
+        leaving = f"lima-{SERVICE}-1"
+        listed = cluster.platform.hosts.listed
+        listed[leaving] = type(listed[leaving])(
+            leaving,
+            listed[leaving].role,
+            LIMA,
+            listed[leaving].address,
+            HostStanding.LEAVING,
+            SERVICE,
+        )
+        cluster.minions.faults[leaving] = MinionFaults(leaving=True)
+        for _ in range(50):
+            assert (await cluster.request("lima-1")).code is ResultCode.OK
+        await asyncio.sleep(2)
+        for name in cluster.hosts:
+            assert not cluster.hosts[name].pool.minions[leaving].usable()
+
+    run(scenario())
+
+
+def test_planned_stop_cuts_off_no_request_in_progress():
+    async def scenario():
+        cluster = await HostCluster.start([LIMA])
+        cluster.all_minions(latency_seconds=3.0)
+        host = cluster.hosts["lima-1"]
+        calls = [
+            asyncio.create_task(cluster.request("lima-1", "enrol", f"k{number}"))
+            for number in range(4)
+        ]
+        await asyncio.sleep(0.2)
+        await host.leave()
+        assert not host.ready
+        await host.drain()
+        await host.stop()
+        answers = await asyncio.gather(*calls)
+        assert {answer.code for answer in answers} == {ResultCode.OK}
+        again = await cluster.request("lima-2", "enrol", "k0")
+        assert again.body == answers[0].body
+
+    run(scenario())
+
+
+def test_cut_off_domain_serves_repeatable_requests_within_its_grace():
+    async def scenario():
+        cluster = await HostCluster.start([LIMA])
+        cluster.faults.outage = True
+        await asyncio.sleep(10)
+        assert (await cluster.request("lima-1")).code is ResultCode.OK
+        await asyncio.sleep(15)
+        refused = await cluster.request("lima-1")
+        assert refused.code is ResultCode.ACCOUNT_UNCONFIRMED
+
+    run(scenario())
+
+
+def test_late_answers_never_reach_another_caller():
+    async def scenario():
+        cluster = await HostCluster.start([LIMA], hosts=1, minions=2)
+        answers = []
+
+        async def ask(number: int):
+            cluster.all_minions(latency_seconds=0.1 + (number * 7 % 10) / 10)
+            body = f"body-{number}".encode()
+            request = Request(ACCOUNT, SERVICE, "seat-check", body, 4.0)
+            answer = await cluster.hosts["lima-1"].handler.handle(request)
+            answers.append((body, answer))
+
+        await asyncio.gather(*[ask(number) for number in range(60)])
+        assert len(answers) == 60
+        for body, answer in answers:
+            if answer.code is ResultCode.OK:
+                assert body in answer.body
+
+    run(scenario())
