--- a/src/zinniatrestle/gangs/fleet.py
+++ b/src/zinniatrestle/gangs/fleet.py
@@ -44,13 +44,14 @@
 class WorkerSight:
     """Hold what was last heard of one worker.
 
-    `asked_wall` is when the last report was asked for; `extended_wall` is when a
-    lease may last have been extended, whether an answer came or not.
+    `polled` is when it was last asked and `asked` when the last report that came was
+    asked for (monotonic); `extended_wall` is when a lease may last have been
+    extended, whether an answer came or not.
     """
 
     def __init__(self, now_wall: float):
         self.polled = 0.0
-        self.asked_wall = 0.0
+        self.asked = 0.0
         self.extended_wall = now_wall
         self.leases: dict[AttemptId, TaskLease] = {}
         self.reachable = False
@@ -213,13 +214,13 @@
 
     async def _poll_one(self, worker: WorkerId, renewals: list[Renewal], epoch: Epoch):
         sight = self.sight(worker)
-        asked_wall = self.clock.wall()
-        sight.polled = monotonic()
+        asked = monotonic()
+        sight.polled = asked
         # A worker out of reach gets no more extensions, or its leases would never
         # be sure to have lapsed.
         command = Renew(renewals if sight.reachable else [], epoch)
         if command.renewals:
-            sight.extended_wall = asked_wall
+            sight.extended_wall = self.clock.wall()
         try:
             report = await self.call(self.workers.renew(worker, command))
         except WorkerError as error:
@@ -228,7 +229,7 @@
             sight.reachable = False
             return
         sight.reachable = True
-        sight.asked_wall = asked_wall
+        sight.asked = asked
         sight.leases = {lease.attempt: lease for lease in report.leases}
 
     def _renewals(self, gangs: list[Gang]) -> dict[WorkerId, list[Renewal]]:
--- a/src/zinniatrestle/gangs/messages.py
+++ b/src/zinniatrestle/gangs/messages.py
@@ -78,6 +78,7 @@
     attempt: AttemptId = NO_ATTEMPT
     attempts: int = 0
     failures: int = 0
+    failed_on: list[WorkerId] = []
     placement: list[Slot] = []
     guaranteed: bool = False
     progress: float = 0.0
--- a/src/zinniatrestle/gangs/planner.py
+++ b/src/zinniatrestle/gangs/planner.py
@@ -8,11 +8,13 @@
 from zinniatrestle.gangs.inventory import Inventory
 from zinniatrestle.gangs.messages import Slot, TaskShape
 from zinniatrestle.gangs.order import OrderPolicy
-from zinniatrestle.gangs.placement import Masks, PlacementPolicy
+from zinniatrestle.gangs.placement import EVERYTHING, Masks, PlacementPolicy
 from zinniatrestle.gangs.state import Gang
 from zinniatrestle.ids import ClientAccountId, WorkerId
 
 RESTART_SECONDS = 10.0
+# A gang that finds no other room for this long returns to workers it failed on.
+AVOID_SECONDS = 10.0
 
 
 class StartOrder(msgspec.Struct):
@@ -123,7 +125,10 @@
         """Return the account's bound accelerators that none of its gangs holds."""
         masks = {}
         held = self.guaranteed_masks.get(gang.row.account, {})
+        avoided = self._avoided(gang)
         for worker, mask in self.given.binding.masks(gang.row.account).items():
+            if worker in avoided:
+                continue
             left = mask & ~held.get(worker, 0)
             if left:
                 masks[worker] = left
@@ -132,26 +137,42 @@
     def _start_borrowing(self, gang: Gang):
         """Start a gang on free room, or on room that others must yield."""
         spec = gang.row.spec
+        avoided = self._avoided(gang)
         smallest = self.no_room.get(spec.shape)
         if smallest is None or spec.tasks < smallest:
-            placement = self._find_free(gang)
+            placement = self._find_free(gang, avoided)
             if placement is not None:
                 self._start(gang, placement, guaranteed=False)
                 return
-            self.no_room[spec.shape] = spec.tasks
-        self._start_by_preemption(gang)
+            if not avoided:
+                self.no_room[spec.shape] = spec.tasks
+        self._start_by_preemption(gang, avoided)
+
+    def _avoided(self, gang: Gang) -> frozenset[WorkerId]:
+        """Return the workers on which the gang failed, for some time."""
+        if self.given.now - gang.row.queued > AVOID_SECONDS:
+            return frozenset()
+        return frozenset(gang.row.failed_on)
 
-    def _find_free(self, gang: Gang) -> list[Slot] | None:
+    def _find_free(self, gang: Gang, avoided: frozenset[WorkerId]) -> list[Slot] | None:
         spec = gang.row.spec
         if spec.shape.accelerators and self.bound:
+            masks = _without(self.unbound, avoided)
             placement = self.placement.place(
-                self.inventory, spec.tasks, spec.shape, self.unbound
+                self.inventory, spec.tasks, spec.shape, masks
             )
             if placement is not None:
                 return placement
-        return self.placement.place(self.inventory, spec.tasks, spec.shape, None)
+        masks = self._everything_but(avoided)
+        return self.placement.place(self.inventory, spec.tasks, spec.shape, masks)
+
+    def _everything_but(self, avoided: frozenset[WorkerId]) -> Masks | None:
+        if not avoided:
+            return None
+        masks = dict.fromkeys(self.inventory.rooms, EVERYTHING)
+        return _without(masks, avoided)
 
-    def _start_by_preemption(self, gang: Gang):
+    def _start_by_preemption(self, gang: Gang, avoided: frozenset[WorkerId]):
         spec = gang.row.spec
         now = self.given.now
         key = (spec.shape, self.order.key(gang, now)[:2])
@@ -172,14 +193,16 @@
                 room.release(victim.row.placement, victim.row.spec.shape)
             released = min(count, len(yielding))
             count *= 2
-            placement = self.placement.place(room, spec.tasks, spec.shape, None)
+            masks = self._everything_but(avoided)
+            placement = self.placement.place(room, spec.tasks, spec.shape, masks)
             if placement is None:
                 continue
             candidates = yielding[:released]
             self._evict(self._needed_victims(placement, spec.shape, candidates))
             self._start(gang, placement, guaranteed=False)
             return
-        self.no_victims[key] = spec.tasks
+        if not avoided:
+            self.no_victims[key] = spec.tasks
 
     def _borrowers_on(self, masks: Masks) -> list[Gang]:
         """Return the borrowers on the workers of some masks."""
@@ -287,6 +310,12 @@
     return lost, -gang.row.started
 
 
+def _without(masks: Masks, avoided: frozenset[WorkerId]) -> Masks:
+    if not avoided:
+        return masks
+    return {worker: mask for worker, mask in masks.items() if worker not in avoided}
+
+
 def _overlap(one: list[Slot], other: list[Slot]) -> bool:
     masks = {slot.worker: mask_of(slot.accelerators) for slot in other}
     for slot in one:
--- a/src/zinniatrestle/gangs/settling.py
+++ b/src/zinniatrestle/gangs/settling.py
@@ -14,7 +14,7 @@
 from zinniatrestle.gangs.fleet import Fleet
 from zinniatrestle.gangs.messages import NO_ATTEMPT, JobState
 from zinniatrestle.gangs.state import Gang, GangTable
-from zinniatrestle.ids import Epoch
+from zinniatrestle.ids import Epoch, WorkerId
 from zinniatrestle.logs import PartLog
 from zinniatrestle.platform.messages import LeaseState
 
@@ -99,7 +99,7 @@
                 if self.fleet.lapsed(gang, slot.worker):
                     return GangFate.LOST
                 continue
-            if sight.asked_wall < gang.row.started:
+            if sight.asked <= gang.judged_after:
                 continue
             lease = sight.leases.get(gang.row.attempt)
             if lease is None:
@@ -117,16 +117,18 @@
 
     async def _end_attempt(self, gang: Gang, fate: GangFate, epoch: Epoch) -> bool:
         """Stop what is left of an attempt; tell whether the row changed."""
-        self._judge_workers(gang, fate)
         if fate is GangFate.FINISHED:
+            for slot in gang.row.placement:
+                self.fleet.health.of(slot.worker).succeed()
             await self.fleet.stop(gang, epoch, checkpoint=False)
             self._finish(gang)
             return True
-        progress = await self.fleet.stop(gang, epoch, gang.row.spec.checkpoints)
-        if not self._surely_ended(gang, progress):
+        failed_on = self._failed_workers(gang)
+        answered = await self.fleet.stop(gang, epoch, gang.row.spec.checkpoints)
+        if not self._surely_ended(gang, answered):
             return False
         if fate is GangFate.FAILED:
-            gang.update(failures=gang.row.failures + 1)
+            self._note_failure(gang, failed_on)
         self._requeue(gang, gang.row.progress)
         return True
 
@@ -259,14 +261,19 @@
                 if attempt not in known:
                     await self.fleet.stop_stray(worker, attempt, epoch)
 
-    def _judge_workers(self, gang: Gang, fate: GangFate):
-        now = self.clock.wall()
+    def _failed_workers(self, gang: Gang) -> list[WorkerId]:
+        failed = []
         for slot in gang.row.placement:
             lease = self.fleet.sight(slot.worker).leases.get(gang.row.attempt)
-            if lease is None:
-                continue
-            health = self.fleet.health.of(slot.worker)
-            if lease.state is LeaseState.FAILED:
-                health.fail(gang.row.job, now)
-            elif fate is GangFate.FINISHED:
-                health.succeed()
+            if lease is not None and lease.state is LeaseState.FAILED:
+                failed.append(slot.worker)
+        return failed
+
+    def _note_failure(self, gang: Gang, failed_on: list[WorkerId]):
+        """Blame the workers and let the gang avoid them."""
+        now = self.clock.wall()
+        for worker in failed_on:
+            self.fleet.health.of(worker).fail(gang.row.job, now)
+        gang.update(
+            failures=gang.row.failures + 1, failed_on=gang.row.failed_on + failed_on
+        )
--- a/src/zinniatrestle/gangs/starting.py
+++ b/src/zinniatrestle/gangs/starting.py
@@ -4,7 +4,7 @@
 from collections.abc import Coroutine, Iterator
 from contextlib import contextmanager
 
-from zinniatrestle.clock import Clock
+from zinniatrestle.clock import Clock, monotonic
 from zinniatrestle.configuration.messages import Semantics
 from zinniatrestle.domains import PermitOffice
 from zinniatrestle.errors import GangError, ResultCode, WorkerError
@@ -152,6 +152,7 @@
 
     async def _start(self, gang: Gang, epoch: Epoch) -> bool:
         """Start on every worker; stop all again when one refuses."""
+        gang.judged_after = monotonic()
         try:
             calls = [self._start_slot(gang, slot, epoch) for slot in _slots(gang)]
             await _all_or_raise(calls)
--- a/src/zinniatrestle/gangs/state.py
+++ b/src/zinniatrestle/gangs/state.py
@@ -17,15 +17,20 @@
 
 
 class Gang:
-    """One job with what its scheduler knows beside the row."""
+    """One job with what its scheduler knows beside the row.
 
-    __slots__ = ("cancelled", "checkpointed_wall", "row", "version")
+    Reports that were asked for up to `judged_after` (monotonic) say nothing of the
+    attempt under way.
+    """
+
+    __slots__ = ("cancelled", "checkpointed_wall", "judged_after", "row", "version")
 
     def __init__(self, row: JobRow, version: int = ABSENT):
         self.row = row
         self.version = version
         self.cancelled = False
         self.checkpointed_wall = 0.0
+        self.judged_after = 0.0
 
     @property
     def width(self) -> float:
