Let no task lose a cancellation, and let gangs avoid workers that refuse them

The platform of the tests now takes 4 ms a call, so that hosts interleave; freezes also end early; and there are tests for closed keys, lost answers beside refused hedges, stale restarts between two answers, requests that wait for a slot, and workers deaf to some commands. They found: - A stop could hang for ever: asyncio.wait_for on Python 3.11 returns a result that comes together with a cancellation and drops the cancellation. Found by the stacks of a history that never ended. asyncio.timeout is used instead. - A worker that answers polls and refuses reservations was chosen for ever. A gang avoids a worker that refused it for 10 s. - A slot could leak when it was given at the instant of a deadline.

--- /dev/null
+++ b/benchmarks/planted.py
@@ -0,0 +1,312 @@
+"""Plant one fault after another in a copy and see which tests catch it.
+
+`python benchmarks/planted.py` prints a row for each planted fault. A fault that no
+test catches makes the command fail.
+"""
+
+import argparse
+import concurrent.futures
+import os
+import shutil
+import subprocess
+import sys
+import tempfile
+from dataclasses import dataclass
+from pathlib import Path
+
+ROOT = Path(__file__).parents[1]
+PACKAGE = "src/zinniatrestle"
+TIMEOUT_SECONDS = 300
+MOST_JOBS = 4
+
+CLAIMS = "requests/tests/test_at_most_once.py"
+POLICY = "requests/tests/test_policy.py"
+CONFIGURATION = "configuration/tests/test_configuration.py"
+GANGS = "gangs/tests/test_failures.py"
+RETIREMENT = "retirement/tests/test_retirement.py"
+
+
+@dataclass(frozen=True)
+class Planted:
+    """One fault: a text, what replaces it, and the tests that should catch it."""
+
+    name: str
+    file: str
+    old: str
+    new: str
+    tests: str
+
+
+FAULTS = [
+    Planted(
+        "claim without a check",
+        "requests/claims.py",
+        "PendingWrite(key, row, Check(key, ABSENT))",
+        "PendingWrite(key, row, Check(RowKey('none'), ABSENT))",
+        CLAIMS,
+    ),
+    Planted(
+        "a lost answer to a claim counts as written",
+        "requests/claims.py",
+        "    if value == pending.value:\n",
+        "    if True:\n",
+        CLAIMS,
+    ),
+    Planted(
+        "an at-most-once request is sent again after a lost answer",
+        "requests/sending.py",
+        "            except DeclinedError as declined:\n"
+        "                self._check_time(admitted, declined)\n",
+        "            except (DeclinedError, AnswerLostError) as declined:\n"
+        "                self._check_time(admitted, declined)\n",
+        CLAIMS,
+    ),
+    Planted(
+        "a refusal does not close its key",
+        "requests/handler.py",
+        "            await self._record(key, void)\n",
+        "",
+        CLAIMS,
+    ),
+    Planted(
+        "a key that is taken is run by its second caller",
+        "requests/handler.py",
+        "        if held.attempt != row.attempt:\n",
+        "        if False:\n",
+        CLAIMS,
+    ),
+    Planted(
+        "no last check before bytes are sent",
+        "upstreams/messages.py",
+        "    start_by: float\n    timeout: float\n",
+        "    start_by: float\n    timeout: float\n\n"
+        "    def __post_init__(self):\n"
+        "        msgspec.structs.force_setattr(self, 'start_by', 9e9)\n",
+        RETIREMENT,
+    ),
+    Planted(
+        "retries without a budget",
+        "requests/budget.py",
+        "        if self.saved < 1.0:\n            return False\n",
+        "",
+        POLICY,
+    ),
+    Planted(
+        "no ejection",
+        "upstreams/state.py",
+        "        if self.state is MinionState.HEALTHY and may_eject:\n",
+        "        if False:\n",
+        POLICY,
+    ),
+    Planted(
+        "a lost answer is told as a refusal when the hedge was refused",
+        "requests/sending.py",
+        "        if isinstance(task.exception(), AnswerLostError):\n",
+        "        if False:\n",
+        POLICY,
+    ),
+    Planted(
+        "shares ignore the account",
+        "requests/admission.py",
+        "        return min(waiting, key=_use_of_share)\n",
+        "        return waiting[0]\n",
+        POLICY,
+    ),
+    Planted(
+        "a stop does not wait for work in progress",
+        "entry/host.py",
+        "                while self.in_progress.total:\n",
+        "                while False:\n",
+        POLICY,
+    ),
+    Planted(
+        "changes don't check the head",
+        "configuration/changes.py",
+        "            Check(HEAD_KEY, head_version),\n"
+        "            Check(change_key(record.revision), ABSENT),\n",
+        "",
+        CONFIGURATION,
+    ),
+    Planted(
+        "an operation token is forgotten",
+        "configuration/changes.py",
+        "            if known is not None:\n",
+        "            if False:\n",
+        CONFIGURATION,
+    ),
+    Planted(
+        "an older snapshot is put in force",
+        "configuration/state.py",
+        "        if snapshot.revision <= self.revision:\n",
+        "        if False:\n",
+        CONFIGURATION,
+    ),
+    Planted(
+        "a guarantee is not checked at acceptance",
+        "gangs/guarantees.py",
+        "        if not binding.unmet:\n",
+        "        if True:\n",
+        CONFIGURATION,
+    ),
+    Planted(
+        "the worker ignores the permit's deadline",
+        "platform/state.py",
+        "        if start_by < self.clock.wall():\n",
+        "        if False:\n",
+        GANGS,
+    ),
+    Planted(
+        "start permits last half a minute",
+        "domains/state.py",
+        "PERMIT_SECONDS = 3.0\n",
+        "PERMIT_SECONDS = 30.0\n",
+        GANGS,
+    ),
+    Planted(
+        "a refused reservation does not stop the gang",
+        "gangs/starting.py",
+        "            raise errors[0]\n",
+        "            pass\n",
+        GANGS,
+    ),
+    Planted(
+        "a new scheduler leaves half-done starts alone",
+        "gangs/scheduler.py",
+        "        await self.starter.finish_or_undo(epoch)\n",
+        "",
+        GANGS,
+    ),
+    Planted(
+        "an unreachable worker counts as ended at once",
+        "gangs/fleet.py",
+        "        return self.clock.wall() > bound\n",
+        "        return True\n",
+        GANGS,
+    ),
+    Planted(
+        "reclaim takes no borrower's room",
+        "gangs/planner.py",
+        "        victims = self._borrowers_on(masks)\n",
+        "        victims = []\n",
+        GANGS,
+    ),
+    Planted(
+        "bad workers are not quarantined",
+        "gangs/health.py",
+        "        self.standing = WorkerStanding.QUARANTINED\n",
+        "        self.standing = WorkerStanding.GOOD\n",
+        GANGS,
+    ),
+    Planted(
+        "an at-most-once job starts again from the beginning",
+        "gangs/settling.py",
+        "        if once and from_beginning:\n",
+        "        if False:\n",
+        GANGS,
+    ),
+    Planted(
+        "hosts are asked once",
+        "retirement/evidence.py",
+        "        second = await self._ask_hosts(retired)\n",
+        "        second = first\n",
+        RETIREMENT,
+    ),
+    Planted(
+        "minions are not asked",
+        "retirement/evidence.py",
+        "        if running == 0:\n",
+        "        if True:\n",
+        RETIREMENT,
+    ),
+    Planted(
+        "the bound forgets a longer grace",
+        "retirement/certificate.py",
+        "        grace = self.follower.state.longest_grace(record.account)\n",
+        "        grace = self.follower.state.plans[record.account]"
+        ".offline_grace_seconds\n",
+        RETIREMENT,
+    ),
+    Planted(
+        "an unheard host is closed at once",
+        "retirement/evidence.py",
+        "        if unheard and now > retired.bound_wall:\n",
+        "        if unheard:\n",
+        RETIREMENT,
+    ),
+    Planted(
+        "leases of retired accounts are renewed",
+        "gangs/fleet.py",
+        "            if gang.row.state is not JobState.RUNNING "
+        "or not self.served(gang):\n",
+        "            if gang.row.state is not JobState.RUNNING:\n",
+        RETIREMENT,
+    ),
+    Planted(
+        "requests in progress are not counted",
+        "progress.py",
+        "        return self.active[life] "
+        "+ (self.given_up.get(life, 0.0) >= now_wall)\n",
+        "        return 0\n",
+        RETIREMENT,
+    ),
+]
+
+
+def run_planted(fault: Planted) -> tuple[Planted, str]:
+    """Return the first test that catches a planted fault, or an empty text."""
+    with tempfile.TemporaryDirectory() as folder:
+        copy = Path(folder)
+        for name in ("src", "tests", "pyproject.toml"):
+            source = ROOT / name
+            if source.is_dir():
+                shutil.copytree(source, copy / name)
+            else:
+                shutil.copy(source, copy / name)
+        path = copy / PACKAGE / fault.file
+        text = path.read_text()
+        if text.count(fault.old) != 1:
+            raise SystemExit(f"{fault.name}: the text to replace is not there once")
+        path.write_text(text.replace(fault.old, fault.new))
+        return fault, caught_by(copy, fault)
+
+
+def caught_by(copy: Path, fault: Planted) -> str:
+    """Run the tests on a copy and return the first that fails."""
+    command = [sys.executable, "-m", "pytest", "-x", "--no-header", "--tb=no"]
+    command.append(f"{PACKAGE}/{fault.tests}")
+    environment = {**os.environ, "PYTHONPATH": str(copy / "src")}
+    try:
+        done = subprocess.run(
+            command,
+            cwd=copy,
+            env=environment,
+            capture_output=True,
+            text=True,
+            timeout=TIMEOUT_SECONDS,
+        )
+    except subprocess.TimeoutExpired:
+        return "(time-out)"
+    for line in done.stdout.splitlines():
+        if line.startswith(("FAILED ", "ERROR ")):
+            return line.split("::", 1)[-1].split(" - ")[0]
+    return ""
+
+
+def main():
+    """Run all planted faults and print a row for each."""
+    parser = argparse.ArgumentParser(description=__doc__)
+    parser.add_argument("--only", default="", help="faults whose name has this text")
+    wanted = parser.parse_args().only
+    faults = [fault for fault in FAULTS if wanted in fault.name]
+    missed = 0
+    print("| planted fault | caught by |\n| --- | --- |")
+    with concurrent.futures.ThreadPoolExecutor(MOST_JOBS) as pool:
+        for fault, test in pool.map(run_planted, faults):
+            missed += not test
+            print(f"| {fault.name} | {test or 'NOT CAUGHT'} |", flush=True)
+    print(f"\n{len(faults) - missed} of {len(faults)} are caught.")
+    sys.exit(1 if missed else 0)
+
+
+if __name__ == "__main__":
+    main()
--- a/src/zinniatrestle/clock.py
+++ b/src/zinniatrestle/clock.py
@@ -36,6 +36,20 @@
         return WallSeconds(self.origin + self.offset + elapsed)
 
 
+async def event_within(event: asyncio.Event, seconds: float) -> bool:
+    """Wait for an event for some seconds; tell whether it came.
+
+    `asyncio.wait_for` is not used, since up to Python 3.11 it loses a cancellation
+    that comes together with the event.
+    """
+    try:
+        async with asyncio.timeout(seconds):
+            await event.wait()
+    except TimeoutError:
+        return False
+    return True
+
+
 def monotonic() -> float:
     """Return the event loop's time in seconds, for durations on one host."""
     return asyncio.get_running_loop().time()
--- a/src/zinniatrestle/configuration/follower.py
+++ b/src/zinniatrestle/configuration/follower.py
@@ -4,7 +4,7 @@
 
 import msgspec
 
-from zinniatrestle.clock import Clock
+from zinniatrestle.clock import Clock, event_within
 from zinniatrestle.configuration.keys import (
     CHANGES_KEPT,
     ENTITY_PREFIX,
@@ -155,11 +155,8 @@
         self.changed = asyncio.Event()
 
     async def _pause(self):
-        try:
-            await asyncio.wait_for(self.wake.wait(), POLL_SECONDS)
-        except TimeoutError:
-            return
-        self.wake.clear()
+        if await event_within(self.wake, POLL_SECONDS):
+            self.wake.clear()
 
 
 def _templates_first(row) -> tuple[bool, str]:
--- a/src/zinniatrestle/configuration/tests/test_configuration.py
+++ b/src/zinniatrestle/configuration/tests/test_configuration.py
@@ -225,6 +225,20 @@
     accepted[revision] = domain
 
 
+def test_older_snapshot_and_older_changes_are_left_alone():
+    async def scenario():
+        cluster = await HostCluster.start([LIMA])
+        follower = cluster.hosts["lima-1"].follower
+        old = follower.state.snapshot()
+        old_changes = list(follower.recent.values())
+        revision = await cluster.change(SetDomain(LIMA, DomainState.OUT))
+        follower.offer(old_changes, old)
+        assert follower.state.revision == revision
+        assert follower.state.domain_state(LIMA) is DomainState.OUT
+
+    run(scenario())
+
+
 def test_watcher_catches_a_planted_reversal():
     async def scenario():
         cluster = await HostCluster.start([LIMA])
--- a/src/zinniatrestle/gangs/fleet.py
+++ b/src/zinniatrestle/gangs/fleet.py
@@ -192,7 +192,8 @@
         """Await one worker's answer within the time-out; raises WorkerError."""
         async with self.limit:
             try:
-                return await asyncio.wait_for(coroutine, WORKER_TIMEOUT_SECONDS)
+                async with asyncio.timeout(WORKER_TIMEOUT_SECONDS):
+                    return await coroutine
             except TimeoutError:
                 raise WorkerError("The worker did not answer in time.") from None
 
--- a/src/zinniatrestle/gangs/planner.py
+++ b/src/zinniatrestle/gangs/planner.py
@@ -149,10 +149,15 @@
         self._start_by_preemption(gang, avoided)
 
     def _avoided(self, gang: Gang) -> frozenset[WorkerId]:
-        """Return the workers on which the gang failed, for some time."""
-        if self.given.now - gang.row.queued > AVOID_SECONDS:
-            return frozenset()
-        return frozenset(gang.row.failed_on)
+        """Return the workers that failed or refused the gang of late."""
+        now = self.given.now
+        avoided = set()
+        for worker, wall in gang.refused_by.items():
+            if now - wall <= AVOID_SECONDS:
+                avoided.add(worker)
+        if now - gang.row.queued <= AVOID_SECONDS:
+            avoided.update(gang.row.failed_on)
+        return frozenset(avoided)
 
     def _find_free(self, gang: Gang, avoided: frozenset[WorkerId]) -> list[Slot] | None:
         spec = gang.row.spec
--- a/src/zinniatrestle/gangs/scheduler.py
+++ b/src/zinniatrestle/gangs/scheduler.py
@@ -2,7 +2,7 @@
 
 import asyncio
 
-from zinniatrestle.clock import Clock
+from zinniatrestle.clock import Clock, event_within
 from zinniatrestle.configuration import ConfigurationFollower
 from zinniatrestle.domains import PermitOffice
 from zinniatrestle.errors import LeaseLostError, PlatformError
@@ -87,11 +87,8 @@
                 await self.serve_round()
             else:
                 self.rebuild = True
-            try:
-                await asyncio.wait_for(self.wake.wait(), TICK_SECONDS)
-            except TimeoutError:
-                continue
-            self.wake.clear()
+            if await event_within(self.wake, TICK_SECONDS):
+                self.wake.clear()
 
     async def _run_polls(self):
         """Poll beside the rounds, so that a worker that hangs delays no start."""
--- a/src/zinniatrestle/gangs/starting.py
+++ b/src/zinniatrestle/gangs/starting.py
@@ -124,7 +124,7 @@
         """Reserve on every worker, or on none."""
         try:
             calls = [self._reserve_slot(gang, slot, epoch) for slot in _slots(gang)]
-            await _all_or_raise(calls)
+            await self._all_or_raise(gang, calls)
         except GangError as error:
             log.warning("Job %s is not reserved: %s", gang.row.job, error.detail)
             await self.fleet.stop(gang, epoch, checkpoint=False)
@@ -155,7 +155,7 @@
         gang.judged_after = monotonic()
         try:
             calls = [self._start_slot(gang, slot, epoch) for slot in _slots(gang)]
-            await _all_or_raise(calls)
+            await self._all_or_raise(gang, calls)
         except GangError as error:
             log.warning("Job %s is not started: %s", gang.row.job, error.detail)
             return not await self._undo_start(gang, epoch)
@@ -208,6 +208,19 @@
         self._back_to_queue(gang)
         return True
 
+    async def _all_or_raise(self, gang: Gang, calls: list[Coroutine]):
+        """Await a call to each worker, then raise the first error among them."""
+        answers = await asyncio.gather(*calls, return_exceptions=True)
+        errors = []
+        for slot, answer in zip(_slots(gang), answers, strict=True):
+            if not isinstance(answer, BaseException):
+                continue
+            errors.append(answer)
+            if isinstance(answer, WorkerError):
+                gang.refused_by[slot.worker] = self.clock.wall()
+        if errors:
+            raise errors[0]
+
     def _leave_to_start(self, gang: Gang, epoch: Epoch) -> float:
         """Return the wall time by which a start must happen; raises GangError."""
         if self.lease.require() != epoch:
@@ -235,11 +248,3 @@
 
 def _slots(gang: Gang) -> list[Slot]:
     return gang.row.placement
-
-
-async def _all_or_raise(calls: list):
-    """Await all calls, then raise the first error among them."""
-    answers = await asyncio.gather(*calls, return_exceptions=True)
-    for answer in answers:
-        if isinstance(answer, BaseException):
-            raise answer
--- a/src/zinniatrestle/gangs/state.py
+++ b/src/zinniatrestle/gangs/state.py
@@ -8,7 +8,7 @@
     JobRow,
     JobState,
 )
-from zinniatrestle.ids import JobId
+from zinniatrestle.ids import JobId, WorkerId
 from zinniatrestle.platform.messages import ABSENT
 
 # Tasks without accelerators count by their cores; one accelerator weighs as many.
@@ -20,10 +20,17 @@
     """One job with what its scheduler knows beside the row.
 
     Reports that were asked for up to `judged_after` (monotonic) say nothing of the
-    attempt under way.
+    attempt under way. `refused_by` has the wall times at which workers refused it.
     """
 
-    __slots__ = ("cancelled", "checkpointed_wall", "judged_after", "row", "version")
+    __slots__ = (
+        "cancelled",
+        "checkpointed_wall",
+        "judged_after",
+        "refused_by",
+        "row",
+        "version",
+    )
 
     def __init__(self, row: JobRow, version: int = ABSENT):
         self.row = row
@@ -31,6 +38,7 @@
         self.cancelled = False
         self.checkpointed_wall = 0.0
         self.judged_after = 0.0
+        self.refused_by: dict[WorkerId, float] = {}
 
     @property
     def width(self) -> float:
--- a/src/zinniatrestle/gangs/tests/test_failures.py
+++ b/src/zinniatrestle/gangs/tests/test_failures.py
@@ -102,7 +102,10 @@
 
 @pytest.mark.parametrize("before", [True, False], ids=["before", "after"])
 @pytest.mark.parametrize("number", range(1, 15))
-def test_nothing_starts_after_out_although_the_scheduler_was_frozen(number, before):
+@pytest.mark.parametrize("frozen", [6, 15])
+def test_nothing_starts_after_out_although_the_scheduler_was_frozen(
+    number, before, frozen
+):
     async def scenario():
         scene = await open_scene(hosts=2, workers=4)
         name = scene.scheduling_host()
@@ -116,7 +119,7 @@
         await asyncio.sleep(0.7)
         await scene.cluster.change(SetDomain(LIMA, DomainState.OUT), other)
         out_wall = scene.cluster.clock.wall()
-        await asyncio.sleep(15)
+        await asyncio.sleep(frozen)
         gate.thaw()
         await asyncio.sleep(20)
         late = scene.watcher.starts_after(out_wall)
@@ -292,6 +295,28 @@
     run(scenario())
 
 
+@pytest.mark.parametrize("verb", ["reserve", "start"])
+def test_gang_that_one_worker_does_not_take_runs_whole_elsewhere(verb):
+    async def scenario():
+        scene = await open_scene(hosts=1, workers=4)
+        view = scene.cluster.views["lima-1"]
+        bad = WorkerId("lima-worker-0")
+        view.workers.faults[bad] = WorkerFaults(deaf_to=[verb])
+        job = await scene.submit(JobSpec(3, ["sleep", "10"], EIGHT))
+        await scene.reach(job, JobState.DONE, 120)
+        started = {}
+        for _, _, attempt in scene.watcher.all_starts():
+            started[attempt] = started.get(attempt, 0) + 1
+        row = await scene.row(job)
+        assert started.pop(row.attempt) == 3
+        if verb == "reserve":
+            assert started == {}
+        assert scene.watcher.longest_partial <= 1.0
+        scene.check()
+
+    run(scenario())
+
+
 def test_running_gangs_go_on_through_an_outage_within_the_grace():
     async def scenario():
         scene = await open_scene(hosts=2, workers=4)
--- a/src/zinniatrestle/peers/links.py
+++ b/src/zinniatrestle/peers/links.py
@@ -5,6 +5,7 @@
 
 import msgspec
 
+from zinniatrestle.clock import event_within
 from zinniatrestle.errors import PeerError, ResultCode, ZinniatrestleError
 from zinniatrestle.ids import HostId
 from zinniatrestle.logs import PartLog
@@ -129,11 +130,8 @@
     async def _beat(self, wire: Wire):
         while True:
             await wire.send(0, self.duties.heartbeat())
-            try:
-                await asyncio.wait_for(self.beat_now.wait(), BEAT_SECONDS)
-            except TimeoutError:
-                continue
-            self.beat_now.clear()
+            if await event_within(self.beat_now, BEAT_SECONDS):
+                self.beat_now.clear()
 
     async def _receive(self, wire: Wire):
         while True:
--- a/src/zinniatrestle/requests/admission.py
+++ b/src/zinniatrestle/requests/admission.py
@@ -4,7 +4,6 @@
 from collections import deque
 from collections.abc import Callable
 
-from zinniatrestle.clock import monotonic
 from zinniatrestle.errors import NotRunError, ResultCode
 from zinniatrestle.ids import ClientAccountId
 
@@ -68,9 +67,10 @@
         line.append(future)
         self.dispatch()
         try:
-            await asyncio.wait_for(future, max(0.0, deadline - monotonic()))
+            async with asyncio.timeout_at(deadline):
+                await future
         except TimeoutError:
-            line.remove(future)
+            self._abandon(account, line, future)
             if self.capacity() == 0:
                 raise NotRunError(
                     "No minion of the service takes work.", ResultCode.NO_UPSTREAM
@@ -79,8 +79,7 @@
                 "The deadline passed in the queue.", ResultCode.DEADLINE_PASSED
             ) from None
         except asyncio.CancelledError:
-            if future.done() and not future.cancelled():
-                self.leave(account)
+            self._abandon(account, line, future)
             raise
 
     def leave(self, account: ClientAccountId):
@@ -101,6 +100,18 @@
             self._run(queue)
             future.set_result(None)
 
+    def _abandon(
+        self,
+        account: ClientAccountId,
+        line: deque[asyncio.Future],
+        future: asyncio.Future,
+    ):
+        """Leave the line, or give back a slot that came at the last instant."""
+        if future in line:
+            line.remove(future)
+        if future.done() and not future.cancelled():
+            self.leave(account)
+
     def _run(self, queue: AccountQueue):
         queue.running += 1
         self.running += 1
--- a/src/zinniatrestle/requests/handler.py
+++ b/src/zinniatrestle/requests/handler.py
@@ -269,8 +269,8 @@
         """Claim a key before any byte is sent; refuse quickly without a store."""
         patience = min(CLAIM_WAIT_SECONDS, admitted.deadline - monotonic())
         try:
-            claim = self.claims.claim(key, row)
-            return await asyncio.wait_for(claim, max(0.0, patience))
+            async with asyncio.timeout(max(0.0, patience)):
+                return await self.claims.claim(key, row)
         except (TimeoutError, StoreUncertainError) as error:
             # The claim may stand although nothing was sent: close the key.
             void = msgspec.structs.replace(
--- a/src/zinniatrestle/requests/tests/test_at_most_once.py
+++ b/src/zinniatrestle/requests/tests/test_at_most_once.py
@@ -154,6 +154,26 @@
     run(scenario())
 
 
+def test_refused_key_stays_closed_when_minions_are_back():
+    async def scenario():
+        cluster = await HostCluster.start([LIMA])
+        recorder = Recorder(cluster)
+        cluster.all_minions(leaving=True)
+        first = await recorder.ask("lima-1", "k")
+        assert first.key_state is KeyState.CLOSED
+        cluster.all_minions()
+        await cluster.kill("lima-1")
+        await cluster.boot("lima-1")
+        await asyncio.sleep(1)
+        cluster.hosts["lima-1"].pool.minions.clear()
+        await asyncio.sleep(2)
+        again = await recorder.ask("lima-1", "k")
+        assert (again.code, again.repeated) == (first.code, True)
+        recorder.check()
+
+    run(scenario())
+
+
 def test_answer_after_the_deadline_settles_the_key():
     async def scenario():
         cluster = await HostCluster.start([LIMA])
--- a/src/zinniatrestle/requests/tests/test_policy.py
+++ b/src/zinniatrestle/requests/tests/test_policy.py
@@ -179,6 +179,23 @@
     run(scenario())
 
 
+def test_lost_answer_outweighs_a_refused_hedge():
+    async def scenario():
+        cluster = await HostCluster.start([LIMA], hosts=1, minions=2)
+        cluster.all_minions(latency_seconds=0.05)
+        for _ in range(100):
+            await cluster.request("lima-1")
+        cluster.all_minions(latency_seconds=0.3, cut_body=True)
+        asking = asyncio.create_task(cluster.request("lima-1", timeout=1.0))
+        await asyncio.sleep(0.02)
+        cluster.all_minions(leaving=True)
+        answer = await asking
+        assert len(cluster.minions.runs) == 101
+        assert answer.code is ResultCode.UNKNOWN
+
+    run(scenario())
+
+
 def test_leaving_minion_gets_nothing_new_although_the_list_lags():
     async def scenario():
         cluster = await HostCluster.start([LIMA], minions=3)
@@ -217,6 +234,10 @@
         await host.leave()
         assert not host.ready
         await host.drain()
+        assert host.in_progress.total == 0
+        assert cluster.minions.running_on and not any(
+            cluster.minions.running_on.values()
+        )
         await host.stop()
         answers = await asyncio.gather(*calls)
         assert {answer.code for answer in answers} == {ResultCode.OK}
--- a/src/zinniatrestle/retirement/evidence.py
+++ b/src/zinniatrestle/retirement/evidence.py
@@ -89,7 +89,8 @@
     async def _ask_host(self, name: HostId, retired: Retired) -> HostEvidence | None:
         call = self.hosts.evidence(name, retired.account, retired.incarnation)
         try:
-            return await asyncio.wait_for(call, ASK_SECONDS)
+            async with asyncio.timeout(ASK_SECONDS):
+                return await call
         except (PeerError, TimeoutError):
             return None
 
@@ -148,7 +149,8 @@
         call = self.transport.running(minion, retired.account)
         reason = "it can't be asked"
         try:
-            running = await asyncio.wait_for(call, ASK_SECONDS)
+            async with asyncio.timeout(ASK_SECONDS):
+                running = await call
         except (RequestError, TimeoutError):
             running = None
         if running == 0:
@@ -191,7 +193,8 @@
     ):
         call = self.platform.workers.report(worker)
         try:
-            report = await asyncio.wait_for(call, ASK_SECONDS)
+            async with asyncio.timeout(ASK_SECONDS):
+                report = await call
         except (WorkerError, TimeoutError):
             self._close_or_open(
                 retired,
--- a/src/zinniatrestle/retirement/tests/test_retirement.py
+++ b/src/zinniatrestle/retirement/tests/test_retirement.py
@@ -31,8 +31,10 @@
     ZinniatrestleError,
 )
 from zinniatrestle.gangs.messages import JobSpec, TaskShape
-from zinniatrestle.ids import RequestKey, TemplateName
+from zinniatrestle.ids import ClientAccountId, RequestKey, TemplateName
+from zinniatrestle.peers.messages import Duty
 from zinniatrestle.platform.messages import LeaseState
+from zinniatrestle.requests import Request
 from zinniatrestle.retirement import Proof
 from zinniatrestle.retirement.messages import Basis, PartKind, digest
 from zinniatrestle.standins.messages import MinionFaults, WorkerFaults
@@ -291,6 +293,92 @@
     run(scenario())
 
 
+def test_host_that_restarts_stale_between_answers_keeps_the_proof_open():
+    async def scenario():
+        cluster, auditor = await open_scene(domains=(LIMA,), hosts=3)
+        cluster.faults.cut_hosts = ["lima-3"]
+        cluster.cut("lima-3", "lima-2")
+        lagging = cluster.hosts["lima-3"]
+        # Heartbeats must not tell the lagging host of the retirement.
+        lagging.mesh.heard = lambda peer: None
+        await cluster.change(RetireAccount(ACCOUNT), "lima-1")
+        await asyncio.sleep(1)
+        answers = asyncio.Event()
+        serve = lagging.mesh.serve
+
+        async def hold_evidence(duty, body):
+            if duty is Duty.EVIDENCE:
+                await answers.wait()
+            return await serve(duty, body)
+
+        lagging.mesh.serve = hold_evidence
+        proving = asyncio.create_task(cluster.prove("lima-1"))
+        await asyncio.sleep(0.1)
+        cluster.faults.cut_hosts = ["lima-2", "lima-3"]
+        await cluster.kill("lima-2")
+        await cluster.boot("lima-2")
+        restarted = cluster.hosts["lima-2"]
+        cluster.cut("lima-2", "lima-1")
+        cluster.mend("lima-2", "lima-3")
+        await until(lambda: restarted.follower.state.revision > 0, 1.4)
+        cluster.faults.cut_hosts = ["lima-2"]
+        cluster.cut("lima-2", "lima-3")
+        restarted.mesh.heard = lambda peer: None
+        await until(
+            lambda: lagging.follower.state.revision > restarted.follower.state.revision,
+            1.5,
+        )
+        answers.set()
+        proof = await proving
+        assert (await cluster.request("lima-2")).code is ResultCode.OK
+        assert proof.sealed is None
+        assert auditor.found == []
+
+    run(scenario())
+
+
+def test_request_that_waits_for_a_slot_keeps_the_proof_open():
+    async def scenario():
+        cluster, auditor = await open_scene(domains=(LIMA,), hosts=1, minions=1)
+        other = ClientAccountId("other")
+        await cluster.account(other, default_plan([LIMA]))
+        cluster.all_minions(latency_seconds=8.0)
+        busy = []
+        for _ in range(8):
+            request = Request(other, SERVICE, "seat-check", b"{}", 20.0)
+            handler = cluster.hosts["lima-1"].handler
+            busy.append(asyncio.create_task(handler.handle(request)))
+        await asyncio.sleep(0.1)
+        waiting = asyncio.create_task(cluster.request("lima-1", timeout=19.0))
+        await asyncio.sleep(0.1)
+        await cluster.change(RetireAccount(ACCOUNT))
+        await asyncio.sleep(3)
+        assert "lima-1" in open_names(await cluster.prove("lima-1"))
+        await prove_until(cluster, auditor, "lima-1", 30)
+        await asyncio.gather(waiting, *busy)
+        assert auditor.found == []
+
+    run(scenario())
+
+
+def test_worker_that_hears_no_stop_is_not_kept_going():
+    async def scenario():
+        cluster, auditor = await open_scene(domains=(LIMA,), hosts=1)
+        spec = JobSpec(1, ["sleep", "5000"], EIGHT)
+        job = (await cluster.hosts["lima-1"].jobs.submit(ACCOUNT, spec, None)).job
+        await asyncio.sleep(3)
+        row = await cluster.hosts["lima-1"].jobs.status(ACCOUNT, job)
+        deaf = row.placement[0].worker
+        faults = WorkerFaults(deaf_to=["stop", "report"])
+        cluster.views["lima-1"].workers.faults[deaf] = faults
+        await cluster.change(RetireAccount(ACCOUNT))
+        await prove_until(cluster, auditor, "lima-1", GRACE_SECONDS + 20)
+        await asyncio.sleep(10)
+        assert auditor.found == []
+
+    run(scenario())
+
+
 def test_shorter_grace_does_not_shorten_the_bound_of_a_cut_off_host():
     async def scenario():
         cluster, auditor = await open_scene(domains=(LIMA,))
--- a/src/zinniatrestle/standins/faults.py
+++ b/src/zinniatrestle/standins/faults.py
@@ -105,32 +105,34 @@
 
     async def reserve(self, worker: WorkerId, command: Reserve):
         """Hold accelerators for one attempt."""
-        self._pass(worker)
+        self._pass(worker, "reserve")
         await self.inner.reserve(worker, command)
 
     async def start(self, worker: WorkerId, command: Start):
         """Start the tasks of a reserved attempt."""
-        self._pass(worker)
+        self._pass(worker, "start")
         await self.inner.start(worker, command)
 
     async def renew(self, worker: WorkerId, command: Renew) -> WorkerReport:
         """Extend the leases of running attempts and report."""
-        self._pass(worker)
+        self._pass(worker, "renew")
         return await self.inner.renew(worker, command)
 
     async def stop(self, worker: WorkerId, command: Stop) -> float:
         """End an attempt and return its checkpointed progress."""
-        self._pass(worker)
+        self._pass(worker, "stop")
         return await self.inner.stop(worker, command)
 
     async def report(self, worker: WorkerId) -> WorkerReport:
         """Return what the worker holds now."""
-        self._pass(worker)
+        self._pass(worker, "report")
         return await self.inner.report(worker)
 
-    def _pass(self, worker: WorkerId):
+    def _pass(self, worker: WorkerId, verb: str):
         faults = self.faults.get(worker)
-        if faults is not None and faults.unreachable:
+        if faults is None:
+            return
+        if faults.unreachable or verb in faults.deaf_to:
             raise WorkerError("The worker can't be reached.")
 
 
@@ -151,7 +153,8 @@
 
 async def pass_faults(faults: PlatformFaults, host: str):
     """Wait as told, then raise StoreUnavailableError if told to."""
-    if faults.slow_seconds:
-        await asyncio.sleep(faults.slow_seconds)
+    wait = faults.latency_seconds + faults.slow_seconds
+    if wait:
+        await asyncio.sleep(wait)
     if faults.outage or host in faults.cut_hosts:
         raise StoreUnavailableError("The platform is out.")
--- a/src/zinniatrestle/standins/messages.py
+++ b/src/zinniatrestle/standins/messages.py
@@ -6,6 +6,7 @@
 class PlatformFaults(msgspec.Struct):
     """Faults of the platform's services; times in seconds."""
 
+    latency_seconds: float = 0.0
     outage: bool = False
     slow_seconds: float = 0.0
     lose_answers: bool = False
@@ -24,10 +25,11 @@
 
 
 class WorkerFaults(msgspec.Struct):
-    """Faults of one worker."""
+    """Faults of one worker; commands in `deaf_to` never reach it."""
 
     fails_everything: bool = False
     unreachable: bool = False
+    deaf_to: list[str] = []
 
 
 class Run(msgspec.Struct):
--- a/tests/common/hosts.py
+++ b/tests/common/hosts.py
@@ -43,6 +43,8 @@
 GRACE_SECONDS = 20.0
 ADDRESS = "127.0.0.1:1"
 FIRST_PORT = 7000
+# Calls of several hosts interleave only if each takes some time.
+LATENCY_SECONDS = 0.004
 
 
 class Gate:
@@ -152,7 +154,7 @@
             listed += minion_list(domain, SERVICE, [ADDRESS] * minions)
             listed += worker_list(domain, workers, ADDRESS)
         self.platform = EmbeddedPlatform(listed, self.clock)
-        self.faults = PlatformFaults()
+        self.faults = PlatformFaults(latency_seconds=LATENCY_SECONDS)
         self.skews: dict[str, float] = {}
         self.claim_batch = claim_batch
         self.gates: dict[str, Gate] = {}
