--- a/benchmarks/hosts.py
+++ b/benchmarks/hosts.py
@@ -143,10 +143,8 @@
             await asyncio.sleep(IDLE_SECONDS)
             after = await snapshot(site)
         hosts = len(site.hosts)
-        cpu = [
-            100 * (b[0] - a[0]) / IDLE_SECONDS for a, b in zip(*paired(before, after))
-        ]
-        peers = [(b[1] - a[1]) / IDLE_SECONDS for a, b in zip(*paired(before, after))]
+        cpu = [100 * value for value in rates(before, after, 0)]
+        peers = rates(before, after, 1)
         platform = (after["platform"][1] - before["platform"][1]) / IDLE_SECONDS
         memory = max(value[2] for name, value in after.items() if name != "platform")
         print(
@@ -157,10 +155,13 @@
         )
 
 
-def paired(before: dict, after: dict) -> tuple[list, list]:
-    """Return the hosts' values in the same order."""
-    names = [name for name in before if name != "platform"]
-    return [before[name] for name in names], [after[name] for name in names]
+def rates(before: dict, after: dict, column: int) -> list[float]:
+    """Return how fast a value of each host grew."""
+    found = []
+    for name, values in before.items():
+        if name != "platform":
+            found.append((after[name][column] - values[column]) / IDLE_SECONDS)
+    return found
 
 
 async def snapshot(site: Site) -> dict[str, tuple[float, float, float]]:
--- a/src/zinniatrestle/burn/report.py
+++ b/src/zinniatrestle/burn/report.py
@@ -6,11 +6,10 @@
 
 from zinniatrestle.burn.messages import BurnLine, BurnReport, HostBurn
 from zinniatrestle.burn.state import (
-    DIGITS,
-    HIGHEST_US,
-    LOWEST_US,
+    PER_SECOND,
     WINDOWS_SECONDS,
     Series,
+    new_histogram,
 )
 from zinniatrestle.configuration import ConfigurationState
 from zinniatrestle.configuration.messages import RequestKind
@@ -20,7 +19,7 @@
 FAST_RATE = 14.4
 SLOW_WINDOWS = (1800, 21600)
 SLOW_RATE = 6.0
-US_PER_MS = 1000
+PER_MS = PER_SECOND / 1000
 
 
 def merge(
@@ -74,8 +73,8 @@
         target=objective.target,
         burn_rates={f"{window}s": round(rate, 3) for window, rate in rates.items()},
         answers=totals[(series, WINDOWS_SECONDS[-1])],
-        p50_ms=latencies.get_value_at_percentile(50) / US_PER_MS,
-        p99_ms=latencies.get_value_at_percentile(99) / US_PER_MS,
+        p50_ms=latencies.get_value_at_percentile(50) / PER_MS,
+        p99_ms=latencies.get_value_at_percentile(99) / PER_MS,
         alert=_alert(rates),
     )
 
@@ -89,7 +88,7 @@
 
 
 def _merged_latencies(name: str, burns: list[HostBurn]) -> HdrHistogram:
-    merged = HdrHistogram(LOWEST_US, HIGHEST_US, DIGITS)
+    merged = new_histogram()
     for burn in burns:
         encoded = burn.latencies.get(name)
         if encoded is not None:
--- a/src/zinniatrestle/burn/state.py
+++ b/src/zinniatrestle/burn/state.py
@@ -13,15 +13,22 @@
 BUCKET_SECONDS = 60
 WINDOWS_SECONDS = (300, 1800, 3600, 21600)
 BUCKETS_KEPT = WINDOWS_SECONDS[-1] // BUCKET_SECONDS
-LOWEST_US = 1
-HIGHEST_US = 120_000_000
+# Latencies are kept in tenths of a millisecond, to 1%.
+LOWEST = 1
+HIGHEST = 600_000
 DIGITS = 2
-US = 1_000_000
+WORD_BYTES = 4
+PER_SECOND = 10_000
 NO_OBJECTIVE = Objective(latency_ms=float("inf"), target=0.0)
 
 Series = tuple[ClientAccountId, ServiceName, str]
 
 
+def new_histogram() -> HdrHistogram:
+    """Return an empty histogram of latencies."""
+    return HdrHistogram(LOWEST, HIGHEST, DIGITS, WORD_BYTES)
+
+
 class Bucket:
     """Count the answers of one minute."""
 
@@ -36,7 +43,7 @@
 
     def __init__(self):
         self.buckets: deque[Bucket] = deque(maxlen=BUCKETS_KEPT)
-        self.latencies = HdrHistogram(LOWEST_US, HIGHEST_US, DIGITS)
+        self.latencies = new_histogram()
 
     def add(self, number: int, good: bool, seconds: float):
         """Count one answer."""
@@ -45,8 +52,8 @@
         bucket = self.buckets[-1]
         bucket.total += 1
         bucket.good += good
-        microseconds = min(HIGHEST_US, max(LOWEST_US, int(seconds * US)))
-        self.latencies.record_value(microseconds)
+        value = min(HIGHEST, max(LOWEST, int(seconds * PER_SECOND)))
+        self.latencies.record_value(value)
 
     def window(self, number: int, seconds: int) -> tuple[int, int]:
         """Return all and good answers of the last `seconds`."""
@@ -81,7 +88,10 @@
         objective = self._objective(account, service, kind)
         if objective is None:
             return
-        series = self.series.setdefault((account, service, kind), SeriesCount())
+        key = (account, service, kind)
+        if key not in self.series:
+            self.series[key] = SeriesCount()
+        series = self.series[key]
         good = true and seconds * 1000 <= objective.latency_ms
         series.add(self._number(), good, seconds)
 
--- a/src/zinniatrestle/gangs/scheduler.py
+++ b/src/zinniatrestle/gangs/scheduler.py
@@ -21,7 +21,7 @@
 from zinniatrestle.platform.leases import Lease, LeaseStanding
 from zinniatrestle.progress import InProgress
 
-TICK_SECONDS = 0.5
+TICK_SECONDS = 1.0
 SUMMARY_SECONDS = 5.0
 POLL_PAUSE_SECONDS = 0.25
 
--- a/src/zinniatrestle/peers/links.py
+++ b/src/zinniatrestle/peers/links.py
@@ -44,7 +44,10 @@
 
 
 class PeerLink:
-    """Dial one peer, beat, and carry calls to it."""
+    """Dial one peer, beat, and carry calls to it.
+
+    The peer's own heartbeats come over the link that it dials.
+    """
 
     def __init__(self, peer: Peer, identity: Identity, duties: PeerDuties):
         self.peer = peer
@@ -141,10 +144,6 @@
             except TimeoutError:
                 self.peer.miss(PeerStanding.FROZEN)
                 continue
-            if isinstance(frame.content, Heartbeat):
-                self.peer.hear(frame.content)
-                self.duties.heard(self.peer)
-                continue
             future = self.waiting.get(frame.number)
             if future is not None and not future.done():
                 future.set_result(frame.content)
@@ -210,7 +209,7 @@
             wire.close()
 
     async def _serve(self, wire: Wire):
-        """Answer heartbeats in order and calls each in a task of its own."""
+        """Take heartbeats in order and answer each call in a task of its own."""
         hello = await accept_handshake(wire, self.identity, set(self.peers))
         peer = self.peers[hello.host]
         limit = asyncio.Semaphore(CALLS_AT_ONCE)
@@ -224,7 +223,6 @@
                     peer.boot = hello.boot
                     peer.hear(frame.content)
                     self.duties.heard(peer)
-                    await wire.send(0, self.duties.heartbeat())
                     continue
                 if isinstance(frame.content, Call):
                     await limit.acquire()
--- a/src/zinniatrestle/platform/http.py
+++ b/src/zinniatrestle/platform/http.py
@@ -13,6 +13,7 @@
     WorkerError,
 )
 from zinniatrestle.ids import HostId, RowKey, WorkerId
+from zinniatrestle.platform.caching import CachedHostList
 from zinniatrestle.platform.interfaces import (
     HostList,
     ObjectStore,
@@ -242,7 +243,7 @@
         self.caller = HttpCaller(base, host)
         self.table = HttpTable(self.caller)
         self.objects = HttpObjects(self.caller)
-        self.hosts = HttpHostList(self.caller)
+        self.hosts = CachedHostList(HttpHostList(self.caller))
         self.workers = HttpWorkers(self.caller, self.hosts)
 
     async def close(self):
--- a/src/zinniatrestle/platform/leases.py
+++ b/src/zinniatrestle/platform/leases.py
@@ -49,6 +49,7 @@
         self.key = RowKey(f"lease/{name}")
         self.epoch = Epoch(0)
         self.held_until = 0.0
+        self.version = ABSENT
         self.seen_version = ABSENT
         self.seen_at = 0.0
         self.holder = HostId("")
@@ -78,6 +79,8 @@
 
     async def step(self):
         """Try once to acquire or renew."""
+        if self.standing is LeaseStanding.HELD and await self._renew():
+            return
         asked_at = monotonic()
         rows = await self.table.read([self.key])
         row = rows.get(self.key)
@@ -99,7 +102,22 @@
             log.info("Lease %s is held with epoch %d.", self.name, epoch)
         self.epoch = epoch
         self.holder = self.host
+        self.version = check.version + 1
+        self.held_until = asked_at + LEASE_SECONDS - SAFETY_SECONDS
+
+    async def _renew(self) -> bool:
+        """Renew a held lease with one write, as long as nobody else wrote it."""
+        asked_at = monotonic()
+        written = LeaseRow(self.host, self.epoch, new_operation_token())
+        put = Put(self.key, msgspec.json.encode(written))
+        check = Check(self.key, self.version)
+        transaction = Transaction(checks=[check], puts=[put])
+        commit = await commit_settled(self.table, transaction)
+        if not commit.committed:
+            return False
+        self.version += 1
         self.held_until = asked_at + LEASE_SECONDS - SAFETY_SECONDS
+        return True
 
     async def release(self):
         """Hand the role over at once instead of letting it expire."""
--- a/src/zinniatrestle/requests/sending.py
+++ b/src/zinniatrestle/requests/sending.py
@@ -83,11 +83,17 @@
 
     def budget(self, service: ServiceName) -> RetryBudget:
         """Return the retry budget of a service."""
-        return self.budgets.setdefault(service, RetryBudget())
+        if service not in self.budgets:
+            self.budgets[service] = RetryBudget()
+        return self.budgets[service]
 
     def latency(self, kind: RequestKind) -> LatencyRecord:
         """Return the latencies seen for a kind of request."""
-        return self.latencies.setdefault((kind.service, kind.kind), LatencyRecord())
+        key = (kind.service, kind.kind)
+        # A record holds a histogram, too costly to build in vain for each request.
+        if key not in self.latencies:
+            self.latencies[key] = LatencyRecord()
+        return self.latencies[key]
 
     async def send_once(self, admitted: Admitted, attempt: AttemptId) -> UpstreamAnswer:
         """Send an at-most-once request; go on to another minion only if declined."""
