--- a/benchmarks/planted.py
+++ b/benchmarks/planted.py
@@ -84,6 +84,13 @@
         "        msgspec.structs.force_setattr(self, 'start_by', 9e9)\n",
         RETIREMENT,
     ),
+    Planted(
+        "outcomes are forgotten at once",
+        "requests/retention.py",
+        "RETENTION_SECONDS = 72 * 3600.0\n",
+        "RETENTION_SECONDS = 1.0\n",
+        "requests/tests/test_retention.py",
+    ),
     Planted(
         "retries without a budget",
         "requests/budget.py",
--- /dev/null
+++ b/benchmarks/requests.py
@@ -0,0 +1,264 @@
+"""Measure requests in virtual time, beside a baseline in the same run.
+
+`python benchmarks/requests.py policy` compares routing, limits, retries and hedges with
+round robin without budget, hedge or ejection; `... claims` compares one row for each
+key with claims written together, behind a store of several hundred writes a second.
+"""
+
+import argparse
+import asyncio
+import random
+import statistics
+import sys
+from collections import Counter
+from pathlib import Path
+
+sys.path.insert(0, str(Path(__file__).parents[1] / "tests"))
+
+from absl import logging
+from common.hosts import ACCOUNT, LIMA, SERVICE, HostCluster, default_plan
+from common.virtual import run
+
+from zinniatrestle.clock import monotonic
+from zinniatrestle.errors import ResultCode
+from zinniatrestle.ids import ClientAccountId, RequestKey
+from zinniatrestle.platform.interfaces import TableService
+from zinniatrestle.requests import Request
+from zinniatrestle.standins.messages import MinionFaults
+from zinniatrestle.upstreams.state import MinionState
+
+MINIONS = 12
+SECONDS = 4.0
+LATENCY_SECONDS = 0.03
+DESK_SECONDS = 0.25
+TIMEOUT_SECONDS = 2.0
+STORE_WRITES = 400.0
+GUEST = ClientAccountId("guest")
+
+
+class RoundRobin:
+    """Take minions in turn, as long as they have a slot for this host."""
+
+    def __init__(self, pool):
+        self.pool = pool
+        self.turn = 0
+
+    def choose(self, service, tried):
+        """Take a slot on the next minion."""
+        minions = list(self.pool.minions.values())
+        for _ in minions:
+            self.turn += 1
+            minion = minions[self.turn % len(minions)]
+            if minion.in_use < minion.limit and minion.address.minion not in tried:
+                minion.in_use += 1
+                return minion
+        return None
+
+
+def make_baseline(cluster: HostCluster):
+    """Take routing, ejection, hedges and the budget away."""
+    for host in cluster.hosts.values():
+        host.pool.choose = RoundRobin(host.pool).choose
+        host.pool.fail = lambda minion: None
+        host.sender.hedging = False
+        host.sender.budgeted = False
+
+
+class Scenario:
+    """Offer desk-side checks at a rate while something is wrong."""
+
+    def __init__(self, name: str, load: float, share: float, faults: MinionFaults):
+        self.name = name
+        self.load = load
+        self.share = share
+        self.faults = faults
+
+    async def run(self, seed: int, baseline: bool) -> dict[str, float]:
+        """Return the figures."""
+        draw = random.Random(seed)
+        plan = default_plan([LIMA], queue_limit=256)
+        cluster = await HostCluster.start([LIMA], plan, minions=MINIONS, workers=1)
+        await cluster.account(GUEST, default_plan([LIMA], queue_limit=256))
+        await asyncio.sleep(2)
+        if baseline:
+            make_baseline(cluster)
+        names = list(cluster.hosts)
+        slow = range(int(self.share * MINIONS))
+
+        def settle():
+            cluster.all_minions(latency_seconds=LATENCY_SECONDS)
+            for number in slow:
+                cluster.minions.faults[f"{LIMA}-{SERVICE}-{number}"] = self.faults
+
+        cluster.all_minions(latency_seconds=LATENCY_SECONDS)
+        for number in range(200):
+            await cluster.request(names[number % 2])
+        settle()
+        rate = self.load * MINIONS * 8 / LATENCY_SECONDS
+        asked = []
+        began = monotonic()
+        while monotonic() - began < SECONDS:
+            # A third of the load is the account that is measured.
+            account = ACCOUNT if draw.random() < 1 / 3 else GUEST
+            call = self.ask(cluster, draw.choice(names), account)
+            asked.append(asyncio.create_task(call))
+            await asyncio.sleep(draw.expovariate(rate))
+        answers = [task for task in await asyncio.gather(*asked) if task is not None]
+        return self.figures(answers, cluster)
+
+    async def ask(self, cluster: HostCluster, host: str, account: ClientAccountId):
+        """Ask once and return the code and the latency."""
+        began = monotonic()
+        request = Request(account, SERVICE, "seat-check", b"{}", TIMEOUT_SECONDS)
+        answer = await cluster.hosts[host].handler.handle(request)
+        if account != ACCOUNT:
+            return None
+        return answer.code, monotonic() - began
+
+    def figures(self, answers, cluster: HostCluster) -> dict[str, float]:
+        """Return the figures of a run."""
+        codes = Counter(code for code, _ in answers)
+        good = sorted(seconds for code, seconds in answers if code is ResultCode.OK)
+        in_time = sum(seconds <= DESK_SECONDS for seconds in good)
+        ejected = 0
+        for host in cluster.hosts.values():
+            for minion in host.pool.minions.values():
+                ejected += minion.state is MinionState.EJECTED
+        return {
+            "answered": round(codes[ResultCode.OK] / len(answers), 4),
+            "within_250_ms": round(in_time / len(answers), 4),
+            "p50_ms": round(1000 * statistics.median(good), 1) if good else "-",
+            "p99_ms": round(1000 * good[int(0.99 * len(good))], 1) if good else "-",
+            "failed_or_unknown": codes[ResultCode.UPSTREAM_FAILED]
+            + codes[ResultCode.UNKNOWN],
+            "refused": len(answers)
+            - codes[ResultCode.OK]
+            - codes[ResultCode.UNKNOWN]
+            - codes[ResultCode.UPSTREAM_FAILED],
+            "sent_per_request": round(
+                len(cluster.minions.runs) / max(1, 3 * len(answers)), 2
+            ),
+        }
+
+
+SCENARIOS = [
+    Scenario("calm, 60% load", 0.6, 0.0, MinionFaults()),
+    Scenario("burst, 4 times capacity", 4.0, 0.0, MinionFaults()),
+    Scenario("a third slow (1 s)", 0.4, 0.34, MinionFaults(latency_seconds=1.0)),
+    Scenario("a third fails all", 0.4, 0.34, MinionFaults(fail_everything=True)),
+    Scenario("a third hangs", 0.4, 0.34, MinionFaults(hang=True)),
+]
+
+
+def policy(seeds: int):
+    """Print a row for each scenario, policy and seed."""
+    first = True
+    for scenario in SCENARIOS:
+        for baseline in (True, False):
+            for seed in range(seeds):
+                row = run(scenario.run(seed, baseline))
+                if first:
+                    print(f"| scenario | policy | seed | {' | '.join(row)} |")
+                    print("|" + " --- |" * (len(row) + 3))
+                    first = False
+                name = "baseline" if baseline else "zinniatrestle"
+                values = " | ".join(str(value) for value in row.values())
+                print(f"| {scenario.name} | {name} | {seed} | {values} |", flush=True)
+
+
+class RatedTable(TableService):
+    """Let commits through one after another at a bounded rate."""
+
+    def __init__(self, inner: TableService, writes_per_second: float):
+        self.inner = inner
+        self.seconds = 1 / writes_per_second
+        self.free_at = 0.0
+
+    async def read(self, keys):
+        """Return rows."""
+        return await self.inner.read(keys)
+
+    async def scan(self, prefix, after, limit):
+        """Return rows by prefix."""
+        return await self.inner.scan(prefix, after, limit)
+
+    async def commit(self, transaction):
+        """Commit when the store's turn comes."""
+        self.free_at = max(self.free_at, monotonic()) + self.seconds
+        await asyncio.sleep(self.free_at - monotonic())
+        return await self.inner.commit(transaction)
+
+
+async def claim_run(batch: int, rate: float) -> dict[str, float]:
+    """Offer enrolments at a rate and return the figures."""
+    draw = random.Random(1)
+    cluster = await HostCluster.start(
+        [LIMA],
+        default_plan([LIMA], queue_limit=4096),
+        hosts=3,
+        minions=24,
+        claim_batch=batch,
+    )
+    cluster.all_minions(latency_seconds=LATENCY_SECONDS)
+    rated = RatedTable(cluster.platform.table, STORE_WRITES)
+    for host in cluster.hosts.values():
+        host.claims.table = rated
+    names = list(cluster.hosts)
+    before = cluster.platform.table.state.commits
+    asked = []
+    began = monotonic()
+    while monotonic() - began < SECONDS:
+        key = RequestKey(f"k{len(asked)}")
+        asked.append(asyncio.create_task(claim_ask(cluster, draw.choice(names), key)))
+        await asyncio.sleep(draw.expovariate(rate))
+    answers = await asyncio.gather(*asked)
+    good = sorted(seconds for code, seconds in answers if code is ResultCode.OK)
+    commits = cluster.platform.table.state.commits - before
+    return {
+        "answered": round(len(good) / len(answers), 4),
+        "p50_ms": round(1000 * statistics.median(good), 1) if good else "-",
+        "p99_ms": round(1000 * good[int(0.99 * len(good))], 1) if good else "-",
+        "writes_per_request": round(commits / len(answers), 3),
+        "runs_per_key_max": max(
+            Counter(one.body for one in cluster.minions.runs).values()
+        ),
+    }
+
+
+async def claim_ask(cluster: HostCluster, host: str, key: RequestKey):
+    """Enrol once and return the code and the latency."""
+    began = monotonic()
+    request = Request(ACCOUNT, SERVICE, "enrol", key.encode(), TIMEOUT_SECONDS, key)
+    answer = await cluster.hosts[host].handler.handle(request)
+    return answer.code, monotonic() - began
+
+
+def claims():
+    """Print a row for each batch size and rate."""
+    first = True
+    for rate in (100, 200, 400, 800, 1600):
+        for batch in (1, 64):
+            row = run(claim_run(batch, rate))
+            if first:
+                print(f"| requests a second | batch | {' | '.join(row)} |")
+                print("|" + " --- |" * (len(row) + 2))
+                first = False
+            values = " | ".join(str(value) for value in row.values())
+            print(f"| {rate} | {batch} | {values} |", flush=True)
+
+
+def main():
+    """Run one measurement."""
+    parser = argparse.ArgumentParser(description=__doc__)
+    parser.add_argument("what", choices=["policy", "claims"])
+    parser.add_argument("--seeds", type=int, default=2)
+    options = parser.parse_args()
+    logging.set_verbosity(logging.ERROR)
+    if options.what == "claims":
+        claims()
+        return
+    policy(options.seeds)
+
+
+if __name__ == "__main__":
+    main()
--- a/src/zinniatrestle/configuration/messages.py
+++ b/src/zinniatrestle/configuration/messages.py
@@ -83,6 +83,7 @@
     guarantees: list[Guarantee] = []
     slot_share: int = 1
     queue_limit: int = 64
+    outcomes_limit: int = 100_000
     jobs: bool = True
     quota: float = 0.0
     offline_grace_seconds: float = 30.0
--- a/src/zinniatrestle/entry/host.py
+++ b/src/zinniatrestle/entry/host.py
@@ -22,6 +22,7 @@
 from zinniatrestle.progress import InProgress
 from zinniatrestle.requests import RequestHandler
 from zinniatrestle.requests.claims import ClaimBook
+from zinniatrestle.requests.retention import OutcomeKeeper
 from zinniatrestle.requests.sending import Sender
 from zinniatrestle.retirement import EvidenceCollector, RetirementProver
 from zinniatrestle.settings import HostSettings
@@ -30,6 +31,7 @@
 LIST_SECONDS = 1.0
 DRAIN_LOOK_SECONDS = 0.05
 BOOT_BYTES = 8
+OUTCOMES_PACE = 10.0
 
 log = PartLog("host")
 
@@ -75,12 +77,18 @@
         self.claims = ClaimBook(
             platform.table, settings.claim_batch, settings.claim_lanes
         )
+        self.outcomes = OutcomeKeeper(
+            platform.table,
+            Lease("outcomes", host, platform.table, pace=OUTCOMES_PACE),
+            clock,
+        )
         self.sender = Sender(self.pool, transport, self.in_progress, clock)
         self.handler = RequestHandler(
             host,
             domain,
             self.follower,
             self.claims,
+            self.outcomes,
             self.sender,
             self.mesh,
             self.burn,
@@ -116,6 +124,7 @@
         for run in (
             self.follower.follow(),
             self.claims.run(),
+            self.outcomes.run(),
             self.mesh.run(),
             self.lease.keep(),
             self.scheduler.run(),
@@ -167,6 +176,7 @@
         await self.scheduler.resign()
         try:
             await self.lease.release()
+            await self.outcomes.lease.release()
         except PlatformError as error:
             log.warning("The lease is left to expire: %s", error.detail)
 
--- a/src/zinniatrestle/gangs/fleet.py
+++ b/src/zinniatrestle/gangs/fleet.py
@@ -32,6 +32,9 @@
 
 LIST_SECONDS = 1.0
 POLLS_PER_SECOND = 8.0
+LEASES_PER_SECOND = 45.0
+# Two turns may fail before a lease lapses.
+RENEWAL_SHARE = 0.3
 SHORTEST_POLL_SECONDS = 1.0
 WORKER_TIMEOUT_SECONDS = 2.0
 # Covers the skew between clocks when a lapsed lease is taken as ended.
@@ -102,12 +105,29 @@
         await self._poll(list(self.listed), gangs, epoch)
 
     async def poll(self, gangs: list[Gang], epoch: Epoch):
-        """Ask those workers whose turn it is; the rate does not grow with them."""
-        period = max(SHORTEST_POLL_SECONDS, len(self.listed) / POLLS_PER_SECOND)
+        """Ask those workers whose turn it is.
+
+        The rate does not grow with workers and tasks, except where leases would
+        lapse between two turns.
+        """
+        graces: dict[WorkerId, float] = {}
+        held = 0
+        for gang in gangs:
+            grace = self.grace(gang.row.account)
+            held += len(gang.row.placement)
+            for slot in gang.row.placement:
+                shortest = graces.get(slot.worker, grace)
+                graces[slot.worker] = min(shortest, grace)
+        period = max(
+            SHORTEST_POLL_SECONDS,
+            len(self.listed) / POLLS_PER_SECOND,
+            held / LEASES_PER_SECOND,
+        )
         now = monotonic()
         due = []
         for worker in self._known(gangs):
-            if now - self.sight(worker).polled >= period:
+            turn = min(period, graces.get(worker, period) * RENEWAL_SHARE)
+            if now - self.sight(worker).polled >= max(SHORTEST_POLL_SECONDS, turn):
                 due.append(worker)
         await self._poll(due, gangs, epoch)
 
--- a/src/zinniatrestle/platform/messages.py
+++ b/src/zinniatrestle/platform/messages.py
@@ -95,7 +95,7 @@
     FAILED = "failed"
 
 
-class TaskLease(msgspec.Struct, frozen=True):
+class TaskLease(msgspec.Struct, frozen=True, array_like=True):
     """One gang's hold on one worker."""
 
     job: JobId
@@ -141,7 +141,7 @@
     progress: float = 0.0
 
 
-class Renewal(msgspec.Struct, frozen=True):
+class Renewal(msgspec.Struct, frozen=True, array_like=True):
     """Let one attempt run on until `expires`, and write a checkpoint if wanted."""
 
     attempt: AttemptId
@@ -149,7 +149,7 @@
     checkpoint: bool = False
 
 
-class Renew(msgspec.Struct, frozen=True):
+class Renew(msgspec.Struct, frozen=True, array_like=True):
     """Extend the leases of running attempts on one worker."""
 
     renewals: list[Renewal]
@@ -164,7 +164,7 @@
     checkpoint: bool = False
 
 
-class WorkerReport(msgspec.Struct, frozen=True):
+class WorkerReport(msgspec.Struct, frozen=True, array_like=True):
     """A worker's own word on what it holds, and the newest epoch it has obeyed."""
 
     worker: WorkerId
--- a/src/zinniatrestle/requests/handler.py
+++ b/src/zinniatrestle/requests/handler.py
@@ -36,6 +36,7 @@
     KeyState,
     Request,
 )
+from zinniatrestle.requests.retention import OutcomeKeeper
 from zinniatrestle.requests.sending import Admitted, Sender
 from zinniatrestle.upstreams.messages import AnswerLostError, UpstreamAnswer
 
@@ -82,6 +83,7 @@
         domain: FailureDomainId,
         follower: ConfigurationFollower,
         claims: ClaimBook,
+        outcomes: OutcomeKeeper,
         sender: Sender,
         remote: Remote,
         burn: BurnLedger,
@@ -91,6 +93,7 @@
         self.domain = domain
         self.follower = follower
         self.claims = claims
+        self.outcomes = outcomes
         self.sender = sender
         self.remote = remote
         self.burn = burn
@@ -204,6 +207,7 @@
         if live is not None and live.fingerprint != fingerprint:
             raise _key_reused()
         if live is None:
+            self.outcomes.admit(request.account, admitted.plan.outcomes_limit)
             live = self._begin(key, row, admitted)
         remaining = admitted.deadline - monotonic()
         done, _ = await asyncio.wait({live.task}, timeout=max(0.0, remaining))
