Refuse what would be late at once, and move small gangs for a large one

The queue of a quick kind holds what its slots can answer in half its objective. A large gang for which enough is free in pieces no longer waits: small gangs are checkpointed and start again elsewhere in the same round.

--- /dev/null
+++ b/benchmarks/domains.py
@@ -0,0 +1,117 @@
+"""Measure the work completed while a failure domain leaves and returns.
+
+`python benchmarks/domains.py` runs the real schedulers of three failure domains in
+virtual time over a full queue, takes one out and brings it back, and compares the
+accelerator-seconds completed with what the remaining capacity could do.
+"""
+
+import argparse
+import asyncio
+import random
+import sys
+from pathlib import Path
+
+sys.path.insert(0, str(Path(__file__).parents[1] / "tests"))
+
+from absl import logging
+from common.hosts import ACCOUNT, HostCluster, default_plan
+from common.virtual import run
+
+from zinniatrestle.clock import monotonic
+from zinniatrestle.configuration.messages import DomainState, SetDomain
+from zinniatrestle.gangs.messages import JobSpec, TaskShape
+from zinniatrestle.ids import FailureDomainId, RequestKey
+from zinniatrestle.platform.messages import LeaseState
+
+DOMAINS = [FailureDomainId(name) for name in ("merrimack", "pioneer", "seacoast")]
+WORKERS = 8
+ACCELERATORS = 8 * WORKERS
+JOBS = 160
+CALM_SECONDS = 600.0
+OUT_SECONDS = 600.0
+BACK_SECONDS = 600.0
+SAMPLE_SECONDS = 1.0
+
+
+class WorkMeter:
+    """Add up the accelerators that run, second by second, by failure domain."""
+
+    def __init__(self, cluster: HostCluster):
+        self.cluster = cluster
+        self.samples: list[tuple[float, dict[str, int]]] = []
+
+    async def watch(self):
+        """Sample until cancelled."""
+        while True:
+            busy = dict.fromkeys(DOMAINS, 0)
+            for state in self.cluster.platform.workers.states.values():
+                for lease in state.report().leases:
+                    if lease.state is LeaseState.RUNNING:
+                        busy[state.listed.domain] += len(lease.accelerators)
+            self.samples.append((monotonic(), busy))
+            await asyncio.sleep(SAMPLE_SECONDS)
+
+    def mean(self, start: float, end: float, domains: list[str]) -> float:
+        """Return the mean share of accelerators busy between two times."""
+        busy = 0
+        count = 0
+        for at, found in self.samples:
+            if start <= at < end:
+                busy += sum(found[domain] for domain in domains)
+                count += 1
+        return busy / (count * ACCELERATORS * len(domains))
+
+
+async def measure(seed: int) -> dict[str, float]:
+    """Return the figures of one run."""
+    draw = random.Random(seed)
+    plan = default_plan(DOMAINS, offline_grace_seconds=120.0)
+    cluster = await HostCluster.start(
+        DOMAINS, plan, hosts=1, minions=1, workers=WORKERS
+    )
+    meter = WorkMeter(cluster)
+    watching = asyncio.create_task(meter.watch())
+    desk = next(iter(cluster.hosts.values())).jobs
+    for number in range(JOBS):
+        tasks, each = draw.choice([(1, 8), (2, 8), (4, 4), (8, 1), (1, 4), (4, 8)])
+        seconds = draw.uniform(120, 900)
+        shape = TaskShape(each, cores=each * 2.0, memory_gb=each * 4.0)
+        spec = JobSpec(tasks, ["sleep", f"{seconds:.0f}"], shape)
+        await desk.submit(ACCOUNT, spec, RequestKey(str(number)))
+        await asyncio.sleep(1)
+    calm = monotonic()
+    await asyncio.sleep(CALM_SECONDS - JOBS)
+    out, *others = DOMAINS
+    await cluster.change(SetDomain(out, DomainState.OUT))
+    left = monotonic()
+    await asyncio.sleep(OUT_SECONDS)
+    await cluster.change(SetDomain(out, DomainState.IN))
+    back = monotonic()
+    await asyncio.sleep(BACK_SECONDS)
+    watching.cancel()
+    rows = await desk.jobs(ACCOUNT)
+    return {
+        "busy_before": round(meter.mean(calm, left, DOMAINS), 3),
+        "others_while_out": round(meter.mean(left, back, others), 3),
+        "all_after_return": round(meter.mean(back, back + BACK_SECONDS, DOMAINS), 3),
+        "out_domain_5_s_after": round(meter.mean(left + 5, back, [out]), 3),
+        "still_waiting": sum(row.state.value == "queued" for row in rows),
+        "most_attempts": max(row.attempts for row in rows),
+    }
+
+
+def main():
+    """Print a row for each seed."""
+    parser = argparse.ArgumentParser(description=__doc__)
+    parser.add_argument("--seeds", type=int, default=3)
+    options = parser.parse_args()
+    logging.set_verbosity(logging.ERROR)
+    for seed in range(options.seeds):
+        row = run(measure(seed))
+        if seed == 0:
+            print(f"| seed | {' | '.join(row)} |\n|{' --- |' * (len(row) + 1)}")
+        print(f"| {seed} | {' | '.join(str(value) for value in row.values())} |")
+
+
+if __name__ == "__main__":
+    main()
--- a/src/zinniatrestle/gangs/planner.py
+++ b/src/zinniatrestle/gangs/planner.py
@@ -7,12 +7,15 @@
 from zinniatrestle.gangs.guarantees import Binding
 from zinniatrestle.gangs.inventory import SLACK, Inventory
 from zinniatrestle.gangs.messages import Slot, TaskShape
-from zinniatrestle.gangs.order import OrderPolicy
+from zinniatrestle.gangs.order import QUANTUM_SECONDS, OrderPolicy
 from zinniatrestle.gangs.placement import EVERYTHING, Masks, PlacementPolicy
 from zinniatrestle.gangs.state import Gang
 from zinniatrestle.ids import ClientAccountId, WorkerId
 
 RESTART_SECONDS = 10.0
+# Only gangs of at most this share of a waiting gang's width are moved for it.
+MOVED_SHARE = 0.5
+MOST_MOVES = 16
 # A gang that finds no other room for this long returns to workers it failed on.
 AVOID_SECONDS = 10.0
 
@@ -144,6 +147,8 @@
             if placement is not None:
                 self._start(gang, placement, guaranteed=False)
                 return
+            if self._start_by_compaction(gang, avoided):
+                return
             if not avoided:
                 self.no_room[spec.shape] = spec.tasks
         self._start_by_preemption(gang, avoided)
@@ -179,6 +184,73 @@
         masks = dict.fromkeys(self.inventory.rooms, EVERYTHING)
         return _without(masks, avoided)
 
+    def _start_by_compaction(self, gang: Gang, avoided: frozenset[WorkerId]) -> bool:
+        """Start a gang for which enough is free in pieces, by moving small gangs.
+
+        They are checkpointed and start again in the same round, so that all a move
+        costs is a restart.
+        """
+        spec = gang.row.spec
+        if not spec.shape.accelerators:
+            return False
+        if not self.inventory.may_hold(spec.tasks, spec.shape):
+            return False
+        room = self.inventory.copy()
+        masks = self._everything_but(avoided)
+        released: list[Gang] = []
+        for victim in self._movable(gang):
+            room.release(victim.row.placement, victim.row.spec.shape)
+            released.append(victim)
+            placement = self.placement.place(room, spec.tasks, spec.shape, masks)
+            if placement is None:
+                continue
+            moved = self._needed_victims(placement, spec.shape, released)
+            return self._move(gang, placement, moved)
+        return False
+
+    def _movable(self, gang: Gang) -> list[Gang]:
+        """Return small borrowers that may move, those on emptier workers first."""
+        movable = []
+        for victim in self.borrowers:
+            if victim in self.stops or not victim.row.spec.checkpoints:
+                continue
+            if victim.width > MOVED_SHARE * gang.width:
+                continue
+            if self.given.now - victim.row.started < QUANTUM_SECONDS:
+                continue
+            movable.append(victim)
+        movable.sort(key=self._held_beside)
+        return movable[:MOST_MOVES]
+
+    def _held_beside(self, gang: Gang) -> tuple[int, float]:
+        """Return how much is held on the workers of a gang."""
+        held = 0
+        for slot in gang.row.placement:
+            room = self.inventory.rooms.get(slot.worker)
+            if room is not None:
+                held += room.accelerators - room.free.bit_count()
+        return held, gang.width
+
+    def _move(self, gang: Gang, placement: list[Slot], moved: list[Gang]) -> bool:
+        """Start a gang and place the moved ones anew, or do nothing at all."""
+        room = self.inventory.copy()
+        for victim in moved:
+            room.release(victim.row.placement, victim.row.spec.shape)
+        room.hold(placement, gang.row.spec.shape)
+        again = []
+        for victim in sorted(moved, key=lambda one: -one.width):
+            spec = victim.row.spec
+            slots = self.placement.place(room, spec.tasks, spec.shape, None)
+            if slots is None:
+                return False
+            room.hold(slots, spec.shape)
+            again.append((victim, slots))
+        self._evict(moved)
+        self._start(gang, placement, guaranteed=False)
+        for victim, slots in again:
+            self._start(victim, slots, guaranteed=False)
+        return True
+
     def _start_by_preemption(self, gang: Gang, avoided: frozenset[WorkerId]):
         spec = gang.row.spec
         now = self.given.now
--- a/src/zinniatrestle/gangs/scheduler.py
+++ b/src/zinniatrestle/gangs/scheduler.py
@@ -9,7 +9,7 @@
 from zinniatrestle.gangs.book import SchedulerBook
 from zinniatrestle.gangs.fleet import Fleet
 from zinniatrestle.gangs.guarantees import Binding, bind, demands_of
-from zinniatrestle.gangs.messages import DomainSummary, InboxAction
+from zinniatrestle.gangs.messages import DomainSummary, InboxAction, JobState
 from zinniatrestle.gangs.moving import JobMover
 from zinniatrestle.gangs.planner import Planner, RoundInput
 from zinniatrestle.gangs.settling import GangSettler
@@ -179,7 +179,12 @@
         )
         plan = self.planner.plan(given)
         await self.settler.suspend(plan.stops, self.epoch)
-        await self.starter.start(plan.starts, self.epoch)
+        # A gang that moves starts again only once all its tasks have stopped.
+        starts = []
+        for order in plan.starts:
+            if order.gang.row.state is JobState.QUEUED:
+                starts.append(order)
+        await self.starter.start(starts, self.epoch)
 
     async def _summarize(self):
         now = self.clock.wall()
--- a/src/zinniatrestle/gangs/tests/test_failures.py
+++ b/src/zinniatrestle/gangs/tests/test_failures.py
@@ -209,6 +209,36 @@
     run(scenario())
 
 
+def test_small_gangs_move_together_for_a_large_one():
+    async def scenario():
+        scene = await open_scene(hosts=1, workers=3)
+        small = TaskShape(accelerators=2, cores=2.0, memory_gb=2.0)
+        jobs = []
+        for number in range(12):
+            spec = JobSpec(1, ["sleep", "3000"], small)
+            jobs.append(await scene.submit(spec, key=RequestKey(str(number))))
+        await asyncio.sleep(5)
+        # One small gang is left on each worker, so that none is whole.
+        left = set()
+        for job in jobs:
+            worker = (await scene.row(job)).placement[0].worker
+            if worker in left:
+                host = scene.cluster.hosts["lima-1"]
+                await host.jobs.cancel(ACCOUNT, job)
+            left.add(worker)
+        await asyncio.sleep(400)
+        large = await scene.submit(JobSpec(2, ["sleep", "60"], EIGHT))
+        await scene.reach(large, JobState.RUNNING, URGENT_SECONDS)
+        await asyncio.sleep(10)
+        rows = [await scene.row(job) for job in jobs]
+        running = [row for row in rows if row.state is JobState.RUNNING]
+        assert len(running) == 3
+        assert all(row.progress > 300 for row in running if row.attempts == 2)
+        scene.check()
+
+    run(scenario())
+
+
 def test_urgent_gang_starts_in_time_on_a_full_cluster():
     async def scenario():
         scene = await open_scene(hosts=1, workers=4)
--- a/src/zinniatrestle/requests/admission.py
+++ b/src/zinniatrestle/requests/admission.py
@@ -82,6 +82,16 @@
             self._abandon(account, line, future)
             raise
 
+    def fair_slots(self, account: ClientAccountId) -> float:
+        """Return the slots that fall to an account among those in use now."""
+        own = self.accounts.get(account)
+        share = own.share if own else 1
+        total = share
+        for name, queue in self.accounts.items():
+            if name != account and (queue.running or queue.waiting):
+                total += queue.share
+        return self.capacity() * share / max(1, total)
+
     def leave(self, account: ClientAccountId):
         """Free a slot."""
         self.accounts[account].running -= 1
--- a/src/zinniatrestle/requests/latency.py
+++ b/src/zinniatrestle/requests/latency.py
@@ -7,6 +7,7 @@
 DIGITS = 2
 ENOUGH = 50
 HEDGE_PERCENTILE = 95.0
+TYPICAL_PERCENTILE = 50.0
 SHORTEST_PATIENCE_SECONDS = 0.01
 US = 1_000_000
 
@@ -18,15 +19,17 @@
         self.histogram = HdrHistogram(LOWEST_US, HIGHEST_US, DIGITS)
         self.count = 0
         self.late_after: float | None = None
+        self.typical: float | None = None
 
     def add(self, seconds: float):
         """Note one latency."""
         microseconds = min(HIGHEST_US, max(LOWEST_US, int(seconds * US)))
         self.histogram.record_value(microseconds)
         self.count += 1
-        # The percentile costs a walk over the histogram, so it is kept.
+        # A percentile costs a walk over the histogram, so it is kept.
         if self.count % ENOUGH == 0:
             self.late_after = self.percentile(HEDGE_PERCENTILE)
+            self.typical = self.percentile(TYPICAL_PERCENTILE)
 
     def percentile(self, percent: float) -> float:
         """Return a percentile in seconds."""
--- a/src/zinniatrestle/requests/sending.py
+++ b/src/zinniatrestle/requests/sending.py
@@ -31,6 +31,9 @@
 MOST_TRIES = 4
 TRY_PAUSE_SECONDS = 0.02
 LATE_FACTOR = 2.0
+# Share of a quick request's objective that it may spend in the queue.
+WAIT_SHARE = 0.5
+MS = 1000
 # An answer that comes after the caller's deadline still settles its key.
 LATE_ANSWER_SECONDS = 60.0
 
@@ -179,7 +182,7 @@
         await queue.enter(
             request.account,
             admitted.plan.slot_share,
-            admitted.plan.queue_limit if wait else 0,
+            self._queue_limit(admitted) if wait else 0,
             admitted.kind.quick,
             admitted.send_by,
         )
@@ -191,6 +194,22 @@
             raise DeclinedError("No minion of the service takes work now.")
         return minion
 
+    def _queue_limit(self, admitted: Admitted) -> int:
+        """Return how many may wait; a quick request must not wait past its use.
+
+        What would be answered too late is refused at once instead, and the slots
+        go to requests that can still be answered in time.
+        """
+        limit = admitted.plan.queue_limit
+        objective = admitted.kind.objective
+        typical = self.latency(admitted.kind).typical
+        if not admitted.kind.quick or objective is None or not typical:
+            return limit
+        request = admitted.request
+        slots = self.queue(request.service).fair_slots(request.account)
+        turns = WAIT_SHARE * objective.latency_ms / MS / typical
+        return min(limit, max(1, int(turns * slots)))
+
     async def _attempt(
         self,
         minion: Minion,
--- a/src/zinniatrestle/requests/tests/test_policy.py
+++ b/src/zinniatrestle/requests/tests/test_policy.py
@@ -107,6 +107,30 @@
     run(scenario())
 
 
+def test_quick_request_that_would_be_late_is_refused_at_once():
+    async def scenario():
+        plan = default_plan([LIMA], queue_limit=1000)
+        plan["kinds"][0]["objective"] = {"latency_ms": 400.0, "target": 0.99}
+        cluster = await HostCluster.start([LIMA], plan, hosts=1, minions=1)
+        cluster.all_minions(latency_seconds=0.1)
+        for _ in range(60):
+            await cluster.request("lima-1")
+
+        async def ask():
+            began = asyncio.get_running_loop().time()
+            answer = await cluster.request("lima-1")
+            return answer.code, asyncio.get_running_loop().time() - began
+
+        answers = await asyncio.gather(*[ask() for _ in range(200)])
+        served = [seconds for code, seconds in answers if code is ResultCode.OK]
+        refused = [seconds for code, seconds in answers if code is not ResultCode.OK]
+        assert len(served) >= 16
+        assert max(served) <= 0.4
+        assert max(refused) == 0.0
+
+    run(scenario())
+
+
 def test_waiting_request_ends_at_its_deadline():
     async def scenario():
         queue = FairQueue(lambda: 0)
