Settle and move the jobs of a failure domain that is lost whole

Cause: only a failure domain's own hosts could hold its scheduling, so its jobs were stuck when none was left. Ruled out: moving rows without the lease (two schedulers could run one job). Change: hosts elsewhere bid for the lease of a domain that is out; nothing can start there, gangs on unreachable workers are moved once their leases must have lapsed.

--- a/src/zinniatrestle/entry/host.py
+++ b/src/zinniatrestle/entry/host.py
@@ -8,6 +8,7 @@
 from zinniatrestle.clock import Clock
 from zinniatrestle.configuration import ChangeDesk, ConfigurationFollower
 from zinniatrestle.domains import PermitOffice
+from zinniatrestle.entry.orphans import OrphanKeeper
 from zinniatrestle.entry.state import HostState
 from zinniatrestle.errors import PlatformError
 from zinniatrestle.gangs import DomainScheduler, GuaranteeRule, JobDesk
@@ -95,16 +96,11 @@
             clock,
         )
         self.mesh.attach(self.pool, self.handler)
-        self.lease = Lease(f"domain/{domain}", host, platform.table)
-        self.scheduler = DomainScheduler(
-            domain,
-            platform,
-            self.lease,
-            self.follower,
-            PermitOffice(self.follower, clock),
-            Planner(AttainedServiceOrder(), TightestRack()),
-            self.in_progress,
-            clock,
+        self.scheduler = self._build_scheduler(domain)
+        self.lease = self.scheduler.lease
+        others = {peer.address.domain for peer in self.mesh.peers.values()}
+        self.orphans = OrphanKeeper(
+            sorted(others - {domain}), self.follower, self._build_scheduler
         )
         self.jobs = JobDesk(platform.table, platform.hosts, self.follower, clock)
         self.changes = ChangeDesk(
@@ -128,6 +124,7 @@
             self.mesh.run(),
             self.lease.keep(),
             self.scheduler.run(),
+            self.orphans.run(),
             self._watch_list(),
         ):
             self.tasks.append(asyncio.create_task(run))
@@ -172,6 +169,19 @@
         await self.platform.close()
         log.info("Host %s has stopped.", self.settings.host)
 
+    def _build_scheduler(self, domain: FailureDomainId) -> DomainScheduler:
+        host = HostId(self.settings.host)
+        return DomainScheduler(
+            domain,
+            self.platform,
+            Lease(f"domain/{domain}", host, self.platform.table),
+            self.follower,
+            PermitOffice(self.follower, self.clock),
+            Planner(AttainedServiceOrder(), TightestRack()),
+            self.in_progress,
+            self.clock,
+        )
+
     async def _hand_over_lease(self):
         await self.scheduler.resign()
         try:
--- a/src/zinniatrestle/gangs/tests/test_failures.py
+++ b/src/zinniatrestle/gangs/tests/test_failures.py
@@ -398,6 +398,36 @@
     run(scenario())
 
 
+def test_jobs_of_a_domain_that_is_lost_whole_run_elsewhere_once_it_is_out():
+    async def scenario():
+        scene = await open_scene(domains=(LIMA, AREQUIPA), hosts=1, workers=4)
+        cluster = scene.cluster
+        spec = JobSpec(4, ["sleep", "60"], EIGHT, domains=[LIMA, AREQUIPA])
+        job = await scene.submit(spec)
+        await asyncio.sleep(5)
+        lost = (await scene.row(job)).domain
+        other = AREQUIPA if lost == LIMA else LIMA
+        await cluster.kill(f"{lost}-1")
+        faults = cluster.views[f"{other}-1"].workers.faults
+        for worker in cluster.platform.workers.states:
+            if worker.startswith(lost):
+                faults[worker] = WorkerFaults(unreachable=True)
+        await cluster.change(SetDomain(lost, DomainState.OUT), f"{other}-1")
+        await scene.reach(job, JobState.DONE, 150)
+        assert (await scene.row(job)).domain == other
+        scene.check()
+        # The lost domain's own host serves it again once it is back.
+        await cluster.boot(f"{lost}-1")
+        faults.clear()
+        await cluster.change(SetDomain(lost, DomainState.IN), f"{other}-1")
+        await asyncio.sleep(15)
+        back = JobSpec(1, ["sleep", "5"], EIGHT, domains=[lost])
+        job = await scene.submit(back)
+        await scene.reach(job, JobState.DONE, 30)
+
+    run(scenario())
+
+
 def test_returning_domain_resumes_checkpointed_gangs_first_and_gradually():
     async def scenario():
         scene = await open_scene(hosts=1, workers=4)
