--- a/benchmarks/hosts.py
+++ b/benchmarks/hosts.py
@@ -209,7 +209,7 @@
     for name, host in site.hosts.items():
         pid = host.program.process.pid
         view = await site.client(name).operator("GET", "/host", HostView)
-        traffic = view.metrics["peers.sent"] + view.metrics["peers.received"]
+        traffic = view.metrics["peers.bytes"]
         found[name] = (cpu_seconds(pid), traffic, resident_mib(pid))
     counts = await site.counts()
     found["platform"] = (0.0, counts.bytes_in + counts.bytes_out, 0.0)
--- a/src/zinniatrestle/entry/metrics.py
+++ b/src/zinniatrestle/entry/metrics.py
@@ -40,8 +40,7 @@
             ("claims.flushes", "1", lambda: host.claims.flushes),
             ("claims.written", "1", lambda: host.claims.written),
             ("configuration.revision", "1", lambda: host.follower.state.revision),
-            ("peers.sent", "By", self.sent_bytes),
-            ("peers.received", "By", self.received_bytes),
+            ("peers.bytes", "By", self.peer_bytes),
             ("peers.cross_region", "By", lambda: host.mesh.cross_region_bytes),
             ("gangs.running", "1", lambda: len(host.scheduler.table.holding())),
             ("gangs.queued", "1", lambda: len(host.scheduler.table.queued())),
@@ -63,22 +62,10 @@
                         found[metric.name] = point.value
         return found
 
-    def sent_bytes(self) -> int:
-        """Return the bytes sent to peers."""
+    def peer_bytes(self) -> int:
+        """Return the bytes that went between this host and its peers."""
         mesh = self.host.mesh
-        total = mesh.server.sent_bytes
-        for link in mesh.links.values():
-            total += link.sent_bytes + (link.wire.sent_bytes if link.wire else 0)
-        return total
-
-    def received_bytes(self) -> int:
-        """Return the bytes received from peers."""
-        mesh = self.host.mesh
-        total = mesh.server.received_bytes
-        for link in mesh.links.values():
-            open_wire = link.wire.received_bytes if link.wire else 0
-            total += link.received_bytes + open_wire
-        return total
+        return mesh.server.bytes + sum(link.bytes for link in mesh.links.values())
 
     def close(self):
         """Send what is left and end the exporters."""
--- a/src/zinniatrestle/gangs/scheduler.py
+++ b/src/zinniatrestle/gangs/scheduler.py
@@ -2,7 +2,7 @@
 
 import asyncio
 
-from zinniatrestle.clock import Clock, event_within
+from zinniatrestle.clock import Clock, event_within, monotonic
 from zinniatrestle.configuration import ConfigurationFollower
 from zinniatrestle.domains import PermitOffice
 from zinniatrestle.errors import LeaseLostError, PlatformError
@@ -24,6 +24,7 @@
 TICK_SECONDS = 1.0
 SUMMARY_SECONDS = 5.0
 POLL_PAUSE_SECONDS = 0.25
+REPLAN_SECONDS = 10.0
 
 log = PartLog("scheduler")
 
@@ -65,6 +66,8 @@
         self.epoch = Epoch(0)
         self.rebuild = True
         self.summarized = 0.0
+        self.planned_from: tuple[int, int, float] | None = None
+        self.planned_at = 0.0
         self.wake = asyncio.Event()
         self.resigned = False
         self.round_lock = asyncio.Lock()
@@ -161,7 +164,7 @@
         if self.office.refusal(self.domain) is not None:
             return
         waiting = self.table.queued()
-        if not waiting:
+        if not waiting or not self._may_have_changed():
             return
         state = self.follower.state
         workers = self.fleet.listed.values()
@@ -186,6 +189,21 @@
                 starts.append(order)
         await self.starter.start(starts, self.epoch)
 
+    def _may_have_changed(self) -> bool:
+        """Tell whether another plan may come out than the last one.
+
+        Planning takes most of a round's time, and ageing alone changes little
+        within `REPLAN_SECONDS`.
+        """
+        now = monotonic()
+        share = self.office.admitted_share(self.domain)
+        seen = (self.table.changes, self.follower.state.revision, share)
+        if seen == self.planned_from and now - self.planned_at < REPLAN_SECONDS:
+            return False
+        self.planned_from = seen
+        self.planned_at = now
+        return True
+
     async def _summarize(self):
         now = self.clock.wall()
         if now - self.summarized < SUMMARY_SECONDS:
--- a/src/zinniatrestle/gangs/settling.py
+++ b/src/zinniatrestle/gangs/settling.py
@@ -86,6 +86,7 @@
         if not gangs:
             return
         await self.book.save(gangs)
+        self.table.changes += 1
         for gang in gangs:
             if gang.ended:
                 self.table.drop(gang.row.job)
--- a/src/zinniatrestle/gangs/starting.py
+++ b/src/zinniatrestle/gangs/starting.py
@@ -71,6 +71,7 @@
         held = await asyncio.gather(*[self._reserve(gang, epoch) for gang in gangs])
         reserved = [gang for gang, ok in zip(gangs, held, strict=True) if ok]
         refused = [gang for gang, ok in zip(gangs, held, strict=True) if not ok]
+        self.table.changes += len(refused)
         now = self.clock.wall()
         for gang in reserved:
             gang.update(state=JobState.RUNNING, started=now)
@@ -116,6 +117,7 @@
                 undone.append(gang)
         if undone:
             await self.book.save(undone)
+            self.table.changes += 1
             for gang in undone:
                 if gang.ended:
                     self.table.drop(gang.row.job)
--- a/src/zinniatrestle/gangs/state.py
+++ b/src/zinniatrestle/gangs/state.py
@@ -74,18 +74,24 @@
 
 
 class GangTable:
-    """Hold the gangs of one failure domain that have not ended."""
+    """Hold the gangs of one failure domain that have not ended.
+
+    `changes` counts what came, went, or was written.
+    """
 
     def __init__(self):
         self.gangs: dict[JobId, Gang] = {}
+        self.changes = 0
 
     def add(self, gang: Gang):
         """Take a gang in."""
         self.gangs[gang.row.job] = gang
+        self.changes += 1
 
     def drop(self, job: JobId):
         """Forget a gang."""
         self.gangs.pop(job, None)
+        self.changes += 1
 
     def queued(self) -> list[Gang]:
         """Return the waiting gangs."""
--- a/src/zinniatrestle/peers/links.py
+++ b/src/zinniatrestle/peers/links.py
@@ -57,8 +57,7 @@
         self.waiting: dict[int, asyncio.Future] = {}
         self.last_number = 0
         self.beat_now = asyncio.Event()
-        self.sent_bytes = 0
-        self.received_bytes = 0
+        self.closed_bytes = 0
 
     async def run(self):
         """Keep the link up until cancelled."""
@@ -100,6 +99,13 @@
             raise PeerError(answer.detail, ResultCode(answer.code))
         return answer.body
 
+    @property
+    def bytes(self) -> int:
+        """Return the bytes that went over all links to the peer, both ways."""
+        if self.wire is None:
+            return self.closed_bytes
+        return self.closed_bytes + self.wire.sent_bytes + self.wire.received_bytes
+
     async def _run_once(self):
         address = self.peer.address
         async with asyncio.timeout(CONNECT_SECONDS):
@@ -150,8 +156,7 @@
 
     def _drop(self, wire: Wire):
         self.wire = None
-        self.sent_bytes += wire.sent_bytes
-        self.received_bytes += wire.received_bytes
+        self.closed_bytes += wire.sent_bytes + wire.received_bytes
         wire.close()
         for future in self.waiting.values():
             if not future.done():
@@ -171,14 +176,20 @@
         self.peers = peers
         self.duties = duties
         self.connections: set[asyncio.Task] = set()
-        self.sent_bytes = 0
-        self.received_bytes = 0
+        self.wires: set[Wire] = set()
+        self.closed_bytes = 0
         self.listener: asyncio.Server | None = None
 
     async def start(self, address: str, port: int):
         """Listen for peers."""
         self.listener = await asyncio.start_server(self._connected, address, port)
 
+    @property
+    def bytes(self) -> int:
+        """Return the bytes that went over all connections, both ways."""
+        open_bytes = sum(wire.sent_bytes + wire.received_bytes for wire in self.wires)
+        return self.closed_bytes + open_bytes
+
     async def close(self):
         """Listen no more and end all connections."""
         if self.listener is not None:
@@ -194,6 +205,7 @@
         task = asyncio.current_task()
         self.connections.add(task)
         wire = Wire(reader, writer)
+        self.wires.add(wire)
         try:
             await self._serve(wire)
         except asyncio.CancelledError:
@@ -203,8 +215,8 @@
             if isinstance(error, PeerError) and error.code is ResultCode.PEER_REFUSED:
                 log.warning("A connection is refused: %s", error.detail)
         finally:
-            self.sent_bytes += wire.sent_bytes
-            self.received_bytes += wire.received_bytes
+            self.wires.discard(wire)
+            self.closed_bytes += wire.sent_bytes + wire.received_bytes
             self.connections.discard(task)
             wire.close()
 
