--- a/benchmarks/planted.py
+++ b/benchmarks/planted.py
@@ -23,7 +23,7 @@
 POLICY = "requests/tests/test_policy.py"
 CONFIGURATION = "configuration/tests/test_configuration.py"
 GANGS = "gangs/tests/test_failures.py"
-RETIREMENT = "retirement/tests/test_retirement.py"
+RETIREMENT = "retirement/tests"
 
 
 @dataclass(frozen=True)
--- a/src/zinniatrestle/gangs/planner.py
+++ b/src/zinniatrestle/gangs/planner.py
@@ -3,16 +3,23 @@
 import msgspec
 
 from zinniatrestle.configuration import ConfigurationState
-from zinniatrestle.gangs.blocks import mask_of
 from zinniatrestle.gangs.guarantees import Binding
-from zinniatrestle.gangs.inventory import SLACK, Inventory
+from zinniatrestle.gangs.inventory import Inventory
 from zinniatrestle.gangs.messages import Slot, TaskShape
 from zinniatrestle.gangs.order import QUANTUM_SECONDS, OrderPolicy
 from zinniatrestle.gangs.placement import EVERYTHING, Masks, PlacementPolicy
+from zinniatrestle.gangs.room import (
+    add_masks,
+    eviction_cost,
+    held_masks,
+    overlap,
+    short_of,
+    usage_of,
+    without,
+)
 from zinniatrestle.gangs.state import Gang
-from zinniatrestle.ids import ClientAccountId, WorkerId
+from zinniatrestle.ids import WorkerId
 
-RESTART_SECONDS = 10.0
 # Only gangs of at most this share of a waiting gang's width are moved for it.
 MOVED_SHARE = 0.5
 MOST_MOVES = 16
@@ -75,8 +82,8 @@
         for gang in self.borrowers:
             for slot in gang.row.placement:
                 self.by_worker.setdefault(slot.worker, []).append(gang)
-        self.guaranteed_masks = _held_masks(given.running)
-        self.usage = _usage(given.running)
+        self.guaranteed_masks = held_masks(given.running)
+        self.usage = usage_of(given.running)
         self.bound = given.binding.bound()
         self.unbound = self._unbound_masks()
         self.stops: list[Gang] = []
@@ -169,7 +176,7 @@
         if not self.inventory.may_hold(spec.tasks, spec.shape):
             return None
         if spec.shape.accelerators and self.bound:
-            masks = _without(self.unbound, avoided)
+            masks = without(self.unbound, avoided)
             placement = self.placement.place(
                 self.inventory, spec.tasks, spec.shape, masks
             )
@@ -182,7 +189,7 @@
         if not avoided:
             return None
         masks = dict.fromkeys(self.inventory.rooms, EVERYTHING)
-        return _without(masks, avoided)
+        return without(masks, avoided)
 
     def _start_by_compaction(self, gang: Gang, avoided: frozenset[WorkerId]) -> bool:
         """Start a gang for which enough is free in pieces, by moving small gangs.
@@ -300,12 +307,12 @@
         """Return the candidates that must stop for a placement, cheapest first."""
         needed: list[Gang] = []
         masks: Masks = {}
-        _add_masks(masks, placement)
+        add_masks(masks, placement)
         for gang in candidates:
-            if _overlap(gang.row.placement, masks):
+            if overlap(gang.row.placement, masks):
                 needed.append(gang)
         free = self._free_after(placement, shape, needed)
-        short = _short(free)
+        short = short_of(free)
         for gang in sorted(candidates, key=eviction_cost):
             if not short:
                 break
@@ -315,7 +322,7 @@
                 continue
             needed.append(gang)
             free = self._free_after(placement, shape, needed)
-            short = _short(free)
+            short = short_of(free)
         return needed
 
     def _free_after(
@@ -354,7 +361,7 @@
         self.usage[account] = self.usage.get(account, 0.0) + gang.width
         if guaranteed:
             held = self.guaranteed_masks.setdefault(account, {})
-            _add_masks(held, placement)
+            add_masks(held, placement)
 
     def _within_limits(self, gang: Gang) -> bool:
         """Tell whether the account's quota and the re-admission allow a start."""
@@ -384,53 +391,3 @@
         for worker in self.inventory.rooms:
             masks[worker] = ~self.bound.get(worker, 0)
         return masks
-
-
-def eviction_cost(gang: Gang) -> tuple[float, float]:
-    """Return what stopping a gang loses, in accelerator-seconds."""
-    lost = gang.width * RESTART_SECONDS
-    if not gang.row.spec.checkpoints:
-        lost += gang.row.service
-    return lost, -gang.row.started
-
-
-def _short(free: dict[WorkerId, list[float]]) -> set[WorkerId]:
-    """Return the workers that lack cores or memory."""
-    return {worker for worker, left in free.items() if min(left) < -SLACK}
-
-
-def _without(masks: Masks, avoided: frozenset[WorkerId]) -> Masks:
-    if not avoided:
-        return masks
-    return {worker: mask for worker, mask in masks.items() if worker not in avoided}
-
-
-def _overlap(placement: list[Slot], masks: Masks) -> bool:
-    for slot in placement:
-        mask = masks.get(slot.worker, 0)
-        if mask and mask & mask_of(slot.accelerators):
-            return True
-    return False
-
-
-def _add_masks(masks: Masks, placement: list[Slot]):
-    for slot in placement:
-        held = masks.get(slot.worker, 0)
-        masks[slot.worker] = held | mask_of(slot.accelerators)
-
-
-def _held_masks(running: list[Gang]) -> dict[ClientAccountId, Masks]:
-    held: dict[ClientAccountId, Masks] = {}
-    for gang in running:
-        if gang.row.guaranteed:
-            masks = held.setdefault(gang.row.account, {})
-            _add_masks(masks, gang.row.placement)
-    return held
-
-
-def _usage(running: list[Gang]) -> dict[ClientAccountId, float]:
-    usage: dict[ClientAccountId, float] = {}
-    for gang in running:
-        account = gang.row.account
-        usage[account] = usage.get(account, 0.0) + gang.width
-    return usage
--- a/src/zinniatrestle/operators/configuring.py
+++ b/src/zinniatrestle/operators/configuring.py
@@ -40,6 +40,7 @@
 from zinniatrestle.operators.output import (
     show_json,
     show_line,
+    show_list,
     show_progress,
     show_table,
 )
@@ -81,14 +82,12 @@
 async def list_templates(*, settings: Settings = DEFAULT):
     """List templates."""
     view = await fetch(settings)
-    if settings.json:
-        show_json(view.templates)
-        return
     rows = []
     for record in view.templates:
         parameters = ", ".join(record.template.parameters) or "-"
         rows.append([record.template.name, record.revision, parameters])
-    show_table(["TEMPLATE", "REVISION", "PARAMETERS"], rows)
+    headings = ["TEMPLATE", "REVISION", "PARAMETERS"]
+    show_list(view.templates, settings.json, headings, rows)
 
 
 @accounts.command(name="apply")
@@ -140,13 +139,11 @@
 async def list_accounts(*, settings: Settings = DEFAULT):
     """List client accounts."""
     view = await fetch(settings)
-    if settings.json:
-        show_json(view.accounts)
-        return
     rows = []
     for entry in view.accounts:
         rows.append([entry.account, entry.state, entry.template, entry.revision])
-    show_table(["ACCOUNT", "STATE", "TEMPLATE", "REVISION"], rows)
+    headings = ["ACCOUNT", "STATE", "TEMPLATE", "REVISION"]
+    show_list(view.accounts, settings.json, headings, rows)
 
 
 @domains.command(name="out")
@@ -179,15 +176,13 @@
 async def list_domains(*, settings: Settings = DEFAULT):
     """List the failure domains that were ever taken out or brought in."""
     view = await fetch(settings)
-    if settings.json:
-        show_json(view.domains)
-        return
     rows = []
     for record in view.domains:
         rows.append(
             [record.domain, record.state.value, record.revision, record.reason or "-"]
         )
-    show_table(["DOMAIN", "STATE", "REVISION", "REASON"], rows)
+    headings = ["DOMAIN", "STATE", "REVISION", "REASON"]
+    show_list(view.domains, settings.json, headings, rows)
 
 
 @configuration.command(name="status")
--- a/src/zinniatrestle/operators/output.py
+++ b/src/zinniatrestle/operators/output.py
@@ -30,6 +30,16 @@
     console.print(table)
 
 
+def show_list(
+    value: Any, as_json: bool, headings: list[str], rows: Iterable[list[Any]]
+):
+    """Print a list as JSON or as a table."""
+    if as_json:
+        show_json(value)
+        return
+    show_table(headings, rows)
+
+
 def show_line(text: str):
     """Print one line."""
     sys.stdout.write(text + "\n")
--- a/src/zinniatrestle/operators/working.py
+++ b/src/zinniatrestle/operators/working.py
@@ -17,6 +17,7 @@
 from zinniatrestle.operators.output import (
     show_json,
     show_line,
+    show_list,
     show_progress,
     show_table,
 )
@@ -172,10 +173,9 @@
 
 def show_codes(*, settings: Settings = DEFAULT):
     """List the numbered result codes."""
-    if settings.json:
-        show_json({code.name: int(code) for code in ResultCode})
-        return
-    show_table(["CODE", "NAME"], [[int(code), code.name] for code in ResultCode])
+    codes = {code.name: int(code) for code in ResultCode}
+    rows = [[int(code), code.name] for code in ResultCode]
+    show_list(codes, settings.json, ["CODE", "NAME"], rows)
 
 
 async def _wait_for_job(
@@ -196,15 +196,13 @@
 
 
 def _show_jobs(rows: list[JobRow], settings: ClientSettings):
-    if settings.json:
-        show_json(rows)
-        return
     shown = []
     for row in rows:
         workers = ", ".join(f"{s.worker}x{s.tasks}" for s in row.placement) or "-"
         state = row.state.value
         shown.append([row.job, state, row.domain, row.spec.tasks, workers, row.detail])
-    show_table(["JOB", "STATE", "DOMAIN", "TASKS", "WORKERS", "DETAIL"], shown)
+    headings = ["JOB", "STATE", "DOMAIN", "TASKS", "WORKERS", "DETAIL"]
+    show_list(rows, settings.json, headings, shown)
 
 
 def _show_proof(proof: Proof, settings: ClientSettings):
--- /dev/null
+++ b/tests/common/auditing.py
@@ -0,0 +1,72 @@
+"""Look for work of an account after its certificate."""
+
+import asyncio
+
+from common.hosts import ACCOUNT, AREQUIPA, LIMA, HostCluster
+from zinniatrestle.platform.messages import LeaseState
+from zinniatrestle.retirement import Proof
+
+ACTIVE = frozenset({LeaseState.RESERVED, LeaseState.RUNNING})
+SAMPLE_SECONDS = 0.05
+
+
+class Auditor:
+    """Look for work of the account after its certificate."""
+
+    def __init__(self, cluster: HostCluster, incarnation: int):
+        self.cluster = cluster
+        self.incarnation = incarnation
+        self.issued_at: float | None = None
+        self.found: list[str] = []
+
+    async def watch(self):
+        while True:
+            self.look()
+            await asyncio.sleep(SAMPLE_SECONDS)
+
+    def issued(self):
+        if self.issued_at is None:
+            self.issued_at = self.cluster.clock.wall()
+        self.look()
+
+    def look(self):
+        if self.issued_at is None:
+            return
+        for state in self.cluster.platform.workers.states.values():
+            for lease in state.report().leases:
+                if lease.incarnation != self.incarnation:
+                    continue
+                if lease.state in ACTIVE:
+                    self.found.append(f"{state.worker} runs {lease.job}")
+        for minion, running in self.cluster.minions.running_on.items():
+            for one in running:
+                if one.account == ACCOUNT:
+                    self.found.append(f"{minion} runs {one.attempt}")
+        for one in self.cluster.minions.runs:
+            if one.started > self.issued_at:
+                self.found.append(f"{one.attempt} started afterwards")
+
+
+async def open_scene(domains=(LIMA, AREQUIPA), plan=None, **sizes):
+    cluster = await HostCluster.start(list(domains), plan, **sizes)
+    host = next(iter(cluster.hosts.values()))
+    incarnation = host.follower.state.accounts[ACCOUNT].incarnation
+    auditor = Auditor(cluster, incarnation)
+    watching = asyncio.create_task(auditor.watch())
+    auditor.watching = watching
+    return cluster, auditor
+
+
+async def prove_until(cluster, auditor, host: str, seconds: float) -> Proof:
+    deadline = asyncio.get_running_loop().time() + seconds
+    while True:
+        proof = await cluster.prove(host)
+        if proof.sealed is not None:
+            auditor.issued()
+            return proof
+        assert asyncio.get_running_loop().time() < deadline, proof.open
+        await asyncio.sleep(0.2)
+
+
+def open_names(proof: Proof) -> set[str]:
+    return {part.name for part in proof.open}
