--- a/src/zinniatrestle/domains/state.py
+++ b/src/zinniatrestle/domains/state.py
@@ -1,14 +1,11 @@
 """Whether work may start in a failure domain."""
 
-from enum import Enum
-
-import msgspec
-
 from zinniatrestle.clock import Clock
 from zinniatrestle.configuration import ConfigurationFollower
 from zinniatrestle.configuration.messages import DomainState
+from zinniatrestle.domains.messages import PermitRefusal, StartPermit
 from zinniatrestle.errors import GangError, ResultCode
-from zinniatrestle.ids import Epoch, FailureDomainId, Revision
+from zinniatrestle.ids import Epoch, FailureDomainId
 
 # A confirmation older than this starts nothing. It is the bound on starts after
 # a failure domain is taken out, together with the skew between clocks.
@@ -17,22 +14,6 @@
 FIRST_SHARE = 0.25
 
 
-class PermitRefusal(Enum):
-    """Why no start permit is given."""
-
-    DOMAIN_OUT = "domain out"
-    NOT_CONFIRMED = "configuration not confirmed"
-
-
-class StartPermit(msgspec.Struct, frozen=True):
-    """Leave to start tasks in a failure domain until `start_by` (wall seconds)."""
-
-    domain: FailureDomainId
-    epoch: Epoch
-    revision: Revision
-    start_by: float
-
-
 class PermitOffice:
     """Give start permits out of the newest confirmed configuration."""
 
--- /dev/null
+++ b/src/zinniatrestle/domains/tests/test_permits.py
@@ -0,0 +1,72 @@
+"""Tests of start permits and of the return of a failure domain."""
+
+import pytest
+from common.virtual import run
+
+from zinniatrestle.clock import LoopClock
+from zinniatrestle.configuration import ConfigurationFollower
+from zinniatrestle.configuration.messages import (
+    ChangeRecord,
+    DomainState,
+    SetDomain,
+)
+from zinniatrestle.domains import PermitOffice, PermitRefusal
+from zinniatrestle.domains.state import PERMIT_SECONDS, READMISSION_SECONDS
+from zinniatrestle.errors import GangError, ResultCode
+from zinniatrestle.ids import Epoch, FailureDomainId
+from zinniatrestle.platform.embedded import EmbeddedTable
+
+LIMA = FailureDomainId("lima")
+
+
+def new_office() -> PermitOffice:
+    clock = LoopClock()
+    follower = ConfigurationFollower(EmbeddedTable(), clock)
+    follower.confirmed_wall = clock.wall()
+    return PermitOffice(follower, clock)
+
+
+def set_domain(office: PermitOffice, state: DomainState):
+    revision = office.follower.state.revision + 1
+    wall = office.clock.wall()
+    change = SetDomain(LIMA, state)
+    office.follower.state.apply(ChangeRecord(revision, "token", wall, change))
+
+
+def test_permit_ends_with_the_confirmation():
+    async def scenario():
+        office = new_office()
+        permit = office.permit(LIMA, Epoch(1))
+        assert permit.start_by == office.clock.wall() + PERMIT_SECONDS
+        office.clock.offset += PERMIT_SECONDS + 0.1
+        assert office.refusal(LIMA) is PermitRefusal.NOT_CONFIRMED
+        with pytest.raises(GangError) as caught:
+            office.permit(LIMA, Epoch(1))
+        assert caught.value.code is ResultCode.DOMAIN_OUT
+
+    run(scenario())
+
+
+def test_domain_that_is_out_gets_no_permit():
+    async def scenario():
+        office = new_office()
+        set_domain(office, DomainState.OUT)
+        assert office.refusal(LIMA) is PermitRefusal.DOMAIN_OUT
+        assert office.admitted_share(LIMA) == 0.0
+
+    run(scenario())
+
+
+def test_capacity_returns_in_steps():
+    async def scenario():
+        office = new_office()
+        set_domain(office, DomainState.OUT)
+        set_domain(office, DomainState.IN)
+        shares = []
+        for _ in range(5):
+            shares.append(office.admitted_share(LIMA))
+            office.clock.offset += READMISSION_SECONDS / 4
+        assert shares == sorted(shares)
+        assert shares[0] == 0.25 and shares[-1] == 1.0
+
+    run(scenario())
--- a/src/zinniatrestle/requests/tests/test_policy.py
+++ b/src/zinniatrestle/requests/tests/test_policy.py
@@ -7,7 +7,7 @@
 from common.virtual import run
 
 from zinniatrestle.errors import NotRunError, ResultCode
-from zinniatrestle.ids import ClientAccountId, HostId, MinionId
+from zinniatrestle.ids import ClientAccountId, MinionId
 from zinniatrestle.platform.messages import HostStanding
 from zinniatrestle.requests import Request
 from zinniatrestle.requests.admission import FairQueue
@@ -15,22 +15,10 @@
 from zinniatrestle.requests.sending import gravest
 from zinniatrestle.standins.messages import MinionFaults
 from zinniatrestle.upstreams.messages import AnswerLostError, DeclinedError
-from zinniatrestle.upstreams.shares import slot_share
 
 GUEST = ClientAccountId("guest")
 
 
-@pytest.mark.parametrize("hosts", [1, 2, 3, 5])
-@pytest.mark.parametrize("slots", [1, 8, 13])
-def test_shares_of_a_minion_sum_to_its_slots(hosts, slots):
-    names = [HostId(f"h{number}") for number in range(hosts)]
-    for number in range(20):
-        minion = MinionId(f"m{number}")
-        shares = [slot_share(minion, slots, name, names) for name in names]
-        assert sum(shares) == slots
-        assert max(shares) - min(shares) <= 1
-
-
 def test_slots_hold_as_hosts_come_and_go():
     async def scenario():
         cluster = await HostCluster.start([LIMA], hosts=3, minions=2)
