Ask the balancer for callers only once the minions are known

Seen in a clean checkout under load: two of 403 tests failed with NO_UPSTREAM, since a host was ready when its configuration was confirmed and had not read the list of machines yet. Ruled out: the faults that these tests switch on. Change: readiness waits for the list, and a test's site lists its machines before it starts hosts; a test holds the first (seen failing before).

--- a/src/zinniatrestle/entry/host.py
+++ b/src/zinniatrestle/entry/host.py
@@ -135,7 +135,7 @@
     def ready(self) -> bool:
         """Tell whether the balancer should send callers here."""
         knows = self.follower.state.revision > 0 or self.follower.confirmed_wall > 0
-        return self.state is HostState.SERVING and knows
+        return self.state is HostState.SERVING and knows and self.pool.has_list
 
     async def leave(self):
         """Prepare a planned stop: hand roles over and let the balancer notice."""
--- a/src/zinniatrestle/peers/mesh.py
+++ b/src/zinniatrestle/peers/mesh.py
@@ -232,7 +232,7 @@
             return
         pulled = msgspec.msgpack.decode(answer, type=PullAnswer)
         self.follower.offer(pulled.changes, pulled.snapshot)
-        if not self.pool.listed:
+        if not self.pool.has_list and pulled.machines:
             self.pool.refresh(pulled.machines)
         self.follower.adopt(pulled.confirmed_wall, pulled.revision)
 
--- a/src/zinniatrestle/peers/tests/test_mesh.py
+++ b/src/zinniatrestle/peers/tests/test_mesh.py
@@ -70,6 +70,7 @@
         refused = await cluster.request("lima-2")
         assert refused.code is ResultCode.NO_CONFIGURATION
         await until(lambda: restarted.follower.state.revision == revision, 4)
+        assert restarted.ready
         answer = await cluster.request("lima-2")
         assert answer.code is ResultCode.OK
 
--- a/src/zinniatrestle/upstreams/pool.py
+++ b/src/zinniatrestle/upstreams/pool.py
@@ -34,10 +34,12 @@
         self.random = random.Random(seed)
         self.minions: dict[MinionId, Minion] = {}
         self.listed: list[ListedHost] = []
+        self.has_list = False
         self.ever_seen: dict[MinionId, MinionAddress] = {}
 
     def refresh(self, listed: list[ListedHost]):
         """Take in the platform's list of machines."""
+        self.has_list = True
         self.listed = [host for host in listed if host.role is HostRole.MINION]
         seen = set()
         for host in listed:
--- a/tests/common/processes.py
+++ b/tests/common/processes.py
@@ -157,10 +157,10 @@
         self._run(["zinniatrestle.standins", "platform", "--port", str(port)])
         for domain in self.domains:
             self._start_domain(domain)
-        for host in self.hosts.values():
-            self.start_host(host)
         await eventually(self._platform_up, "the platform")
         await self.control("/control/hosts", self.listed)
+        for host in self.hosts.values():
+            self.start_host(host)
         await eventually(self._all_ready, "all hosts ready")
 
     def _start_domain(self, domain: str):
