Close the key when no minion can be chosen

Found by reading: the choice of a minion stood outside the try, so that a pause after a decline ended an at-most-once request with NOT_RUN and a free key while its claim stood, and its repeat got UNKNOWN for ever. Seen failing with one minion that declines; after: the key is closed, and the repeat is told so.

--- a/src/zinniatrestle/requests/sending.py
+++ b/src/zinniatrestle/requests/sending.py
@@ -102,9 +102,9 @@
         """Send an at-most-once request; go on to another minion only if declined."""
         tried: set[MinionId] = set()
         while True:
-            minion = await self._slot(admitted, tried)
-            tried.add(minion.address.minion)
             try:
+                minion = await self._slot(admitted, tried)
+                tried.add(minion.address.minion)
                 return await self._attempt(
                     minion, admitted, attempt, LATE_ANSWER_SECONDS
                 )
--- a/src/zinniatrestle/requests/tests/test_at_most_once.py
+++ b/src/zinniatrestle/requests/tests/test_at_most_once.py
@@ -174,6 +174,22 @@
     run(scenario())
 
 
+def test_key_is_closed_when_minions_with_free_slots_all_decline():
+    async def scenario():
+        cluster = await HostCluster.start([LIMA], minions=1)
+        recorder = Recorder(cluster)
+        cluster.minions.slots = 0
+        first = await recorder.ask("lima-1", "k")
+        assert first.code is ResultCode.NO_UPSTREAM
+        assert first.key_state is KeyState.CLOSED
+        cluster.minions.slots = 8
+        again = await recorder.ask("lima-2", "k")
+        assert (again.code, again.repeated) == (first.code, True)
+        recorder.check()
+
+    run(scenario())
+
+
 def test_answer_after_the_deadline_settles_the_key():
     async def scenario():
         cluster = await HostCluster.start([LIMA])
