Report a change as accepted although the store goes out right after

Found by reading: the host read the store again after the commit, and an outage in between told the operator that nothing had changed. Seen failing; the change is now put in force from the record itself.

--- a/src/zinniatrestle/configuration/changes.py
+++ b/src/zinniatrestle/configuration/changes.py
@@ -84,7 +84,8 @@
             self._check_expected(change, expected)
             await self._check_rules(record)
             if await self._commit(record):
-                await self.follower.catch_up()
+                # Put in force without a read, which could fail and deny the change.
+                self.follower.offer([record], None)
                 log.info("Revision %d is accepted.", record.revision)
                 return record.revision
         raise ConflictError("Too many changes at once; try again.")
--- a/src/zinniatrestle/configuration/tests/test_configuration.py
+++ b/src/zinniatrestle/configuration/tests/test_configuration.py
@@ -101,6 +101,38 @@
     run(scenario())
 
 
+def test_outage_right_after_acceptance_does_not_deny_the_change():
+    async def scenario():
+        cluster = await HostCluster.start([LIMA])
+        desk = cluster.hosts["lima-1"].changes
+        before = desk.follower.state.revision
+        commit = desk.table.commit
+
+        async def commit_then_fail(transaction):
+            committed = await commit(transaction)
+            cluster.faults.outage = True
+            return committed
+
+        desk.table = CommitTable(desk.table, commit_then_fail)
+        change = SetDomain(LIMA, DomainState.OUT)
+        revision = await desk.submit(change, new_operation_token())
+        assert revision == before + 1
+        assert desk.follower.state.domain_state(LIMA) is DomainState.OUT
+
+    run(scenario())
+
+
+class CommitTable:
+    """A table whose commits are replaced."""
+
+    def __init__(self, inner, commit):
+        self.inner = inner
+        self.commit = commit
+
+    def __getattr__(self, name: str):
+        return getattr(self.inner, name)
+
+
 def test_repeated_operation_token_changes_nothing_twice():
     async def scenario():
         cluster = await HostCluster.start([LIMA])
