Write a finished job down before its leases are given back

Found by reading: leases were stopped first, so that a scheduler killed in between left a RUNNING row without leases, and its successor took the job for lost. Ruled out: the poll (the reports said finished).

--- a/src/zinniatrestle/gangs/fleet.py
+++ b/src/zinniatrestle/gangs/fleet.py
@@ -204,8 +204,7 @@
         return progress
 
     async def stop_stray(self, worker: WorkerId, attempt: AttemptId, epoch: Epoch):
-        """Stop an attempt that should not be on a worker."""
-        log.info("Worker %s holds the stray attempt %s.", worker, attempt)
+        """Stop an attempt that has ended or should not be on a worker."""
         await self._stop_one(worker, Stop(attempt, epoch))
 
     async def call(self, coroutine: Coroutine) -> Any:
--- a/src/zinniatrestle/gangs/settling.py
+++ b/src/zinniatrestle/gangs/settling.py
@@ -121,7 +121,8 @@
         if fate is GangFate.FINISHED:
             for slot in gang.row.placement:
                 self.fleet.health.of(slot.worker).succeed()
-            await self.fleet.stop(gang, epoch, checkpoint=False)
+            # The row comes first: a scheduler that dies in between must not make
+            # its successor take the job for lost. The leases go as strays.
             self._finish(gang)
             return True
         failed_on = self._failed_workers(gang)
@@ -255,12 +256,14 @@
     async def _stop_strays(self, epoch: Epoch):
         """Stop what workers hold for attempts that no row names."""
         known = {gang.row.attempt for gang in self.table.holding()}
+        calls = []
         for worker, sight in self.fleet.sights.items():
             if not sight.reachable:
                 continue
-            for attempt in list(sight.leases):
+            for attempt in sight.leases:
                 if attempt not in known:
-                    await self.fleet.stop_stray(worker, attempt, epoch)
+                    calls.append(self.fleet.stop_stray(worker, attempt, epoch))
+        await asyncio.gather(*calls)
 
     def _failed_workers(self, gang: Gang) -> list[WorkerId]:
         failed = []
--- a/src/zinniatrestle/gangs/tests/test_failures.py
+++ b/src/zinniatrestle/gangs/tests/test_failures.py
@@ -328,6 +328,34 @@
     run(scenario())
 
 
+@pytest.mark.parametrize("before", [True, False], ids=["before", "after"])
+@pytest.mark.parametrize("number", range(1, 19))
+def test_finished_job_is_done_although_its_scheduler_is_killed(number, before):
+    async def scenario():
+        scene = await open_scene(hosts=2, workers=2)
+        name = scene.scheduling_host()
+        other = next(host for host in scene.cluster.hosts if host != name)
+        desk = scene.cluster.hosts[other].jobs
+        spec = JobSpec(2, ["sleep", "8"], EIGHT, semantics=Semantics.AT_MOST_ONCE)
+        job = (await desk.submit(ACCOUNT, spec, None)).job
+        await scene.reach(job, JobState.RUNNING, 5)
+        await asyncio.sleep(6.5)
+        killed = []
+
+        def kill():
+            killed.append(asyncio.create_task(scene.cluster.kill(name)))
+
+        counter = CallCounter(number, before, kill)
+        count_calls(scene, name, counter)
+        counter.counting = True
+        await asyncio.sleep(20)
+        row = await desk.status(ACCOUNT, job)
+        assert row.state is JobState.DONE
+        assert scene.held() == 0
+
+    run(scenario())
+
+
 @pytest.mark.parametrize("verb", ["reserve", "start"])
 def test_gang_that_one_worker_does_not_take_runs_whole_elsewhere(verb):
     async def scenario():
