Bind guaranteed cells anew when their workers are lost

Cause: cells stayed bound to workers that were listed and out of reach, so the owner could not reclaim them until the list changed; a rack that had lost a worker was bound like a whole one. Seen failing for worker and rack cells. Change: cells are bound among workers that can be reached and are healthy, and the largest whole rack is taken.

--- a/src/zinniatrestle/gangs/fleet.py
+++ b/src/zinniatrestle/gangs/fleet.py
@@ -153,6 +153,16 @@
         bound = sight.extended_wall + self.grace(gang.row.account) + SKEW_SECONDS
         return self.clock.wall() > bound
 
+    def usable(self) -> list[ListedHost]:
+        """Return the workers on which cells can be reclaimed now."""
+        now = self.clock.wall()
+        found = []
+        for worker, listed in self.listed.items():
+            healthy = self.health.usable(worker, busy=True, now=now)
+            if self.sight(worker).reachable and healthy:
+                found.append(listed)
+        return found
+
     def grace(self, account: ClientAccountId) -> float:
         """Return an account's offline grace in seconds."""
         plan = self.follower.state.plans.get(account)
--- a/src/zinniatrestle/gangs/guarantees.py
+++ b/src/zinniatrestle/gangs/guarantees.py
@@ -103,11 +103,19 @@
         return {chosen: mask}
 
     def _find_rack(self) -> Masks | None:
-        for workers in self.racks.values():
-            whole = all(self.free[worker] == self.full[worker] for worker in workers)
-            if whole:
-                return {worker: self.full[worker] for worker in workers}
-        return None
+        """Return the largest rack of which nothing is bound.
+
+        A rack that lost a worker is smaller than the others.
+        """
+        largest = None
+        for rack, workers in self.racks.items():
+            if any(self.free[worker] != self.full[worker] for worker in workers):
+                continue
+            if largest is None or self.rack_free[rack] > self.rack_free[largest]:
+                largest = rack
+        if largest is None:
+            return None
+        return {worker: self.full[worker] for worker in self.racks[largest]}
 
     def _openness(self, worker: WorkerId) -> tuple[int, int]:
         """Order workers by what they and their rack have unbound."""
--- a/src/zinniatrestle/gangs/tests/test_failures.py
+++ b/src/zinniatrestle/gangs/tests/test_failures.py
@@ -192,6 +192,54 @@
     run(scenario())
 
 
+@pytest.mark.parametrize("cell", ["worker", "rack"])
+def test_guarantee_is_reclaimed_although_workers_of_its_cells_are_lost(cell):
+    async def scenario():
+        scene = await open_scene(hosts=1, workers=24)
+        owner = ClientAccountId("owner")
+        count, tasks = (4, 4) if cell == "worker" else (1, 8)
+        guarantee = {"domain": LIMA, "cell": cell, "count": count}
+        await scene.cluster.account(owner, default_plan([LIMA], guarantees=[guarantee]))
+        for number in range(24):
+            spec = JobSpec(1, ["sleep", "9000"], EIGHT)
+            await scene.submit(spec, key=RequestKey(str(number)))
+        await asyncio.sleep(10)
+        scheduler = scene.cluster.hosts["lima-1"].scheduler
+        lost = next(iter(scheduler.binding.masks(owner)))
+        faults = scene.cluster.views["lima-1"].workers.faults
+        faults[lost] = WorkerFaults(unreachable=True)
+        await asyncio.sleep(15)
+        job = await scene.submit(JobSpec(tasks, ["sleep", "30"], EIGHT), owner)
+        await scene.reach(job, JobState.RUNNING, URGENT_SECONDS, owner)
+        row = await scene.row(job, owner)
+        assert row.guaranteed
+        assert lost not in {slot.worker for slot in row.placement}
+        await scene.reach(job, JobState.DONE, 60, owner)
+        scene.check()
+
+    run(scenario())
+
+
+def test_large_gang_does_not_starve_behind_a_stream_of_small_ones():
+    async def scenario():
+        scene = await open_scene(hosts=1, workers=4)
+        small = TaskShape(accelerators=4, cores=4.0, memory_gb=4.0)
+        for number in range(8):
+            spec = JobSpec(1, ["sleep", "700"], small)
+            await scene.submit(spec, key=RequestKey(f"first-{number}"))
+        large = await scene.submit(JobSpec(4, ["sleep", "60"], EIGHT))
+        for number in range(60):
+            spec = JobSpec(1, ["sleep", "700"], small)
+            await scene.submit(spec, key=RequestKey(f"next-{number}"))
+            await asyncio.sleep(60)
+            if (await scene.row(large)).state is JobState.DONE:
+                break
+        assert (await scene.row(large)).state is JobState.DONE
+        scene.check()
+
+    run(scenario())
+
+
 def test_evicted_borrower_resumes_from_its_checkpoint():
     async def scenario():
         scene = await open_scene(hosts=1, workers=2)
