--- a/benchmarks/planted.py
+++ b/benchmarks/planted.py
@@ -22,7 +22,7 @@
 CLAIMS = "requests/tests/test_at_most_once.py"
 POLICY = "requests/tests/test_policy.py"
 CONFIGURATION = "configuration/tests/test_configuration.py"
-GANGS = "gangs/tests/test_failures.py"
+GANGS = "gangs/tests"
 RETIREMENT = "retirement/tests"
 
 
--- a/src/zinniatrestle/gangs/tests/test_failures.py
+++ b/src/zinniatrestle/gangs/tests/test_failures.py
@@ -1,76 +1,24 @@
-"""Gangs under crashes, freezes, cuts, outages and faulty workers."""
+"""Gangs under crashes, freezes, cuts, outages and lost workers."""
 
 import asyncio
 
 import pytest
 from common.crashes import CallCounter
-from common.gang_history import GangWatcher
-from common.hosts import ACCOUNT, AREQUIPA, LIMA, HostCluster, default_plan
+from common.gang_scene import (
+    EIGHT,
+    STARTS_END_SECONDS,
+    TAKEOVER_SECONDS,
+    count_calls,
+    open_scene,
+)
+from common.hosts import ACCOUNT, AREQUIPA, LIMA, default_plan
 from common.virtual import run
 
 from zinniatrestle.configuration.messages import DomainState, Semantics, SetDomain
-from zinniatrestle.errors import KeyReusedError, NeverFitsError
-from zinniatrestle.gangs.messages import JobRow, JobSpec, JobState, TaskShape
+from zinniatrestle.gangs.messages import JobSpec, JobState
 from zinniatrestle.ids import ClientAccountId, RequestKey, WorkerId
 from zinniatrestle.standins.messages import WorkerFaults
 
-EIGHT = TaskShape(accelerators=8, cores=8.0, memory_gb=8.0)
-# The brief's "a few seconds" after a failure domain is taken out.
-STARTS_END_SECONDS = 4.0
-URGENT_SECONDS = 4.9
-# A lease lapses, another host takes over and rebuilds.
-TAKEOVER_SECONDS = 10.0
-
-
-class GangScene:
-    """A cluster with a watcher of its workers."""
-
-    def __init__(self, cluster: HostCluster):
-        self.cluster = cluster
-        self.watcher = GangWatcher(cluster.platform.workers, cluster.clock)
-        self.watching = asyncio.create_task(self.watcher.watch())
-
-    async def submit(self, spec: JobSpec, account=ACCOUNT, key=None) -> str:
-        host = next(iter(self.cluster.hosts.values()))
-        return (await host.jobs.submit(account, spec, key)).job
-
-    async def row(self, job: str, account=ACCOUNT) -> JobRow:
-        host = next(iter(self.cluster.hosts.values()))
-        return await host.jobs.status(account, job)
-
-    async def reach(self, job: str, state: JobState, seconds: float, account=ACCOUNT):
-        async with asyncio.timeout(seconds):
-            while (await self.row(job, account)).state is not state:
-                await asyncio.sleep(0.05)
-
-    def scheduling_host(self, domain=LIMA) -> str:
-        for name, host in self.cluster.hosts.items():
-            if host.lease.held_until and self.cluster.where[name] == domain:
-                if host.lease.standing.value == "held":
-                    return name
-        raise AssertionError("nobody schedules")
-
-    def check(self):
-        assert self.watcher.double_runs == []
-
-    def held(self) -> int:
-        total = 0
-        for state in self.cluster.platform.workers.states.values():
-            total += len(state.report().leases)
-        return total
-
-
-async def open_scene(domains=(LIMA,), plan=None, **sizes) -> GangScene:
-    cluster = await HostCluster.start(list(domains), plan, **sizes)
-    await asyncio.sleep(2)
-    return GangScene(cluster)
-
-
-def count_calls(scene: GangScene, name: str, counter: CallCounter):
-    scheduler = scene.cluster.hosts[name].scheduler
-    scheduler.book.table = counter.wrap(scheduler.book.table)
-    scheduler.fleet.workers = counter.wrap(scheduler.fleet.workers)
-
 
 @pytest.mark.parametrize("before", [True, False], ids=["before", "after"])
 @pytest.mark.parametrize("number", range(1, 19))
@@ -168,188 +116,6 @@
     run(scenario())
 
 
-def test_guaranteed_shape_is_reclaimed_from_borrowers():
-    async def scenario():
-        scene = await open_scene(hosts=1, workers=8)
-        owner = ClientAccountId("owner")
-        guarantee = {"domain": LIMA, "cell": "worker", "count": 4}
-        await scene.cluster.account(owner, default_plan([LIMA], guarantees=[guarantee]))
-        small = TaskShape(accelerators=1, cores=1.0, memory_gb=1.0)
-        for number in range(16):
-            spec = JobSpec(4, ["sleep", "5000"], small)
-            await scene.submit(spec, key=RequestKey(str(number)))
-        await asyncio.sleep(5)
-        began = scene.cluster.clock.wall()
-        job = await scene.submit(JobSpec(4, ["sleep", "30"], EIGHT), owner)
-        await scene.reach(job, JobState.RUNNING, URGENT_SECONDS, owner)
-        assert scene.cluster.clock.wall() - began <= URGENT_SECONDS
-        row = await scene.row(job, owner)
-        assert row.guaranteed
-        assert all(slot.accelerators == list(range(8)) for slot in row.placement)
-        await scene.reach(job, JobState.DONE, 60, owner)
-        scene.check()
-
-    run(scenario())
-
-
-@pytest.mark.parametrize("cell", ["worker", "rack"])
-def test_guarantee_is_reclaimed_although_workers_of_its_cells_are_lost(cell):
-    async def scenario():
-        scene = await open_scene(hosts=1, workers=24)
-        owner = ClientAccountId("owner")
-        count, tasks = (4, 4) if cell == "worker" else (1, 8)
-        guarantee = {"domain": LIMA, "cell": cell, "count": count}
-        await scene.cluster.account(owner, default_plan([LIMA], guarantees=[guarantee]))
-        for number in range(24):
-            spec = JobSpec(1, ["sleep", "9000"], EIGHT)
-            await scene.submit(spec, key=RequestKey(str(number)))
-        await asyncio.sleep(10)
-        scheduler = scene.cluster.hosts["lima-1"].scheduler
-        lost = next(iter(scheduler.binding.masks(owner)))
-        faults = scene.cluster.views["lima-1"].workers.faults
-        faults[lost] = WorkerFaults(unreachable=True)
-        await asyncio.sleep(15)
-        job = await scene.submit(JobSpec(tasks, ["sleep", "30"], EIGHT), owner)
-        await scene.reach(job, JobState.RUNNING, URGENT_SECONDS, owner)
-        row = await scene.row(job, owner)
-        assert row.guaranteed
-        assert lost not in {slot.worker for slot in row.placement}
-        await scene.reach(job, JobState.DONE, 60, owner)
-        scene.check()
-
-    run(scenario())
-
-
-def test_large_gang_does_not_starve_behind_a_stream_of_small_ones():
-    async def scenario():
-        scene = await open_scene(hosts=1, workers=4)
-        small = TaskShape(accelerators=4, cores=4.0, memory_gb=4.0)
-        for number in range(8):
-            spec = JobSpec(1, ["sleep", "700"], small)
-            await scene.submit(spec, key=RequestKey(f"first-{number}"))
-        large = await scene.submit(JobSpec(4, ["sleep", "60"], EIGHT))
-        for number in range(60):
-            spec = JobSpec(1, ["sleep", "700"], small)
-            await scene.submit(spec, key=RequestKey(f"next-{number}"))
-            await asyncio.sleep(60)
-            if (await scene.row(large)).state is JobState.DONE:
-                break
-        assert (await scene.row(large)).state is JobState.DONE
-        scene.check()
-
-    run(scenario())
-
-
-def test_evicted_borrower_resumes_from_its_checkpoint():
-    async def scenario():
-        scene = await open_scene(hosts=1, workers=2)
-        owner = ClientAccountId("owner")
-        guarantee = {"domain": LIMA, "cell": "worker", "count": 2}
-        await scene.cluster.account(owner, default_plan([LIMA], guarantees=[guarantee]))
-        borrower = await scene.submit(JobSpec(2, ["sleep", "100"], EIGHT))
-        await asyncio.sleep(50)
-        await scene.submit(JobSpec(2, ["sleep", "10"], EIGHT), owner)
-        await asyncio.sleep(10)
-        row = await scene.row(borrower)
-        assert row.state is JobState.QUEUED and row.progress > 40
-        await scene.reach(borrower, JobState.DONE, 75)
-
-    run(scenario())
-
-
-def test_small_gangs_move_together_for_a_large_one():
-    async def scenario():
-        scene = await open_scene(hosts=1, workers=3)
-        small = TaskShape(accelerators=2, cores=2.0, memory_gb=2.0)
-        jobs = []
-        for number in range(12):
-            spec = JobSpec(1, ["sleep", "3000"], small)
-            jobs.append(await scene.submit(spec, key=RequestKey(str(number))))
-        await asyncio.sleep(5)
-        # One small gang is left on each worker, so that none is whole.
-        left = set()
-        for job in jobs:
-            worker = (await scene.row(job)).placement[0].worker
-            if worker in left:
-                host = scene.cluster.hosts["lima-1"]
-                await host.jobs.cancel(ACCOUNT, job)
-            left.add(worker)
-        await asyncio.sleep(400)
-        large = await scene.submit(JobSpec(2, ["sleep", "60"], EIGHT))
-        await scene.reach(large, JobState.RUNNING, URGENT_SECONDS)
-        await asyncio.sleep(10)
-        rows = [await scene.row(job) for job in jobs]
-        running = [row for row in rows if row.state is JobState.RUNNING]
-        assert len(running) == 3
-        assert all(row.progress > 300 for row in running if row.attempts == 2)
-        scene.check()
-
-    run(scenario())
-
-
-@pytest.mark.parametrize("ran", [5, 400])
-def test_urgent_gang_starts_in_time_on_a_full_cluster(ran):
-    async def scenario():
-        scene = await open_scene(hosts=1, workers=4)
-        await scene.submit(JobSpec(4, ["sleep", "9000"], EIGHT))
-        await asyncio.sleep(ran)
-        urgent = JobSpec(2, ["sleep", "5"], EIGHT, urgent=True)
-        job = await scene.submit(urgent)
-        await scene.reach(job, JobState.RUNNING, URGENT_SECONDS)
-
-    run(scenario())
-
-
-def test_wave_of_cancellations_takes_few_writes():
-    async def scenario():
-        scene = await open_scene(hosts=1, workers=4)
-        jobs = []
-        for number in range(100):
-            spec = JobSpec(1, ["sleep", "900"], EIGHT)
-            jobs.append(await scene.submit(spec, key=RequestKey(str(number))))
-        await asyncio.sleep(3)
-        desk = scene.cluster.hosts["lima-1"].jobs
-        for _ in range(2):
-            for job in jobs:
-                await desk.cancel(ACCOUNT, job)
-        state = scene.cluster.platform.table.state
-        before = state.commits
-        await asyncio.sleep(4)
-        assert state.commits - before <= 20
-        rows = await desk.jobs(ACCOUNT)
-        assert {row.state for row in rows} == {JobState.CANCELLED}
-        assert scene.held() == 0
-
-    run(scenario())
-
-
-def test_worker_that_fails_everything_is_quarantined():
-    async def scenario():
-        scene = await open_scene(hosts=1, workers=4)
-        bad = WorkerId("lima-worker-0")
-        scene.cluster.platform.workers.states[bad].fails_everything = True
-        jobs = []
-        for number in range(24):
-            spec = JobSpec(1, ["sleep", "5"], EIGHT)
-            jobs.append(await scene.submit(spec, key=RequestKey(str(number))))
-        await asyncio.sleep(90)
-        for job in jobs:
-            assert (await scene.row(job)).state is JobState.DONE
-        starts = len(scene.cluster.platform.workers.states[bad].starts)
-        assert starts <= 6
-
-    run(scenario())
-
-
-def test_job_whose_tasks_fail_everywhere_ends_as_failed():
-    async def scenario():
-        scene = await open_scene(hosts=1, workers=4)
-        job = await scene.submit(JobSpec(2, ["fail"], EIGHT))
-        await scene.reach(job, JobState.FAILED, 60)
-
-    run(scenario())
-
-
 @pytest.mark.parametrize(
     ("semantics", "state"),
     [
@@ -523,49 +289,3 @@
         assert (await scene.row(new)).state is JobState.QUEUED
 
     run(scenario())
-
-
-@pytest.mark.parametrize(
-    "spec",
-    [
-        JobSpec(5, ["sleep", "1"], EIGHT),
-        JobSpec(1, ["sleep", "1"], TaskShape(accelerators=9)),
-        JobSpec(1, ["sleep", "1"], TaskShape(cores=33.0)),
-    ],
-    ids=["too many tasks", "too many accelerators", "too many cores"],
-)
-def test_job_that_can_never_run_is_told_so_at_once(spec):
-    async def scenario():
-        scene = await open_scene(hosts=1, workers=4)
-        with pytest.raises(NeverFitsError):
-            await scene.submit(spec)
-
-    run(scenario())
-
-
-def test_job_is_taken_while_the_list_shows_no_workers_yet():
-    async def scenario():
-        scene = await open_scene(hosts=1, workers=4)
-        listed = scene.cluster.platform.hosts.listed
-        workers = {name: host for name, host in listed.items() if host.accelerators}
-        for name in workers:
-            del listed[name]
-        job = await scene.submit(JobSpec(2, ["sleep", "5"], EIGHT))
-        assert (await scene.row(job)).state is JobState.QUEUED
-        listed.update(workers)
-        await scene.reach(job, JobState.DONE, 20)
-
-    run(scenario())
-
-
-def test_job_key_returns_the_first_job_and_refuses_another():
-    async def scenario():
-        scene = await open_scene(hosts=1, workers=4)
-        spec = JobSpec(1, ["sleep", "1"], EIGHT)
-        first = await scene.submit(spec, key=RequestKey("k"))
-        assert await scene.submit(spec, key=RequestKey("k")) == first
-        other = JobSpec(2, ["sleep", "1"], EIGHT)
-        with pytest.raises(KeyReusedError):
-            await scene.submit(other, key=RequestKey("k"))
-
-    run(scenario())
--- /dev/null
+++ b/tests/common/gang_scene.py
@@ -0,0 +1,65 @@
+"""A cluster whose workers are watched, for tests of gangs."""
+
+import asyncio
+
+from common.crashes import CallCounter
+from common.gang_history import GangWatcher
+from common.hosts import ACCOUNT, LIMA, HostCluster
+from zinniatrestle.gangs.messages import JobRow, JobSpec, JobState, TaskShape
+
+EIGHT = TaskShape(accelerators=8, cores=8.0, memory_gb=8.0)
+# The brief's "a few seconds" after a failure domain is taken out.
+STARTS_END_SECONDS = 4.0
+URGENT_SECONDS = 4.9
+# A lease lapses, another host takes over and rebuilds.
+TAKEOVER_SECONDS = 10.0
+
+
+class GangScene:
+    """A cluster with a watcher of its workers."""
+
+    def __init__(self, cluster: HostCluster):
+        self.cluster = cluster
+        self.watcher = GangWatcher(cluster.platform.workers, cluster.clock)
+        self.watching = asyncio.create_task(self.watcher.watch())
+
+    async def submit(self, spec: JobSpec, account=ACCOUNT, key=None) -> str:
+        host = next(iter(self.cluster.hosts.values()))
+        return (await host.jobs.submit(account, spec, key)).job
+
+    async def row(self, job: str, account=ACCOUNT) -> JobRow:
+        host = next(iter(self.cluster.hosts.values()))
+        return await host.jobs.status(account, job)
+
+    async def reach(self, job: str, state: JobState, seconds: float, account=ACCOUNT):
+        async with asyncio.timeout(seconds):
+            while (await self.row(job, account)).state is not state:
+                await asyncio.sleep(0.05)
+
+    def scheduling_host(self, domain=LIMA) -> str:
+        for name, host in self.cluster.hosts.items():
+            if host.lease.held_until and self.cluster.where[name] == domain:
+                if host.lease.standing.value == "held":
+                    return name
+        raise AssertionError("nobody schedules")
+
+    def check(self):
+        assert self.watcher.double_runs == []
+
+    def held(self) -> int:
+        total = 0
+        for state in self.cluster.platform.workers.states.values():
+            total += len(state.report().leases)
+        return total
+
+
+async def open_scene(domains=(LIMA,), plan=None, **sizes) -> GangScene:
+    cluster = await HostCluster.start(list(domains), plan, **sizes)
+    await asyncio.sleep(2)
+    return GangScene(cluster)
+
+
+def count_calls(scene: GangScene, name: str, counter: CallCounter):
+    scheduler = scene.cluster.hosts[name].scheduler
+    scheduler.book.table = counter.wrap(scheduler.book.table)
+    scheduler.fleet.workers = counter.wrap(scheduler.fleet.workers)
