--- a/benchmarks/capacity.py
+++ b/benchmarks/capacity.py
@@ -37,15 +37,15 @@
 from zinniatrestle.gangs.state import Gang
 from zinniatrestle.ids import RackId
 from zinniatrestle.peers.messages import Frame, Heartbeat, decode, encode
-from zinniatrestle.platform.embedded import EmbeddedHostList
-from zinniatrestle.platform.messages import (
+from zinniatrestle.store.embedded import EmbeddedHostList
+from zinniatrestle.store.messages import (
     HostRole,
     ListedHost,
     Renew,
     Renewal,
     Reserve,
 )
-from zinniatrestle.platform.state import WorkerState
+from zinniatrestle.store.state import WorkerState
 
 DOMAIN = "d1"
 SEED = 7
--- a/benchmarks/domains.py
+++ b/benchmarks/domains.py
@@ -21,7 +21,7 @@
 from zinniatrestle.configuration.messages import DomainState, SetDomain
 from zinniatrestle.gangs.messages import JobSpec, TaskShape
 from zinniatrestle.ids import FailureDomainId, RequestKey
-from zinniatrestle.platform.messages import LeaseState
+from zinniatrestle.store.messages import LeaseState
 
 DOMAINS = [FailureDomainId(name) for name in ("merrimack", "pioneer", "seacoast")]
 WORKERS = 8
--- a/benchmarks/requests.py
+++ b/benchmarks/requests.py
@@ -22,9 +22,9 @@
 from zinniatrestle.clock import monotonic
 from zinniatrestle.errors import ResultCode
 from zinniatrestle.ids import ClientAccountId, RequestKey
-from zinniatrestle.platform.interfaces import TableService
 from zinniatrestle.requests import Request
 from zinniatrestle.standins.messages import MinionFaults
+from zinniatrestle.store.interfaces import TableService
 from zinniatrestle.upstreams.state import MinionState
 
 MINIONS = 12
--- a/src/zinniatrestle/clock.py
+++ b/src/zinniatrestle/clock.py
@@ -4,7 +4,7 @@
 import time
 from abc import ABC, abstractmethod
 
-from zinniatrestle.ids import WallSeconds
+from zinniatrestle.ids import BootSeconds, WallSeconds
 
 
 class Clock(ABC):
@@ -53,3 +53,8 @@
 def monotonic() -> float:
     """Return the event loop's time in seconds, for durations on one host."""
     return asyncio.get_running_loop().time()
+
+
+def boot_time() -> BootSeconds:
+    """Return seconds on the clock that also counts while the machine is suspended."""
+    return BootSeconds(time.clock_gettime(time.CLOCK_BOOTTIME))
--- a/src/zinniatrestle/configuration/changes.py
+++ b/src/zinniatrestle/configuration/changes.py
@@ -33,9 +33,9 @@
 )
 from zinniatrestle.ids import OperationToken, Revision, RowKey
 from zinniatrestle.logs import PartLog
-from zinniatrestle.platform.interfaces import TableService
-from zinniatrestle.platform.messages import ABSENT, Check, Put, Transaction
-from zinniatrestle.platform.settle import commit_settled
+from zinniatrestle.store.interfaces import TableService
+from zinniatrestle.store.messages import ABSENT, Check, Put, Transaction
+from zinniatrestle.store.settle import commit_settled
 
 COMMIT_TRIES = 20
 
--- a/src/zinniatrestle/configuration/follower.py
+++ b/src/zinniatrestle/configuration/follower.py
@@ -21,9 +21,9 @@
 from zinniatrestle.errors import ConfigurationError, PlatformError, ResultCode
 from zinniatrestle.ids import Revision
 from zinniatrestle.logs import PartLog
-from zinniatrestle.platform.interfaces import TableService
-from zinniatrestle.platform.messages import ABSENT
-from zinniatrestle.platform.settle import scan_all
+from zinniatrestle.store.interfaces import TableService
+from zinniatrestle.store.messages import ABSENT
+from zinniatrestle.store.settle import scan_all
 
 POLL_SECONDS = 1.0
 SNAPSHOT_TRIES = 5
--- a/src/zinniatrestle/domains/tests/test_permits.py
+++ b/src/zinniatrestle/domains/tests/test_permits.py
@@ -14,7 +14,7 @@
 from zinniatrestle.domains.state import PERMIT_SECONDS, READMISSION_SECONDS
 from zinniatrestle.errors import GangError, ResultCode
 from zinniatrestle.ids import Epoch, FailureDomainId
-from zinniatrestle.platform.embedded import EmbeddedTable
+from zinniatrestle.store.embedded import EmbeddedTable
 
 LIMA = FailureDomainId("lima")
 
--- a/src/zinniatrestle/entry/app.py
+++ b/src/zinniatrestle/entry/app.py
@@ -1,7 +1,5 @@
 """The HTTP application of an entry host."""
 
-import contextlib
-
 import uvicorn
 from starlette.applications import Starlette
 from starlette.requests import Request as HttpRequest
@@ -13,7 +11,7 @@
 from zinniatrestle.gangs.routes import JobRoutes
 from zinniatrestle.operators.routes import OperatorRoutes
 from zinniatrestle.requests.routes import RequestRoutes
-from zinniatrestle.web import problem, reply
+from zinniatrestle.web import HostServer, problem, reply
 
 NOT_FOUND = 404
 NOT_ALLOWED = 405
@@ -33,15 +31,6 @@
     return Starlette(routes=routes, exception_handlers=handlers)
 
 
-class HostServer(uvicorn.Server):
-    """Serve HTTP and leave signals to the daemon."""
-
-    @contextlib.contextmanager
-    def capture_signals(self):
-        """Leave signals alone."""
-        yield
-
-
 def build_server(host: EntryHost) -> HostServer:
     """Return the HTTP server of a host."""
     settings = host.settings
--- a/src/zinniatrestle/entry/daemon.py
+++ b/src/zinniatrestle/entry/daemon.py
@@ -8,8 +8,8 @@
 from zinniatrestle.entry.host import EntryHost
 from zinniatrestle.entry.metrics import HostMetrics
 from zinniatrestle.ids import HostId
-from zinniatrestle.platform.http import HttpPlatform
 from zinniatrestle.settings import HostSettings
+from zinniatrestle.store.http import HttpPlatform
 from zinniatrestle.upstreams.http import HttpTransport
 
 
--- a/src/zinniatrestle/entry/host.py
+++ b/src/zinniatrestle/entry/host.py
@@ -18,8 +18,6 @@
 from zinniatrestle.ids import FailureDomainId, HostId, RegionId
 from zinniatrestle.logs import PartLog
 from zinniatrestle.peers import Identity, PeerMesh
-from zinniatrestle.platform import Platform
-from zinniatrestle.platform.leases import Lease
 from zinniatrestle.progress import InProgress
 from zinniatrestle.requests import RequestHandler
 from zinniatrestle.requests.claims import ClaimBook
@@ -27,6 +25,8 @@
 from zinniatrestle.requests.sending import Sender
 from zinniatrestle.retirement import EvidenceCollector, RetirementProver
 from zinniatrestle.settings import HostSettings
+from zinniatrestle.store import Platform
+from zinniatrestle.store.leases import Lease
 from zinniatrestle.upstreams import UpstreamPool, UpstreamTransport
 
 LIST_SECONDS = 1.0
--- a/src/zinniatrestle/errors.py
+++ b/src/zinniatrestle/errors.py
@@ -14,6 +14,7 @@
     NO_SUCH_THING = 103
     BAD_SETTING = 104
     BAD_TEMPLATE = 105
+    NO_SUCH_JOB = 106
     # 2xx: requests.
     NOT_RUN = 200
     UNKNOWN = 201
@@ -52,6 +53,7 @@
     LEASE_LOST = 602
     PEER_REFUSED = 603
     PEER_UNREACHABLE = 604
+    HISTORY_LOST = 605
 
 
 class ZinniatrestleError(Exception):
@@ -178,6 +180,12 @@
     code = ResultCode.LEASE_LOST
 
 
+class HistoryLostError(PlatformError):
+    """Signal that the store no longer knows what changed since a version."""
+
+    code = ResultCode.HISTORY_LOST
+
+
 class PeerError(ZinniatrestleError):
     """Signal a peer that can't be reached or is refused."""
 
--- a/src/zinniatrestle/gangs/book.py
+++ b/src/zinniatrestle/gangs/book.py
@@ -20,9 +20,9 @@
     JobId,
     RowKey,
 )
-from zinniatrestle.platform.interfaces import TableService
-from zinniatrestle.platform.messages import ABSENT, Check, Put, Transaction
-from zinniatrestle.platform.settle import commit_settled, scan_all
+from zinniatrestle.store.interfaces import TableService
+from zinniatrestle.store.messages import ABSENT, Check, Put, Transaction
+from zinniatrestle.store.settle import commit_settled, scan_all
 
 BATCH = 100
 
--- a/src/zinniatrestle/gangs/fleet.py
+++ b/src/zinniatrestle/gangs/fleet.py
@@ -20,8 +20,8 @@
     WorkerId,
 )
 from zinniatrestle.logs import PartLog
-from zinniatrestle.platform import Platform
-from zinniatrestle.platform.messages import (
+from zinniatrestle.store import Platform
+from zinniatrestle.store.messages import (
     HostRole,
     ListedHost,
     Renew,
--- a/src/zinniatrestle/gangs/guarantees.py
+++ b/src/zinniatrestle/gangs/guarantees.py
@@ -16,8 +16,8 @@
 )
 from zinniatrestle.gangs.placement import Masks
 from zinniatrestle.ids import ClientAccountId, FailureDomainId, RackId, WorkerId
-from zinniatrestle.platform.interfaces import HostList
-from zinniatrestle.platform.messages import HostRole, HostStanding, ListedHost
+from zinniatrestle.store.interfaces import HostList
+from zinniatrestle.store.messages import HostRole, HostStanding, ListedHost
 
 LARGEST_FIRST = [Cell.RACK, Cell.WORKER, Cell.HALF, Cell.PAIR, Cell.ACCELERATOR]
 
--- a/src/zinniatrestle/gangs/inventory.py
+++ b/src/zinniatrestle/gangs/inventory.py
@@ -12,7 +12,7 @@
 )
 from zinniatrestle.gangs.messages import Slot, TaskShape
 from zinniatrestle.ids import RackId, WorkerId
-from zinniatrestle.platform.messages import HostStanding, ListedHost
+from zinniatrestle.store.messages import HostStanding, ListedHost
 
 UNLIMITED = 1 << 30
 SLACK = 1e-9
--- a/src/zinniatrestle/gangs/jobs.py
+++ b/src/zinniatrestle/gangs/jobs.py
@@ -38,8 +38,8 @@
     new_job_id,
 )
 from zinniatrestle.logs import PartLog
-from zinniatrestle.platform.interfaces import HostList, TableService
-from zinniatrestle.platform.messages import (
+from zinniatrestle.store.interfaces import HostList, TableService
+from zinniatrestle.store.messages import (
     ABSENT,
     Check,
     HostRole,
@@ -47,7 +47,7 @@
     Put,
     Transaction,
 )
-from zinniatrestle.platform.settle import commit_settled
+from zinniatrestle.store.settle import commit_settled
 
 MOST_TASKS = 4096
 NO_SUMMARY = DomainSummary(FailureDomainId(""), 0.0)
--- a/src/zinniatrestle/gangs/scheduler.py
+++ b/src/zinniatrestle/gangs/scheduler.py
@@ -17,9 +17,9 @@
 from zinniatrestle.gangs.state import Gang, GangTable
 from zinniatrestle.ids import Epoch, FailureDomainId
 from zinniatrestle.logs import PartLog
-from zinniatrestle.platform import Platform
-from zinniatrestle.platform.leases import Lease, LeaseStanding
 from zinniatrestle.progress import InProgress
+from zinniatrestle.store import Platform
+from zinniatrestle.store.leases import Lease, LeaseStanding
 
 TICK_SECONDS = 1.0
 SUMMARY_SECONDS = 5.0
--- a/src/zinniatrestle/gangs/settling.py
+++ b/src/zinniatrestle/gangs/settling.py
@@ -16,7 +16,7 @@
 from zinniatrestle.gangs.state import Gang, GangTable
 from zinniatrestle.ids import Epoch, WorkerId
 from zinniatrestle.logs import PartLog
-from zinniatrestle.platform.messages import LeaseState
+from zinniatrestle.store.messages import LeaseState
 
 MOST_FAILURES = 5
 
--- a/src/zinniatrestle/gangs/starting.py
+++ b/src/zinniatrestle/gangs/starting.py
@@ -15,9 +15,9 @@
 from zinniatrestle.gangs.state import Gang, GangTable
 from zinniatrestle.ids import Epoch, WorkerId, new_attempt_id
 from zinniatrestle.logs import PartLog
-from zinniatrestle.platform.leases import Lease
-from zinniatrestle.platform.messages import LeaseState, Reserve, Start
 from zinniatrestle.progress import InProgress
+from zinniatrestle.store.leases import Lease
+from zinniatrestle.store.messages import LeaseState, Reserve, Start
 
 RESERVATION_SECONDS = 15.0
 
--- a/src/zinniatrestle/gangs/state.py
+++ b/src/zinniatrestle/gangs/state.py
@@ -9,7 +9,7 @@
     JobState,
 )
 from zinniatrestle.ids import JobId, WorkerId
-from zinniatrestle.platform.messages import ABSENT
+from zinniatrestle.store.messages import ABSENT
 
 # Tasks without accelerators count by their cores; one accelerator weighs as many.
 CORES_PER_ACCELERATOR = 4.0
--- a/src/zinniatrestle/ids.py
+++ b/src/zinniatrestle/ids.py
@@ -20,6 +20,18 @@
 Epoch = NewType("Epoch", int)
 RowKey = NewType("RowKey", str)
 WallSeconds = NewType("WallSeconds", float)
+TableName = NewType("TableName", str)
+RowName = NewType("RowName", str)
+RowVersion = NewType("RowVersion", int)
+QueueName = NewType("QueueName", str)
+ApiKey = NewType("ApiKey", str)
+TaskId = NewType("TaskId", str)
+RunNumber = NewType("RunNumber", int)
+Generation = NewType("Generation", int)
+# Unix milliseconds of a worker's start: tells its lives under one id apart.
+Born = NewType("Born", int)
+BootSeconds = NewType("BootSeconds", float)
+StoreMilliseconds = NewType("StoreMilliseconds", int)
 
 ID_BYTES = 10
 
--- /dev/null
+++ b/src/zinniatrestle/jobs/intake.py
@@ -0,0 +1,179 @@
+"""Take, show and cancel jobs, at any host."""
+
+import asyncio
+
+from zinniatrestle.clock import boot_time, monotonic
+from zinniatrestle.errors import (
+    CallerError,
+    NotFoundError,
+    NotRunError,
+    ResultCode,
+    StoreUnavailableError,
+    StoreUncertainError,
+    UnknownOutcomeError,
+)
+from zinniatrestle.events import Event, EventLog
+from zinniatrestle.ids import ClientAccountId, JobId, StoreMilliseconds
+from zinniatrestle.jobs.messages import (
+    CANCELLATIONS,
+    PROGRESS,
+    SUBMISSIONS,
+    JobProgress,
+    JobState,
+    Step,
+    Submission,
+    decode_progress,
+    encode_progress,
+    encode_submission,
+    row_name,
+)
+from zinniatrestle.queues import Queue
+from zinniatrestle.rows import Expect, RowStore, Write
+from zinniatrestle.rows.settled import RETRY_SECONDS, transact_settled
+
+# Tasks; a row of progress has to hold them all.
+MOST_TASKS = 1000
+MOST_SPEC_BYTES = 4000
+
+
+class Plan:
+    """What a caller asks for: the steps, the text for workers and the times."""
+
+    def __init__(
+        self,
+        spec: str,
+        steps: tuple[Step, ...],
+        occurrences: int = 0,
+        first_due_ms: int = 0,
+        every_ms: int = 0,
+    ):
+        self.spec = spec
+        self.steps = steps
+        self.occurrences = occurrences
+        self.first_due_ms = first_due_ms
+        self.every_ms = every_ms
+
+    def check(self):
+        """Refuse a plan that can't be kept or run; raises CallerError."""
+        if len(self.spec.encode()) > MOST_SPEC_BYTES:
+            raise CallerError(
+                f"Shorten the spec to {MOST_SPEC_BYTES} bytes.", ResultCode.TOO_LARGE
+            )
+        if not self.steps:
+            raise CallerError("Give the job a step.")
+        if sum(step.count for step in self.steps) > MOST_TASKS:
+            raise CallerError(
+                f"Split the job: it has more than {MOST_TASKS} tasks.",
+                ResultCode.TOO_LARGE,
+            )
+        for number, step in enumerate(self.steps):
+            if step.count < 1:
+                raise CallerError(f"Give step {number} a task.")
+            if any(not 0 <= before < number for before in step.after):
+                raise CallerError(f"Step {number} must come after earlier steps.")
+
+
+class JobIntake:
+    """Answer callers from the store alone, so that every host says the same."""
+
+    def __init__(self, store: RowStore, events: EventLog):
+        self.store = store
+        self.events = events
+
+    async def accept(
+        self,
+        job: JobId,
+        plan: Plan,
+        queue: Queue,
+        account: ClientAccountId,
+        give_up_at: float,
+    ):
+        """Keep a job, or find it kept already.
+
+        Raises NotRunError when it surely is not kept and never will be, and
+        UnknownOutcomeError when that can't be told by `give_up_at` (loop time).
+        """
+        plan.check()
+        now = StoreMilliseconds(int(self.store.clock.earliest(boot_time())))
+        submission = Submission(
+            job=job,
+            queue=queue.name,
+            account=account,
+            service=queue.service,
+            spec=plan.spec,
+            steps=plan.steps,
+            accepted_at=now,
+            priority=queue.priority,
+            attempts=queue.attempts,
+            stretch=queue.stretch,
+            target=queue.target,
+            occurrences=plan.occurrences,
+            first_due_ms=plan.first_due_ms,
+            every_ms=plan.every_ms,
+        )
+        progress = JobProgress(queue=queue.name, timed=submission.timed, changed_at=now)
+        name = row_name(job)
+        writes = [
+            Write(PROGRESS, name, encode_progress(progress)),
+            Write(SUBMISSIONS, name, encode_submission(submission)),
+        ]
+        try:
+            result = await transact_settled(
+                self.store, [Expect(PROGRESS, name)], writes, give_up_at
+            )
+        except StoreUnavailableError as error:
+            self.events.fold(Event.REQUEST_REFUSED, "store unavailable", job=job)
+            raise NotRunError(error.detail, ResultCode.STORE_UNAVAILABLE) from error
+        except StoreUncertainError as error:
+            self.events.write(Event.REQUEST_REFUSED, job=job, reason="answer lost")
+            raise UnknownOutcomeError(error.detail) from error
+        event = Event.JOB_ACCEPTED if result.applied else Event.JOB_REPEATED
+        self.events.write(
+            event,
+            job=job,
+            queue=queue.name,
+            account=account,
+            version=result.version,
+            tasks=sum(step.count for step in plan.steps),
+        )
+
+    async def state(self, job: JobId) -> JobState:
+        """Return where a job stands; raises NotFoundError, StoreUnavailableError."""
+        row = await self.store.row(PROGRESS, row_name(job))
+        if row is None:
+            raise NotFoundError("No such job.", ResultCode.NO_SUCH_JOB)
+        return decode_progress(row.value).state
+
+    async def cancel(self, job: JobId, give_up_at: float):
+        """Cancel a job for good; raises NotFoundError, UnknownOutcomeError.
+
+        The mark is in the row that each start of the job's tasks is checked against,
+        so nothing of it starts after this returns but what was under way.
+        """
+        name = row_name(job)
+        while monotonic() < give_up_at:
+            try:
+                row = await self.store.row(PROGRESS, name)
+            except StoreUnavailableError:
+                await asyncio.sleep(RETRY_SECONDS)
+                continue
+            if row is None:
+                raise NotFoundError("No such job.", ResultCode.NO_SUCH_JOB)
+            progress = decode_progress(row.value)
+            if progress.state.ended:
+                return
+            progress.state = JobState.CANCELLED
+            writes = [
+                Write(PROGRESS, name, encode_progress(progress)),
+                Write(CANCELLATIONS, name, b""),
+            ]
+            expects = [Expect(PROGRESS, name, row.version)]
+            try:
+                result = await transact_settled(self.store, expects, writes, give_up_at)
+            except (StoreUnavailableError, StoreUncertainError) as error:
+                raise UnknownOutcomeError(error.detail) from error
+            if not result.applied:
+                continue
+            self.events.write(Event.JOB_CANCELLED, job=job, version=result.version)
+            return
+        raise UnknownOutcomeError("The store does not answer.")
--- /dev/null
+++ b/src/zinniatrestle/metrics.py
@@ -0,0 +1,45 @@
+"""Counters and histograms of a host on the platform, as text on its metrics address."""
+
+from opentelemetry.exporter.prometheus import PrometheusMetricReader
+from opentelemetry.sdk.metrics import MeterProvider
+from opentelemetry.sdk.metrics.view import ExplicitBucketHistogramAggregation, View
+from prometheus_client import REGISTRY, generate_latest
+
+METER_NAME = "zinniatrestle"
+# s; from one round trip up to the longest job.
+BUCKETS = (0.01, 0.03, 0.1, 0.3, 1.0, 3.0, 10.0, 30.0, 100.0)
+
+
+class Metrics:
+    """Count decisions; docs/OPERATIONS.md has the names."""
+
+    def __init__(self, exported: bool = False):
+        readers = [PrometheusMetricReader()] if exported else []
+        buckets = ExplicitBucketHistogramAggregation(BUCKETS)
+        view = View(instrument_unit="s", aggregation=buckets)
+        self.provider = MeterProvider(readers, views=[view], shutdown_on_exit=False)
+        meter = self.provider.get_meter(METER_NAME)
+        self.accepted = meter.create_counter("jobs_accepted", "1")
+        self.refused = meter.create_counter("requests_refused", "1")
+        self.cancelled = meter.create_counter("jobs_cancelled", "1")
+        self.ended = meter.create_counter("jobs_ended", "1")
+        self.starts = meter.create_counter("runs_started", "1")
+        self.start_failures = meter.create_counter("runs_not_started", "1")
+        self.ends = meter.create_counter("runs_ended", "1")
+        self.preemptions = meter.create_counter("runs_preempted", "1")
+        self.quarantines = meter.create_counter("workers_quarantined", "1")
+        self.leases = meter.create_counter("leases", "1")
+        self.store_calls = meter.create_counter("store_calls", "1")
+        self.dropped_lines = meter.create_up_down_counter("log_lines_dropped", "1")
+        self.waiting = meter.create_histogram("job_waiting_time", "s")
+        self.completion = meter.create_histogram("job_completion_time", "s")
+        self.acceptance = meter.create_histogram("acceptance_time", "s")
+        self.rounds = meter.create_histogram("scheduling_round_time", "s")
+
+    def text(self) -> bytes:
+        """Return all metrics in the Prometheus text format."""
+        return generate_latest(REGISTRY)
+
+    def close(self):
+        """Stop collecting."""
+        self.provider.shutdown()
--- a/src/zinniatrestle/operators/trial.py
+++ b/src/zinniatrestle/operators/trial.py
@@ -25,11 +25,11 @@
 )
 from zinniatrestle.operators.exits import ExitCode
 from zinniatrestle.operators.output import show_line
-from zinniatrestle.platform.embedded import EmbeddedPlatform
 from zinniatrestle.requests import Request
 from zinniatrestle.settings import HostSettings
 from zinniatrestle.standins.embedded import EmbeddedMinions
 from zinniatrestle.standins.site import minion_list, worker_list
+from zinniatrestle.store.embedded import EmbeddedPlatform
 
 DOMAIN = FailureDomainId("lima")
 ACCOUNT = ClientAccountId("norte")
--- a/src/zinniatrestle/peers/messages.py
+++ b/src/zinniatrestle/peers/messages.py
@@ -15,7 +15,7 @@
     Revision,
     ServiceName,
 )
-from zinniatrestle.platform.messages import ListedHost
+from zinniatrestle.store.messages import ListedHost
 
 SCHEMA = capnp.load(str(Path(__file__).with_name("peers.capnp")))
 MS = 1000
--- a/src/zinniatrestle/platform/__init__.py
+++ b/src/zinniatrestle/platform/__init__.py
@@ -1,11 +1,4 @@
-"""The platform's services: abstract bases, an embedded form and adapters."""
+"""The platform's names, formats and calls, translated into the project's types.
 
-from zinniatrestle.platform.interfaces import (
-    HostList,
-    ObjectStore,
-    Platform,
-    TableService,
-    Workers,
-)
-
-__all__ = ["HostList", "ObjectStore", "Platform", "TableService", "Workers"]
+Nothing here decides anything, and nothing outside knows the platform's names.
+"""
--- /dev/null
+++ b/src/zinniatrestle/platform/__main__.py
@@ -0,0 +1,49 @@
+"""Run an entry host on the platform."""
+
+import sys
+from pathlib import Path
+
+import cyclopts
+
+from zinniatrestle.errors import SettingsError
+from zinniatrestle.platform.daemon import DaemonSettings, serve_on_platform
+from zinniatrestle.platform.settings import SETTINGS_VARIABLE
+
+app = cyclopts.App(
+    name="zinniatrestle.platform",
+    help="Run an entry host on the platform.",
+    config=cyclopts.config.Env("ZINNIATRESTLE_", command=False),
+)
+
+
+@app.default
+async def serve(
+    *,
+    settings: cyclopts.types.ExistingFile | None = None,
+    metrics_port: int = DaemonSettings.metrics_port,
+):
+    """Serve until SIGTERM.
+
+    Parameters
+    ----------
+    settings
+        The platform's settings file; by default the one that its variable names.
+    metrics_port
+        Port on which metrics are served.
+    """
+    import os
+
+    path = settings or Path(os.environ.get(SETTINGS_VARIABLE, ""))
+    await serve_on_platform(DaemonSettings(path, metrics_port))
+
+
+def main():
+    """Run the daemon and exit with its code."""
+    try:
+        app()
+    except SettingsError as error:
+        sys.stderr.write(f"{error.code.name} ({int(error.code)}): {error.detail}\n")
+        sys.exit(2)
+
+
+main()
--- /dev/null
+++ b/src/zinniatrestle/platform/daemon.py
@@ -0,0 +1,275 @@
+"""The daemon of an entry host on the platform: all parts put together."""
+
+import asyncio
+import signal
+from contextlib import suppress
+from dataclasses import dataclass, field
+from pathlib import Path
+
+import uvicorn
+from starlette.applications import Starlette
+from starlette.requests import Request
+from starlette.responses import Response
+from starlette.routing import Route
+
+from zinniatrestle import __version__
+from zinniatrestle.deployment import Deployment, split_address
+from zinniatrestle.errors import PlatformError, SettingsError
+from zinniatrestle.events import Event, EventLog
+from zinniatrestle.jobs import JobIntake
+from zinniatrestle.metrics import Metrics
+from zinniatrestle.platform.front import JobCalls, ReadinessCalls
+from zinniatrestle.platform.http import HttpClient
+from zinniatrestle.platform.operator import PlatformOperatorRows
+from zinniatrestle.platform.orders import PlatformWorkerOrders
+from zinniatrestle.platform.registry import PlatformWorkerRows
+from zinniatrestle.platform.settings import load
+from zinniatrestle.platform.store import PlatformStore
+from zinniatrestle.queues import DesiredStateReader, OperatorState
+from zinniatrestle.queues.follower import FEED_SECONDS
+from zinniatrestle.rows.feed import Feed
+from zinniatrestle.scheduling.context import SchedulerContext
+from zinniatrestle.scheduling.leadership import Leadership
+from zinniatrestle.scheduling.scheduler import Scheduler
+from zinniatrestle.serving import FrontDoor
+from zinniatrestle.web import HostServer
+
+# Connections to one worker: one holds, the others carry orders.
+WORKER_CONNECTIONS = 4
+# s; the settings file may change without a signal, and has to be in force as fast as
+# a desired state.
+SETTINGS_SECONDS = 1.0
+# s; the platform asks for readiness each second and takes a host out after two misses.
+NOTICE_SECONDS = 2.5
+# s; what is left of the time for a stop when the process ends.
+SPARE_SECONDS = 1.0
+
+
+@dataclass(frozen=True)
+class DaemonSettings:
+    """Settings of the daemon that the platform does not set."""
+
+    settings: Path
+    metrics_port: int = 9464
+
+
+@dataclass
+class Daemon:
+    """A host's parts and the tasks that run them."""
+
+    options: DaemonSettings
+    deployment: Deployment
+    events: EventLog
+    metrics: Metrics
+    operator: OperatorState = field(default_factory=OperatorState)
+    tasks: list[asyncio.Task] = field(default_factory=list)
+
+    def __post_init__(self):
+        addresses = self.deployment.addresses
+        self.client = HttpClient()
+        self.worker_client = HttpClient(WORKER_CONNECTIONS)
+        self.store = PlatformStore(self.client, addresses.store)
+        self.leadership = Leadership(self.store, self.deployment, self.events)
+        reader = DesiredStateReader(PlatformOperatorRows(), self.operator, self.events)
+        self.feed = Feed(self.store, reader, self.events, FEED_SECONDS)
+        self.door = FrontDoor(
+            self.deployment.bounds,
+            self.operator,
+            JobIntake(self.store, self.events),
+            self.leadership,
+            self.metrics,
+            self.events,
+        )
+        self.context = SchedulerContext(
+            deployment=self.deployment,
+            store=self.store,
+            worker_rows=PlatformWorkerRows(),
+            orders=PlatformWorkerOrders(self.worker_client),
+            operator=self.operator,
+            leadership=self.leadership,
+            metrics=self.metrics,
+            events=self.events,
+        )
+
+    async def run(self, stop: asyncio.Event, reload: asyncio.Event):
+        """Serve until `stop` is set, then finish what is open."""
+        identity = self.deployment.identity
+        self.events.write(
+            Event.STARTED,
+            version=__version__,
+            domain=identity.domain,
+            speed=identity.speed,
+            store=self.deployment.addresses.store,
+        )
+        servers = self._servers()
+        serving = [asyncio.create_task(server.serve()) for server in servers]
+        scheduling = self._spawn(self._schedule(), "scheduler")
+        keeping = self._spawn(self.leadership.keep(), "lease")
+        self._spawn(self.feed.follow(), "desired state")
+        self._spawn(self._watch_settings(reload), "settings")
+        stopping = asyncio.create_task(stop.wait())
+        await asyncio.wait([*serving, stopping], return_when=asyncio.FIRST_COMPLETED)
+        await self._stop(scheduling, keeping)
+        for server in servers:
+            server.should_exit = True
+        await asyncio.gather(*serving)
+        for task in self.tasks:
+            task.cancel()
+        await asyncio.gather(*self.tasks, return_exceptions=True)
+        await self.client.close()
+        await self.worker_client.close()
+        self.events.write(Event.STOPPED)
+
+    async def _stop(self, scheduling: asyncio.Task, keeping: asyncio.Task):
+        """Hand scheduling over at once, and go on answering until callers have left."""
+        self.door.stopping = True
+        self.events.write(Event.STOPPING, holder=self.leadership.is_holder)
+        self.leadership.released = True
+        scheduling.cancel()
+        await asyncio.gather(scheduling, return_exceptions=True)
+        keeping.cancel()
+        await asyncio.gather(keeping, return_exceptions=True)
+        grace = self.deployment.bounds.grace
+        leaving = asyncio.create_task(
+            asyncio.sleep(min(NOTICE_SECONDS, grace - 2 * SPARE_SECONDS))
+        )
+        try:
+            await self.leadership.release()
+        except PlatformError as error:
+            self.events.write(
+                Event.DEPENDENCY_LOST, dependency="lease", reason=error.detail
+            )
+        await leaving
+
+    def _spawn(self, coroutine, name: str) -> asyncio.Task:
+        task = asyncio.create_task(self._guard(coroutine, name))
+        self.tasks.append(task)
+        return task
+
+    async def _guard(self, coroutine, name: str):
+        """Log why a task that should never end did."""
+        try:
+            await coroutine
+        except Exception as error:
+            self.events.write(
+                Event.TASK_FAILED, task=name, reason=f"{type(error).__name__}: {error}"
+            )
+            raise
+
+    async def _schedule(self):
+        """Schedule whenever this host holds the lease."""
+        while True:
+            await self.leadership.acquired.wait()
+            scheduler = Scheduler(self.context)
+            running = asyncio.create_task(scheduler.run())
+            lost = asyncio.create_task(self.leadership.lost.wait())
+            try:
+                await asyncio.wait({running, lost}, return_when=asyncio.FIRST_COMPLETED)
+            finally:
+                lost.cancel()
+                running.cancel()
+                await self._end_scheduler(running)
+            # A scheduler that failed starts anew under the next generation number.
+            self.leadership.lose("the scheduler ended")
+
+    async def _end_scheduler(self, running: asyncio.Task):
+        results = await asyncio.gather(running, return_exceptions=True)
+        error = results[0]
+        if error is None or isinstance(error, asyncio.CancelledError):
+            return
+        causes = [error]
+        if isinstance(error, BaseExceptionGroup):
+            causes = list(error.exceptions)
+        for cause in causes:
+            frames = []
+            trace = cause.__traceback__
+            while trace is not None:
+                name = Path(trace.tb_frame.f_code.co_filename).name
+                frames.append(f"{name}:{trace.tb_lineno}")
+                trace = trace.tb_next
+            self.events.write(
+                Event.TASK_FAILED,
+                task="scheduler",
+                reason=f"{type(cause).__name__}: {cause}",
+                at_line=" ".join(frames[-3:]),
+            )
+
+    async def _watch_settings(self, reload: asyncio.Event):
+        """Take over a settings file that changed, with a signal or without."""
+        while True:
+            with suppress(TimeoutError):
+                async with asyncio.timeout(SETTINGS_SECONDS):
+                    await reload.wait()
+            asked = reload.is_set()
+            reload.clear()
+            try:
+                deployment = load(self.options.settings)
+            except SettingsError as error:
+                self.events.fold(
+                    Event.RELOAD_FAILED, error.detail, code=int(error.code)
+                )
+                continue
+            if deployment == self.deployment:
+                if asked:
+                    self.events.write(Event.RELOADED, changed=False)
+                continue
+            self.deployment = deployment
+            self.context.deployment = deployment
+            self.door.bounds = deployment.bounds
+            self.events.write(Event.RELOADED, changed=True)
+
+    def _servers(self) -> list[HostServer]:
+        addresses = self.deployment.addresses
+        callers = JobCalls(self.door).app()
+        readiness = ReadinessCalls(self.door).app()
+        servers = []
+        for name, address, app in (
+            ("callers", addresses.callers, callers),
+            ("readiness", addresses.readiness, readiness),
+        ):
+            ip, port = split_address(name, address)
+            servers.append(self._server(ip, port, app))
+        ip = self.deployment.identity.address
+        servers.append(self._server(ip, self.options.metrics_port, self._metrics_app()))
+        return servers
+
+    def _server(self, ip: str, port: int, app: Starlette) -> HostServer:
+        config = uvicorn.Config(
+            app,
+            host=ip,
+            port=port,
+            loop="asyncio",
+            http="httptools",
+            ws="none",
+            log_config=None,
+            access_log=False,
+            lifespan="off",
+            server_header=False,
+            date_header=False,
+            timeout_graceful_shutdown=2,
+        )
+        return HostServer(config)
+
+    def _metrics_app(self) -> Starlette:
+        async def show(request: Request) -> Response:
+            return Response(self.metrics.text(), media_type="text/plain")
+
+        return Starlette(routes=[Route("/metrics", show, methods=["GET"])])
+
+
+async def serve_on_platform(options: DaemonSettings):
+    """Run an entry host of the platform until SIGTERM; raises SettingsError."""
+    deployment = load(options.settings)
+    events = EventLog(deployment.identity.host)
+    events.open()
+    stop, reload = asyncio.Event(), asyncio.Event()
+    loop = asyncio.get_running_loop()
+    for number in (signal.SIGTERM, signal.SIGINT):
+        loop.add_signal_handler(number, stop.set)
+    loop.add_signal_handler(signal.SIGHUP, reload.set)
+    metrics = Metrics(exported=True)
+    try:
+        await Daemon(options, deployment, events, metrics).run(stop, reload)
+    finally:
+        metrics.close()
+        events.close()
--- /dev/null
+++ b/src/zinniatrestle/platform/front.py
@@ -0,0 +1,205 @@
+"""The callers' interface on the platform: jobs under the paths of their queues."""
+
+from collections.abc import Awaitable, Callable
+
+import msgspec
+from starlette.applications import Starlette
+from starlette.requests import Request
+from starlette.responses import Response
+from starlette.routing import Route
+
+from zinniatrestle.clock import monotonic
+from zinniatrestle.errors import CallerError, ResultCode, ZinniatrestleError
+from zinniatrestle.ids import ApiKey, JobId, RackId
+from zinniatrestle.jobs.intake import Plan
+from zinniatrestle.jobs.messages import Step
+from zinniatrestle.serving import FrontDoor, RetryLaterError
+from zinniatrestle.web import CODE_HEADER, HTTP_STATUS, OTHER_STATUS, read_body
+
+DEADLINE_HEADER = "Zinniatrestle-Deadline-Ms"
+KEY_HEADER = "Api-Key"
+# s; how long a caller waits that does not say.
+DEFAULT_SECONDS = 3.0
+# s; the part of a caller's time that is left for the answer's way back.
+ANSWER_SECONDS = 0.1
+JOB_DIGITS = 16
+MILLISECONDS = 1000.0
+# Bytes; the largest body while the desired state sets no limit.
+DEFAULT_BODY = 262_144
+
+Handler = Callable[[Request], Awaitable[Response]]
+
+
+class WireStep(msgspec.Struct, frozen=True):
+    """A step of a job; a field that is missing is 0, false or empty."""
+
+    count: int = 1
+    cpu: int = 0
+    memMb: int = 0
+    gpus: int = 0
+    # A caller's guess, often far off.
+    estimatedMs: float = 0
+    after: list[int] = []
+    checkpointing: bool = False
+    gang: bool = False
+    # Slower on more than one rack.
+    rackSensitive: bool = False
+    # One label that the worker must have.
+    requirements: str = ""
+    # The rack where the data lies.
+    affinity: str = ""
+    # The most tasks of the step on one worker; 0: no bound.
+    antiAffinity: int = 0
+    allowDuplicates: bool = False
+    longRunning: bool = False
+    image: str = ""
+    # The bound on the tail of a serving task's response times.
+    targetMs: float = 0
+    fills: bool = False
+    mayMiss: int = 0
+
+
+class WireJob(msgspec.Struct, frozen=True):
+    """A job; `maxRuns` above 0 makes it run at set times since 1970."""
+
+    spec: str = ""
+    steps: list[WireStep] = []
+    maxRuns: int = 0
+    startAtMs: float = 0
+    intervalMs: float = 0
+
+
+class WireState(msgspec.Struct, frozen=True):
+    """A job's state."""
+
+    state: str
+
+
+class WirePending(msgspec.Struct, frozen=True):
+    """Accepted jobs of a queue that have not begun."""
+
+    pendingJobs: int
+
+
+def decode_plan(body: bytes) -> Plan:
+    """Return the plan that a body tells; raises CallerError."""
+    try:
+        job = msgspec.json.decode(body, type=WireJob)
+    except (msgspec.ValidationError, msgspec.DecodeError) as error:
+        raise CallerError(f"Mend the body: {error}.") from error
+    steps = tuple(_step(step) for step in job.steps)
+    return Plan(job.spec, steps, job.maxRuns, int(job.startAtMs), int(job.intervalMs))
+
+
+def _step(wire: WireStep) -> Step:
+    return Step(
+        count=wire.count,
+        cpu=wire.cpu,
+        memory_mb=wire.memMb,
+        gpus=wire.gpus,
+        estimated_ms=int(wire.estimatedMs),
+        after=tuple(wire.after),
+        checkpointing=wire.checkpointing,
+        gang=wire.gang,
+        rack_bound=wire.rackSensitive,
+        label=wire.requirements,
+        data_rack=RackId(wire.affinity),
+        most_per_worker=wire.antiAffinity,
+        copies=wire.allowDuplicates,
+        lasting=wire.longRunning,
+        image=wire.image,
+        target_ms=int(wire.targetMs),
+        fills=wire.fills,
+        may_miss=wire.mayMiss,
+    )
+
+
+class JobCalls:
+    """Translate callers' requests into calls of the front door."""
+
+    def __init__(self, door: FrontDoor):
+        self.door = door
+
+    def app(self) -> Starlette:
+        """Return the application that callers reach."""
+        methods = ["GET", "POST", "DELETE"]
+        route = Route("/{path:path}", _answered(self.handle), methods=methods)
+        return Starlette(routes=[route])
+
+    async def handle(self, request: Request) -> Response:
+        """Answer one request."""
+        give_up_at = monotonic() + _seconds_left(request)
+        path = request.url.path
+        host = request.headers.get("host", "").partition(":")[0]
+        key = request.headers.get(KEY_HEADER)
+        pass_ = self.door.admit(host, path, ApiKey(key) if key else None)
+        rest = path[len(pass_.queue.path) :]
+        if request.method == "GET" and not rest:
+            return _reply(WirePending(self.door.pending(pass_.queue)))
+        job = _job_id(rest)
+        if request.method == "POST":
+            body = await read_body(request, self.door.largest_body or DEFAULT_BODY)
+            await self.door.accept(pass_, job, decode_plan(body), give_up_at)
+            return _reply({})
+        if request.method == "DELETE":
+            await self.door.cancel(job, give_up_at)
+            return _reply({})
+        state = await self.door.show(job)
+        return _reply(WireState(state.value))
+
+
+class ReadinessCalls:
+    """Answer the platform's question whether callers may come."""
+
+    def __init__(self, door: FrontDoor):
+        self.door = door
+
+    def app(self) -> Starlette:
+        """Return the application that the platform asks."""
+        return Starlette(routes=[Route("/-/ready", self.handle, methods=["GET"])])
+
+    async def handle(self, request: Request) -> Response:
+        """Answer whether this host takes callers."""
+        return Response(status_code=200 if self.door.ready() else 503)
+
+
+def _job_id(text: str) -> JobId:
+    digits = set("0123456789abcdefABCDEF")
+    if len(text) != JOB_DIGITS or not set(text) <= digits:
+        raise CallerError(
+            f"Name the job by {JOB_DIGITS} hexadecimal digits.",
+            ResultCode.NO_SUCH_THING,
+        )
+    return JobId(text)
+
+
+def _seconds_left(request: Request) -> float:
+    text = request.headers.get(DEADLINE_HEADER, "")
+    try:
+        seconds = float(text) / MILLISECONDS if text else DEFAULT_SECONDS
+    except ValueError as error:
+        raise CallerError(f"Send {DEADLINE_HEADER} as milliseconds.") from error
+    return max(0.0, seconds - ANSWER_SECONDS)
+
+
+def _answered(handler: Handler) -> Handler:
+    async def handle(request: Request) -> Response:
+        try:
+            return await handler(request)
+        except ZinniatrestleError as error:
+            return _refusal(error)
+
+    return handle
+
+
+def _refusal(error: ZinniatrestleError) -> Response:
+    status = HTTP_STATUS.get(error.code, OTHER_STATUS)
+    headers = {CODE_HEADER: str(int(error.code))}
+    if isinstance(error, RetryLaterError):
+        headers["Retry-After"] = str(error.seconds)
+    body = {"error": error.detail, "code": int(error.code)}
+    return Response(msgspec.json.encode(body), status, headers, "application/json")
+
+
+def _reply(body: object) -> Response:
+    return Response(msgspec.json.encode(body), 200, media_type="application/json")
--- a/src/zinniatrestle/platform/http.py
+++ b/src/zinniatrestle/platform/http.py
@@ -1,251 +1,102 @@
-"""The platform's services over HTTP."""
+"""One HTTP client for all that the platform offers."""
 
+from enum import Enum
 from typing import Any
 
 import aiohttp
-import msgspec
-
-from zinniatrestle.clock import monotonic
-from zinniatrestle.errors import (
-    ResultCode,
-    StoreUnavailableError,
-    StoreUncertainError,
-    WorkerError,
-)
-from zinniatrestle.ids import HostId, RowKey, WorkerId
-from zinniatrestle.platform.caching import CachedHostList
-from zinniatrestle.platform.interfaces import (
-    HostList,
-    ObjectStore,
-    Platform,
-    TableService,
-    Workers,
-)
-from zinniatrestle.platform.messages import (
-    Commit,
-    HostRole,
-    ListedHost,
-    Renew,
-    Reserve,
-    Row,
-    Start,
-    Stop,
-    Transaction,
-    WorkerReport,
-)
-
-HOST_HEADER = "Zinniatrestle-Host"
-READ_SECONDS = 2.0
-WRITE_SECONDS = 3.0
-CONNECT_SECONDS = 1.0
-LIST_SECONDS = 5.0
-UNAVAILABLE_STATUS = 503
-
-
-class ReadCall(msgspec.Struct, frozen=True):
-    """Ask for rows by key."""
 
-    keys: list[RowKey]
+# s; how long opening a connection may take: several times the slowest link's way,
+# and short, since a host behind a partition never answers.
+CONNECT_SECONDS = 1.0
+# s; idle connections are given up early, since they may have gone silent.
+IDLE_SECONDS = 10.0
 
 
-class ScanCall(msgspec.Struct, frozen=True):
-    """Ask for rows by prefix."""
+class Fate(Enum):
+    """Whether a call that failed may have taken effect."""
 
-    prefix: str
-    after: RowKey
-    limit: int
+    NOT_DONE = "not_done"
+    UNKNOWN = "unknown"
 
 
-class WorkerAnswer(msgspec.Struct, frozen=True):
-    """A worker's answer; a code other than 0 is a refusal."""
+class CallError(Exception):
+    """Signal a call without an answer."""
 
-    code: int = 0
-    detail: str = ""
-    body: bytes = b""
+    def __init__(self, fate: Fate, detail: str, refused: bool = False):
+        super().__init__(detail)
+        self.fate = fate
+        self.detail = detail
+        # Nothing listens at the address.
+        self.refused = refused
 
 
-class StopAnswer(msgspec.Struct, frozen=True):
-    """A worker's answer to a stop."""
+class HttpAnswer:
+    """An answer's status and body."""
 
-    progress: float
+    def __init__(self, status: int, body: bytes):
+        self.status = status
+        self.body = body
 
 
-class HttpCaller:
-    """Share one session between the adapters."""
+class HttpClient:
+    """Call addresses with a time limit each; a call that times out closes its line."""
 
-    def __init__(self, base: str, host: HostId):
-        self.base = base.rstrip("/")
-        self.host = host
+    def __init__(self, connections_per_address: int = 0):
+        self.connections = connections_per_address
         self.session: aiohttp.ClientSession | None = None
 
-    async def post(self, path: str, body: Any, timeout: float) -> bytes:
-        """Post to the platform; raises as `post_to` does."""
-        return await self.post_to(self.base + path, body, timeout)
-
-    async def post_to(self, url: str, body: Any, timeout: float) -> bytes:
-        """Post MessagePack; raises StoreUnavailableError and StoreUncertainError.
-
-        The second says that the call may have taken effect.
-        """
-        data = msgspec.msgpack.encode(body)
-        limits = aiohttp.ClientTimeout(total=timeout, sock_connect=CONNECT_SECONDS)
-        try:
-            async with self._session().post(url, data=data, timeout=limits) as response:
-                answer = await response.read()
-                if response.status == UNAVAILABLE_STATUS:
-                    raise StoreUnavailableError("The platform refuses calls now.")
-                if response.status >= 400:
-                    raise StoreUnavailableError(answer.decode(errors="replace"))
-                return answer
-        except (aiohttp.ClientConnectorError, aiohttp.ConnectionTimeoutError) as error:
-            raise StoreUnavailableError("The platform can't be reached.") from error
-        except (TimeoutError, aiohttp.ClientError, OSError) as error:
-            raise StoreUncertainError("The platform's answer was lost.") from error
-
-    async def read(self, path: str, body: Any) -> bytes:
-        """Post a call that changes nothing; raises StoreUnavailableError."""
+    async def call(
+        self,
+        method: str,
+        address: str,
+        path: str,
+        timeout: float,
+        body: bytes | None = None,
+        query: dict[str, Any] | None = None,
+        headers: dict[str, str] | None = None,
+    ) -> HttpAnswer:
+        """Make one call; `timeout` in seconds; raises CallError."""
+        limits = aiohttp.ClientTimeout(
+            total=timeout, sock_connect=min(timeout, CONNECT_SECONDS)
+        )
+        sent = dict(headers or {})
+        if body is not None:
+            sent["Content-Type"] = "application/json"
         try:
-            return await self.post(path, body, READ_SECONDS)
-        except StoreUncertainError as error:
-            raise StoreUnavailableError(error.detail) from error
+            async with self._session().request(
+                method,
+                f"http://{address}{path}",
+                data=body,
+                params=query,
+                headers=sent,
+                timeout=limits,
+                allow_redirects=False,
+            ) as response:
+                return HttpAnswer(response.status, await response.read())
+        except aiohttp.ClientConnectorError as error:
+            refused = isinstance(error.os_error, ConnectionRefusedError)
+            raise CallError(Fate.NOT_DONE, str(error), refused) from error
+        except aiohttp.ConnectionTimeoutError as error:
+            raise CallError(Fate.NOT_DONE, "connecting timed out") from error
+        except TimeoutError as error:
+            raise CallError(Fate.UNKNOWN, "the call timed out") from error
+        except (aiohttp.ClientError, OSError) as error:
+            raise CallError(Fate.UNKNOWN, f"{type(error).__name__}: {error}") from error
 
     async def close(self):
-        """Give back connections."""
+        """Close all connections."""
         if self.session is not None:
             await self.session.close()
 
     def _session(self) -> aiohttp.ClientSession:
         if self.session is None:
-            connector = aiohttp.TCPConnector(limit=0)
+            connector = aiohttp.TCPConnector(
+                limit=0,
+                limit_per_host=self.connections,
+                keepalive_timeout=IDLE_SECONDS,
+                use_dns_cache=False,
+            )
             self.session = aiohttp.ClientSession(
-                connector=connector, headers={HOST_HEADER: self.host}
+                connector=connector, auto_decompress=False
             )
         return self.session
-
-
-class HttpTable(TableService):
-    """Call the table service."""
-
-    def __init__(self, caller: HttpCaller):
-        self.caller = caller
-
-    async def read(self, keys: list[RowKey]) -> dict[RowKey, Row]:
-        """Return the rows that exist among `keys`."""
-        answer = await self.caller.read("/table/read", ReadCall(keys))
-        rows = msgspec.msgpack.decode(answer, type=list[Row])
-        return {row.key: row for row in rows}
-
-    async def scan(self, prefix: str, after: RowKey, limit: int) -> list[Row]:
-        """Return rows under `prefix` behind `after`."""
-        call = ScanCall(prefix, after, limit)
-        answer = await self.caller.read("/table/scan", call)
-        return msgspec.msgpack.decode(answer, type=list[Row])
-
-    async def commit(self, transaction: Transaction) -> Commit:
-        """Apply a transaction if all its checks hold."""
-        answer = await self.caller.post("/table/commit", transaction, WRITE_SECONDS)
-        return msgspec.msgpack.decode(answer, type=Commit)
-
-
-class HttpObjects(ObjectStore):
-    """Call the object store."""
-
-    def __init__(self, caller: HttpCaller):
-        self.caller = caller
-
-    async def put_if_absent(self, name: str, body: bytes) -> bool:
-        """Write an object unless one of that name exists."""
-        answer = await self.caller.post(f"/objects/put/{name}", body, WRITE_SECONDS)
-        return msgspec.msgpack.decode(answer, type=bool)
-
-    async def get(self, name: str) -> bytes | None:
-        """Return an object's body, or None."""
-        answer = await self.caller.read(f"/objects/get/{name}", b"")
-        return msgspec.msgpack.decode(answer, type=bytes | None)
-
-
-class HttpHostList(HostList):
-    """Call the list of machines."""
-
-    def __init__(self, caller: HttpCaller):
-        self.caller = caller
-
-    async def hosts(self) -> list[ListedHost]:
-        """Return the machines known to the platform."""
-        answer = await self.caller.read("/hosts", b"")
-        return msgspec.msgpack.decode(answer, type=list[ListedHost])
-
-
-class HttpWorkers(Workers):
-    """Command workers at the addresses that the platform lists."""
-
-    def __init__(self, caller: HttpCaller, hosts: HostList):
-        self.caller = caller
-        self.hosts = hosts
-        self.addresses: dict[WorkerId, str] = {}
-        self.listed_at = -LIST_SECONDS
-
-    async def reserve(self, worker: WorkerId, command: Reserve):
-        """Hold accelerators for one attempt."""
-        await self._command(worker, "reserve", command)
-
-    async def start(self, worker: WorkerId, command: Start):
-        """Start the tasks of a reserved attempt."""
-        await self._command(worker, "start", command)
-
-    async def renew(self, worker: WorkerId, command: Renew) -> WorkerReport:
-        """Extend the leases of running attempts and report."""
-        answer = await self._command(worker, "renew", command)
-        return msgspec.msgpack.decode(answer, type=WorkerReport)
-
-    async def stop(self, worker: WorkerId, command: Stop) -> float:
-        """End an attempt and return its checkpointed progress in seconds."""
-        answer = await self._command(worker, "stop", command)
-        return msgspec.msgpack.decode(answer, type=StopAnswer).progress
-
-    async def report(self, worker: WorkerId) -> WorkerReport:
-        """Return what the worker holds now."""
-        answer = await self._command(worker, "report", b"")
-        return msgspec.msgpack.decode(answer, type=WorkerReport)
-
-    async def _command(self, worker: WorkerId, verb: str, command: Any) -> bytes:
-        url = f"http://{await self._address(worker)}/workers/{worker}/{verb}"
-        try:
-            answer = await self.caller.post_to(url, command, WRITE_SECONDS)
-        except (StoreUnavailableError, StoreUncertainError) as error:
-            raise WorkerError(error.detail) from error
-        answered = msgspec.msgpack.decode(answer, type=WorkerAnswer)
-        if answered.code != ResultCode.OK:
-            raise WorkerError(answered.detail, ResultCode(answered.code))
-        return answered.body
-
-    async def _address(self, worker: WorkerId) -> str:
-        """Return where a worker listens; old addresses serve while the list is out."""
-        if monotonic() - self.listed_at >= LIST_SECONDS:
-            try:
-                listed = await self.hosts.hosts()
-            except StoreUnavailableError:
-                listed = []
-            for host in listed:
-                if host.role is HostRole.WORKER:
-                    self.addresses[WorkerId(host.name)] = host.address
-            self.listed_at = monotonic()
-        address = self.addresses.get(worker)
-        if address is None:
-            raise WorkerError(f"The platform does not list the worker {worker}.")
-        return address
-
-
-class HttpPlatform(Platform):
-    """Bundle the services behind one base address."""
-
-    def __init__(self, base: str, host: HostId):
-        self.caller = HttpCaller(base, host)
-        self.table = HttpTable(self.caller)
-        self.objects = HttpObjects(self.caller)
-        self.hosts = CachedHostList(HttpHostList(self.caller))
-        self.workers = HttpWorkers(self.caller, self.hosts)
-
-    async def close(self):
-        """Give back connections."""
-        await self.caller.close()
--- /dev/null
+++ b/src/zinniatrestle/platform/operator.py
@@ -0,0 +1,180 @@
+"""What operators write to the store: desired states, evacuations and waves."""
+
+import msgspec
+
+from zinniatrestle.errors import CallerError
+from zinniatrestle.ids import (
+    ApiKey,
+    ClientAccountId,
+    FailureDomainId,
+    QueueName,
+    RegionId,
+    RowName,
+    ServiceName,
+    TableName,
+)
+from zinniatrestle.queues.follower import OperatorRows
+from zinniatrestle.queues.messages import (
+    Account,
+    AdviceTerms,
+    DesiredState,
+    Evacuation,
+    Queue,
+    Service,
+    Wave,
+)
+
+CONFIG = "config"
+EVACUATE = "evacuate/"
+WAVE = "wave/"
+MILLISECONDS = 1000.0
+
+
+class WireAdvice(msgspec.Struct, frozen=True):
+    """How long the advice service of a queue takes."""
+
+    decisionMs: float = 0.0
+    perWorkerMs: float = 0.0
+    validMs: float = 0.0
+
+
+class WireRoute(msgspec.Struct, frozen=True):
+    """A route: a queue of jobs; `service` names the workers that run its tasks."""
+
+    name: str
+    host: str
+    pathPrefix: str
+    service: str
+    priority: int = 0
+    maxAttempts: int = 1
+    stretch: float = 1.0
+    targetLatencyMs: float = 0.0
+    timeoutMs: float = 0.0
+    allowAnonymous: bool = False
+    allowedRegions: list[str] = []
+    advice: WireAdvice | None = None
+
+
+class WireService(msgspec.Struct, frozen=True):
+    """A pool of workers; `enforcesCapacity`: they refuse what does not fit."""
+
+    name: str
+    enforcesCapacity: bool = False
+    standby: bool = False
+
+
+class WireGuaranteed(msgspec.Struct, frozen=True):
+    """Accelerators that belong to a tenant at all times."""
+
+    gpus: int = 0
+
+
+class WireTenant(msgspec.Struct, frozen=True):
+    """A client account with the keys of its callers."""
+
+    name: str
+    apiKeys: list[str] = []
+    guaranteed: WireGuaranteed = WireGuaranteed()
+    allowedRegions: list[str] = []
+
+
+class WireLimits(msgspec.Struct, frozen=True):
+    """Limits of a request; 0: none."""
+
+    maxBodyBytes: int = 0
+
+
+class WireConfig(msgspec.Struct, frozen=True):
+    """A desired state in full."""
+
+    version: int
+    routes: list[WireRoute] = []
+    services: list[WireService] = []
+    tenants: list[WireTenant] = []
+    limits: WireLimits = WireLimits()
+
+
+class WireWave(msgspec.Struct, frozen=True):
+    """A wave of upkeep: `cap` machines at once, done within `durationS`."""
+
+    wave: int
+    machines: list[str] = []
+    durationS: float = 0.0
+    cap: int = 1
+
+
+class PlatformOperatorRows(OperatorRows):
+    """Decode the rows of the operator's table."""
+
+    table = TableName("op")
+
+    def decode(
+        self, name: RowName, value: bytes
+    ) -> DesiredState | Evacuation | Wave | None:
+        """Return what a row says, or None for a row of no interest."""
+        if name.startswith(EVACUATE):
+            return Evacuation(FailureDomainId(name.removeprefix(EVACUATE)))
+        try:
+            if name == CONFIG:
+                return _desired(msgspec.json.decode(value, type=WireConfig))
+            if name.startswith(WAVE):
+                return _wave(name, value)
+        except (msgspec.ValidationError, msgspec.DecodeError) as error:
+            raise CallerError(f"The row {name} can't be read: {error}.") from error
+        return None
+
+
+def _desired(config: WireConfig) -> DesiredState:
+    return DesiredState(
+        version=config.version,
+        queues=tuple(_queue(route) for route in config.routes),
+        services=tuple(
+            Service(
+                ServiceName(service.name), service.enforcesCapacity, service.standby
+            )
+            for service in config.services
+        ),
+        accounts=tuple(_account(tenant) for tenant in config.tenants),
+        largest_body=config.limits.maxBodyBytes,
+    )
+
+
+def _queue(route: WireRoute) -> Queue:
+    advice = None
+    if route.advice is not None:
+        advice = AdviceTerms(
+            route.advice.decisionMs / MILLISECONDS,
+            route.advice.perWorkerMs / MILLISECONDS,
+            route.advice.validMs / MILLISECONDS,
+        )
+    return Queue(
+        name=QueueName(route.name),
+        host=route.host,
+        path=route.pathPrefix,
+        service=ServiceName(route.service),
+        priority=route.priority,
+        attempts=max(1, route.maxAttempts),
+        stretch=route.stretch,
+        target=route.targetLatencyMs / MILLISECONDS,
+        timeout=route.timeoutMs / MILLISECONDS,
+        anonymous=route.allowAnonymous,
+        regions=frozenset(RegionId(region) for region in route.allowedRegions),
+        advice=advice,
+    )
+
+
+def _account(tenant: WireTenant) -> Account:
+    return Account(
+        name=ClientAccountId(tenant.name),
+        keys=frozenset(ApiKey(key) for key in tenant.apiKeys),
+        guaranteed=tenant.guaranteed.gpus,
+        regions=frozenset(RegionId(region) for region in tenant.allowedRegions),
+    )
+
+
+def _wave(name: RowName, value: bytes) -> Wave:
+    if value == b"{}":
+        number = name.removeprefix(WAVE)
+        return Wave(int(number) if number.isdigit() else 0, (), 0.0, 0)
+    wire = msgspec.json.decode(value, type=WireWave)
+    return Wave(wire.wave, tuple(wire.machines), wire.durationS, max(1, wire.cap))
--- /dev/null
+++ b/src/zinniatrestle/platform/orders.py
@@ -0,0 +1,219 @@
+"""Calls to workers."""
+
+from typing import Any
+
+import msgspec
+
+from zinniatrestle.ids import Born, Generation, RunNumber, TaskId
+from zinniatrestle.platform.http import CallError, Fate, HttpAnswer, HttpClient
+from zinniatrestle.workers.interfaces import WorkerOrders
+from zinniatrestle.workers.messages import (
+    EndedRun,
+    HoldAnswer,
+    HowEnded,
+    Refusal,
+    RefusedOrderError,
+    RunningTask,
+    StartOrder,
+    UnansweredOrderError,
+    WorkerEntry,
+)
+
+INSTANCE_HEADER = "Zinniatrestle-Expect-Instance"
+# s; an order takes a round trip and a few ms; what is not answered by then may be
+# carried out later and is closed by a stop.
+ORDER_SECONDS = 1.0
+MILLISECONDS = 1000.0
+OK = 200
+OTHER_BOOT = 421
+REASONS = {
+    "fence": Refusal.STALE_GENERATION,
+    "old": Refusal.STALE_RUN,
+    "late": Refusal.TOO_LATE,
+    "room": Refusal.NO_ROOM,
+    "ticket": Refusal.BAD_TICKET,
+}
+STATUSES = {
+    400: Refusal.MALFORMED,
+    404: Refusal.MALFORMED,
+    OTHER_BOOT: Refusal.OTHER_LIFE,
+    429: Refusal.UNHEALTHY,
+    503: Refusal.UNHEALTHY,
+}
+
+
+class WireStart(msgspec.Struct, frozen=True, omit_defaults=True):
+    """A start; `deadlineMs` is on the worker's clock, `fencingToken` a generation."""
+
+    task: str
+    run: int
+    spec: str
+    deadlineMs: int
+    fencingToken: int
+    checkpoint: str = ""
+    ticket: str = ""
+
+
+class WireStop(msgspec.Struct, frozen=True):
+    """A stop."""
+
+    task: str
+    run: int
+    fencingToken: int
+
+
+class WirePace(msgspec.Struct, frozen=True):
+    """A change of a run's speed."""
+
+    task: str
+    run: int
+    percent: int
+    fencingToken: int
+
+
+class WireHold(msgspec.Struct, frozen=True, omit_defaults=True):
+    """A hold; ends up to `lastSeen` are forgotten by the worker."""
+
+    fencingToken: int
+    lastSeen: int
+    deadlineMs: int | None = None
+    waitMs: int = 0
+
+
+class WireRefusal(msgspec.Struct, frozen=True):
+    """A refusal with the worker's clock."""
+
+    reason: str = ""
+    clockMs: int | None = None
+
+
+class WireLists(msgspec.Struct, frozen=True):
+    """What runs and what ended at a worker.
+
+    A running entry is [task, run, saved, percent, figure], an end is
+    [number, task, run, how, saved].
+    """
+
+    clockMs: int
+    running: list[list[Any]] = []
+    ended: list[list[Any]] = []
+    born: float = 0
+
+
+class PlatformWorkerOrders(WorkerOrders):
+    """Call workers at the addresses of their entries."""
+
+    def __init__(self, client: HttpClient):
+        self.client = client
+
+    async def start(self, worker: WorkerEntry, order: StartOrder) -> int:
+        """Start a run; returns the worker's clock in milliseconds."""
+        body = WireStart(
+            order.task,
+            order.run,
+            order.spec,
+            order.deadline_ms,
+            order.generation,
+            order.checkpoint,
+            order.ticket,
+        )
+        answer = await self._call(worker, "/-/run-start", body, ORDER_SECONDS)
+        return _decode(answer, WireLists).clockMs
+
+    async def stop(
+        self,
+        worker: WorkerEntry,
+        task: TaskId,
+        run: RunNumber,
+        generation: Generation,
+    ):
+        """Stop a run, and keep it from starting if it has not come yet."""
+        body = WireStop(task, run, generation)
+        await self._call(worker, "/-/run-stop", body, ORDER_SECONDS)
+
+    async def pace(
+        self,
+        worker: WorkerEntry,
+        task: TaskId,
+        run: RunNumber,
+        percent: int,
+        generation: Generation,
+    ):
+        """Let a run work at a share of its speed."""
+        body = WirePace(task, run, percent, generation)
+        await self._call(worker, "/-/pace", body, ORDER_SECONDS)
+
+    async def hold(
+        self,
+        worker: WorkerEntry,
+        generation: Generation,
+        seen: int,
+        deadline_ms: int | None,
+        wait: float,
+    ) -> HoldAnswer:
+        """Extend the lease of all that runs, and wait for an end."""
+        body = WireHold(generation, seen, deadline_ms, int(wait * MILLISECONDS))
+        answer = await self._call(worker, "/-/hold", body, wait + ORDER_SECONDS)
+        lists = _decode(answer, WireLists)
+        try:
+            running = tuple(_running(entry) for entry in lists.running)
+            ended = tuple(_ended(entry) for entry in lists.ended)
+        except (ValueError, IndexError, TypeError) as error:
+            raise UnansweredOrderError(f"Unreadable lists: {error}.") from error
+        return HoldAnswer(lists.clockMs, Born(int(lists.born)), running, ended)
+
+    async def _call(
+        self, worker: WorkerEntry, path: str, body: Any, timeout: float
+    ) -> HttpAnswer:
+        try:
+            answer = await self.client.call(
+                "POST",
+                worker.address,
+                path,
+                timeout,
+                msgspec.json.encode(body),
+                headers={INSTANCE_HEADER: worker.worker},
+            )
+        except CallError as error:
+            if error.refused:
+                raise RefusedOrderError(Refusal.NOT_LISTENING) from error
+            if error.fate is Fate.NOT_DONE:
+                raise RefusedOrderError(Refusal.NOT_REACHED) from error
+            raise UnansweredOrderError(error.detail) from error
+        if answer.status == OK:
+            return answer
+        if answer.status == 409:
+            refusal = _decode(answer, WireRefusal)
+            reason = REASONS.get(refusal.reason, Refusal.MALFORMED)
+            raise RefusedOrderError(reason, refusal.clockMs)
+        if answer.status in STATUSES:
+            raise RefusedOrderError(STATUSES[answer.status])
+        raise UnansweredOrderError(f"The worker answers {answer.status}.")
+
+
+def _decode(answer: HttpAnswer, wanted: type) -> Any:
+    try:
+        return msgspec.json.decode(answer.body, type=wanted)
+    except (msgspec.ValidationError, msgspec.DecodeError) as error:
+        raise UnansweredOrderError(f"Unreadable answer: {error}.") from error
+
+
+def _running(entry: list[Any]) -> RunningTask:
+    figure = float(entry[4] or 0) if len(entry) > 4 else 0.0
+    return RunningTask(
+        TaskId(entry[0]),
+        RunNumber(entry[1]),
+        entry[2] or "",
+        float(entry[3] or 0),
+        figure,
+    )
+
+
+def _ended(entry: list[Any]) -> EndedRun:
+    return EndedRun(
+        int(entry[0]),
+        TaskId(entry[1]),
+        RunNumber(entry[2]),
+        HowEnded(entry[3]),
+        entry[4] or "",
+    )
--- /dev/null
+++ b/src/zinniatrestle/platform/registry.py
@@ -0,0 +1,82 @@
+"""The entries that workers write about themselves."""
+
+import msgspec
+
+from zinniatrestle.ids import (
+    Born,
+    FailureDomainId,
+    RackId,
+    RowName,
+    ServiceName,
+    TableName,
+    WorkerId,
+)
+from zinniatrestle.workers.interfaces import WorkerRows
+from zinniatrestle.workers.messages import WorkerEntry, WorkerState
+
+MILLISECONDS = 1000.0
+
+
+class WireCapacity(msgspec.Struct, frozen=True):
+    """A worker's room; `cpu` in thousandths of a core."""
+
+    cpu: int
+    memMb: int
+    gpus: int = 0
+
+
+class WireServer(msgspec.Struct, frozen=True):
+    """A worker's entry; `sequence` counts its own writes."""
+
+    service: str
+    address: str
+    zone: str
+    state: str
+    capacity: WireCapacity
+    labels: list[str] = []
+    sequence: int = 0
+    coldRemainingMs: float = 0.0
+    remainingMs: float | None = None
+    # A float is taken too, since not all writers send whole numbers.
+    born: float = 0
+
+
+class PlatformWorkerRows(WorkerRows):
+    """Decode the registry of workers."""
+
+    table = TableName("servers")
+
+    def decode(self, name: RowName, value: bytes) -> WorkerEntry | None:
+        """Return the entry, or None when it names no worker to use."""
+        try:
+            wire = msgspec.json.decode(value, type=WireServer)
+            state = WorkerState(wire.state)
+        except (msgspec.ValidationError, msgspec.DecodeError, ValueError):
+            return None
+        ip, _, port = wire.address.rpartition(":")
+        if not ip or not port.isdigit():
+            return None
+        remaining = None
+        if wire.remainingMs is not None:
+            remaining = wire.remainingMs / MILLISECONDS
+        return WorkerEntry(
+            worker=WorkerId(name),
+            service=ServiceName(wire.service),
+            address=wire.address,
+            domain=FailureDomainId(wire.zone),
+            state=state,
+            cpu=wire.capacity.cpu,
+            memory_mb=wire.capacity.memMb,
+            gpus=wire.capacity.gpus,
+            labels=frozenset(wire.labels),
+            rack=_rack(wire.labels),
+            born=Born(int(wire.born)),
+            sequence=wire.sequence,
+            remaining=remaining,
+            cold=wire.coldRemainingMs / MILLISECONDS,
+        )
+
+
+def _rack(labels: list[str]) -> RackId:
+    """Return the rack: a worker's labels are its kind and then its rack."""
+    return RackId(labels[1]) if len(labels) > 1 else RackId("")
--- /dev/null
+++ b/src/zinniatrestle/platform/settings.py
@@ -0,0 +1,168 @@
+"""The settings file that the platform hands to each process."""
+
+import tomllib
+from pathlib import Path
+from typing import Any
+
+import msgspec
+
+from zinniatrestle.deployment import (
+    Addresses,
+    Bounds,
+    Deployment,
+    Identity,
+    StoreLimits,
+)
+from zinniatrestle.errors import SettingsError
+from zinniatrestle.ids import FailureDomainId, HostId, RegionId
+
+SETTINGS_VARIABLE = "ZINNIATRESTLE_BOOT"
+MILLISECONDS = 1000.0
+INVOCATION = "invocation"
+
+
+class BindAddresses(msgspec.Struct, frozen=True):
+    """Where this process listens, each as IP:PORT."""
+
+    frontendAddr: str = ""
+    readiness: str = ""
+
+
+class WireLimits(msgspec.Struct, frozen=True):
+    """What the machine has; the share is of one core, as fast as `cores`."""
+
+    cpuShare: float = 1.0
+    cores: float = 1.0
+
+
+class WireBounds(msgspec.Struct, frozen=True):
+    """Bounds of the rules; names end in their unit."""
+
+    contactMs: float = 4000
+    ackTimeoutMs: float = 5000
+    drainMs: float = 2500
+    graceS: float = 6
+    revokeMs: float = 5000
+    strictRevocation: bool = True
+    evacuateMs: float = 5000
+    configApplyMs: float = 2500
+    maxHoldMs: float = 10000
+    stopTimeoutMs: float = 1000
+    gangTimeoutMs: float = 3000
+    status_s: float = 120
+    farX: float = 3
+    checkpointIntervalS: float = 2
+    restoreMs: float = 250
+    noticeMs: float = 5500
+    leaseMs: float = 3000
+    paceMs: float = 100
+    harmMs: float = 4000
+    reclaimMs: float = 3000
+    migrateS: float = 1.5
+    maintenanceS: float = 2
+
+
+class StoreSection(msgspec.Struct, frozen=True):
+    """The store: its address, and the rates that all hosts share."""
+
+    address: str = ""
+    form: str = "table"
+    writesPerS: float = 100
+    readsPerS: float = 100
+
+
+class CloudSection(msgspec.Struct, frozen=True):
+    """The calls about machines."""
+
+    address: str = ""
+    ratePerS: float = 10
+    dutyPerS: float = 10
+
+
+class SettingsFile(msgspec.Struct, frozen=True):
+    """The file's fields that are used; others are ignored."""
+
+    nodeName: str
+    ip: str
+    zone: str
+    region: str
+    bindAddresses: BindAddresses
+    platform: StoreSection
+    zones: dict[str, str] = {}
+    orders: str = INVOCATION
+    advice: str = ""
+    limits: WireLimits = WireLimits()
+    bounds: WireBounds = WireBounds()
+    cloudApi: CloudSection = CloudSection()
+
+
+def load(path: Path) -> Deployment:
+    """Read and check the settings file; raises SettingsError."""
+    try:
+        document = tomllib.loads(path.read_text())
+    except (OSError, UnicodeDecodeError, tomllib.TOMLDecodeError) as error:
+        raise SettingsError(f"Mend the settings file {path}: {error}.") from error
+    return decode(document)
+
+
+def decode(document: dict[str, Any]) -> Deployment:
+    """Return the deployment that a settings document tells; raises SettingsError."""
+    try:
+        file = msgspec.convert(document, SettingsFile, strict=False)
+    except msgspec.ValidationError as error:
+        raise SettingsError(f"Mend the settings file: {error}.") from error
+    if file.platform.form != "table":
+        raise SettingsError("Only a store of tables can be used: set platform.form.")
+    if file.orders != INVOCATION:
+        raise SettingsError("Workers can only be called: set orders to invocation.")
+    deployment = Deployment(
+        identity=Identity(
+            host=HostId(file.nodeName),
+            address=file.ip,
+            domain=FailureDomainId(file.zone),
+            region=RegionId(file.region),
+            speed=file.limits.cpuShare * file.limits.cores,
+        ),
+        addresses=Addresses(
+            callers=file.bindAddresses.frontendAddr,
+            readiness=file.bindAddresses.readiness,
+            store=file.platform.address,
+            machines=file.cloudApi.address,
+            advice=file.advice,
+        ),
+        regions={
+            FailureDomainId(zone): RegionId(region)
+            for zone, region in file.zones.items()
+        },
+        bounds=_bounds(file.bounds),
+        store=StoreLimits(file.platform.writesPerS, file.platform.readsPerS),
+    )
+    deployment.check()
+    return deployment
+
+
+def _bounds(wire: WireBounds) -> Bounds:
+    return Bounds(
+        contact=wire.contactMs / MILLISECONDS,
+        acknowledgement=wire.ackTimeoutMs / MILLISECONDS,
+        drain=wire.drainMs / MILLISECONDS,
+        grace=wire.graceS,
+        revocation=wire.revokeMs / MILLISECONDS,
+        strict_revocation=wire.strictRevocation,
+        evacuation=wire.evacuateMs / MILLISECONDS,
+        configuration=wire.configApplyMs / MILLISECONDS,
+        longest_hold=wire.maxHoldMs / MILLISECONDS,
+        stop=wire.stopTimeoutMs / MILLISECONDS,
+        gang=wire.gangTimeoutMs / MILLISECONDS,
+        state_kept=wire.status_s,
+        far_factor=wire.farX,
+        checkpoint_interval=wire.checkpointIntervalS,
+        restore=wire.restoreMs / MILLISECONDS,
+        notice=wire.noticeMs / MILLISECONDS,
+        lease=wire.leaseMs / MILLISECONDS,
+        pace=wire.paceMs / MILLISECONDS,
+        harm=wire.harmMs / MILLISECONDS,
+        reclaim=wire.reclaimMs / MILLISECONDS,
+        move=wire.migrateS,
+        upkeep=wire.maintenanceS,
+    )
--- /dev/null
+++ b/src/zinniatrestle/platform/store.py
@@ -0,0 +1,193 @@
+"""The platform's metadata store as a store of rows."""
+
+import msgspec
+
+from zinniatrestle.clock import boot_time
+from zinniatrestle.errors import (
+    HistoryLostError,
+    StoreUnavailableError,
+    StoreUncertainError,
+)
+from zinniatrestle.ids import RowName, RowVersion, StoreMilliseconds, TableName
+from zinniatrestle.platform.http import CallError, Fate, HttpAnswer, HttpClient
+from zinniatrestle.rows import (
+    Change,
+    Changes,
+    Expect,
+    Page,
+    RowStore,
+    StoredRow,
+    TransactionResult,
+    Write,
+)
+from zinniatrestle.rows.clock import StoreClock
+from zinniatrestle.rows.messages import Outcome
+
+# Everything that the scheduler checks together lies in this part, since one
+# transaction stays within one part.
+PART = "jobs"
+# The part in which operators and workers write.
+SHARED_PART = ""
+SHARED_TABLES = frozenset({"op", "servers", "status"})
+# s; a read takes some 10 ms; an outage is found out within this time.
+READ_SECONDS = 1.0
+# s; what a feed's answer may take beyond the wait asked for.
+FEED_SLACK_SECONDS = 1.0
+MILLISECONDS = 1000.0
+OK = 200
+MISMATCH = 412
+GONE = 410
+NOT_DONE = frozenset({400, 403, 404, 413, 429, 503})
+
+
+class WireRow(msgspec.Struct, frozen=True, omit_defaults=True):
+    """A row; `ver` is the version of the transaction that wrote it last."""
+
+    table: str
+    key: str
+    part: str = ""
+    value: bytes | None = None
+    ver: int = 0
+    deleted: bool = False
+
+
+class WireExpected(msgspec.Struct, frozen=True):
+    """The version that a row must have; 0: it must not exist."""
+
+    table: str
+    key: str
+    part: str
+    ver: int
+
+
+class WireTransaction(msgspec.Struct, frozen=True, omit_defaults=True):
+    """A transaction."""
+
+    expected: list[WireExpected] = []
+    writes: list[WireRow] = []
+    remove: list[WireRow] = []
+
+
+class WireRows(msgspec.Struct, frozen=True):
+    """Rows with the store's newest version and its clock."""
+
+    ver: int = 0
+    nowMs: int = 0
+    rows: list[WireRow] = []
+    hasMore: bool = False
+
+
+class PlatformStore(RowStore):
+    """Call the store."""
+
+    def __init__(self, client: HttpClient, address: str):
+        self.client = client
+        self.address = address
+        self.clock = StoreClock()
+
+    async def transact(
+        self, expects: list[Expect], writes: list[Write], timeout: float
+    ) -> TransactionResult:
+        """Apply all writes if every expected version holds."""
+        transaction = WireTransaction()
+        for expect in expects:
+            row = WireExpected(
+                expect.table, expect.name, part_of(expect.table), expect.version
+            )
+            transaction.expected.append(row)
+        for write in writes:
+            row = WireRow(write.table, write.name, part_of(write.table), write.value)
+            if write.value is None:
+                transaction.remove.append(row)
+                continue
+            transaction.writes.append(row)
+        body = msgspec.json.encode(transaction)
+        sent_at = boot_time()
+        try:
+            answer = await self.client.call(
+                "POST", self.address, "/-/rows-tx", timeout, body
+            )
+        except CallError as error:
+            if error.fate is Fate.NOT_DONE:
+                raise StoreUnavailableError(error.detail) from error
+            raise StoreUncertainError(error.detail) from error
+        if answer.status in NOT_DONE:
+            raise StoreUnavailableError(f"The store answers {answer.status}.")
+        if answer.status not in (OK, MISMATCH):
+            raise StoreUncertainError(f"The store answers {answer.status}.")
+        try:
+            rows = self._decode(answer, sent_at)
+        except StoreUnavailableError as error:
+            raise StoreUncertainError(error.detail) from error
+        if answer.status == OK:
+            return TransactionResult(Outcome.APPLIED, RowVersion(rows.ver), {})
+        current = {}
+        for row in rows.rows:
+            if row.value is None or row.deleted:
+                continue
+            stored = _stored(row)
+            current[(stored.table, stored.name)] = stored
+        return TransactionResult(Outcome.MISMATCH, RowVersion(rows.ver), current)
+
+    async def page(self, table: TableName, start: RowName, end: RowName) -> Page:
+        """Return rows from `start` up to but without `end`."""
+        query = {"table": table, "part": part_of(table)}
+        if start:
+            query["from"] = start
+        if end:
+            query["target"] = end
+        rows = await self._read("/-/rows-get", query, READ_SECONDS)
+        return Page(
+            [_stored(row) for row in rows.rows if row.value is not None],
+            RowVersion(rows.ver),
+            StoreMilliseconds(rows.nowMs),
+            rows.hasMore,
+        )
+
+    async def changes(
+        self, table: TableName, after: RowVersion, wait: float
+    ) -> Changes:
+        """Wait for changes of a table after a version."""
+        query = {"table": table, "after": after, "waitMs": int(wait * MILLISECONDS)}
+        rows = await self._read("/-/rows-feed", query, wait + FEED_SLACK_SECONDS)
+        changes = []
+        for row in rows.rows:
+            if row.part != part_of(table):
+                continue
+            value = None if row.deleted else row.value
+            changes.append(Change(RowName(row.key), RowVersion(row.ver), value))
+        return Changes(changes, RowVersion(rows.ver), StoreMilliseconds(rows.nowMs))
+
+    async def _read(self, path: str, query: dict, timeout: float) -> WireRows:
+        sent_at = boot_time()
+        try:
+            answer = await self.client.call(
+                "GET", self.address, path, timeout, query=query
+            )
+        except CallError as error:
+            raise StoreUnavailableError(error.detail) from error
+        if answer.status == GONE:
+            raise HistoryLostError("The store dropped its history.")
+        if answer.status != OK:
+            raise StoreUnavailableError(f"The store answers {answer.status}.")
+        return self._decode(answer, sent_at)
+
+    def _decode(self, answer: HttpAnswer, sent_at) -> WireRows:
+        try:
+            rows = msgspec.json.decode(answer.body, type=WireRows)
+        except msgspec.DecodeError as error:
+            raise StoreUnavailableError(f"Unreadable answer: {error}.") from error
+        if rows.nowMs:
+            self.clock.observe(StoreMilliseconds(rows.nowMs), sent_at, boot_time())
+        return rows
+
+
+def part_of(table: str) -> str:
+    """Return the part of the store in which a table's rows lie."""
+    return SHARED_PART if table in SHARED_TABLES else PART
+
+
+def _stored(row: WireRow) -> StoredRow:
+    return StoredRow(
+        TableName(row.table), RowName(row.key), row.value or b"", RowVersion(row.ver)
+    )
--- /dev/null
+++ b/src/zinniatrestle/queues/__init__.py
@@ -0,0 +1,24 @@
+"""Queues, services and client accounts as operators want them, and who may use them."""
+
+from zinniatrestle.queues.follower import DesiredStateReader
+from zinniatrestle.queues.messages import (
+    Account,
+    AdviceTerms,
+    DesiredState,
+    Queue,
+    Service,
+    Wave,
+)
+from zinniatrestle.queues.state import Freshness, OperatorState
+
+__all__ = [
+    "Account",
+    "AdviceTerms",
+    "DesiredState",
+    "DesiredStateReader",
+    "Freshness",
+    "OperatorState",
+    "Queue",
+    "Service",
+    "Wave",
+]
--- a/src/zinniatrestle/requests/claims.py
+++ b/src/zinniatrestle/requests/claims.py
@@ -13,9 +13,9 @@
 )
 from zinniatrestle.ids import ClientAccountId, RequestKey, RowKey
 from zinniatrestle.logs import PartLog
-from zinniatrestle.platform.interfaces import TableService
-from zinniatrestle.platform.messages import ABSENT, Check, Put, Transaction
 from zinniatrestle.requests.messages import ClaimRow, ClaimState
+from zinniatrestle.store.interfaces import TableService
+from zinniatrestle.store.messages import ABSENT, Check, Put, Transaction
 
 CLAIM_PREFIX = "claim/"
 FIRST_VERSION = 1
--- a/src/zinniatrestle/requests/retention.py
+++ b/src/zinniatrestle/requests/retention.py
@@ -9,11 +9,11 @@
 from zinniatrestle.errors import NotRunError, PlatformError, ResultCode
 from zinniatrestle.ids import ClientAccountId, RowKey
 from zinniatrestle.logs import PartLog
-from zinniatrestle.platform.interfaces import TableService
-from zinniatrestle.platform.leases import Lease, LeaseStanding
-from zinniatrestle.platform.messages import Check, Put, Row, Transaction
 from zinniatrestle.requests.claims import CLAIM_PREFIX
 from zinniatrestle.requests.messages import ClaimRow
+from zinniatrestle.store.interfaces import TableService
+from zinniatrestle.store.leases import Lease, LeaseStanding
+from zinniatrestle.store.messages import Check, Put, Row, Transaction
 
 RETENTION_SECONDS = 72 * 3600.0
 SWEEP_SECONDS = 300.0
--- a/src/zinniatrestle/requests/tests/test_policy.py
+++ b/src/zinniatrestle/requests/tests/test_policy.py
@@ -8,12 +8,12 @@
 
 from zinniatrestle.errors import NotRunError, ResultCode
 from zinniatrestle.ids import ClientAccountId, MinionId
-from zinniatrestle.platform.messages import HostStanding
 from zinniatrestle.requests import Request
 from zinniatrestle.requests.admission import FairQueue
 from zinniatrestle.requests.budget import RetryBudget
 from zinniatrestle.requests.sending import gravest
 from zinniatrestle.standins.messages import MinionFaults
+from zinniatrestle.store.messages import HostStanding
 from zinniatrestle.upstreams.messages import AnswerLostError, DeclinedError
 
 GUEST = ClientAccountId("guest")
--- a/src/zinniatrestle/retirement/certificate.py
+++ b/src/zinniatrestle/retirement/certificate.py
@@ -13,7 +13,6 @@
 )
 from zinniatrestle.ids import ClientAccountId, HostId
 from zinniatrestle.logs import PartLog
-from zinniatrestle.platform.interfaces import ObjectStore
 from zinniatrestle.retirement.evidence import EvidenceCollector
 from zinniatrestle.retirement.messages import (
     Certificate,
@@ -23,6 +22,7 @@
     seal,
 )
 from zinniatrestle.retirement.state import Findings, Retired
+from zinniatrestle.store.interfaces import ObjectStore
 
 # Covers the skew between clocks when a bound is taken as passed.
 SKEW_SECONDS = 1.0
--- a/src/zinniatrestle/retirement/evidence.py
+++ b/src/zinniatrestle/retirement/evidence.py
@@ -16,8 +16,6 @@
     ServiceName,
     WorkerId,
 )
-from zinniatrestle.platform import Platform
-from zinniatrestle.platform.messages import HostRole, ListedHost
 from zinniatrestle.retirement.messages import (
     Basis,
     ClosedPart,
@@ -26,6 +24,8 @@
     PartKind,
 )
 from zinniatrestle.retirement.state import Findings, Retired
+from zinniatrestle.store import Platform
+from zinniatrestle.store.messages import HostRole, ListedHost
 from zinniatrestle.upstreams import UpstreamTransport
 from zinniatrestle.upstreams.messages import MinionAddress
 
--- /dev/null
+++ b/src/zinniatrestle/scheduling/__init__.py
@@ -0,0 +1,1 @@
+"""The scheduler of jobs with steps: one host at a time decides for all."""
--- /dev/null
+++ b/src/zinniatrestle/scheduling/backfill.py
@@ -0,0 +1,107 @@
+"""Keep workers from filling up with small work while wide work waits for them."""
+
+from zinniatrestle.scheduling.durations import Durations
+from zinniatrestle.scheduling.placement import Terms, avoided, groups, permitted
+from zinniatrestle.scheduling.state import StepRun, Worker, WorkerHealth
+
+# Steps that may hold workers back at once; more would leave workers idle for work
+# that starts far in the future.
+MOST_HELD_BACK = 4
+
+
+class Shadow:
+    """Hold workers back for the steps that go first but don't fit yet.
+
+    A later step may use a worker that is held back only if it most likely ends before
+    the earlier one could start there.
+    """
+
+    def __init__(self, durations: Durations, now: float):
+        self.durations = durations
+        self.now = now
+        self.free_at: dict[Worker, float] = {}
+        self.steps = 0
+
+    def open_to(self, step: StepRun, workers: list[Worker]) -> list[Worker]:
+        """Return the workers on which a step delays no step that goes first."""
+        if not self.free_at:
+            return workers
+        seconds = self.durations.task(step.job.submission.queue, step.shape)
+        ends_at = self.now + seconds
+        found = []
+        for worker in workers:
+            if ends_at <= self.free_at.get(worker, ends_at):
+                found.append(worker)
+        return found
+
+    def hold_back(self, step: StepRun, count: int, workers: list[Worker], terms: Terms):
+        """Hold back the workers on which a step could start soonest."""
+        if not step.shape.gang or self.steps >= MOST_HELD_BACK:
+            return
+        avoid = avoided(step)
+        usable = []
+        for worker in workers:
+            if worker.health is not WorkerHealth.SOUND or worker.id in avoid:
+                continue
+            if permitted(worker, step, terms) and worker not in self.free_at:
+                usable.append(worker)
+        best: list[tuple[float, Worker]] = []
+        for group in groups(step, usable, terms):
+            chosen = self._soonest(step, count, group)
+            if chosen and (not best or chosen[-1][0] < best[-1][0]):
+                best = chosen
+        if not best:
+            return
+        self.steps += 1
+        start = best[-1][0]
+        for _, worker in best:
+            self.free_at[worker] = start
+
+    def _soonest(
+        self, step: StepRun, count: int, group: list[Worker]
+    ) -> list[tuple[float, Worker]]:
+        """Return when each of the workers needed has room, the last one last."""
+        offers: list[tuple[float, int, Worker]] = []
+        for worker in group:
+            for at, slots in self._offers(step, worker):
+                offers.append((at, slots, worker))
+        offers.sort(key=lambda offer: (offer[0], offer[2].id))
+        chosen: dict[Worker, tuple[float, int]] = {}
+        found = 0
+        for at, slots, worker in offers:
+            found += slots - chosen.get(worker, (0.0, 0))[1]
+            chosen[worker] = (at, slots)
+            if found >= count:
+                return [(at, worker) for worker, (at, _) in chosen.items()]
+        return []
+
+    def _offers(self, step: StepRun, worker: Worker) -> list[tuple[float, int]]:
+        """Return the times at which a worker has room for more tasks of a step."""
+        shape = step.shape
+        cpu, memory, gpus = worker.free_cpu, worker.free_memory, worker.free_gpus
+        offers = []
+        slots = worker.slots(step)
+        if slots:
+            offers.append((self.now, slots))
+        ends = []
+        for task in worker.tasks.values():
+            if task.step.shape.lasting:
+                continue
+            left = self.durations.remaining(task, self.now)
+            ends.append((self.now + left, task.id, task.step.shape))
+        ends.sort(key=lambda end: end[:2])
+        for at, _, ended in ends:
+            cpu += 0 if ended.fills else ended.cpu
+            memory += ended.memory_mb
+            gpus += ended.gpus
+            fits = shape.count
+            if shape.cpu and not shape.fills:
+                fits = min(fits, cpu // shape.cpu)
+            if shape.memory_mb:
+                fits = min(fits, memory // shape.memory_mb)
+            if shape.gpus:
+                fits = min(fits, gpus // shape.gpus)
+            if fits > slots:
+                slots = fits
+                offers.append((at, slots))
+        return offers
--- /dev/null
+++ b/src/zinniatrestle/scheduling/fleet.py
@@ -0,0 +1,210 @@
+"""Which workers there are, and when what ran on lost ones must have ended."""
+
+from abc import ABC, abstractmethod
+
+from zinniatrestle.clock import boot_time
+from zinniatrestle.deployment import Deployment
+from zinniatrestle.events import Event, EventLog
+from zinniatrestle.ids import (
+    BootSeconds,
+    Born,
+    FailureDomainId,
+    RackId,
+    RegionId,
+    RowName,
+    ServiceName,
+    WorkerId,
+)
+from zinniatrestle.rows import Change, StoredRow
+from zinniatrestle.rows.feed import TableReader
+from zinniatrestle.scheduling.session import HOLD_SHARE
+from zinniatrestle.scheduling.state import Worker
+from zinniatrestle.workers.interfaces import WorkerRows
+from zinniatrestle.workers.messages import WorkerEntry, WorkerState
+
+
+class FleetDuties(ABC):
+    """What the scheduler does as workers come and go."""
+
+    @abstractmethod
+    def joined(self, worker: Worker):
+        """Begin to hold a worker."""
+
+    @abstractmethod
+    def drained(self, worker: Worker):
+        """Note that a worker is leaving."""
+
+    @abstractmethod
+    def ended(self, worker: Worker, reason: str):
+        """Note that nothing runs on a worker's life any more."""
+
+
+class Fleet(TableReader):
+    """Follow the registry of workers."""
+
+    def __init__(
+        self,
+        rows: WorkerRows,
+        deployment: Deployment,
+        duties: FleetDuties,
+        events: EventLog,
+    ):
+        self.rows = rows
+        self.table = rows.table
+        self.regions = deployment.regions
+        self.longest_hold = deployment.bounds.longest_hold
+        self.duties = duties
+        self.events = events
+        self.workers: dict[WorkerId, Worker] = {}
+        # Lives that are out of the registry while something may still run there.
+        self.former: list[Worker] = []
+
+    def snapshot(self, rows: list[StoredRow]):
+        """Take all entries in place of what was known."""
+        present = set()
+        for row in rows:
+            present.add(row.name)
+            self._apply(row.name, row.value)
+        for name, worker in self.workers.items():
+            if name not in present:
+                self._missing(worker)
+
+    def change(self, change: Change):
+        """Take one change of an entry."""
+        if change.value is not None:
+            self._apply(change.name, change.value)
+            return
+        worker = self.workers.get(WorkerId(change.name))
+        if worker is not None:
+            self._missing(worker)
+
+    def _apply(self, name: RowName, value: bytes):
+        entry = self.rows.decode(name, value)
+        if entry is None:
+            self.events.fold(Event.WORKER_GONE, "damaged entry", worker=name)
+            return
+        worker = self.workers.get(entry.worker)
+        if worker is not None and _same_life(worker.entry, entry):
+            drains = (
+                entry.state is WorkerState.DRAINING
+                and worker.entry.state is not WorkerState.DRAINING
+            )
+            worker.entry = entry
+            if worker.missing_since is not None:
+                worker.missing_since = None
+                self.events.write(Event.WORKER_SEEN, worker=worker.id, again=True)
+            if drains:
+                self.events.write(
+                    Event.WORKER_GONE,
+                    worker=worker.id,
+                    reason="draining",
+                    remaining=entry.remaining,
+                )
+                self.duties.drained(worker)
+            return
+        if worker is not None:
+            if entry.born < worker.entry.born:
+                return
+            self.end(worker, "started anew")
+        self._join(entry)
+
+    def _join(self, entry: WorkerEntry):
+        region = self.regions.get(entry.domain, RegionId(""))
+        worker = Worker(entry, region)
+        for former in list(self.former):
+            if former.id != entry.worker:
+                continue
+            if _same_life(former.entry, entry):
+                self._adopt(former, worker)
+            else:
+                self.end(former, "started anew")
+        self.workers[entry.worker] = worker
+        self.events.write(
+            Event.WORKER_SEEN, worker=worker.id, domain=worker.domain, born=entry.born
+        )
+        self.duties.joined(worker)
+
+    def _adopt(self, former: Worker, worker: Worker):
+        """Move what a life that was missing runs to its new entry."""
+        self.former.remove(former)
+        for task in list(former.tasks.values()):
+            former.drop(task)
+            task.worker = worker
+            worker.put(task)
+
+    def ghost(self, worker_id: WorkerId, born: Born, until: BootSeconds) -> Worker:
+        """Return a life that is not in the registry, held until `until` at most."""
+        for former in self.former:
+            if former.id == worker_id and former.entry.born == born:
+                return former
+        entry = WorkerEntry(
+            worker=worker_id,
+            service=ServiceName(""),
+            address="",
+            domain=FailureDomainId(""),
+            state=WorkerState.DRAINING,
+            cpu=0,
+            memory_mb=0,
+            gpus=0,
+            labels=frozenset(),
+            rack=RackId(""),
+            born=born,
+            sequence=0,
+        )
+        worker = Worker(entry, RegionId(""))
+        worker.missing_since = boot_time()
+        worker.lease.expires_at = until
+        self.former.append(worker)
+        return worker
+
+    def _missing(self, worker: Worker):
+        if worker.missing_since is None:
+            worker.missing_since = boot_time()
+            self.events.write(
+                Event.WORKER_GONE,
+                worker=worker.id,
+                reason="entry removed",
+                silent=worker.silent,
+            )
+
+    def end(self, worker: Worker, reason: str):
+        """End a life on which nothing runs any more."""
+        if worker.over:
+            return
+        worker.over = True
+        if self.workers.get(worker.id) is worker:
+            del self.workers[worker.id]
+        if worker in self.former:
+            self.former.remove(worker)
+        self.events.write(Event.WORKER_GONE, worker=worker.id, reason=reason)
+        self.duties.ended(worker, reason)
+
+    def silence(self, worker: Worker, refused: bool):
+        """Note that a worker does not answer."""
+        if not worker.silent:
+            worker.silent = True
+            self.events.write(Event.WORKER_SILENT, worker=worker.id, refused=refused)
+        # A cut may look like a refusal, so the registry has to say the same.
+        if refused and worker.missing_since is not None:
+            self.end(worker, "nothing listens and its entry is gone")
+
+    def review(self, now: BootSeconds):
+        """End lives whose leases have run out for good."""
+        for worker in [*self.workers.values(), *self.former]:
+            if not worker.silent and worker not in self.former:
+                continue
+            if worker.lease.expired(now) and worker.missing_since is not None:
+                self.end(worker, "lease expired")
+
+
+def successor_wait(longest_hold: float, lease_left: float) -> float:
+    """Return for how long a predecessor's holds may keep runs alive, in seconds.
+
+    A holder that is cut off from the store goes on holding for `longest_hold` after
+    its own lease has ended.
+    """
+    return max(0.0, lease_left) + longest_hold * (1 + HOLD_SHARE)
+
+
+def _same_life(known: WorkerEntry, entry: WorkerEntry) -> bool:
+    return known.born == entry.born and known.address == entry.address
--- /dev/null
+++ b/src/zinniatrestle/scheduling/health.py
@@ -0,0 +1,81 @@
+"""Judge workers by what runs there, since sick ones answer well."""
+
+from zinniatrestle.ids import BootSeconds, JobId
+from zinniatrestle.scheduling.state import Task, Worker, WorkerHealth
+
+# s; how long a worker is left alone after it failed, doubled each time it fails anew.
+QUARANTINE_SECONDS = 4.0
+LONGEST_QUARANTINE_SECONDS = 60.0
+# Share of a service's workers that may be left alone at once: above it, failures are
+# more likely the work's fault.
+MOST_QUARANTINED = 0.3
+# s; a worker on which something ended well within this time is trusted more than a
+# task that fails there.
+TRUST_SECONDS = 5.0
+# Other workers on which a task failed before the task is blamed.
+BLAMED_AFTER = 1
+# s; a run whose progress stands still for this time hangs. Progress is told in whole
+# percent, and the slowest runs make a percent in less than two seconds.
+STALL_SECONDS = 3.0
+
+
+class HealthJudge:
+    """Quarantine workers and let them back by a canary."""
+
+    def __init__(self):
+        self.blamed: set[JobId] = set()
+
+    def failed(self, worker: Worker, task: Task, now: BootSeconds) -> bool:
+        """Take a failure; tell whether the worker should be left alone."""
+        task.avoided.add(worker.id)
+        if len(task.avoided) > BLAMED_AFTER:
+            self.blamed.add(task.step.job.id)
+            return False
+        if worker.health is WorkerHealth.CANARY:
+            return True
+        worker.failed_jobs[task.step.job.id] = now
+        if now - worker.last_done_at > TRUST_SECONDS:
+            return True
+        recent = 0
+        for failed_at in worker.failed_jobs.values():
+            recent += now - failed_at <= TRUST_SECONDS
+        return recent > 1
+
+    def succeeded(self, worker: Worker, now: BootSeconds) -> bool:
+        """Take a success; tell whether the worker is restored by it."""
+        worker.last_done_at = now
+        worker.failed_jobs.clear()
+        if worker.health is WorkerHealth.SOUND:
+            return False
+        worker.health = WorkerHealth.SOUND
+        worker.quarantines = 0
+        return True
+
+    def quarantine(
+        self, worker: Worker, workers: list[Worker], now: BootSeconds
+    ) -> bool:
+        """Leave a worker alone unless too many are; tell whether it is."""
+        peers = [peer for peer in workers if peer.entry.service == worker.entry.service]
+        away = sum(peer.health is WorkerHealth.QUARANTINED for peer in peers)
+        if away + 1 > MOST_QUARANTINED * len(peers):
+            return False
+        seconds = min(
+            QUARANTINE_SECONDS * 2**worker.quarantines, LONGEST_QUARANTINE_SECONDS
+        )
+        worker.quarantines += 1
+        worker.quarantined_until = BootSeconds(now + seconds)
+        worker.health = WorkerHealth.QUARANTINED
+        return True
+
+    def review(self, worker: Worker, now: BootSeconds):
+        """Let a worker have a canary once its quarantine is over."""
+        if worker.health is not WorkerHealth.QUARANTINED:
+            return
+        if now >= worker.quarantined_until:
+            worker.health = WorkerHealth.CANARY
+
+    def stalled(self, task: Task, now: BootSeconds) -> bool:
+        """Tell whether a running task stands still."""
+        if task.percent >= 100 or task.pace < 100 or task.step.shape.fills:
+            return False
+        return now - task.percent_at > STALL_SECONDS
--- /dev/null
+++ b/src/zinniatrestle/scheduling/order.py
@@ -0,0 +1,65 @@
+"""The order in which steps are placed."""
+
+from abc import ABC, abstractmethod
+from typing import NamedTuple
+
+from zinniatrestle.scheduling.durations import Durations
+from zinniatrestle.scheduling.state import StepRun
+
+# A job that takes longer than this many times its objective is of no use to callers.
+LATEST_FACTOR = 3.0
+
+
+class Urgency(NamedTuple):
+    """When a step has to start so that its job is on time, or late but of use."""
+
+    in_time: float
+    of_use: float
+
+
+def urgency(step: StepRun, durations: Durations) -> Urgency:
+    """Return until when (boot seconds) a step may start."""
+    job = step.job
+    objective = durations.chain(job) * job.submission.stretch + job.submission.target
+    left = durations.chain(job, step)
+    due = job.due_at
+    if job.submission.timed:
+        due = step.ready_at or job.due_at
+    return Urgency(due + objective - left, due + LATEST_FACTOR * objective - left)
+
+
+class OrderPolicy(ABC):
+    """Rank steps that wait."""
+
+    @abstractmethod
+    def key(self, step: StepRun, now: float) -> tuple:
+        """Return a sort key; the smallest goes first."""
+
+
+class UsefulFirst(OrderPolicy):
+    """Rank by what can still be of use, then by the queue's priority and slack.
+
+    The queues' priorities follow worth per core-second, so they go before slack.
+    """
+
+    def __init__(self, durations: Durations):
+        self.durations = durations
+
+    def key(self, step: StepRun, now: float) -> tuple:
+        """Return (usefulness, priority, latest start, id)."""
+        until = urgency(step, self.durations)
+        usefulness = 0
+        if now > until.in_time:
+            usefulness = 1
+        if now > until.of_use:
+            usefulness = 2
+        job = step.job
+        return (usefulness, job.submission.priority, until.in_time, job.id, step.key)
+
+
+class ArrivalOrder(OrderPolicy):
+    """Rank by arrival alone, as a baseline."""
+
+    def key(self, step: StepRun, now: float) -> tuple:
+        """Return (arrival, id)."""
+        return (step.job.due_at, step.job.id, step.key)
--- /dev/null
+++ b/src/zinniatrestle/scheduling/placement.py
@@ -0,0 +1,197 @@
+"""Choose workers for the tasks of a step."""
+
+from abc import ABC, abstractmethod
+from collections.abc import Iterable
+from dataclasses import dataclass, field
+
+from zinniatrestle.ids import FailureDomainId, RackId, RegionId, ServiceName, WorkerId
+from zinniatrestle.scheduling.state import (
+    StepRun,
+    Task,
+    Worker,
+    WorkerHealth,
+)
+
+
+@dataclass
+class Terms:
+    """Where the tasks of a step may run."""
+
+    service: ServiceName
+    regions: frozenset[RegionId] = frozenset()
+    evacuated: set[FailureDomainId] = field(default_factory=set)
+    # Tickets of the workers that an advice service allows; None: all are allowed.
+    tickets: dict[WorkerId, str] | None = None
+    # Whether a place far from the data, or on several racks, is better than waiting.
+    anywhere: bool = False
+
+
+Assignment = dict[Task, Worker]
+
+
+def permitted(worker: Worker, step: StepRun, terms: Terms) -> bool:
+    """Tell whether a step may run at a worker at all, room and health aside."""
+    entry = worker.entry
+    if entry.service != terms.service or entry.domain in terms.evacuated:
+        return False
+    if terms.regions and worker.region not in terms.regions:
+        return False
+    if step.shape.label and step.shape.label not in entry.labels:
+        return False
+    if terms.tickets is not None and worker.id not in terms.tickets:
+        return False
+    return worker.usable()
+
+
+def avoided(step: StepRun) -> set[WorkerId]:
+    """Return the workers on which a task of the step failed or stood still."""
+    found: set[WorkerId] = set()
+    for task in step.tasks:
+        found |= task.avoided
+    return found
+
+
+def by_rack(workers: Iterable[Worker]) -> dict[RackId, list[Worker]]:
+    """Group workers by rack."""
+    racks: dict[RackId, list[Worker]] = {}
+    for worker in workers:
+        racks.setdefault(worker.rack, []).append(worker)
+    return racks
+
+
+def fits_rack(step: StepRun, workers: list[Worker]) -> bool:
+    """Tell whether a rack could hold all tasks of a step if it were empty."""
+    return sum(empty_slots(worker, step) for worker in workers) >= step.shape.count
+
+
+def empty_slots(worker: Worker, step: StepRun) -> int:
+    """Return how many tasks of a step a worker holds when nothing else is there."""
+    shape, entry = step.shape, worker.entry
+    most = shape.count
+    if shape.cpu and not shape.fills:
+        most = min(most, entry.cpu // shape.cpu)
+    if shape.memory_mb:
+        most = min(most, entry.memory_mb // shape.memory_mb)
+    if shape.gpus:
+        most = min(most, entry.gpus // shape.gpus)
+    if shape.most_per_worker:
+        most = min(most, shape.most_per_worker)
+    return most
+
+
+def groups(step: StepRun, workers: list[Worker], terms: Terms) -> list[list[Worker]]:
+    """Return sets of workers in which a step runs at full speed, best first.
+
+    The last set is all workers, if running slower there is better than waiting.
+    """
+    shape = step.shape
+    racks = by_rack(workers)
+    found: list[list[Worker]] = []
+    if shape.data_rack:
+        near = racks.get(shape.data_rack, [])
+        if near and (not shape.rack_bound or fits_rack(step, near)):
+            found.append(near)
+    elif shape.rack_bound and shape.count > 1:
+        found = [rack for rack in racks.values() if fits_rack(step, rack)]
+    else:
+        return [workers]
+    if not found or terms.anywhere:
+        found.append(workers)
+    return found
+
+
+class PlacementPolicy(ABC):
+    """Choose workers for the waiting tasks of a step."""
+
+    @abstractmethod
+    def place(
+        self, step: StepRun, tasks: list[Task], workers: list[Worker], terms: Terms
+    ) -> Assignment:
+        """Return a place for all tasks of a gang or none, else for as many as fit."""
+
+
+class BestFit(PlacementPolicy):
+    """Fill the fullest workers and racks first, so that whole ones stay free."""
+
+    def place(
+        self, step: StepRun, tasks: list[Task], workers: list[Worker], terms: Terms
+    ) -> Assignment:
+        """Return a place for all tasks of a gang or none, else for as many as fit."""
+        avoid = avoided(step)
+        usable = []
+        for worker in workers:
+            if worker.health is WorkerHealth.QUARANTINED or worker.id in avoid:
+                continue
+            if permitted(worker, step, terms):
+                usable.append(worker)
+        best: Assignment = {}
+        best_left = 0
+        for group in groups(step, usable, terms):
+            slots = {worker: _slots(worker, step) for worker in group}
+            total = sum(slots.values())
+            if step.shape.gang and total < len(tasks):
+                continue
+            if not total:
+                continue
+            left = sum(worker.free_gpus for worker in group)
+            if best and len(best) >= min(total, len(tasks)) and left >= best_left:
+                continue
+            if best and group is usable:
+                continue
+            best = _fill(step, tasks, slots)
+            best_left = left
+        return best
+
+
+class FirstFit(PlacementPolicy):
+    """Take the first workers with room, as a baseline."""
+
+    def place(
+        self, step: StepRun, tasks: list[Task], workers: list[Worker], terms: Terms
+    ) -> Assignment:
+        """Return a place for all tasks of a gang or none, else for as many as fit."""
+        slots = {}
+        for worker in workers:
+            if permitted(worker, step, terms):
+                slots[worker] = worker.slots(step)
+        if step.shape.gang and sum(slots.values()) < len(tasks):
+            return {}
+        chosen = iter(tasks)
+        found: Assignment = {}
+        for worker, count in slots.items():
+            for _ in range(count):
+                task = next(chosen, None)
+                if task is None:
+                    return found
+                found[task] = worker
+        return found
+
+
+def _slots(worker: Worker, step: StepRun) -> int:
+    slots = worker.slots(step)
+    if worker.health is WorkerHealth.CANARY:
+        # A gang would be lost as a whole by one sick worker.
+        return 0 if (step.shape.gang and step.shape.count > 1) or worker.tasks else 1
+    return slots
+
+
+def _fill(step: StepRun, tasks: list[Task], slots: dict[Worker, int]) -> Assignment:
+    """Assign tasks, fullest workers first, whole gangs on few workers."""
+    ranked = sorted(
+        (worker for worker, count in slots.items() if count),
+        key=lambda worker: (
+            worker.health is WorkerHealth.CANARY,
+            worker.free_gpus,
+            worker.free_cpu,
+            worker.id,
+        ),
+    )
+    chosen = iter(tasks)
+    found: Assignment = {}
+    for worker in ranked:
+        for _ in range(slots[worker]):
+            task = next(chosen, None)
+            if task is None:
+                return found
+            found[task] = worker
+    return found
--- /dev/null
+++ b/src/zinniatrestle/scheduling/rounds.py
@@ -0,0 +1,350 @@
+"""One round of decisions: what starts where, what is stopped, what has to wait."""
+
+import asyncio
+import time
+
+from zinniatrestle.clock import boot_time
+from zinniatrestle.deployment import Bounds
+from zinniatrestle.errors import LeaseLostError
+from zinniatrestle.events import Event
+from zinniatrestle.ids import BootSeconds, ClientAccountId, RunNumber
+from zinniatrestle.jobs.messages import JobState
+from zinniatrestle.queues import Queue
+from zinniatrestle.scheduling.backfill import Shadow
+from zinniatrestle.scheduling.context import SchedulerContext
+from zinniatrestle.scheduling.order import OrderPolicy, UsefulFirst, urgency
+from zinniatrestle.scheduling.placement import (
+    Assignment,
+    BestFit,
+    PlacementPolicy,
+    Terms,
+    permitted,
+)
+from zinniatrestle.scheduling.reclaim import ReclaimPlanner
+from zinniatrestle.scheduling.state import Job, StepRun, Task, TaskStatus, Worker
+from zinniatrestle.scheduling.tracker import Tracker
+
+# s; a part of the time for a reclaim that is left for orders and their answers.
+ORDER_SECONDS = 0.3
+# Share of the time for draining and evacuations that a belief may age.
+FRESH_SHARE = 0.5
+# s; after this time room that is kept is planned anew.
+RESERVED_SECONDS = 3.0
+HIGHEST_PRIORITY = 0
+
+
+class Planner:
+    """Decide rounds; the tracker carries the decisions out."""
+
+    def __init__(
+        self,
+        context: SchedulerContext,
+        tracker: Tracker,
+        placement: PlacementPolicy | None = None,
+        order: OrderPolicy | None = None,
+    ):
+        self.context = context
+        self.tracker = tracker
+        self.bounds: Bounds = context.deployment.bounds
+        self.placement = placement or BestFit()
+        self.order = order or UsefulFirst(tracker.durations)
+        self.reclaim = ReclaimPlanner(self.bounds.checkpoint_interval)
+        self.starting: set[asyncio.Task] = set()
+
+    def round(self, now: BootSeconds):
+        """Place what can be placed, and make room for guaranteed work."""
+        begun = time.perf_counter()
+        tracker = self.tracker
+        tracker.fleet.review(now)
+        workers = list(tracker.fleet.workers.values())
+        for worker in workers:
+            tracker.health.review(worker, now)
+        self._add_due_occurrences()
+        self._stop_stalled(now)
+        self._leave_draining(workers, now)
+        steps = self._waiting_steps(now)
+        steps.sort(key=lambda step: self.order.key(step, now))
+        shadow = Shadow(tracker.durations, now)
+        placed: list[Task] = []
+        for step in steps:
+            placed.extend(self._decide(step, workers, shadow, now))
+        if placed:
+            self._start(placed)
+        elif tracker.unsaved:
+            self._start([])
+        self.context.metrics.rounds.record(time.perf_counter() - begun)
+
+    def _waiting_steps(self, now: BootSeconds) -> list[StepRun]:
+        found = []
+        for job in self.tracker.jobs.values():
+            if job.ended:
+                continue
+            for step in job.steps.values():
+                if step.done or not job.is_ready(step):
+                    continue
+                if step.ready_at is None:
+                    step.ready_at = now
+                if self._may_place(step):
+                    found.append(step)
+        return found
+
+    def _may_place(self, step: StepRun) -> bool:
+        """Tell whether a step has tasks to place; a gang needs all its members."""
+        if not step.shape.gang:
+            return any(
+                task.status in (TaskStatus.WAITING, TaskStatus.RESERVED)
+                for task in step.tasks
+            )
+        return all(
+            task.status in (TaskStatus.WAITING, TaskStatus.RESERVED)
+            for task in step.tasks
+        )
+
+    def terms(self, step: StepRun, now: BootSeconds) -> Terms:
+        """Return where a step may run now."""
+        operator = self.context.operator
+        submission = step.job.submission
+        queue: Queue | None = operator.queues.get(submission.queue)
+        account = operator.accounts.get(submission.account)
+        regions = queue.regions if queue else frozenset()
+        if account and account.regions:
+            regions = regions & account.regions if regions else account.regions
+        until = urgency(step, self.tracker.durations)
+        return Terms(
+            service=queue.service if queue else submission.service,
+            regions=regions,
+            evacuated=operator.evacuated,
+            anywhere=now > until.in_time,
+        )
+
+    def _decide(
+        self, step: StepRun, workers: list[Worker], shadow: Shadow, now: BootSeconds
+    ) -> list[Task]:
+        terms = self.terms(step, now)
+        reserved = [task for task in step.tasks if task.status is TaskStatus.RESERVED]
+        if reserved:
+            return self._use_reserved(step, reserved, terms, now)
+        waiting = step.waiting()
+        open_workers = shadow.open_to(step, workers)
+        assignment = self.placement.place(step, waiting, open_workers, terms)
+        placed = self._place(step, assignment)
+        left = len(waiting) - len(placed)
+        if not left:
+            return placed
+        if self._reclaim(step, workers, terms, now):
+            return placed
+        shadow.hold_back(step, left, workers, terms)
+        return placed
+
+    def _place(self, step: StepRun, assignment: Assignment) -> list[Task]:
+        if not assignment:
+            return []
+        run = RunNumber(0)
+        if step.shape.gang:
+            run = RunNumber(max(task.run for task in step.tasks) + 1)
+        for task, worker in assignment.items():
+            task.run = run or RunNumber(task.run + 1)
+            task.worker = worker
+            task.status = TaskStatus.PLACED
+            task.ordering = True
+            task.inherited = False
+            task.resumed = bool(task.checkpoint)
+            task.percent = 0.0
+            task.started_at = BootSeconds(0.0)
+            task.pace = 100
+            worker.put(task)
+        job = step.job
+        if job.state is JobState.PENDING:
+            job.state = JobState.RUNNING
+        return list(assignment)
+
+    # Guarantees
+
+    def _reclaim(
+        self, step: StepRun, workers: list[Worker], terms: Terms, now: BootSeconds
+    ) -> bool:
+        """Stop cheaper work for a step that its account is guaranteed."""
+        if not self._is_guaranteed(step, now):
+            return False
+        waiting = step.waiting()
+        plan = self.reclaim.plan(step, waiting, workers, terms, now)
+        if plan is None and not terms.anywhere:
+            terms.anywhere = True
+            plan = self.reclaim.plan(step, waiting, workers, terms, now)
+        if plan is None:
+            return False
+        for task, worker in plan.places.items():
+            task.worker = worker
+            task.status = TaskStatus.RESERVED
+            task.confirmed_at = now
+            worker.reserve(task)
+        for victim in plan.victims:
+            self.context.metrics.preemptions.add(1)
+            self.context.events.write(
+                Event.RUN_PREEMPTED,
+                task=victim.id,
+                run=victim.run,
+                worker=victim.worker.id,
+                reason=f"room for job {step.job.id}",
+                cost=round(self.reclaim.loss(victim, now) / 1000, 1),
+            )
+            self.tracker.stop(victim, "preempted")
+        return True
+
+    def _is_guaranteed(self, step: StepRun, now: BootSeconds) -> bool:
+        job = step.job
+        if job.submission.priority != HIGHEST_PRIORITY or job.submission.timed:
+            return False
+        account = self.context.operator.accounts.get(job.submission.account)
+        if account is None or not account.guaranteed:
+            return False
+        if now < job.due_at + self._patience(step):
+            return False
+        return self._within(step, account.name, account.guaranteed)
+
+    def _patience(self, step: StepRun) -> float:
+        """Return how many seconds a step waits for room that becomes free by itself."""
+        until = urgency(step, self.tracker.durations)
+        last = self.bounds.reclaim - self.bounds.stop - 2 * ORDER_SECONDS
+        in_time = until.in_time - step.job.due_at - self.bounds.stop - ORDER_SECONDS
+        return max(0.0, min(last, in_time))
+
+    def _within(self, step: StepRun, account: ClientAccountId, bound: int) -> bool:
+        """Tell whether an account's urgent jobs up to this one keep to its share."""
+        needed = 0
+        for job in self.tracker.jobs.values():
+            submission = job.submission
+            if job.ended or submission.account != account:
+                continue
+            if submission.priority != HIGHEST_PRIORITY:
+                continue
+            if job.due_at > step.job.due_at:
+                continue
+            for other in job.steps.values():
+                if not other.done and job.is_ready(other):
+                    needed += other.shape.count * other.shape.gpus
+        return needed <= bound
+
+    def _use_reserved(
+        self, step: StepRun, reserved: list[Task], terms: Terms, now: BootSeconds
+    ) -> list[Task]:
+        """Place a step whose room is free by now, or give the room up."""
+        ready: Assignment = {}
+        for task in reserved:
+            worker = task.worker
+            if not permitted(worker, step, terms):
+                self._release(reserved)
+                return []
+            if min(worker.free_cpu, worker.free_memory, worker.free_gpus) >= 0:
+                ready[task] = worker
+        if step.shape.gang and len(ready) < len(reserved):
+            if now - reserved[0].confirmed_at > RESERVED_SECONDS:
+                self._release(reserved)
+            return []
+        for task in ready:
+            task.worker.unreserve(task)
+        return self._place(step, ready)
+
+    def _release(self, tasks: list[Task]):
+        for task in tasks:
+            self.tracker.release(task)
+
+    # Starting
+
+    def _start(self, placed: list[Task]):
+        runs = [(task, task.run) for task in placed]
+        starting = asyncio.create_task(self._save_and_start(runs))
+        self.starting.add(starting)
+        starting.add_done_callback(self.starting.discard)
+
+    async def _save_and_start(self, runs: list[tuple[Task, RunNumber]]):
+        """Write the placements down, then order the starts."""
+        tracker = self.tracker
+        jobs: set[Job] = set(tracker.unsaved)
+        tracker.unsaved.clear()
+        jobs.update(task.step.job for task, _ in runs)
+        try:
+            await tracker.book.save(jobs)
+        except LeaseLostError as error:
+            self.context.events.fold(Event.LEASE_LOST, error.detail)
+            return
+        # Orders to one worker go out together, the farthest workers first.
+        runs.sort(key=lambda start: self._is_near(start[0]))
+        for task, run in runs:
+            if task.run != run or task.status is not TaskStatus.PLACED:
+                continue
+            session = tracker.sessions.get(task.worker)
+            if session is None or task.step.job.ended:
+                tracker.vacate(task)
+                tracker.break_gang(task.step)
+                continue
+            self.context.events.write(
+                Event.RUN_PLACED,
+                task=task.id,
+                run=run,
+                worker=task.worker.id,
+                account=task.step.job.submission.account,
+                priority=task.step.job.submission.priority,
+                waited=round(boot_time() - task.step.job.due_at, 2),
+                desired_version=self.context.operator.desired.version,
+                checkpoint=task.checkpoint,
+            )
+            session.start(task, run)
+
+    def _is_near(self, task: Task) -> bool:
+        own = self.context.deployment.identity.region
+        return task.worker is not None and task.worker.region == own
+
+    # What runs badly
+
+    def _stop_stalled(self, now: BootSeconds):
+        tracker = self.tracker
+        for task in tracker.stalled_tasks(now):
+            worker = task.worker
+            task.avoided.add(worker.id)
+            tracker.quarantine(worker, f"task {task.id} stands still", now)
+            tracker.stop(task, "no progress")
+            tracker.break_gang(task.step)
+
+    def _leave_draining(self, workers: list[Worker], now: BootSeconds):
+        """Move work that a leaving worker would cut off, if a checkpoint saves it."""
+        for worker in workers:
+            if worker.draining_since is None or worker.over:
+                continue
+            remaining = worker.entry.remaining
+            if remaining is None:
+                remaining = self.bounds.drain
+            left = worker.draining_since + remaining - now
+            for task in list(worker.tasks.values()):
+                if task.status is not TaskStatus.RUNNING:
+                    continue
+                needed = self.tracker.durations.remaining(task, now)
+                if needed < left:
+                    continue
+                if self._worth_moving(task, left):
+                    self.tracker.stop(task, "its worker is leaving")
+                    self.tracker.break_gang(task.step)
+
+    def _worth_moving(self, task: Task, left: float) -> bool:
+        shape = task.step.shape
+        if shape.lasting and shape.may_miss:
+            return False
+        if not shape.checkpointing:
+            return False
+        return left < self.bounds.stop + 2 * ORDER_SECONDS
+
+    # Time
+
+    def _add_due_occurrences(self):
+        now_ms = time.time() * 1000
+        for job in self.tracker.jobs.values():
+            submission = job.submission
+            if job.ended or not submission.timed:
+                continue
+            while job.next_occurrence < submission.occurrences:
+                due = submission.first_due_ms
+                due += job.next_occurrence * submission.every_ms
+                if now_ms < due:
+                    break
+                job.add_occurrence(job.next_occurrence)
+                job.next_occurrence += 1
--- /dev/null
+++ b/src/zinniatrestle/scheduling/scheduler.py
@@ -0,0 +1,299 @@
+"""The scheduler of one generation: loads what is kept, follows, and decides."""
+
+import asyncio
+import contextlib
+
+from zinniatrestle.clock import boot_time, event_within
+from zinniatrestle.errors import StoreUnavailableError
+from zinniatrestle.events import Event
+from zinniatrestle.ids import BootSeconds, JobId, RowVersion, WorkerId
+from zinniatrestle.jobs.messages import (
+    CANCELLATIONS,
+    PROGRESS,
+    SUBMISSIONS,
+    JobProgress,
+    JobState,
+    decode_progress,
+    decode_submission,
+    row_name,
+)
+from zinniatrestle.rows import Change, Expect, StoredRow, Write
+from zinniatrestle.rows.feed import Feed, TableReader
+from zinniatrestle.scheduling.book import ProgressBook
+from zinniatrestle.scheduling.context import SchedulerContext
+from zinniatrestle.scheduling.fleet import successor_wait
+from zinniatrestle.scheduling.leadership import Standing
+from zinniatrestle.scheduling.rounds import FRESH_SHARE, Planner
+from zinniatrestle.scheduling.state import Job, StepRun, TaskStatus
+from zinniatrestle.scheduling.tracker import Tracker
+
+# s; a feed's answer is held back this long at most; it confirms what is believed.
+FEED_SECONDS = 0.5
+# s; workers write often, so their entries are read in batches.
+FLEET_PAUSE_SECONDS = 0.35
+# s; decisions that only time brings (occurrences, patience, quarantines) wait so long.
+ROUND_SECONDS = 0.2
+# s; what comes within this time is decided together.
+GATHER_SECONDS = 0.015
+# s; the pause before a load that failed is repeated.
+RETRY_SECONDS = 0.2
+MILLISECONDS = 1000.0
+
+
+class SubmissionReader(TableReader):
+    """Take up accepted jobs."""
+
+    table = SUBMISSIONS
+
+    def __init__(self, scheduler: "Scheduler"):
+        self.scheduler = scheduler
+
+    def snapshot(self, rows: list[StoredRow]):
+        """Take all jobs that have not ended."""
+        for row in rows:
+            self.scheduler.take_job(row.value, row.version)
+
+    def change(self, change: Change):
+        """Take a new job; removals are the scheduler's own."""
+        if change.value is not None:
+            self.scheduler.take_job(change.value, change.version)
+
+
+class CancellationReader(TableReader):
+    """Take up cancellations."""
+
+    table = CANCELLATIONS
+
+    def __init__(self, scheduler: "Scheduler"):
+        self.scheduler = scheduler
+
+    def snapshot(self, rows: list[StoredRow]):
+        """Take all cancellations."""
+        for row in rows:
+            self.scheduler.take_cancellation(JobId(row.name), row.version)
+
+    def change(self, change: Change):
+        """Take a new cancellation; removals are the scheduler's own."""
+        if change.value is not None:
+            self.scheduler.take_cancellation(JobId(change.name), change.version)
+
+
+class Scheduler:
+    """Schedule under one generation number, until cancelled."""
+
+    def __init__(self, context: SchedulerContext):
+        self.context = context
+        self.events = context.events
+        self.leadership = context.leadership
+        self.book = ProgressBook(context.store, context.leadership, context.events)
+        self.tracker = Tracker(context, self.book)
+        self.planner = Planner(context, self.tracker)
+        self.kept: dict[JobId, tuple[JobProgress, RowVersion]] = {}
+        self.cancelled: dict[JobId, RowVersion] = {}
+        # Ended jobs in the order of their ends, to be forgotten after a time.
+        self.ended: list[tuple[float, JobId, RowVersion]] = []
+        store = context.store
+        self.submissions = Feed(
+            store, SubmissionReader(self), self.events, FEED_SECONDS, GATHER_SECONDS
+        )
+        self.cancellations = Feed(
+            store, CancellationReader(self), self.events, FEED_SECONDS, GATHER_SECONDS
+        )
+        self.fleet = Feed(
+            store, self.tracker.fleet, self.events, 0.0, FLEET_PAUSE_SECONDS
+        )
+
+    async def run(self):
+        """Load and schedule until the lease is lost or the task is cancelled."""
+        try:
+            await self._load()
+            async with asyncio.TaskGroup() as group:
+                group.create_task(self.book.run())
+                group.create_task(self.submissions.follow())
+                group.create_task(self.cancellations.follow())
+                group.create_task(self.fleet.follow())
+                group.create_task(self._rounds())
+                group.create_task(self._forget())
+        finally:
+            await self._close()
+
+    async def _close(self):
+        running = list(self.planner.starting)
+        for tasks in self.tracker.session_tasks.values():
+            running.extend(tasks)
+        for task in running:
+            task.cancel()
+        await asyncio.gather(*running, return_exceptions=True)
+
+    async def _load(self):
+        """Read jobs before workers, so that what runs is known when it is listed."""
+        while True:
+            try:
+                page = await self.context.store.all_rows(PROGRESS)
+                for row in page.rows:
+                    progress = decode_progress(row.value)
+                    self.kept[JobId(row.name)] = (progress, row.version)
+                await self.submissions.step()
+                await self.cancellations.step()
+                await self.fleet.step()
+                break
+            except StoreUnavailableError as error:
+                self.events.fold(Event.DEPENDENCY_LOST, error.detail, dependency="load")
+                await asyncio.sleep(RETRY_SECONDS)
+        for job_id, (progress, version) in self.kept.items():
+            if job_id not in self.tracker.jobs:
+                self.ended.append((progress.changed_at, job_id, version))
+        self.ended.sort()
+        self.kept.clear()
+        self._restore_places()
+
+    # Jobs
+
+    def take_job(self, value: bytes, version: RowVersion):
+        """Take up a job unless it is known."""
+        submission = decode_submission(value)
+        if submission.job in self.tracker.jobs:
+            return
+        job = Job(submission, version)
+        store_now = self.context.store.clock.earliest(boot_time())
+        waited = max(0.0, (store_now - submission.accepted_at) / MILLISECONDS)
+        job.accepted_at = job.due_at = BootSeconds(boot_time() - waited)
+        kept = self.kept.get(submission.job)
+        if kept is not None:
+            self._restore(job, *kept)
+        cancelled = self.cancelled.pop(submission.job, None)
+        if cancelled is not None:
+            job.state = JobState.CANCELLED
+            job.version = max(job.version, cancelled)
+            self.tracker.unsaved.add(job)
+        self.tracker.jobs[job.id] = job
+        self.tracker.wake.set()
+
+    def _restore(self, job: Job, progress: JobProgress, version: RowVersion):
+        job.version = version
+        job.state = progress.state
+        job.began = progress.state is not JobState.PENDING
+        job.finished = set(progress.finished)
+        if job.submission.timed:
+            started = {int(key.split(".")[0]) for key in progress.tasks}
+            started |= {int(key.split(".")[0]) for key in progress.finished}
+            for occurrence in range(max(started, default=-1) + 1):
+                job.add_occurrence(occurrence)
+                job.next_occurrence = occurrence + 1
+        for key in job.finished:
+            if key in job.steps:
+                job.steps[key].finish()
+        job.drop_finished_occurrences()
+        for key, record in progress.tasks.items():
+            task = self.tracker.find(f"{job.id}.{key}", job)
+            if task is not None:
+                task.restore(record)
+                task.place = (record.worker, record.born)
+
+    def _restore_places(self):
+        """Put the tasks of the predecessor where they may run."""
+        now = boot_time()
+        record = self.leadership.record
+        left = 0.0
+        if record is not None:
+            left = self.leadership.lease_seconds
+        wait = successor_wait(self.context.deployment.bounds.longest_hold, left)
+        for job in self.tracker.jobs.values():
+            if job.ended:
+                self.tracker.unsaved.add(job)
+            for step in job.steps.values():
+                self._restore_step(step, BootSeconds(now + wait))
+
+    def _restore_step(self, step: StepRun, until: BootSeconds):
+        for task in step.tasks:
+            worker_id, born = task.place
+            task.place = (WorkerId(""), 0)
+            if not worker_id:
+                continue
+            worker = self.tracker.fleet.workers.get(worker_id)
+            if worker is not None and worker.entry.born > born:
+                # The life in which it was placed is over.
+                continue
+            if worker is None or worker.entry.born != born:
+                worker = self.tracker.fleet.ghost(worker_id, born, until)
+            task.status = TaskStatus.PLACED
+            task.inherited = True
+            task.worker = worker
+            worker.put(task)
+            worker.lease.expires_at = max(worker.lease.expires_at, until)
+
+    def take_cancellation(self, job_id: JobId, version: RowVersion):
+        """Cancel a job and stop what runs of it."""
+        job = self.tracker.jobs.get(job_id)
+        if job is None:
+            self.cancelled[job_id] = version
+            return
+        if job.ended:
+            return
+        job.version = max(job.version, version)
+        self._cancel(job)
+
+    def _cancel(self, job: Job):
+        self.tracker.end_job(job, JobState.CANCELLED, "cancelled by its caller")
+
+    # Rounds
+
+    async def _rounds(self):
+        tracker = self.tracker
+        while True:
+            await event_within(tracker.wake, ROUND_SECONDS)
+            tracker.wake.clear()
+            await asyncio.sleep(GATHER_SECONDS)
+            for job in self.book.cancelled:
+                tracker.stop_all(job, "cancelled by its caller")
+                tracker.unsaved.add(job)
+            self.book.cancelled.clear()
+            self._drop_ended()
+            self._count_pending()
+            if self._may_decide():
+                self.planner.round(boot_time())
+
+    def _may_decide(self) -> bool:
+        """Tell whether the lease and all beliefs that a start depends on are fresh."""
+        if self.leadership.standing is not Standing.HOLDER:
+            return False
+        if self.context.operator.desired is None:
+            return False
+        bounds = self.context.deployment.bounds
+        oldest = boot_time() - FRESH_SHARE * min(bounds.drain, bounds.evacuation)
+        operator = self.context.operator
+        return min(operator.confirmed_at, self.fleet.confirmed_at) >= oldest
+
+    def _drop_ended(self):
+        for job in list(self.tracker.jobs.values()):
+            if job.removed and job.id not in self.book.dirty:
+                del self.tracker.jobs[job.id]
+                now = self.context.store.clock.earliest(boot_time())
+                self.ended.append((now, job.id, job.version))
+
+    def _count_pending(self):
+        counts: dict = {}
+        for job in self.tracker.waiting_jobs():
+            queue = job.submission.queue
+            counts[queue] = counts.get(queue, 0) + 1
+        self.leadership.pending = counts
+
+    async def _forget(self):
+        """Remove the progress of jobs that ended long ago."""
+        kept = 2 * self.context.deployment.bounds.state_kept
+        while True:
+            await asyncio.sleep(kept / 10)
+            oldest = self.context.store.clock.earliest(boot_time())
+            oldest -= kept * MILLISECONDS
+            while self.ended and self.ended[0][0] < oldest:
+                _, job_id, version = self.ended[0]
+                name = row_name(job_id)
+                expects = [
+                    self.leadership.fence_expectation(),
+                    Expect(PROGRESS, name, version),
+                ]
+                with contextlib.suppress(StoreUnavailableError):
+                    await self.context.store.transact(
+                        expects, [Write(PROGRESS, name, None)], FEED_SECONDS
+                    )
+                self.ended.pop(0)
--- /dev/null
+++ b/src/zinniatrestle/scheduling/session.py
@@ -0,0 +1,226 @@
+"""The task that holds one worker, and the one that gives it orders."""
+
+import asyncio
+from abc import ABC, abstractmethod
+from collections.abc import Awaitable, Callable
+
+from zinniatrestle.clock import boot_time
+from zinniatrestle.deployment import Bounds
+from zinniatrestle.errors import WorkerError
+from zinniatrestle.events import Event, EventLog
+from zinniatrestle.ids import BootSeconds, Generation, RunNumber, TaskId
+from zinniatrestle.scheduling.state import Task, Worker
+from zinniatrestle.workers.interfaces import WorkerOrders
+from zinniatrestle.workers.messages import (
+    HoldAnswer,
+    Refusal,
+    RefusedOrderError,
+    StartOrder,
+    UnansweredOrderError,
+)
+
+# Share of the longest hold that is granted: work on a worker that is cut off can be
+# redone after this time, and a successor has this time to come.
+HOLD_SHARE = 0.65
+# s; a worker is looked at once in this time while nothing ends there.
+LOOK_SECONDS = 1.0
+# s; the pause after a hold that failed.
+RETRY_SECONDS = 0.3
+# Holds that fail one after the other before a worker counts as silent.
+MISSES = 1
+# s; the pause between two stops of one run.
+STOP_SECONDS = 0.5
+
+
+class SessionDuties(ABC):
+    """What the scheduler does with what sessions learn."""
+
+    @abstractmethod
+    async def report(self, worker: Worker, answer: HoldAnswer, asked_at: BootSeconds):
+        """Take over what runs and what ended; returns once the ends are kept."""
+
+    @abstractmethod
+    def started(self, task: Task, run: RunNumber):
+        """Note that a worker confirmed a run."""
+
+    @abstractmethod
+    def not_started(self, task: Task, run: RunNumber, refusal: Refusal):
+        """Note that a worker surely did not start a run."""
+
+    @abstractmethod
+    def unanswered(self, task: Task, run: RunNumber):
+        """Note that a run may have started, or may yet."""
+
+    @abstractmethod
+    def fenced_off(self, worker: Worker):
+        """Note that a worker follows a newer generation number."""
+
+    @abstractmethod
+    def silence(self, worker: Worker, refused: bool):
+        """Note that a worker does not answer; `refused`: nothing listens there."""
+
+    @abstractmethod
+    def life_over(self, worker: Worker):
+        """Note that the worker has started anew or is another one."""
+
+    @abstractmethod
+    def may_order(self) -> bool:
+        """Tell whether orders may be given now."""
+
+
+class WorkerSession:
+    """Hold one worker, and give it orders, until it or the scheduler ends."""
+
+    def __init__(
+        self,
+        worker: Worker,
+        orders: WorkerOrders,
+        duties: SessionDuties,
+        bounds: Bounds,
+        generation: Generation,
+        events: EventLog,
+    ):
+        self.worker = worker
+        self.orders = orders
+        self.duties = duties
+        self.hold_seconds = bounds.longest_hold * HOLD_SHARE
+        self.generation = generation
+        self.events = events
+        self.outbox: asyncio.Queue[Callable[[], Awaitable[None]]] = asyncio.Queue()
+        # Runs to be stopped, with the time at which a stop was answered.
+        self.stops: dict[tuple[TaskId, RunNumber], BootSeconds | None] = {}
+
+    async def hold(self):
+        """Hold the worker until its life is over."""
+        worker = self.worker
+        wait = 0.0
+        misses = 0
+        while not worker.over:
+            asked_at = boot_time()
+            deadline = worker.lease.deadline(asked_at, self.hold_seconds)
+            try:
+                answer = await self.orders.hold(
+                    worker.entry, self.generation, worker.seen, deadline, wait
+                )
+            except RefusedOrderError as error:
+                misses += 1
+                if not self._refused(error, misses):
+                    return
+                await asyncio.sleep(RETRY_SECONDS)
+                wait = 0.0
+                continue
+            except UnansweredOrderError:
+                misses += 1
+                if misses >= MISSES:
+                    self.duties.silence(worker, refused=False)
+                await asyncio.sleep(RETRY_SECONDS)
+                wait = 0.0
+                continue
+            misses = 0
+            worker.lease.observe(answer.clock_ms, boot_time())
+            if worker.entry.born and answer.born and answer.born != worker.entry.born:
+                self.duties.life_over(worker)
+                return
+            await self.duties.report(worker, answer, asked_at)
+            # The first answer gives the clock; only the next hold can set a deadline.
+            wait = LOOK_SECONDS if deadline is not None else 0.0
+
+    def _refused(self, error: RefusedOrderError, misses: int) -> bool:
+        """Handle a refused hold; tell whether to go on."""
+        if error.refusal is Refusal.STALE_GENERATION:
+            self.duties.fenced_off(self.worker)
+            return False
+        if error.refusal is Refusal.OTHER_LIFE:
+            self.duties.life_over(self.worker)
+            return False
+        if misses >= MISSES:
+            refused = error.refusal is Refusal.NOT_LISTENING
+            self.duties.silence(self.worker, refused)
+        return True
+
+    async def give_orders(self):
+        """Give orders as they come, those that wait together at once."""
+        while not self.worker.over:
+            batch = [await self.outbox.get()]
+            while not self.outbox.empty():
+                batch.append(self.outbox.get_nowait())
+            await asyncio.gather(*(order() for order in batch))
+
+    def start(self, task: Task, run: RunNumber):
+        """Order the start of a run that is written down."""
+        self.outbox.put_nowait(lambda: self._start(task, run))
+
+    def stop(self, task_id: TaskId, run: RunNumber):
+        """Order a stop, again and again until it is answered."""
+        if (task_id, run) in self.stops:
+            return
+        self.stops[(task_id, run)] = None
+        self.outbox.put_nowait(lambda: self._stop(task_id, run))
+
+    def pace(self, task: Task, run: RunNumber, percent: int):
+        """Order a change of a run's speed."""
+        self.outbox.put_nowait(lambda: self._pace(task, run, percent))
+
+    async def _start(self, task: Task, run: RunNumber):
+        if not self.duties.may_order():
+            self.duties.not_started(task, run, Refusal.NOT_REACHED)
+            return
+        worker = self.worker
+        deadline = worker.lease.deadline(boot_time(), self.hold_seconds)
+        if deadline is None:
+            self.duties.not_started(task, run, Refusal.NOT_REACHED)
+            return
+        order = StartOrder(
+            task=task.id,
+            run=run,
+            spec=task.step.job.submission.spec,
+            deadline_ms=deadline,
+            generation=self.generation,
+            checkpoint=task.checkpoint,
+            ticket=task.ticket,
+        )
+        try:
+            clock_ms = await self.orders.start(worker.entry, order)
+        except RefusedOrderError as error:
+            if error.refusal is Refusal.STALE_GENERATION:
+                self.duties.fenced_off(worker)
+            self.duties.not_started(task, run, error.refusal)
+            return
+        except UnansweredOrderError:
+            self.duties.unanswered(task, run)
+            return
+        worker.lease.observe(clock_ms, boot_time())
+        self.duties.started(task, run)
+
+    async def _stop(self, task_id: TaskId, run: RunNumber):
+        if not self.duties.may_order():
+            self.stops.pop((task_id, run), None)
+            return
+        try:
+            await self.orders.stop(self.worker.entry, task_id, run, self.generation)
+        except RefusedOrderError as error:
+            if error.refusal is Refusal.STALE_GENERATION:
+                self.duties.fenced_off(self.worker)
+                return
+            if error.refusal is not Refusal.STALE_RUN:
+                # The next report finds the run still there and stops it again.
+                self.stops.pop((task_id, run), None)
+                return
+        except UnansweredOrderError:
+            self.stops.pop((task_id, run), None)
+            return
+        self.stops[(task_id, run)] = boot_time()
+
+    async def _pace(self, task: Task, run: RunNumber, percent: int):
+        if not self.duties.may_order() or task.run != run:
+            return
+        try:
+            await self.orders.pace(
+                self.worker.entry, task.id, run, percent, self.generation
+            )
+        except WorkerError as error:
+            self.events.fold(
+                Event.RUN_PACED, error.detail, task=task.id, worker=self.worker.id
+            )
+            return
+        task.pace = percent
--- /dev/null
+++ b/src/zinniatrestle/scheduling/state.py
@@ -0,0 +1,317 @@
+"""Jobs, steps, tasks and workers as the scheduler sees them."""
+
+from enum import Enum
+
+from zinniatrestle.ids import (
+    BootSeconds,
+    FailureDomainId,
+    JobId,
+    RackId,
+    RegionId,
+    RowVersion,
+    RunNumber,
+    TaskId,
+    WorkerId,
+)
+from zinniatrestle.jobs.messages import (
+    JobProgress,
+    JobState,
+    Step,
+    Submission,
+    TaskProgress,
+    task_id,
+    task_key,
+)
+from zinniatrestle.workers.lease import WorkerLease
+from zinniatrestle.workers.messages import WorkerEntry, WorkerState
+
+MILLISECONDS = 1000.0
+# Thousandths of a core that an accelerator counts as when work is weighed.
+ACCELERATOR_CPU = 8000
+
+
+class TaskStatus(Enum):
+    """Where a task stands."""
+
+    WAITING = "waiting"
+    # Bound to a worker whose room is being made free.
+    RESERVED = "reserved"
+    # Written down as started; the worker has not confirmed it.
+    PLACED = "placed"
+    RUNNING = "running"
+    # It may still run; a stop is under way.
+    STOPPING = "stopping"
+    DONE = "done"
+
+
+# A task of these statuses takes room at its worker.
+OCCUPYING = frozenset({TaskStatus.PLACED, TaskStatus.RUNNING, TaskStatus.STOPPING})
+
+
+class Task:
+    """One task of a step, and its latest run."""
+
+    def __init__(self, step: "StepRun", index: int):
+        self.step = step
+        self.index = index
+        self.id = task_id(step.job.id, step.occurrence, step.number, index)
+        self.key = task_key(self.id)
+        self.status = TaskStatus.WAITING
+        self.run = RunNumber(0)
+        self.worker: Worker | None = None
+        self.failures = 0
+        self.checkpoint = ""
+        self.ticket = ""
+        self.started_at = BootSeconds(0.0)
+        # Its start is being ordered; a report can't tell yet whether it runs.
+        self.ordering = False
+        # Placed by an earlier scheduler.
+        self.inherited = False
+        self.confirmed_at = BootSeconds(0.0)
+        # Where an earlier scheduler placed it: worker and that worker's start.
+        self.place = (WorkerId(""), 0)
+        # Its run began from a checkpoint.
+        self.resumed = False
+        self.percent = 0.0
+        self.percent_at = BootSeconds(0.0)
+        # Workers on which it failed or stood still.
+        self.avoided: set[WorkerId] = set()
+        self.pace = 100
+
+    @property
+    def occupies(self) -> bool:
+        """Tell whether it takes room at its worker."""
+        return self.status in OCCUPYING
+
+    def record(self) -> TaskProgress:
+        """Return what is kept of it."""
+        worker = self.worker if self.occupies else None
+        return TaskProgress(
+            run=self.run,
+            worker=worker.id if worker else WorkerId(""),
+            born=worker.entry.born if worker else 0,
+            generation=0,
+            failures=self.failures,
+            checkpoint=self.checkpoint,
+            done=self.status is TaskStatus.DONE,
+        )
+
+    def restore(self, record: TaskProgress):
+        """Take over what was kept, but for its place."""
+        self.run = record.run
+        self.failures = record.failures
+        self.checkpoint = record.checkpoint
+        if record.done:
+            self.status = TaskStatus.DONE
+
+
+class StepRun:
+    """One step of one occurrence of a job."""
+
+    def __init__(self, job: "Job", occurrence: int, number: int):
+        self.job = job
+        self.occurrence = occurrence
+        self.number = number
+        self.shape: Step = job.submission.steps[number]
+        self.key = f"{occurrence}.{number}"
+        self.tasks = [Task(self, index) for index in range(self.shape.count)]
+        self.done = False
+        self.ready_at: BootSeconds | None = None
+
+    @property
+    def work(self) -> float:
+        """Return a task's weight in thousandths of a core."""
+        return self.shape.cpu + self.shape.gpus * ACCELERATOR_CPU
+
+    def waiting(self) -> list[Task]:
+        """Return the tasks without a place."""
+        return [task for task in self.tasks if task.status is TaskStatus.WAITING]
+
+    def finish(self):
+        """Forget the tasks of a step whose tasks are all done."""
+        self.done = True
+        self.tasks = []
+
+
+class Job:
+    """A job that has not ended, or of which something may still run."""
+
+    def __init__(self, submission: Submission, version: RowVersion):
+        self.id: JobId = submission.job
+        self.submission = submission
+        self.version = version
+        self.state = JobState.PENDING
+        self.began = False
+        self.steps: dict[str, StepRun] = {}
+        self.finished: set[str] = set()
+        self.next_occurrence = 0
+        self.removed = False
+        self.accepted_at = BootSeconds(0.0)
+        self.due_at = BootSeconds(0.0)
+        if not submission.timed:
+            self.add_occurrence(0)
+            self.next_occurrence = 1
+
+    @property
+    def ended(self) -> bool:
+        """Tell whether nothing of it starts any more."""
+        return self.state.ended
+
+    def add_occurrence(self, occurrence: int):
+        """Add the steps of one occurrence."""
+        for number in range(len(self.submission.steps)):
+            step = StepRun(self, occurrence, number)
+            if step.key in self.finished:
+                step.finish()
+            self.steps[step.key] = step
+
+    def is_ready(self, step: StepRun) -> bool:
+        """Tell whether the steps that come before a step are done."""
+        for before in step.shape.after:
+            if not self.steps[f"{step.occurrence}.{before}"].done:
+                return False
+        return True
+
+    def occupying(self) -> list[Task]:
+        """Return the tasks that take room somewhere."""
+        found = []
+        for step in self.steps.values():
+            found.extend(task for task in step.tasks if task.occupies)
+        return found
+
+    def all_done(self) -> bool:
+        """Tell whether every task of every occurrence has ended as done."""
+        if self.submission.timed:
+            if self.next_occurrence < self.submission.occurrences:
+                return False
+        return all(step.done for step in self.steps.values())
+
+    def drop_finished_occurrences(self):
+        """Forget occurrences of which every step is done."""
+        if not self.submission.timed:
+            return
+        open_occurrences = {
+            step.occurrence for step in self.steps.values() if not step.done
+        }
+        for key, step in list(self.steps.items()):
+            if step.occurrence not in open_occurrences:
+                del self.steps[key]
+
+    def record(self, now_ms: float) -> JobProgress:
+        """Return what is kept of it."""
+        tasks = {}
+        for step in self.steps.values():
+            for task in step.tasks:
+                if task.run or task.failures:
+                    tasks[task.key] = task.record()
+        return JobProgress(
+            state=self.state,
+            queue=self.submission.queue,
+            timed=self.submission.timed,
+            changed_at=int(now_ms),
+            finished=sorted(self.finished),
+            tasks={} if self.ended and not self.occupying() else tasks,
+        )
+
+
+class WorkerHealth(Enum):
+    """Whether a worker is trusted with tasks."""
+
+    SOUND = "sound"
+    QUARANTINED = "quarantined"
+    # It gets a single task to show that it works again.
+    CANARY = "canary"
+
+
+class Worker:
+    """One life of a worker."""
+
+    def __init__(self, entry: WorkerEntry, region: RegionId):
+        self.id: WorkerId = entry.worker
+        self.entry = entry
+        self.region = region
+        self.lease = WorkerLease()
+        self.tasks: dict[TaskId, Task] = {}
+        self.reserved: dict[TaskId, Task] = {}
+        self.free_cpu = entry.cpu
+        self.free_memory = entry.memory_mb
+        self.free_gpus = entry.gpus
+        # Runs that are not the scheduler's own: being stopped, weight unknown.
+        self.strangers: set[TaskId] = set()
+        # It has answered to this scheduler's generation number.
+        self.fenced = False
+        self.silent = False
+        # Its entry is gone from the registry since.
+        self.missing_since: BootSeconds | None = None
+        self.draining_since: BootSeconds | None = None
+        self.over = False
+        self.seen = 0
+        self.health = WorkerHealth.SOUND
+        self.quarantined_until = BootSeconds(0.0)
+        self.quarantines = 0
+        self.last_done_at = BootSeconds(0.0)
+        self.failed_jobs: dict[JobId, BootSeconds] = {}
+
+    @property
+    def domain(self) -> FailureDomainId:
+        """Return its failure domain."""
+        return self.entry.domain
+
+    @property
+    def rack(self) -> RackId:
+        """Return its rack."""
+        return self.entry.rack
+
+    def usable(self) -> bool:
+        """Tell whether new tasks may go there, health and evacuations aside."""
+        return (
+            self.fenced
+            and not self.silent
+            and not self.over
+            and self.missing_since is None
+            and self.entry.state is WorkerState.READY
+            and not self.strangers
+        )
+
+    def put(self, task: Task):
+        """Count a task in."""
+        self.tasks[task.id] = task
+        self._take(task, 1)
+
+    def drop(self, task: Task):
+        """Count a task out."""
+        if self.tasks.pop(task.id, None) is not None:
+            self._take(task, -1)
+
+    def reserve(self, task: Task):
+        """Keep room for a task."""
+        self.reserved[task.id] = task
+        self._take(task, 1)
+
+    def unreserve(self, task: Task):
+        """Give up the room kept for a task."""
+        if self.reserved.pop(task.id, None) is not None:
+            self._take(task, -1)
+
+    def _take(self, task: Task, sign: int):
+        shape = task.step.shape
+        if not shape.fills:
+            self.free_cpu -= sign * shape.cpu
+        self.free_memory -= sign * shape.memory_mb
+        self.free_gpus -= sign * shape.gpus
+
+    def slots(self, step: StepRun) -> int:
+        """Return how many more tasks of a step fit."""
+        shape = step.shape
+        cpu, memory, gpus = self.free_cpu, self.free_memory, self.free_gpus
+        most = shape.count
+        if shape.cpu and not shape.fills:
+            most = min(most, cpu // shape.cpu)
+        if shape.memory_mb:
+            most = min(most, memory // shape.memory_mb)
+        if shape.gpus:
+            most = min(most, gpus // shape.gpus)
+        if shape.most_per_worker:
+            here = sum(task.step is step for task in self.tasks.values())
+            most = min(most, shape.most_per_worker - here)
+        return max(0, most)
--- /dev/null
+++ b/src/zinniatrestle/scheduling/tracker.py
@@ -0,0 +1,466 @@
+"""Follow what becomes of runs: reports of workers, answers to orders, lost workers."""
+
+import asyncio
+from collections.abc import Iterable
+
+from zinniatrestle.clock import boot_time
+from zinniatrestle.events import Event
+from zinniatrestle.ids import BootSeconds, JobId, RunNumber, TaskId
+from zinniatrestle.jobs.messages import JobState
+from zinniatrestle.scheduling.book import ProgressBook
+from zinniatrestle.scheduling.context import SchedulerContext
+from zinniatrestle.scheduling.durations import Durations
+from zinniatrestle.scheduling.fleet import Fleet, FleetDuties
+from zinniatrestle.scheduling.health import HealthJudge
+from zinniatrestle.scheduling.leadership import Standing
+from zinniatrestle.scheduling.session import SessionDuties, WorkerSession
+from zinniatrestle.scheduling.sharing import PaceController
+from zinniatrestle.scheduling.state import (
+    Job,
+    StepRun,
+    Task,
+    TaskStatus,
+    Worker,
+    WorkerHealth,
+)
+from zinniatrestle.workers.messages import (
+    EndedRun,
+    HoldAnswer,
+    HowEnded,
+    Refusal,
+    RunningTask,
+)
+
+
+class Tracker(SessionDuties, FleetDuties):
+    """Keep jobs, tasks and workers in step with what workers say."""
+
+    def __init__(self, context: SchedulerContext, book: ProgressBook):
+        self.context = context
+        self.events = context.events
+        self.metrics = context.metrics
+        self.book = book
+        self.jobs: dict[JobId, Job] = {}
+        self.fleet = Fleet(
+            context.worker_rows, context.deployment, self, context.events
+        )
+        self.sessions: dict[Worker, WorkerSession] = {}
+        self.session_tasks: dict[Worker, list[asyncio.Task]] = {}
+        self.durations = Durations()
+        self.health = HealthJudge()
+        self.pacing = PaceController()
+        self.wake = asyncio.Event()
+        self.unsaved: set[Job] = set()
+
+    # Workers
+
+    def joined(self, worker: Worker):
+        """Begin to hold a worker."""
+        session = WorkerSession(
+            worker,
+            self.context.orders,
+            self,
+            self.context.deployment.bounds,
+            self.context.leadership.generation,
+            self.events,
+        )
+        self.sessions[worker] = session
+        self.session_tasks[worker] = [
+            asyncio.create_task(session.hold()),
+            asyncio.create_task(session.give_orders()),
+        ]
+        self.wake.set()
+
+    def drained(self, worker: Worker):
+        """Plan anew, since a worker is leaving."""
+        worker.draining_since = boot_time()
+        self.wake.set()
+
+    def ended(self, worker: Worker, reason: str):
+        """Give up what ran on a life that is over."""
+        self.sessions.pop(worker, None)
+        for running in self.session_tasks.pop(worker, ()):
+            if running is not asyncio.current_task():
+                running.cancel()
+        for task in list(worker.tasks.values()):
+            self.events.write(
+                Event.RUN_LOST,
+                task=task.id,
+                run=task.run,
+                worker=worker.id,
+                reason=reason,
+            )
+            self.vacate(task)
+            self.break_gang(task.step)
+        for task in list(worker.reserved.values()):
+            self.release(task)
+        self.wake.set()
+
+    def silence(self, worker: Worker, refused: bool):
+        """Note that a worker does not answer."""
+        self.fleet.silence(worker, refused)
+        self.wake.set()
+
+    def life_over(self, worker: Worker):
+        """End a life that the worker itself denies."""
+        self.fleet.end(worker, "another life answers")
+
+    def fenced_off(self, worker: Worker):
+        """Stop scheduling, since a worker follows a newer generation number."""
+        self.context.leadership.lose(f"worker {worker.id} follows another scheduler")
+
+    def may_order(self) -> bool:
+        """Tell whether orders may be given now."""
+        return self.context.leadership.standing is Standing.HOLDER
+
+    # Reports
+
+    async def report(self, worker: Worker, answer: HoldAnswer, asked_at: BootSeconds):
+        """Take over what runs and what ended; returns once the ends are kept."""
+        if worker.over:
+            return
+        if worker.silent:
+            worker.silent = False
+            self.events.write(Event.WORKER_SEEN, worker=worker.id, again=True)
+        changed: set[Job] = set()
+        listed = set()
+        for end in answer.ended:
+            if end.number <= worker.seen:
+                continue
+            listed.add((end.task, end.run))
+            job = self._take_end(worker, end)
+            if job is not None:
+                changed.add(job)
+        figures: dict[Task, float] = {}
+        for running in answer.running:
+            listed.add((running.task, running.run))
+            task = self._take_running(worker, running, asked_at)
+            if task is not None:
+                figures[task] = running.figure
+        self._find_absent(worker, listed, asked_at)
+        session = self.sessions.get(worker)
+        if session is None:
+            return
+        for key, answered_at in list(session.stops.items()):
+            if answered_at is not None and answered_at < asked_at:
+                del session.stops[key]
+                worker.strangers.discard(key[0])
+        for task, percent in self.pacing.paces(worker, figures, asked_at).items():
+            self.events.write(
+                Event.RUN_PACED,
+                task=task.id,
+                run=task.run,
+                worker=worker.id,
+                percent=percent,
+            )
+            task.pace = percent
+            session.pace(task, task.run, percent)
+        worker.fenced = True
+        if answer.ended:
+            changed |= self.unsaved
+            self.unsaved.clear()
+            self.wake.set()
+            await self.book.save(changed)
+            worker.seen = max(worker.seen, answer.ended[-1].number)
+            self.wake.set()
+
+    def _take_running(
+        self, worker: Worker, running: RunningTask, asked_at: BootSeconds
+    ) -> Task | None:
+        task = self.find(running.task)
+        session = self.sessions.get(worker)
+        ours = (
+            task is not None
+            and task.run == running.run
+            and task.worker is worker
+            and task.occupies
+        )
+        if not ours:
+            if session is not None:
+                worker.strangers.add(running.task)
+                session.stop(running.task, running.run)
+            return None
+        if task.step.job.ended and task.status is not TaskStatus.STOPPING:
+            self.stop(task, "job ended")
+        if task.status is TaskStatus.STOPPING and session is not None:
+            session.stop(task.id, task.run)
+        if task.status is TaskStatus.PLACED:
+            self.started(task, task.run)
+        if running.percent != task.percent or task.percent_at == 0.0:
+            task.percent = running.percent
+            task.percent_at = asked_at
+        if running.checkpoint:
+            self._keep_checkpoint(task, running.checkpoint)
+        return task
+
+    def _find_absent(self, worker: Worker, listed: set, asked_at: BootSeconds):
+        """Find runs that the worker neither runs nor lists as ended."""
+        session = self.sessions.get(worker)
+        if session is None:
+            return
+        for task in list(worker.tasks.values()):
+            if (task.id, task.run) in listed or task.ordering:
+                continue
+            if task.confirmed_at >= asked_at:
+                continue
+            if task.inherited:
+                # The worker refuses the predecessor's orders from now on.
+                self._lose(worker, task, "never started by the predecessor")
+                continue
+            answered_at = session.stops.get((task.id, task.run))
+            if answered_at is not None and answered_at < asked_at:
+                self._lose(worker, task, "not there after a stop")
+                continue
+            if task.status is not TaskStatus.STOPPING:
+                self.stop(task, "not listed by its worker")
+                self.break_gang(task.step)
+                continue
+            session.stop(task.id, task.run)
+
+    def _lose(self, worker: Worker, task: Task, reason: str):
+        self.events.write(
+            Event.RUN_LOST, task=task.id, run=task.run, worker=worker.id, reason=reason
+        )
+        self.vacate(task)
+        self.break_gang(task.step)
+        self.wake.set()
+
+    def _keep_checkpoint(self, task: Task, checkpoint: str):
+        if not task.step.shape.gang:
+            task.checkpoint = checkpoint
+            return
+        # Any member's checkpoint stands for the whole gang.
+        for member in task.step.tasks:
+            member.checkpoint = checkpoint
+
+    def _take_end(self, worker: Worker, end: EndedRun) -> Job | None:
+        task = self.find(end.task)
+        if task is None or task.run != end.run or task.worker is not worker:
+            return None
+        if not task.occupies:
+            return None
+        now = boot_time()
+        job = task.step.job
+        self.metrics.ends.add(1, {"how": end.how.value})
+        self.events.write(
+            Event.RUN_ENDED,
+            task=task.id,
+            run=task.run,
+            worker=worker.id,
+            how=end.how.value,
+            seconds=round(now - task.started_at, 2) if task.started_at else None,
+            failures=task.failures,
+        )
+        if end.checkpoint:
+            self._keep_checkpoint(task, end.checkpoint)
+        if end.how is HowEnded.DONE:
+            self._done(worker, task, now)
+            return job
+        self.vacate(task)
+        if end.how is HowEnded.FAILED:
+            self._failed(worker, task, now)
+        self.break_gang(task.step)
+        return job
+
+    def _done(self, worker: Worker, task: Task, now: BootSeconds):
+        if self.health.succeeded(worker, now):
+            self.events.write(Event.WORKER_RESTORED, worker=worker.id)
+        step = task.step
+        if task.started_at and not task.resumed:
+            self.durations.learn(task, now - task.started_at)
+        if step.shape.lasting:
+            self.vacate(task)
+            return
+        finished = step.tasks if step.shape.gang else [task]
+        for member in finished:
+            self.vacate(member)
+            member.status = TaskStatus.DONE
+        if any(member.status is not TaskStatus.DONE for member in step.tasks):
+            return
+        step.finish()
+        job = step.job
+        job.finished.add(step.key)
+        job.drop_finished_occurrences()
+        if job.all_done() and not job.ended:
+            self.end_job(job, JobState.COMPLETED, "all tasks done")
+
+    def _failed(self, worker: Worker, task: Task, now: BootSeconds):
+        step = task.step
+        task.failures += 1
+        if self.health.failed(worker, task, now):
+            self.quarantine(worker, f"task {task.id} failed", now)
+        failures = task.failures
+        if step.shape.gang:
+            failures = sum(member.failures for member in step.tasks)
+        job = step.job
+        if step.shape.lasting or failures < job.submission.attempts or job.ended:
+            return
+        self.end_job(job, JobState.FAILED, f"task {task.id} failed {failures} times")
+
+    def quarantine(self, worker: Worker, reason: str, now: BootSeconds):
+        """Leave a worker alone for a while."""
+        workers = list(self.fleet.workers.values())
+        if self.health.quarantine(worker, workers, now):
+            self.metrics.quarantines.add(1)
+            self.events.write(
+                Event.WORKER_QUARANTINED,
+                worker=worker.id,
+                reason=reason,
+                seconds=round(worker.quarantined_until - now, 1),
+            )
+
+    # Orders
+
+    def started(self, task: Task, run: RunNumber):
+        """Note that a worker confirmed a run."""
+        if task.run != run or not task.occupies:
+            return
+        task.ordering = False
+        if task.status is not TaskStatus.PLACED:
+            return
+        now = boot_time()
+        task.status = TaskStatus.RUNNING
+        task.inherited = False
+        task.started_at = task.percent_at = task.confirmed_at = now
+        task.percent = 0.0
+        self.metrics.starts.add(1)
+        job = task.step.job
+        if not job.began:
+            job.began = True
+            self.metrics.waiting.record(max(0.0, now - job.due_at))
+
+    def not_started(self, task: Task, run: RunNumber, refusal: Refusal):
+        """Note that a worker surely did not start a run."""
+        if task.run != run or not task.occupies:
+            return
+        task.ordering = False
+        worker = task.worker
+        self.metrics.start_failures.add(1, {"reason": refusal.value})
+        self.events.write(
+            Event.RUN_REFUSED,
+            task=task.id,
+            run=run,
+            worker=worker.id,
+            reason=refusal.value,
+        )
+        if refusal is Refusal.UNHEALTHY:
+            task.avoided.add(worker.id)
+            self.quarantine(worker, "it sheds starts", boot_time())
+        self.vacate(task)
+        self.break_gang(task.step)
+        self.wake.set()
+
+    def unanswered(self, task: Task, run: RunNumber):
+        """Close a run that may have started, or may yet."""
+        if task.run != run or not task.occupies:
+            return
+        task.ordering = False
+        self.events.write(
+            Event.RUN_UNANSWERED, task=task.id, run=run, worker=task.worker.id
+        )
+        # The next report tells whether it runs; if not, it is stopped for good.
+        self.wake.set()
+
+    def stop(self, task: Task, reason: str):
+        """Order a run to be stopped."""
+        if not task.occupies or task.status is TaskStatus.STOPPING:
+            return
+        task.status = TaskStatus.STOPPING
+        self.events.write(
+            Event.RUN_STOPPED,
+            task=task.id,
+            run=task.run,
+            worker=task.worker.id,
+            reason=reason,
+        )
+        session = self.sessions.get(task.worker)
+        if session is not None:
+            session.stop(task.id, task.run)
+
+    def break_gang(self, step: StepRun):
+        """Stop the other members of a gang of which one is gone."""
+        if not step.shape.gang:
+            return
+        for member in step.tasks:
+            if member.status is TaskStatus.RESERVED:
+                self.release(member)
+            self.stop(member, "another member is gone")
+
+    def vacate(self, task: Task):
+        """Give up a task's place, since nothing of it runs there."""
+        if task.worker is not None:
+            task.worker.drop(task)
+        task.worker = None
+        task.ordering = False
+        task.inherited = False
+        task.pace = 100
+        if task.status is not TaskStatus.DONE:
+            task.status = TaskStatus.WAITING
+        self.unsaved.add(task.step.job)
+
+    def release(self, task: Task):
+        """Give up the room kept for a task."""
+        if task.status is not TaskStatus.RESERVED:
+            return
+        task.worker.unreserve(task)
+        task.worker = None
+        task.status = TaskStatus.WAITING
+
+    # Jobs
+
+    def find(self, task: TaskId, job: Job | None = None) -> Task | None:
+        """Return a task by its id, or None; `job` if it is not taken up yet."""
+        job_id, occurrence, number, index = task.split(".")
+        job = job or self.jobs.get(JobId(job_id))
+        if job is None:
+            return None
+        step = job.steps.get(f"{occurrence}.{number}")
+        if step is None or int(index) >= len(step.tasks):
+            return None
+        return step.tasks[int(index)]
+
+    def end_job(self, job: Job, state: JobState, reason: str):
+        """End a job for good and stop what runs of it."""
+        job.state = state
+        self.unsaved.add(job)
+        seconds = boot_time() - job.due_at
+        self.metrics.ended.add(1, {"state": state.value})
+        self.metrics.completion.record(max(0.0, seconds))
+        self.events.write(
+            Event.JOB_ENDED,
+            job=job.id,
+            queue=job.submission.queue,
+            state=state.value,
+            reason=reason,
+            seconds=round(seconds, 2),
+        )
+        self.stop_all(job, f"job {state.value}")
+        self.wake.set()
+
+    def stop_all(self, job: Job, reason: str):
+        """Stop all that runs of a job."""
+        for step in job.steps.values():
+            for task in step.tasks:
+                self.release(task)
+                self.stop(task, reason)
+
+    def waiting_jobs(self) -> Iterable[Job]:
+        """Return the jobs without times of which nothing has begun."""
+        for job in self.jobs.values():
+            if not job.began and not job.ended and not job.submission.timed:
+                yield job
+
+    def stalled_tasks(self, now: BootSeconds) -> list[Task]:
+        """Return the runs that stand still."""
+        found = []
+        for worker in self.fleet.workers.values():
+            for task in worker.tasks.values():
+                if task.status is not TaskStatus.RUNNING:
+                    continue
+                if self.health.stalled(task, now):
+                    found.append(task)
+        return found
+
+    def sick(self, worker: Worker) -> bool:
+        """Tell whether a worker is left alone."""
+        return worker.health is WorkerHealth.QUARANTINED
--- a/src/zinniatrestle/standins/faults.py
+++ b/src/zinniatrestle/standins/faults.py
@@ -8,15 +8,16 @@
     WorkerError,
 )
 from zinniatrestle.ids import RowKey, WorkerId
-from zinniatrestle.platform.embedded import EmbeddedPlatform
-from zinniatrestle.platform.interfaces import (
+from zinniatrestle.standins.messages import PlatformFaults, WorkerFaults
+from zinniatrestle.store.embedded import EmbeddedPlatform
+from zinniatrestle.store.interfaces import (
     HostList,
     ObjectStore,
     Platform,
     TableService,
     Workers,
 )
-from zinniatrestle.platform.messages import (
+from zinniatrestle.store.messages import (
     Commit,
     ListedHost,
     Renew,
@@ -27,7 +28,6 @@
     Transaction,
     WorkerReport,
 )
-from zinniatrestle.standins.messages import PlatformFaults, WorkerFaults
 
 
 class FaultyTable(TableService):
--- a/src/zinniatrestle/standins/platform.py
+++ b/src/zinniatrestle/standins/platform.py
@@ -10,11 +10,11 @@
 
 from zinniatrestle.clock import SystemClock
 from zinniatrestle.errors import StoreUnavailableError, StoreUncertainError
-from zinniatrestle.platform.embedded import EmbeddedPlatform
-from zinniatrestle.platform.http import HOST_HEADER, ReadCall, ScanCall
-from zinniatrestle.platform.messages import ListedHost, Transaction
 from zinniatrestle.standins.faults import FaultyPlatform
 from zinniatrestle.standins.messages import PlatformCounts, PlatformFaults
+from zinniatrestle.store.embedded import EmbeddedPlatform
+from zinniatrestle.store.http import HOST_HEADER, ReadCall, ScanCall
+from zinniatrestle.store.messages import ListedHost, Transaction
 
 UNAVAILABLE = 503
 LOST_LENGTH = "1000000"
--- a/src/zinniatrestle/standins/site.py
+++ b/src/zinniatrestle/standins/site.py
@@ -1,7 +1,7 @@
 """Lists of machines shaped after today's deployments."""
 
 from zinniatrestle.ids import FailureDomainId, RackId
-from zinniatrestle.platform.messages import HostRole, ListedHost
+from zinniatrestle.store.messages import HostRole, ListedHost
 
 WORKERS_PER_RACK = 8
 ACCELERATORS = 8
--- a/src/zinniatrestle/standins/workers.py
+++ b/src/zinniatrestle/standins/workers.py
@@ -11,12 +11,12 @@
 from zinniatrestle.clock import SystemClock
 from zinniatrestle.errors import ResultCode, WorkerError
 from zinniatrestle.ids import WorkerId
-from zinniatrestle.platform.embedded import EmbeddedWorkers
-from zinniatrestle.platform.http import StopAnswer, WorkerAnswer
-from zinniatrestle.platform.messages import ListedHost, Renew, Reserve, Start, Stop
 from zinniatrestle.standins.faults import FaultyWorkers
 from zinniatrestle.standins.messages import WorkerFaults, WorkerStart
 from zinniatrestle.standins.platform import ANSWER_HEAD_BYTES, head_bytes
+from zinniatrestle.store.embedded import EmbeddedWorkers
+from zinniatrestle.store.http import StopAnswer, WorkerAnswer
+from zinniatrestle.store.messages import ListedHost, Renew, Reserve, Start, Stop
 
 
 class WorkersProgram:
--- a/src/zinniatrestle/platform/caching.py
+++ b/src/zinniatrestle/store/caching.py
@@ -3,8 +3,8 @@
 import asyncio
 
 from zinniatrestle.clock import monotonic
-from zinniatrestle.platform.interfaces import HostList
-from zinniatrestle.platform.messages import ListedHost
+from zinniatrestle.store.interfaces import HostList
+from zinniatrestle.store.messages import ListedHost
 
 FRESH_SECONDS = 0.9
 # A longer list is read less often, so that its bytes a second stay bounded.
--- a/src/zinniatrestle/platform/embedded.py
+++ b/src/zinniatrestle/store/embedded.py
@@ -3,14 +3,14 @@
 from zinniatrestle.clock import Clock
 from zinniatrestle.errors import ResultCode, WorkerError
 from zinniatrestle.ids import RowKey, WorkerId
-from zinniatrestle.platform.interfaces import (
+from zinniatrestle.store.interfaces import (
     HostList,
     ObjectStore,
     Platform,
     TableService,
     Workers,
 )
-from zinniatrestle.platform.messages import (
+from zinniatrestle.store.messages import (
     Commit,
     HostRole,
     ListedHost,
@@ -22,7 +22,7 @@
     Transaction,
     WorkerReport,
 )
-from zinniatrestle.platform.state import TableState, WorkerState
+from zinniatrestle.store.state import TableState, WorkerState
 
 
 class EmbeddedTable(TableService):
--- a/src/zinniatrestle/platform/interfaces.py
+++ b/src/zinniatrestle/store/interfaces.py
@@ -3,7 +3,7 @@
 from abc import ABC, abstractmethod
 
 from zinniatrestle.ids import RowKey, WorkerId
-from zinniatrestle.platform.messages import (
+from zinniatrestle.store.messages import (
     Commit,
     ListedHost,
     Renew,
--- a/src/zinniatrestle/platform/leases.py
+++ b/src/zinniatrestle/store/leases.py
@@ -9,9 +9,9 @@
 from zinniatrestle.errors import LeaseLostError, PlatformError
 from zinniatrestle.ids import Epoch, HostId, RowKey, new_operation_token
 from zinniatrestle.logs import PartLog
-from zinniatrestle.platform.interfaces import TableService
-from zinniatrestle.platform.messages import ABSENT, Check, Put, Row, Transaction
-from zinniatrestle.platform.settle import commit_settled
+from zinniatrestle.store.interfaces import TableService
+from zinniatrestle.store.messages import ABSENT, Check, Put, Row, Transaction
+from zinniatrestle.store.settle import commit_settled
 
 LEASE_SECONDS = 3.0
 RENEW_SECONDS = 1.0
--- a/src/zinniatrestle/platform/settle.py
+++ b/src/zinniatrestle/store/settle.py
@@ -2,8 +2,8 @@
 
 from zinniatrestle.errors import StoreUnavailableError, StoreUncertainError
 from zinniatrestle.ids import RowKey
-from zinniatrestle.platform.interfaces import TableService
-from zinniatrestle.platform.messages import Commit, Transaction
+from zinniatrestle.store.interfaces import TableService
+from zinniatrestle.store.messages import Commit, Transaction
 
 READ_BACK_TRIES = 3
 
--- a/src/zinniatrestle/platform/state.py
+++ b/src/zinniatrestle/store/state.py
@@ -3,7 +3,7 @@
 from zinniatrestle.clock import Clock
 from zinniatrestle.errors import ResultCode, WorkerError
 from zinniatrestle.ids import AttemptId, Epoch, JobId, RowKey, WorkerId
-from zinniatrestle.platform.messages import (
+from zinniatrestle.store.messages import (
     ABSENT,
     Commit,
     LeaseState,
--- a/src/zinniatrestle/platform/tests/test_contract.py
+++ b/src/zinniatrestle/store/tests/test_contract.py
@@ -14,9 +14,12 @@
     WorkerError,
 )
 from zinniatrestle.ids import FailureDomainId, HostId, RowKey
-from zinniatrestle.platform.embedded import EmbeddedPlatform
-from zinniatrestle.platform.http import HttpPlatform
-from zinniatrestle.platform.messages import (
+from zinniatrestle.standins.faults import FaultyPlatform
+from zinniatrestle.standins.messages import PlatformFaults
+from zinniatrestle.standins.site import worker_list
+from zinniatrestle.store.embedded import EmbeddedPlatform
+from zinniatrestle.store.http import HttpPlatform
+from zinniatrestle.store.messages import (
     ABSENT,
     Check,
     LeaseState,
@@ -28,10 +31,7 @@
     Stop,
     Transaction,
 )
-from zinniatrestle.platform.state import WorkerState
-from zinniatrestle.standins.faults import FaultyPlatform
-from zinniatrestle.standins.messages import PlatformFaults
-from zinniatrestle.standins.site import worker_list
+from zinniatrestle.store.state import WorkerState
 
 DOMAIN = FailureDomainId("lima")
 WORKER = "lima-worker-0"
--- a/src/zinniatrestle/upstreams/pool.py
+++ b/src/zinniatrestle/upstreams/pool.py
@@ -5,7 +5,7 @@
 
 from zinniatrestle.ids import FailureDomainId, HostId, MinionId, ServiceName
 from zinniatrestle.logs import PartLog
-from zinniatrestle.platform.messages import HostRole, HostStanding, ListedHost
+from zinniatrestle.store.messages import HostRole, HostStanding, ListedHost
 from zinniatrestle.upstreams.messages import MinionAddress
 from zinniatrestle.upstreams.shares import SlotSharers, slot_share
 from zinniatrestle.upstreams.state import Minion, MinionState
--- a/src/zinniatrestle/web.py
+++ b/src/zinniatrestle/web.py
@@ -1,11 +1,13 @@
 """What all HTTP routes share: problems, tokens, bodies."""
 
+import contextlib
 import hashlib
 import hmac
 from collections.abc import Awaitable, Callable
 from typing import Any
 
 import msgspec
+import uvicorn
 from starlette.requests import Request
 from starlette.responses import Response
 
@@ -27,6 +29,7 @@
     ResultCode.NO_SUCH_THING: 404,
     ResultCode.BAD_SETTING: 400,
     ResultCode.BAD_TEMPLATE: 400,
+    ResultCode.NO_SUCH_JOB: 410,
     ResultCode.KEY_REUSED: 422,
     ResultCode.KEY_REQUIRED: 400,
     ResultCode.QUEUE_FULL: 429,
@@ -49,6 +52,15 @@
 Handler = Callable[[Request], Awaitable[Response]]
 
 
+class HostServer(uvicorn.Server):
+    """Serve HTTP and leave signals to the daemon."""
+
+    @contextlib.contextmanager
+    def capture_signals(self):
+        """Leave signals alone."""
+        yield
+
+
 class Problem(msgspec.Struct, frozen=True):
     """An error as RFC 9457 shapes it, with the numbered code."""
 
--- /dev/null
+++ b/src/zinniatrestle/workers/__init__.py
@@ -0,0 +1,27 @@
+"""Workers: what is known of them, their leases, and orders to them."""
+
+from zinniatrestle.workers.interfaces import WorkerOrders
+from zinniatrestle.workers.messages import (
+    EndedRun,
+    HoldAnswer,
+    HowEnded,
+    RefusedOrderError,
+    RunningTask,
+    StartOrder,
+    UnansweredOrderError,
+    WorkerEntry,
+    WorkerState,
+)
+
+__all__ = [
+    "EndedRun",
+    "HoldAnswer",
+    "HowEnded",
+    "RefusedOrderError",
+    "RunningTask",
+    "StartOrder",
+    "UnansweredOrderError",
+    "WorkerEntry",
+    "WorkerOrders",
+    "WorkerState",
+]
--- /dev/null
+++ b/src/zinniatrestle/workers/messages.py
@@ -0,0 +1,131 @@
+"""What workers say of themselves, and orders to them."""
+
+from enum import Enum
+
+import msgspec
+
+from zinniatrestle.errors import WorkerError
+from zinniatrestle.ids import (
+    Born,
+    FailureDomainId,
+    Generation,
+    RackId,
+    RunNumber,
+    ServiceName,
+    TaskId,
+    WorkerId,
+)
+
+
+class WorkerState(Enum):
+    """Whether a worker takes new tasks."""
+
+    READY = "ready"
+    DRAINING = "draining"
+
+
+class HowEnded(Enum):
+    """How a run ended; only FAILED counts as an attempt."""
+
+    DONE = "done"
+    FAILED = "failed"
+    STOPPED = "stopped"
+    LAPSED = "lapsed"
+    # Another member of the gang ended.
+    BROKEN = "broken"
+    # The other members of the gang did not come in time.
+    ALONE = "alone"
+
+
+class Refusal(Enum):
+    """Why a worker refused an order."""
+
+    STALE_GENERATION = "stale_generation"
+    STALE_RUN = "stale_run"
+    TOO_LATE = "too_late"
+    NO_ROOM = "no_room"
+    BAD_TICKET = "bad_ticket"
+    OTHER_LIFE = "other_life"
+    UNHEALTHY = "unhealthy"
+    MALFORMED = "malformed"
+    # Nothing listens at the address.
+    NOT_LISTENING = "not_listening"
+    # No connection could be opened in time.
+    NOT_REACHED = "not_reached"
+
+
+class WorkerEntry(msgspec.Struct, frozen=True):
+    """A worker's entry in the platform's registry.
+
+    `clock_ms` is its own steady clock, `remaining` the least seconds that are left of
+    it while it drains.
+    """
+
+    worker: WorkerId
+    service: ServiceName
+    address: str
+    domain: FailureDomainId
+    state: WorkerState
+    cpu: int
+    memory_mb: int
+    gpus: int
+    labels: frozenset[str]
+    rack: RackId
+    born: Born
+    sequence: int
+    remaining: float | None = None
+    cold: float = 0.0
+
+
+class StartOrder(msgspec.Struct, frozen=True):
+    """An order to start one run of a task; `deadline_ms` is on the worker's clock."""
+
+    task: TaskId
+    run: RunNumber
+    spec: str
+    deadline_ms: int
+    generation: Generation
+    checkpoint: str = ""
+    ticket: str = ""
+
+
+class RunningTask(msgspec.Struct, frozen=True):
+    """A run at work; `figure` is its tail in ms if it serves, else the cpu in use."""
+
+    task: TaskId
+    run: RunNumber
+    checkpoint: str
+    percent: float
+    figure: float = 0.0
+
+
+class EndedRun(msgspec.Struct, frozen=True):
+    """A run that ended; `number` counts the worker's ends since its start."""
+
+    number: int
+    task: TaskId
+    run: RunNumber
+    how: HowEnded
+    checkpoint: str
+
+
+class HoldAnswer(msgspec.Struct, frozen=True):
+    """What runs at a worker and which ends are not acknowledged yet."""
+
+    clock_ms: int
+    born: Born
+    running: tuple[RunningTask, ...]
+    ended: tuple[EndedRun, ...]
+
+
+class RefusedOrderError(WorkerError):
+    """Signal an order that the worker surely did not carry out."""
+
+    def __init__(self, refusal: Refusal, clock_ms: int | None = None):
+        super().__init__(f"The worker refused the order: {refusal.value}.")
+        self.refusal = refusal
+        self.clock_ms = clock_ms
+
+
+class UnansweredOrderError(WorkerError):
+    """Signal an order that may have been carried out, or may be later."""
--- a/tests/common/auditing.py
+++ b/tests/common/auditing.py
@@ -3,8 +3,8 @@
 import asyncio
 
 from common.hosts import ACCOUNT, AREQUIPA, LIMA, HostCluster
-from zinniatrestle.platform.messages import LeaseState
 from zinniatrestle.retirement import Proof
+from zinniatrestle.store.messages import LeaseState
 
 ACTIVE = frozenset({LeaseState.RESERVED, LeaseState.RUNNING})
 SAMPLE_SECONDS = 0.05
--- a/tests/common/cluster.py
+++ b/tests/common/cluster.py
@@ -27,10 +27,10 @@
     TemplateName,
     new_operation_token,
 )
-from zinniatrestle.platform.embedded import EmbeddedPlatform
-from zinniatrestle.platform.leases import Lease
-from zinniatrestle.platform.messages import HostRole, ListedHost
 from zinniatrestle.progress import InProgress
+from zinniatrestle.store.embedded import EmbeddedPlatform
+from zinniatrestle.store.leases import Lease
+from zinniatrestle.store.messages import HostRole, ListedHost
 
 DOMAIN = FailureDomainId("lima")
 ACCOUNT = ClientAccountId("norte")
--- a/tests/common/gang_history.py
+++ b/tests/common/gang_history.py
@@ -4,8 +4,8 @@
 from collections import defaultdict
 
 from zinniatrestle.clock import Clock, monotonic
-from zinniatrestle.platform.embedded import EmbeddedWorkers
-from zinniatrestle.platform.messages import LeaseState
+from zinniatrestle.store.embedded import EmbeddedWorkers
+from zinniatrestle.store.messages import LeaseState
 
 SAMPLE_SECONDS = 0.05
 LIVE = frozenset({LeaseState.RUNNING, LeaseState.FINISHED})
--- a/tests/common/hosts.py
+++ b/tests/common/hosts.py
@@ -24,8 +24,6 @@
 from zinniatrestle.peers import PeerMesh
 from zinniatrestle.peers.messages import Duty
 from zinniatrestle.peers.state import Peer
-from zinniatrestle.platform.embedded import EmbeddedPlatform
-from zinniatrestle.platform.interfaces import Platform
 from zinniatrestle.requests import Answer, Request
 from zinniatrestle.retirement import Proof
 from zinniatrestle.settings import HostSettings
@@ -33,6 +31,8 @@
 from zinniatrestle.standins.faults import FaultyPlatform
 from zinniatrestle.standins.messages import MinionFaults, PlatformFaults
 from zinniatrestle.standins.site import minion_list, worker_list
+from zinniatrestle.store.embedded import EmbeddedPlatform
+from zinniatrestle.store.interfaces import Platform
 from zinniatrestle.upstreams.messages import MinionAddress, UpstreamRequest
 from zinniatrestle.upstreams.transport import UpstreamTransport
 
--- a/tests/common/processes.py
+++ b/tests/common/processes.py
@@ -17,7 +17,6 @@
 from zinniatrestle.ids import FailureDomainId, Revision, new_operation_token
 from zinniatrestle.operators.client import Client, ClientSettings
 from zinniatrestle.operators.messages import ChangeAnswer, ChangeCall, StatusView
-from zinniatrestle.platform.messages import ListedHost, WorkerReport
 from zinniatrestle.retirement import Proof
 from zinniatrestle.settings import ENVIRONMENT_PREFIX
 from zinniatrestle.standins.messages import (
@@ -28,6 +27,7 @@
     WorkerStart,
 )
 from zinniatrestle.standins.site import minion_list, worker_list
+from zinniatrestle.store.messages import ListedHost, WorkerReport
 
 ADDRESS = "127.0.0.1"
 SERVICE = "enrolment"
