Count ghosts from the predecessor's lease, and bring up a model in virtual time

Change: the wait counts from the end of the predecessor's lease, a holder without its lease holds on for a fifth of the longest hold only, and a worker that is silent gives up its runs once its lease has run out although its entry stays. The model runs hosts, store and workers in virtual time.

--- a/src/zinniatrestle/clock.py
+++ b/src/zinniatrestle/clock.py
@@ -55,6 +55,21 @@
     return asyncio.get_running_loop().time()
 
 
+def read_boot_clock() -> float:
+    """Read the clock that also counts while the machine is suspended, in seconds."""
+    return time.clock_gettime(time.CLOCK_BOOTTIME)
+
+
+def read_wall_clock() -> float:
+    """Read the time of day, in seconds since the epoch."""
+    return time.time()
+
+
 def boot_time() -> BootSeconds:
     """Return seconds on the clock that also counts while the machine is suspended."""
-    return BootSeconds(time.clock_gettime(time.CLOCK_BOOTTIME))
+    return BootSeconds(read_boot_clock())
+
+
+def wall_time() -> WallSeconds:
+    """Return the time of day, in seconds since the epoch."""
+    return WallSeconds(read_wall_clock())
--- a/src/zinniatrestle/platform/daemon.py
+++ b/src/zinniatrestle/platform/daemon.py
@@ -30,7 +30,7 @@
 from zinniatrestle.rows.feed import Feed
 from zinniatrestle.scheduling.context import SchedulerContext
 from zinniatrestle.scheduling.leadership import Leadership
-from zinniatrestle.scheduling.scheduler import Scheduler
+from zinniatrestle.scheduling.leading import lead
 from zinniatrestle.serving import FrontDoor
 from zinniatrestle.web import HostServer
 
@@ -103,7 +103,7 @@
         )
         servers = self._servers()
         serving = [asyncio.create_task(server.serve()) for server in servers]
-        scheduling = self._spawn(self._schedule(), "scheduler")
+        scheduling = self._spawn(lead(self.context), "scheduler")
         keeping = self._spawn(self.leadership.keep(), "lease")
         self._spawn(self.feed.follow(), "desired state")
         self._spawn(self._watch_settings(reload), "settings")
@@ -156,44 +156,6 @@
             )
             raise
 
-    async def _schedule(self):
-        """Schedule whenever this host holds the lease."""
-        while True:
-            await self.leadership.acquired.wait()
-            scheduler = Scheduler(self.context)
-            running = asyncio.create_task(scheduler.run())
-            lost = asyncio.create_task(self.leadership.lost.wait())
-            try:
-                await asyncio.wait({running, lost}, return_when=asyncio.FIRST_COMPLETED)
-            finally:
-                lost.cancel()
-                running.cancel()
-                await self._end_scheduler(running)
-            # A scheduler that failed starts anew under the next generation number.
-            self.leadership.lose("the scheduler ended")
-
-    async def _end_scheduler(self, running: asyncio.Task):
-        results = await asyncio.gather(running, return_exceptions=True)
-        error = results[0]
-        if error is None or isinstance(error, asyncio.CancelledError):
-            return
-        causes = [error]
-        if isinstance(error, BaseExceptionGroup):
-            causes = list(error.exceptions)
-        for cause in causes:
-            frames = []
-            trace = cause.__traceback__
-            while trace is not None:
-                name = Path(trace.tb_frame.f_code.co_filename).name
-                frames.append(f"{name}:{trace.tb_lineno}")
-                trace = trace.tb_next
-            self.events.write(
-                Event.TASK_FAILED,
-                task="scheduler",
-                reason=f"{type(cause).__name__}: {cause}",
-                at_line=" ".join(frames[-3:]),
-            )
-
     async def _watch_settings(self, reload: asyncio.Event):
         """Take over a settings file that changed, with a signal or without."""
         while True:
--- a/src/zinniatrestle/rows/settled.py
+++ b/src/zinniatrestle/rows/settled.py
@@ -9,6 +9,8 @@
 
 # s; the pause before a call that failed is repeated.
 RETRY_SECONDS = 0.1
+# s; what is left of the time below which it counts as over.
+TIMER_SECONDS = 0.001
 # s; the longest wait for one answer, several times that of a slow store.
 CALL_SECONDS = 2.0
 
@@ -29,7 +31,7 @@
     uncertain = False
     while True:
         left = give_up_at - monotonic()
-        if left <= 0:
+        if left < TIMER_SECONDS:
             if uncertain:
                 raise StoreUncertainError("The store's answer was lost.")
             raise StoreUnavailableError("The store does not answer.")
--- a/src/zinniatrestle/scheduling/context.py
+++ b/src/zinniatrestle/scheduling/context.py
@@ -8,9 +8,22 @@
 from zinniatrestle.queues import OperatorState
 from zinniatrestle.rows import RowStore
 from zinniatrestle.scheduling.leadership import Leadership
+from zinniatrestle.scheduling.order import OrderPolicy
+from zinniatrestle.scheduling.placement import PlacementPolicy
 from zinniatrestle.workers.interfaces import WorkerOrders, WorkerRows
 
 
+@dataclass
+class Policy:
+    """Policies in place of the usual ones, for experiments; None: the usual one."""
+
+    placement: PlacementPolicy | None = None
+    order: OrderPolicy | None = None
+    reclaims: bool = True
+    quarantines: bool = True
+    holds_back: bool = True
+
+
 @dataclass
 class SchedulerContext:
     """Services and beliefs that a scheduler works with."""
@@ -23,3 +36,4 @@
     leadership: Leadership
     metrics: Metrics
     events: EventLog
+    policy: Policy | None = None
--- a/src/zinniatrestle/scheduling/fleet.py
+++ b/src/zinniatrestle/scheduling/fleet.py
@@ -17,7 +17,6 @@
 )
 from zinniatrestle.rows import Change, StoredRow
 from zinniatrestle.rows.feed import TableReader
-from zinniatrestle.scheduling.session import HOLD_SHARE
 from zinniatrestle.scheduling.state import Worker
 from zinniatrestle.workers.interfaces import WorkerRows
 from zinniatrestle.workers.messages import WorkerEntry, WorkerState
@@ -34,6 +33,10 @@
     def drained(self, worker: Worker):
         """Note that a worker is leaving."""
 
+    @abstractmethod
+    def lapsed(self, worker: Worker):
+        """Note that everything on a worker out of reach was killed by its lease."""
+
     @abstractmethod
     def ended(self, worker: Worker, reason: str):
         """Note that nothing runs on a worker's life any more."""
@@ -52,7 +55,6 @@
         self.rows = rows
         self.table = rows.table
         self.regions = deployment.regions
-        self.longest_hold = deployment.bounds.longest_hold
         self.duties = duties
         self.events = events
         self.workers: dict[WorkerId, Worker] = {}
@@ -189,22 +191,21 @@
             self.end(worker, "nothing listens and its entry is gone")
 
     def review(self, now: BootSeconds):
-        """End lives whose leases have run out for good."""
+        """Give up what ran under leases that have run out for good."""
         for worker in [*self.workers.values(), *self.former]:
             if not worker.silent and worker not in self.former:
                 continue
-            if worker.lease.expired(now) and worker.missing_since is not None:
+            if not worker.lease.expired(now):
+                continue
+            if worker.missing_since is not None:
                 self.end(worker, "lease expired")
-
-
-def successor_wait(longest_hold: float, lease_left: float) -> float:
-    """Return for how long a predecessor's holds may keep runs alive, in seconds.
-
-    A holder that is cut off from the store goes on holding for `longest_hold` after
-    its own lease has ended.
-    """
-    return max(0.0, lease_left) + longest_hold * (1 + HOLD_SHARE)
+                continue
+            if worker.tasks:
+                self.duties.lapsed(worker)
 
 
 def _same_life(known: WorkerEntry, entry: WorkerEntry) -> bool:
+    if not known.address:
+        # The address of a life that is known only from a job's progress.
+        return known.born == entry.born
     return known.born == entry.born and known.address == entry.address
--- a/src/zinniatrestle/scheduling/leadership.py
+++ b/src/zinniatrestle/scheduling/leadership.py
@@ -35,6 +35,9 @@
 RENEWALS = 3
 # Share of the lease that the holder leaves unused, for clocks and for orders under way.
 MARGIN = 0.1
+# Share of the longest hold for which a holder goes on holding workers after its lease
+# ran out, as in an outage of the store; a successor has to wait for it.
+HOLD_ON_SHARE = 0.2
 # s; the pause after a failed call.
 RETRY_SECONDS = 0.2
 MILLISECONDS = 1000.0
@@ -67,6 +70,7 @@
         self.store = store
         self.identity = deployment.identity
         self.lease_seconds = deployment.bounds.lease
+        self.hold_on = deployment.bounds.longest_hold * HOLD_ON_SHARE
         self.events = events
         self.record: LeaseRecord | None = None
         self.version = ABSENT
@@ -78,6 +82,8 @@
         self.lost.set()
         self.released = False
         self.pending: dict[QueueName, int] = {}
+        # Until when (store time) the predecessor may have held workers.
+        self.predecessor_until = 0.0
         self.feed_version: RowVersion | None = None
 
     @property
@@ -91,6 +97,13 @@
             return Standing.HOLDER
         return Standing.SUSPENDED
 
+    def may_hold(self) -> bool:
+        """Tell whether workers may still be held, under a lease that ran out or not."""
+        if not self.is_holder or self.record is None:
+            return False
+        latest = self.store.clock.latest(boot_time())
+        return latest < self.record.until + self.hold_on * MILLISECONDS
+
     def fence_expectation(self) -> Expect:
         """Return what each of the holder's transactions has to expect."""
         return Expect(LEASES, FENCE_ROW, self.fence)
@@ -205,6 +218,8 @@
         if not result.applied:
             self.feed_version = None
             return
+        if self.record is not None:
+            self.predecessor_until = self.record.until + self.hold_on * MILLISECONDS
         self.record = record
         self.version = self.fence = result.version
         self.generation = generation
--- /dev/null
+++ b/src/zinniatrestle/scheduling/leading.py
@@ -0,0 +1,45 @@
+"""Schedule whenever this host holds the lease."""
+
+import asyncio
+import traceback
+
+from zinniatrestle.events import Event, EventLog
+from zinniatrestle.scheduling.context import SchedulerContext
+from zinniatrestle.scheduling.scheduler import Scheduler
+
+# Frames of a traceback that go into the log line of a scheduler that failed.
+FRAMES = 4
+
+
+async def lead(context: SchedulerContext):
+    """Run one scheduler for each generation until cancelled."""
+    leadership = context.leadership
+    while True:
+        await leadership.acquired.wait()
+        running = asyncio.create_task(Scheduler(context).run())
+        lost = asyncio.create_task(leadership.lost.wait())
+        try:
+            await asyncio.wait({running, lost}, return_when=asyncio.FIRST_COMPLETED)
+        finally:
+            lost.cancel()
+            running.cancel()
+            results = await asyncio.gather(running, return_exceptions=True)
+            _explain(results[0], context.events)
+        # A scheduler that failed starts anew under the next generation number.
+        leadership.lose("the scheduler ended")
+
+
+def _explain(error: BaseException | None, events: EventLog):
+    if error is None or isinstance(error, asyncio.CancelledError):
+        return
+    causes = [error]
+    if isinstance(error, BaseExceptionGroup):
+        causes = list(error.exceptions)
+    for cause in causes:
+        frames = traceback.extract_tb(cause.__traceback__)[-FRAMES:]
+        events.write(
+            Event.TASK_FAILED,
+            task="scheduler",
+            reason=f"{type(cause).__name__}: {cause}",
+            frames=[f"{frame.name}:{frame.lineno}" for frame in frames],
+        )
--- a/src/zinniatrestle/scheduling/rounds.py
+++ b/src/zinniatrestle/scheduling/rounds.py
@@ -3,7 +3,7 @@
 import asyncio
 import time
 
-from zinniatrestle.clock import boot_time
+from zinniatrestle.clock import boot_time, wall_time
 from zinniatrestle.deployment import Bounds
 from zinniatrestle.errors import LeaseLostError
 from zinniatrestle.events import Event
@@ -11,7 +11,7 @@
 from zinniatrestle.jobs.messages import JobState
 from zinniatrestle.queues import Queue
 from zinniatrestle.scheduling.backfill import Shadow
-from zinniatrestle.scheduling.context import SchedulerContext
+from zinniatrestle.scheduling.context import Policy, SchedulerContext
 from zinniatrestle.scheduling.order import OrderPolicy, UsefulFirst, urgency
 from zinniatrestle.scheduling.placement import (
     Assignment,
@@ -36,18 +36,13 @@
 class Planner:
     """Decide rounds; the tracker carries the decisions out."""
 
-    def __init__(
-        self,
-        context: SchedulerContext,
-        tracker: Tracker,
-        placement: PlacementPolicy | None = None,
-        order: OrderPolicy | None = None,
-    ):
+    def __init__(self, context: SchedulerContext, tracker: Tracker):
         self.context = context
         self.tracker = tracker
         self.bounds: Bounds = context.deployment.bounds
-        self.placement = placement or BestFit()
-        self.order = order or UsefulFirst(tracker.durations)
+        self.policy = context.policy or Policy()
+        self.placement: PlacementPolicy = self.policy.placement or BestFit()
+        self.order: OrderPolicy = self.policy.order or UsefulFirst(tracker.durations)
         self.reclaim = ReclaimPlanner(self.bounds.checkpoint_interval)
         self.starting: set[asyncio.Task] = set()
 
@@ -133,7 +128,8 @@
             return placed
         if self._reclaim(step, workers, terms, now):
             return placed
-        shadow.hold_back(step, left, workers, terms)
+        if self.policy.holds_back:
+            shadow.hold_back(step, left, workers, terms)
         return placed
 
     def _place(self, step: StepRun, assignment: Assignment) -> list[Task]:
@@ -164,7 +160,7 @@
         self, step: StepRun, workers: list[Worker], terms: Terms, now: BootSeconds
     ) -> bool:
         """Stop cheaper work for a step that its account is guaranteed."""
-        if not self._is_guaranteed(step, now):
+        if not self.policy.reclaims or not self._is_guaranteed(step, now):
             return False
         waiting = step.waiting()
         plan = self.reclaim.plan(step, waiting, workers, terms, now)
@@ -336,7 +332,7 @@
     # Time
 
     def _add_due_occurrences(self):
-        now_ms = time.time() * 1000
+        now_ms = wall_time() * 1000
         for job in self.tracker.jobs.values():
             submission = job.submission
             if job.ended or not submission.timed:
--- a/src/zinniatrestle/scheduling/scheduler.py
+++ b/src/zinniatrestle/scheduling/scheduler.py
@@ -1,10 +1,9 @@
 """The scheduler of one generation: loads what is kept, follows, and decides."""
 
 import asyncio
-import contextlib
 
 from zinniatrestle.clock import boot_time, event_within
-from zinniatrestle.errors import StoreUnavailableError
+from zinniatrestle.errors import PlatformError, StoreUnavailableError
 from zinniatrestle.events import Event
 from zinniatrestle.ids import BootSeconds, JobId, RowVersion, WorkerId
 from zinniatrestle.jobs.messages import (
@@ -21,11 +20,12 @@
 from zinniatrestle.rows.feed import Feed, TableReader
 from zinniatrestle.scheduling.book import ProgressBook
 from zinniatrestle.scheduling.context import SchedulerContext
-from zinniatrestle.scheduling.fleet import successor_wait
 from zinniatrestle.scheduling.leadership import Standing
 from zinniatrestle.scheduling.rounds import FRESH_SHARE, Planner
+from zinniatrestle.scheduling.session import HOLD_SHARE
 from zinniatrestle.scheduling.state import Job, StepRun, TaskStatus
 from zinniatrestle.scheduling.tracker import Tracker
+from zinniatrestle.workers.lease import SLACK_SECONDS, SLOWEST_CLOCK
 
 # s; a feed's answer is held back this long at most; it confirms what is believed.
 FEED_SECONDS = 0.5
@@ -192,17 +192,20 @@
 
     def _restore_places(self):
         """Put the tasks of the predecessor where they may run."""
-        now = boot_time()
-        record = self.leadership.record
-        left = 0.0
-        if record is not None:
-            left = self.leadership.lease_seconds
-        wait = successor_wait(self.context.deployment.bounds.longest_hold, left)
+        until = self._predecessor_holds_until()
         for job in self.tracker.jobs.values():
             if job.ended:
                 self.tracker.unsaved.add(job)
             for step in job.steps.values():
-                self._restore_step(step, BootSeconds(now + wait))
+                self._restore_step(step, until)
+
+    def _predecessor_holds_until(self) -> BootSeconds:
+        """Return until when runs may go on that only the predecessor could hold."""
+        now = boot_time()
+        store_now = self.context.store.clock.earliest(now)
+        left = (self.leadership.predecessor_until - store_now) / MILLISECONDS
+        held = self.context.deployment.bounds.longest_hold * HOLD_SHARE
+        return BootSeconds(now + max(0.0, left) + held / SLOWEST_CLOCK + SLACK_SECONDS)
 
     def _restore_step(self, step: StepRun, until: BootSeconds):
         for task in step.tasks:
@@ -292,8 +295,12 @@
                     self.leadership.fence_expectation(),
                     Expect(PROGRESS, name, version),
                 ]
-                with contextlib.suppress(StoreUnavailableError):
+                try:
                     await self.context.store.transact(
                         expects, [Write(PROGRESS, name, None)], FEED_SECONDS
                     )
+                except PlatformError as error:
+                    # It is tried again at the next turn.
+                    self.events.fold(Event.DEPENDENCY_LOST, error.detail, job=job_id)
+                    break
                 self.ended.pop(0)
--- a/src/zinniatrestle/scheduling/session.py
+++ b/src/zinniatrestle/scheduling/session.py
@@ -67,6 +67,10 @@
     def may_order(self) -> bool:
         """Tell whether orders may be given now."""
 
+    @abstractmethod
+    def may_hold(self) -> bool:
+        """Tell whether workers may be held now."""
+
 
 class WorkerSession:
     """Hold one worker, and give it orders, until it or the scheduler ends."""
@@ -96,6 +100,9 @@
         wait = 0.0
         misses = 0
         while not worker.over:
+            if not self.duties.may_hold():
+                await asyncio.sleep(RETRY_SECONDS)
+                continue
             asked_at = boot_time()
             deadline = worker.lease.deadline(asked_at, self.hold_seconds)
             try:
--- a/src/zinniatrestle/scheduling/tracker.py
+++ b/src/zinniatrestle/scheduling/tracker.py
@@ -82,6 +82,17 @@
         for running in self.session_tasks.pop(worker, ()):
             if running is not asyncio.current_task():
                 running.cancel()
+        self._lose_all(worker, reason)
+        for task in list(worker.reserved.values()):
+            self.release(task)
+        self.wake.set()
+
+    def lapsed(self, worker: Worker):
+        """Give up what ran on a worker out of reach."""
+        self._lose_all(worker, "lease expired out of reach")
+        self.wake.set()
+
+    def _lose_all(self, worker: Worker, reason: str):
         for task in list(worker.tasks.values()):
             self.events.write(
                 Event.RUN_LOST,
@@ -92,9 +103,6 @@
             )
             self.vacate(task)
             self.break_gang(task.step)
-        for task in list(worker.reserved.values()):
-            self.release(task)
-        self.wake.set()
 
     def silence(self, worker: Worker, refused: bool):
         """Note that a worker does not answer."""
@@ -113,6 +121,10 @@
         """Tell whether orders may be given now."""
         return self.context.leadership.standing is Standing.HOLDER
 
+    def may_hold(self) -> bool:
+        """Tell whether workers may be held now."""
+        return self.context.leadership.may_hold()
+
     # Reports
 
     async def report(self, worker: Worker, answer: HoldAnswer, asked_at: BootSeconds):
@@ -299,6 +311,8 @@
 
     def quarantine(self, worker: Worker, reason: str, now: BootSeconds):
         """Leave a worker alone for a while."""
+        if self.context.policy and not self.context.policy.quarantines:
+            return
         workers = list(self.fleet.workers.values())
         if self.health.quarantine(worker, workers, now):
             self.metrics.quarantines.add(1)
--- /dev/null
+++ b/src/zinniatrestle/standins/checker.py
@@ -0,0 +1,108 @@
+"""Check the history of workers against what must always hold."""
+
+import msgspec
+
+from zinniatrestle.ids import JobId, TaskId, WorkerId
+from zinniatrestle.standins.fleet import (
+    EventKind,
+    SimulatedFleet,
+    TaskScript,
+    WorkerEvent,
+)
+from zinniatrestle.standins.model import Model
+from zinniatrestle.workers.messages import HowEnded
+
+
+def violations(model: Model) -> list[str]:
+    """Return every broken promise that the history shows, in words."""
+    found = []
+    found.extend(_twice(model.fleet.history))
+    found.extend(_alone(model))
+    found.extend(_unasked(model))
+    found.extend(_over_attempts(model))
+    return found
+
+
+def watch_capacity(fleet: SimulatedFleet, found: list[str]):
+    """Note workers that hold more than they have, as of now."""
+    for worker in fleet.workers.values():
+        gpus = sum(run.script.gpus for run in worker.running.values())
+        cpu = sum(run.script.cpu for run in worker.running.values())
+        if gpus > worker.entry.gpus or cpu > worker.entry.cpu:
+            found.append(f"LIMIT: {worker.entry.worker} holds {gpus} accelerators")
+
+
+def _twice(history: list[WorkerEvent]) -> list[str]:
+    found = []
+    running: dict[TaskId, dict[tuple[WorkerId, int], WorkerEvent]] = {}
+    done: dict[TaskId, WorkerEvent] = {}
+    for event in history:
+        places = running.setdefault(event.task, {})
+        place = (event.worker, event.run)
+        if event.kind is EventKind.START:
+            if places:
+                other = next(iter(places))
+                found.append(f"TWICE: {event.task} at {event.worker} and {other}")
+            finished = done.get(event.task)
+            if finished is not None:
+                found.append(f"TWICE: {event.task} starts after it was done")
+            places[place] = event
+            continue
+        if event.kind is EventKind.END:
+            places.pop(place, None)
+            continue
+        if event.how is HowEnded.DONE:
+            done[event.task] = event
+    return found
+
+
+def _alone(model: Model) -> list[str]:
+    found = []
+    for event in model.fleet.history:
+        if event.kind is EventKind.END and event.how is HowEnded.ALONE:
+            found.append(f"GANG: {event.task} waited alone at {event.worker}")
+    return found
+
+
+def _unasked(model: Model) -> list[str]:
+    found = []
+    for event in model.fleet.history:
+        if event.kind is not EventKind.START:
+            continue
+        outcome = model.jobs.get(job_of(event.task))
+        if outcome is None:
+            found.append(f"UNASKED: {event.task} was never handed in")
+            continue
+        if outcome.refused:
+            found.append(f"REFUSED: {event.task} runs although it was refused")
+        late = outcome.cancelled_at
+        if late is not None and event.at > late + model.bounds.reclaim:
+            found.append(f"UNASKED: {event.task} starts after it was cancelled")
+    return found
+
+
+def _over_attempts(model: Model) -> list[str]:
+    found = []
+    attempts = {queue.name: queue.attempts for queue in model.operator.queues}
+    failures: dict[TaskId, int] = {}
+    for event in model.fleet.history:
+        outcome = model.jobs.get(job_of(event.task))
+        if outcome is None:
+            continue
+        if event.kind is EventKind.NOTED and event.how is HowEnded.FAILED:
+            failures[event.task] = failures.get(event.task, 0) + 1
+        if event.kind is not EventKind.START:
+            continue
+        if failures.get(event.task, 0) >= attempts[outcome.queue]:
+            found.append(f"BUDGET: {event.task} starts after its last attempt")
+    return found
+
+
+def job_of(task: TaskId) -> JobId:
+    """Return the job of a task."""
+    return JobId(task.split(".")[0])
+
+
+def script_of(spec: str) -> TaskScript:
+    """Return what a job's text makes its tasks do."""
+    return msgspec.json.decode(spec, type=TaskScript)
--- /dev/null
+++ b/src/zinniatrestle/standins/model.py
@@ -0,0 +1,285 @@
+"""A deployment in one process and in virtual time: hosts, store, workers, callers."""
+
+import asyncio
+import random
+from collections.abc import Coroutine
+from typing import Any
+from unittest import mock
+
+import msgspec
+
+from zinniatrestle.clock import monotonic
+from zinniatrestle.deployment import Addresses, Bounds, Deployment, Identity
+from zinniatrestle.errors import NotRunError, UnknownOutcomeError
+from zinniatrestle.events import EventLog
+from zinniatrestle.ids import (
+    FailureDomainId,
+    HostId,
+    JobId,
+    QueueName,
+    RackId,
+    RegionId,
+)
+from zinniatrestle.jobs import JobIntake, JobState, Step
+from zinniatrestle.jobs.intake import Plan
+from zinniatrestle.jobs.messages import PROGRESS, decode_progress, row_name
+from zinniatrestle.metrics import Metrics
+from zinniatrestle.queues import DesiredStateReader, OperatorState
+from zinniatrestle.rows.feed import Feed
+from zinniatrestle.scheduling.context import SchedulerContext
+from zinniatrestle.scheduling.leadership import Leadership
+from zinniatrestle.scheduling.leading import lead
+from zinniatrestle.serving import FrontDoor
+from zinniatrestle.standins.fleet import MemoryWorkerRows, SimulatedFleet, TaskScript
+from zinniatrestle.standins.operator import MemoryOperator, MemoryOperatorRows
+from zinniatrestle.standins.rows import HostRows, MemoryRows
+
+FEED_SECONDS = 0.8
+ORIGIN = 1_800_000_000.0
+# s; how long callers of the model wait for an answer.
+CALL_SECONDS = 3.0
+
+
+def run_virtual(coroutine: Coroutine) -> Any:
+    """Run a coroutine on a loop whose time jumps to the next timer."""
+    # Imported here, since only experiments and tests need it.
+    import async_solipsism
+
+    loop = async_solipsism.EventLoop()
+    asyncio.set_event_loop(loop)
+    clock = "zinniatrestle.clock"
+    try:
+        with (
+            mock.patch(f"{clock}.read_boot_clock", lambda: ORIGIN + loop.time()),
+            mock.patch(f"{clock}.read_wall_clock", lambda: ORIGIN + loop.time()),
+        ):
+            return loop.run_until_complete(_settled(coroutine))
+    finally:
+        asyncio.set_event_loop(None)
+        loop.close()
+
+
+async def _settled(coroutine: Coroutine) -> Any:
+    try:
+        return await coroutine
+    finally:
+        others = asyncio.all_tasks() - {asyncio.current_task()}
+        for task in others:
+            task.cancel()
+        await asyncio.gather(*others, return_exceptions=True)
+
+
+class ModelHost:
+    """One entry host of the model."""
+
+    def __init__(self, model: "Model", name: str, region: str):
+        self.model = model
+        self.name = name
+        self.store = HostRows(model.rows, 0.001)
+        self.orders = model.fleet.host(name)
+        self.deployment = Deployment(
+            identity=Identity(
+                HostId(name), name, FailureDomainId("a"), RegionId(region)
+            ),
+            addresses=Addresses("", "", ""),
+            regions={FailureDomainId(domain): RegionId("r") for domain in "abc"},
+            bounds=model.bounds,
+        )
+        self.tasks: list[asyncio.Task] = []
+        self.start()
+
+    def start(self):
+        """Start the host's process."""
+        events = EventLog(self.name)
+        metrics = self.model.metrics
+        self.operator = OperatorState()
+        self.leadership = Leadership(self.store, self.deployment, events)
+        self.intake = JobIntake(self.store, events)
+        reader = DesiredStateReader(MemoryOperatorRows(), self.operator, events)
+        feed = Feed(self.store, reader, events, FEED_SECONDS)
+        self.door = FrontDoor(
+            self.model.bounds,
+            self.operator,
+            self.intake,
+            self.leadership,
+            metrics,
+            events,
+        )
+        self.context = SchedulerContext(
+            deployment=self.deployment,
+            store=self.store,
+            worker_rows=MemoryWorkerRows(),
+            orders=self.orders,
+            operator=self.operator,
+            leadership=self.leadership,
+            metrics=metrics,
+            events=events,
+        )
+        self.context.policy = self.model.policy
+        self.tasks = [
+            asyncio.create_task(self.leadership.keep()),
+            asyncio.create_task(feed.follow()),
+            asyncio.create_task(lead(self.context)),
+        ]
+
+    async def kill(self):
+        """End the host's process at once."""
+        for task in self.tasks:
+            task.cancel()
+        await asyncio.gather(*self.tasks, return_exceptions=True)
+        self.tasks = []
+
+    @property
+    def alive(self) -> bool:
+        """Tell whether the process runs."""
+        return bool(self.tasks)
+
+
+class Outcome(msgspec.Struct):
+    """What a caller was told of a job, and what the job needs."""
+
+    queue: QueueName
+    sent_at: float
+    seconds: float
+    accepted: bool = False
+    refused: bool = False
+    cancelled_at: float | None = None
+    completed_at: float | None = None
+
+
+class Model:
+    """A deployment with callers; faults are set on its parts."""
+
+    def __init__(self, seed: int = 0, hosts: int = 3, policy=None):
+        self.seed = seed
+        self.policy = policy
+        self.random = random.Random(seed)
+        self.bounds = Bounds()
+        self.rows = MemoryRows(seed)
+        self.fleet = SimulatedFleet(self.rows, seed, self.bounds.gang)
+        self.operator = MemoryOperator(self.rows)
+        self.metrics = Metrics()
+        self.hosts: list[ModelHost] = []
+        self.host_count = hosts
+        self.jobs: dict[JobId, Outcome] = {}
+        self.working: asyncio.Task | None = None
+
+    async def start(self, workers: int = 16, rack: int = 8):
+        """Start workers, hosts and the store."""
+        self.operator.set_up()
+        for number in range(workers):
+            domain = "abc"[number // rack % 3]
+            self.fleet.add(f"w{number}", f"rack-{number // rack}", domain)
+        self.working = asyncio.create_task(self.fleet.run())
+        for number in range(self.host_count):
+            self.hosts.append(ModelHost(self, f"host-{number}", "r"))
+        await asyncio.sleep(1.0)
+
+    def leader(self) -> ModelHost | None:
+        """Return the host that schedules, or None."""
+        for host in self.hosts:
+            if host.alive and host.leadership.is_holder:
+                return host
+        return None
+
+    async def submit(
+        self, queue: str, steps: tuple[Step, ...], seconds: float, **script
+    ) -> JobId:
+        """Hand a job in, again and again until its fate is known."""
+        job = JobId(f"{self.random.getrandbits(64):016x}")
+        shape = steps[0]
+        gang = shape.count if shape.gang else 0
+        spec = msgspec.json.encode(
+            TaskScript(
+                seconds=seconds,
+                cpu=shape.cpu,
+                memory_mb=shape.memory_mb,
+                gpus=shape.gpus,
+                gang=gang,
+                **script,
+            )
+        ).decode()
+        outcome = Outcome(QueueName(queue), monotonic(), seconds)
+        self.jobs[job] = outcome
+        refusals = tries = 0
+        for _ in range(5):
+            host = self.random.choice(self.hosts)
+            if not host.alive:
+                await asyncio.sleep(0.2)
+                continue
+            tries += 1
+            try:
+                pass_ = host.door.admit("queues.example", f"/{queue}/", "key-first")
+                await host.door.accept(
+                    pass_, job, Plan(spec, steps), monotonic() + CALL_SECONDS
+                )
+            except NotRunError:
+                refusals += 1
+                await asyncio.sleep(0.3)
+                continue
+            except UnknownOutcomeError:
+                continue
+            outcome.accepted = True
+            return job
+        outcome.refused = tries > 0 and refusals == tries
+        return job
+
+    async def cancel(self, job: JobId):
+        """Cancel a job through any live host."""
+        for _ in range(5):
+            host = self.random.choice(self.hosts)
+            if not host.alive:
+                await asyncio.sleep(0.2)
+                continue
+            try:
+                await host.door.cancel(job, monotonic() + CALL_SECONDS)
+            except UnknownOutcomeError:
+                continue
+            self.jobs[job].cancelled_at = monotonic()
+            return
+
+    def state(self, job: JobId) -> JobState | None:
+        """Return what is kept of a job, faults aside."""
+        row = self.rows.row(PROGRESS, row_name(job))
+        return decode_progress(row.value).state if row else None
+
+    async def settle(self, seconds: float) -> bool:
+        """Wait until every accepted job has ended; tell whether all have."""
+        until = monotonic() + seconds
+        while monotonic() < until:
+            if all(self.has_ended(job) for job in self.jobs):
+                return True
+            await asyncio.sleep(0.25)
+        return False
+
+    def has_ended(self, job: JobId) -> bool:
+        """Tell whether a job has ended or was never taken."""
+        state = self.state(job)
+        if state is None:
+            return not self.jobs[job].accepted
+        if state.ended and self.jobs[job].completed_at is None:
+            self.jobs[job].completed_at = monotonic()
+        return state.ended
+
+
+def step(
+    count: int = 1,
+    cpu: int = 1000,
+    memory_mb: int = 1000,
+    gpus: int = 1,
+    gang: bool = False,
+    seconds: float = 2.0,
+    **more,
+) -> Step:
+    """Return a step of the model's usual size."""
+    if "data_rack" in more:
+        more["data_rack"] = RackId(more["data_rack"])
+    return Step(
+        count=count,
+        cpu=cpu,
+        memory_mb=memory_mb,
+        gpus=gpus,
+        gang=gang,
+        estimated_ms=int(seconds * 1000),
+        **more,
+    )
--- /dev/null
+++ b/src/zinniatrestle/standins/operator.py
@@ -0,0 +1,100 @@
+"""An operator in memory: desired states, evacuations."""
+
+import msgspec
+
+from zinniatrestle.ids import (
+    ApiKey,
+    ClientAccountId,
+    FailureDomainId,
+    QueueName,
+    RowName,
+    ServiceName,
+    TableName,
+)
+from zinniatrestle.queues.follower import OperatorRows
+from zinniatrestle.queues.messages import (
+    Account,
+    DesiredState,
+    Evacuation,
+    Queue,
+    Service,
+    Wave,
+)
+from zinniatrestle.standins.rows import MemoryRows
+
+OPERATOR = TableName("operator")
+DESIRED = RowName("desired")
+OUT = "out/"
+
+
+class MemoryOperatorRows(OperatorRows):
+    """Decode the rows that the stand-in operator writes."""
+
+    table = OPERATOR
+
+    def decode(
+        self, name: RowName, value: bytes
+    ) -> DesiredState | Evacuation | Wave | None:
+        """Return what a row says, or None for a row of no interest."""
+        if name.startswith(OUT):
+            return Evacuation(FailureDomainId(name.removeprefix(OUT)))
+        if name == DESIRED:
+            return msgspec.msgpack.decode(value, type=DesiredState)
+        return None
+
+
+class MemoryOperator:
+    """Write what operators want."""
+
+    def __init__(self, rows: MemoryRows):
+        self.rows = rows
+        self.version = 0
+        self.queues: tuple[Queue, ...] = ()
+        self.accounts: tuple[Account, ...] = ()
+
+    def set_up(self, guaranteed: int = 32):
+        """Write a desired state with an urgent, a usual and a patient queue."""
+        queues = []
+        for name, priority, attempts, stretch, target in (
+            ("urgent", 0, 2, 1.5, 0.4),
+            ("usual", 1, 3, 3.0, 1.2),
+            ("patient", 2, 4, 3.0, 3.0),
+        ):
+            queues.append(
+                Queue(
+                    name=QueueName(name),
+                    host="queues.example",
+                    path=f"/{name}/",
+                    service=ServiceName("service"),
+                    priority=priority,
+                    attempts=attempts,
+                    stretch=stretch,
+                    target=target,
+                )
+            )
+        self.queues = tuple(queues)
+        accounts = []
+        for name in ("first", "second"):
+            keys = frozenset({ApiKey(f"key-{name}")})
+            accounts.append(Account(ClientAccountId(name), keys, guaranteed))
+        self.accounts = tuple(accounts)
+        self.write()
+
+    def write(self):
+        """Write the desired state under the next version."""
+        self.version += 1
+        desired = DesiredState(
+            version=self.version,
+            queues=self.queues,
+            services=(Service(ServiceName("service")),),
+            accounts=self.accounts,
+        )
+        self.rows.put(OPERATOR, DESIRED, msgspec.msgpack.encode(desired))
+
+    def evacuate(self, domain: str):
+        """Take a failure domain out."""
+        self.rows.put(OPERATOR, RowName(OUT + domain), b"")
+
+    def take_back(self, domain: str):
+        """Take a failure domain back."""
+        self.rows.put(OPERATOR, RowName(OUT + domain), None)
--- /dev/null
+++ b/src/zinniatrestle/standins/rows.py
@@ -0,0 +1,215 @@
+"""A store of rows in memory, with a view for each host and faults in it."""
+
+import asyncio
+import random
+from collections.abc import Callable
+from enum import Enum
+
+from zinniatrestle.clock import boot_time, monotonic
+from zinniatrestle.errors import (
+    HistoryLostError,
+    StoreUnavailableError,
+    StoreUncertainError,
+)
+from zinniatrestle.ids import RowName, RowVersion, StoreMilliseconds, TableName
+from zinniatrestle.rows import (
+    ABSENT,
+    Change,
+    Changes,
+    Expect,
+    Page,
+    RowStore,
+    StoredRow,
+    TransactionResult,
+    Write,
+)
+from zinniatrestle.rows.clock import StoreClock
+from zinniatrestle.rows.messages import Outcome
+
+PAGE_ROWS = 500
+MOST_ENTRIES = 100
+# s; how long a host waits for a store that answers nothing.
+SILENCE_SECONDS = 1.0
+# s; what is left of a wait below which it counts as over.
+TIMER_SECONDS = 0.001
+READ_SECONDS = 0.004
+TRANSACTION_SECONDS = 0.012
+
+
+class Reach(Enum):
+    """How the store treats a host."""
+
+    SERVED = "served"
+    REFUSED = "refused"
+    SILENT = "silent"
+
+
+class MemoryRows:
+    """The rows of all tables, under one counter of versions."""
+
+    def __init__(self, seed: int = 0):
+        self.tables: dict[TableName, dict[RowName, StoredRow]] = {}
+        self.version = RowVersion(0)
+        self.history: list[tuple[TableName, Change]] = []
+        self.forgotten = RowVersion(0)
+        self.changed = asyncio.Event()
+        self.random = random.Random(seed)
+        self.late: set[asyncio.Task] = set()
+        self.observers: list[Callable[[list[Write]], None]] = []
+
+    def row(self, table: TableName, name: RowName) -> StoredRow | None:
+        """Return a row, or None."""
+        return self.tables.get(table, {}).get(name)
+
+    def apply(self, expects: list[Expect], writes: list[Write]) -> TransactionResult:
+        """Apply a transaction at once."""
+        if len(expects) + len(writes) > MOST_ENTRIES:
+            raise StoreUnavailableError("The transaction has too many entries.")
+        current = {}
+        matches = True
+        for expect in expects:
+            row = self.row(expect.table, expect.name)
+            version = row.version if row else ABSENT
+            matches = matches and version == expect.version
+            if row is not None:
+                current[(expect.table, expect.name)] = row
+        if not matches:
+            return TransactionResult(Outcome.MISMATCH, self.version, current)
+        self.version = RowVersion(self.version + 1)
+        for write in writes:
+            self._write(write)
+        for observer in self.observers:
+            observer(writes)
+        waiting, self.changed = self.changed, asyncio.Event()
+        waiting.set()
+        return TransactionResult(Outcome.APPLIED, self.version, {})
+
+    def put(self, table: TableName, name: RowName, value: bytes | None):
+        """Write a row as operators and workers do."""
+        self.apply([], [Write(table, name, value)])
+
+    def forget(self):
+        """Drop all history."""
+        self.history.clear()
+        self.forgotten = self.version
+
+    def _write(self, write: Write):
+        table = self.tables.setdefault(write.table, {})
+        change = Change(write.name, self.version, write.value)
+        self.history.append((write.table, change))
+        if write.value is None:
+            table.pop(write.name, None)
+            return
+        table[write.name] = StoredRow(
+            write.table, write.name, write.value, self.version
+        )
+
+
+class HostRows(RowStore):
+    """One host's view of the rows; faults are switched on by tests."""
+
+    def __init__(self, rows: MemoryRows, delay: float = 0.0):
+        self.rows = rows
+        self.delay = delay
+        self.clock = StoreClock()
+        self.reach = Reach.SERVED
+        # Share of the transactions that are done without an answer.
+        self.lost = 0.0
+        # Share of the unanswered transactions that are done seconds later.
+        self.late = 0.0
+        self.slowness = 1.0
+        self.calls = 0
+
+    async def transact(
+        self, expects: list[Expect], writes: list[Write], timeout: float
+    ) -> TransactionResult:
+        """Apply all writes if every expected version holds."""
+        sent_at = boot_time()
+        await self._travel(TRANSACTION_SECONDS, timeout)
+        if self.rows.random.random() < self.lost:
+            if self.rows.random.random() < self.late:
+                self._apply_later(expects, writes)
+            else:
+                self.rows.apply(expects, writes)
+            await asyncio.sleep(timeout)
+            raise StoreUncertainError("The answer was lost.")
+        result = self.rows.apply(expects, writes)
+        self._observe(sent_at)
+        return result
+
+    async def page(self, table: TableName, start: RowName, end: RowName) -> Page:
+        """Return rows from `start` up to but without `end`."""
+        sent_at = boot_time()
+        await self._travel(READ_SECONDS, SILENCE_SECONDS)
+        names = sorted(self.rows.tables.get(table, {}))
+        found = []
+        for name in names:
+            if name < start or (end and name >= end):
+                continue
+            found.append(self.rows.tables[table][name])
+        now = self._observe(sent_at)
+        more = len(found) > PAGE_ROWS
+        return Page(found[:PAGE_ROWS], self.rows.version, now, more)
+
+    async def changes(
+        self, table: TableName, after: RowVersion, wait: float
+    ) -> Changes:
+        """Wait for changes of a table after a version."""
+        sent_at = boot_time()
+        until = monotonic() + wait
+        await self._travel(READ_SECONDS, SILENCE_SECONDS)
+        while True:
+            if after < self.rows.forgotten:
+                raise HistoryLostError("The history is gone.")
+            found = self._since(table, after)
+            left = until - monotonic()
+            if found or left < TIMER_SECONDS:
+                now = self._observe(sent_at)
+                return Changes(found, self.rows.version, now)
+            changed = self.rows.changed
+            try:
+                async with asyncio.timeout(left):
+                    await changed.wait()
+            except TimeoutError:
+                continue
+            self._require_reach()
+
+    def _since(self, table: TableName, after: RowVersion) -> list[Change]:
+        newest: dict[RowName, Change] = {}
+        for name, change in reversed(self.rows.history):
+            if change.version <= after:
+                break
+            if name == table:
+                newest.setdefault(change.name, change)
+        return sorted(newest.values(), key=lambda change: change.version)
+
+    async def _travel(self, seconds: float, timeout: float):
+        self.calls += 1
+        if self.reach is Reach.SILENT:
+            await asyncio.sleep(min(timeout, SILENCE_SECONDS))
+            raise StoreUnavailableError("The store is out of reach.")
+        self._require_reach()
+        seconds = seconds * self.slowness + 2 * self.delay
+        if seconds > timeout:
+            await asyncio.sleep(timeout)
+            raise StoreUnavailableError("The store is too slow.")
+        await asyncio.sleep(seconds)
+        self._require_reach()
+
+    def _require_reach(self):
+        if self.reach is not Reach.SERVED:
+            raise StoreUnavailableError("The store does not serve this host.")
+
+    def _observe(self, sent_at) -> StoreMilliseconds:
+        now = StoreMilliseconds(int(boot_time() * 1000))
+        self.clock.observe(now, sent_at, boot_time())
+        return now
+
+    def _apply_later(self, expects: list[Expect], writes: list[Write]):
+        async def later():
+            await asyncio.sleep(self.rows.random.uniform(1.0, 6.0))
+            self.rows.apply(expects, writes)
+
+        task = asyncio.create_task(later())
+        self.rows.late.add(task)
+        task.add_done_callback(self.rows.late.discard)
