--- a/src/zinniatrestle/scheduling/rounds.py
+++ b/src/zinniatrestle/scheduling/rounds.py
@@ -267,10 +267,12 @@
         # Orders to one worker go out together, the farthest workers first.
         runs.sort(key=lambda start: self._is_near(start[0]))
         for task, run in runs:
-            if task.run != run or task.status is not TaskStatus.PLACED:
+            if task.run != run or not task.occupies:
                 continue
             session = tracker.sessions.get(task.worker)
-            if session is None or task.step.job.ended:
+            stopped = task.status is not TaskStatus.PLACED
+            if session is None or stopped or task.step.job.ended:
+                # Nothing was ordered yet, so nothing of this run exists.
                 tracker.vacate(task)
                 tracker.break_gang(task.step)
                 continue
--- /dev/null
+++ b/tests/model/test_seeds.py
@@ -0,0 +1,220 @@
+"""Seeded days on the model: the promises hold under overlapping faults."""
+
+import asyncio
+import random
+
+import pytest
+from zinniatrestle.standins.checker import violations, watch_capacity
+from zinniatrestle.standins.fleet import Sickness
+from zinniatrestle.standins.model import Model, run_virtual, step
+from zinniatrestle.standins.rows import Reach
+
+# Virtual seconds of traffic and of calm after it. The calm is longer than the longest
+# lease, the longest late order and the longest run together.
+TRAFFIC_SECONDS = 20.0
+CALM_SECONDS = 90.0
+CI_SEEDS = range(12)
+# Seeds that once failed, with the cause.
+REGRESSIONS: dict[int, str] = {}
+
+
+async def arrivals(model: Model, rng: random.Random):
+    while True:
+        await asyncio.sleep(rng.expovariate(2.0))
+        queue = rng.choice(["urgent", "usual", "patient"])
+        width = rng.choice([1, 2, 3, 6])
+        gang = queue != "patient" and rng.random() < 0.7
+        seconds = rng.choice([0.5, 2.0, 5.0])
+        failures = rng.choice([0, 0, 0, 0, 1, 9])
+        shapes = [
+            step(
+                width,
+                cpu=rng.choice([1000, 4000, 13000]),
+                gpus=rng.choice([1, 2, 4, 8]),
+                gang=gang,
+                seconds=seconds * rng.uniform(0.2, 1.8),
+                checkpointing=rng.random() < 0.4,
+            )
+        ]
+        if rng.random() < 0.2:
+            shapes.append(step(2, after=(0,), seconds=seconds))
+            shapes[0] = step(width, seconds=seconds)
+        spawned = asyncio.create_task(
+            hand_in(model, rng, queue, tuple(shapes), seconds, failures)
+        )
+        model.callers.add(spawned)
+
+
+async def hand_in(model, rng, queue, shapes, seconds, failures):
+    job = await model.submit(queue, shapes, seconds, failures=failures)
+    if model.jobs[job].accepted and rng.random() < 0.15:
+        await asyncio.sleep(rng.uniform(0.0, 3.0))
+        await model.cancel(job)
+
+
+async def disturb(model: Model, rng: random.Random):
+    faults = [
+        kill_leader,
+        kill_any,
+        cut_leader_from_store,
+        store_out,
+        store_loses_answers,
+        store_forgets,
+        orders_late,
+        worker_cut,
+        worker_reborn,
+        worker_sick,
+        worker_leaves,
+        worker_cut_from_leader,
+    ]
+    while True:
+        await asyncio.sleep(rng.uniform(0.5, 3.0))
+        fault = rng.choice(faults)
+        model.callers.add(asyncio.create_task(fault(model, rng)))
+
+
+async def kill_leader(model, rng):
+    host = model.leader()
+    if host is None:
+        return
+    await host.kill()
+    await asyncio.sleep(rng.uniform(0.3, 4.0))
+    host.start()
+
+
+async def kill_any(model, rng):
+    host = rng.choice(model.hosts)
+    if not host.alive:
+        return
+    await host.kill()
+    await asyncio.sleep(rng.uniform(0.3, 2.0))
+    host.start()
+
+
+async def cut_leader_from_store(model, rng):
+    host = model.leader()
+    if host is None:
+        return
+    host.store.reach = rng.choice([Reach.SILENT, Reach.REFUSED])
+    await asyncio.sleep(rng.uniform(1.0, 6.0))
+    host.store.reach = Reach.SERVED
+
+
+async def store_out(model, rng):
+    reach = rng.choice([Reach.SILENT, Reach.REFUSED])
+    for host in model.hosts:
+        host.store.reach = reach
+    await asyncio.sleep(rng.uniform(1.0, 6.0))
+    for host in model.hosts:
+        host.store.reach = Reach.SERVED
+
+
+async def store_loses_answers(model, rng):
+    for host in model.hosts:
+        host.store.lost, host.store.late = 0.3, 0.5
+    await asyncio.sleep(3.0)
+    for host in model.hosts:
+        host.store.lost = 0.0
+
+
+async def store_forgets(model, rng):
+    model.rows.forget()
+
+
+async def orders_late(model, rng):
+    model.fleet.late = 0.1
+    await asyncio.sleep(4.0)
+    model.fleet.late = 0.0
+
+
+async def worker_cut(model, rng):
+    worker = rng.choice(list(model.fleet.workers.values()))
+    worker.reachable = False
+    await asyncio.sleep(rng.uniform(1.0, 9.0))
+    worker.reachable = True
+
+
+async def worker_cut_from_leader(model, rng):
+    host = model.leader()
+    worker = rng.choice(list(model.fleet.workers))
+    if host is None:
+        return
+    model.fleet.cuts.add((host.name, worker))
+    await asyncio.sleep(rng.uniform(1.0, 9.0))
+    model.fleet.cuts.discard((host.name, worker))
+
+
+async def worker_reborn(model, rng):
+    worker = rng.choice(list(model.fleet.workers.values()))
+    model.fleet.crash(worker)
+    await asyncio.sleep(rng.uniform(0.1, 3.0))
+    model.fleet.restart(worker)
+
+
+async def worker_sick(model, rng):
+    worker = rng.choice(list(model.fleet.workers.values()))
+    worker.sickness = rng.choice(
+        [Sickness.FAILS, Sickness.HANGS, Sickness.SHEDS, Sickness.SLOW]
+    )
+    await asyncio.sleep(5.0)
+    worker.sickness = Sickness.NONE
+
+
+async def worker_leaves(model, rng):
+    worker = rng.choice(list(model.fleet.workers.values()))
+    model.fleet.drain(worker, 2.0)
+    await asyncio.sleep(2.5)
+    model.fleet.crash(worker)
+    model.fleet.remove(worker)
+    await asyncio.sleep(1.0)
+    model.fleet.restart(worker)
+
+
+async def watch(model: Model, found: list[str]):
+    while True:
+        await asyncio.sleep(0.1)
+        watch_capacity(model.fleet, found)
+
+
+async def calm(model: Model):
+    for host in model.hosts:
+        host.store.reach = Reach.SERVED
+        host.store.lost = 0.0
+        if not host.alive:
+            host.start()
+    model.fleet.late = 0.0
+    model.fleet.cuts.clear()
+    for worker in model.fleet.workers.values():
+        worker.reachable = True
+        worker.sickness = Sickness.NONE
+
+
+async def play(seed: int) -> list[str]:
+    rng = random.Random(seed)
+    model = Model(seed)
+    model.callers = set()
+    found: list[str] = []
+    await model.start(workers=12, rack=4)
+    watching = asyncio.create_task(watch(model, found))
+    traffic = [
+        asyncio.create_task(arrivals(model, rng)),
+        asyncio.create_task(disturb(model, rng)),
+    ]
+    await asyncio.sleep(TRAFFIC_SECONDS)
+    for task in traffic:
+        task.cancel()
+    await asyncio.sleep(10.0)
+    await calm(model)
+    settled = await model.settle(CALM_SECONDS)
+    watching.cancel()
+    found.extend(violations(model))
+    if not settled:
+        for job in model.jobs:
+            if not model.has_ended(job):
+                found.append(f"LOST: {job} is {model.state(job)}")
+    return found
+
+
+@pytest.mark.parametrize("seed", [*CI_SEEDS, *REGRESSIONS])
+def test_promises_hold_on_a_seeded_day(seed):
+    assert run_virtual(play(seed)) == []
