--- a/src/zinniatrestle/scheduling/book.py
+++ b/src/zinniatrestle/scheduling/book.py
@@ -47,8 +47,8 @@
         self.dirty: dict[JobId, Job] = {}
         self.waiting: list[tuple[set[JobId], asyncio.Future]] = []
         self.wake = asyncio.Event()
-        # Jobs found to be cancelled by a host while a write was under way.
-        self.cancelled: list[Job] = []
+        # Jobs found to have ended while a write was under way.
+        self.ended: list[Job] = []
         self.writes = 0
 
     async def save(self, jobs: Iterable[Job]):
@@ -144,9 +144,12 @@
                 continue
             job.version = row.version
             kept = decode_progress(row.value)
-            if kept.state is JobState.CANCELLED and not job.ended:
-                self.cancelled.append(job)
-                job.state = JobState.CANCELLED
+            if not kept.state.ended or job.ended:
+                continue
+            # A host has cancelled it, or it was taken up from an answer that is older
+            # than its end.
+            job.state = kept.state
+            self.ended.append(job)
 
     def _resolve(self):
         left = []
--- a/src/zinniatrestle/scheduling/scheduler.py
+++ b/src/zinniatrestle/scheduling/scheduler.py
@@ -247,10 +247,10 @@
             await event_within(tracker.wake, ROUND_SECONDS)
             tracker.wake.clear()
             await asyncio.sleep(GATHER_SECONDS)
-            for job in self.book.cancelled:
-                tracker.stop_all(job, "cancelled by its caller")
+            for job in self.book.ended:
+                tracker.stop_all(job, f"job {job.state.value}")
                 tracker.unsaved.add(job)
-            self.book.cancelled.clear()
+            self.book.ended.clear()
             self._drop_ended()
             self._count_pending()
             if self._may_decide():
--- a/src/zinniatrestle/standins/fleet.py
+++ b/src/zinniatrestle/standins/fleet.py
@@ -470,16 +470,22 @@
     async def _order(self, worker: WorkerEntry, act):
         await self._travel(worker)
         if self.fleet.random.random() < self.fleet.late:
-            self._act_later(act)
+            self._act_later(worker, act)
             await asyncio.sleep(self.timeout)
             raise UnansweredOrderError("The order got no answer.")
         answer = await act()
         await self._travel(worker)
         return answer
 
-    def _act_later(self, act):
+    def _act_later(self, worker: WorkerEntry, act):
+        life = self.fleet.workers.get(worker.worker)
+        born = life.entry.born if life else None
+
         async def later():
             await asyncio.sleep(self.fleet.random.uniform(2.0, 12.0))
+            if life is None or life.entry.born != born:
+                # The worker kept the order in its memory.
+                return
             try:
                 await act()
             except RefusedOrderError:
