--- a/src/zinniatrestle/jobs/messages.py
+++ b/src/zinniatrestle/jobs/messages.py
@@ -97,7 +97,8 @@
     worker: WorkerId = WorkerId("")
     born: Born = Born(0)
     generation: Generation = Generation(0)
-    failures: int = 0
+    # Runs that ended as failed: a number may be told twice, and counts once.
+    failed_runs: tuple[RunNumber, ...] = ()
     checkpoint: str = ""
     done: bool = False
 
--- a/src/zinniatrestle/scheduling/backfill.py
+++ b/src/zinniatrestle/scheduling/backfill.py
@@ -1,8 +1,8 @@
 """Keep workers from filling up with small work while wide work waits for them."""
 
 from zinniatrestle.scheduling.durations import Durations
-from zinniatrestle.scheduling.placement import Terms, avoided, groups, permitted
-from zinniatrestle.scheduling.state import StepRun, Worker, WorkerHealth
+from zinniatrestle.scheduling.placement import Terms, candidates, groups
+from zinniatrestle.scheduling.state import StepRun, Worker
 
 # Steps that may hold workers back at once; more would leave workers idle for work
 # that starts far in the future.
@@ -38,12 +38,9 @@
         """Hold back the workers on which a step could start soonest."""
         if not step.shape.gang or self.steps >= MOST_HELD_BACK:
             return
-        avoid = avoided(step)
         usable = []
-        for worker in workers:
-            if worker.health is not WorkerHealth.SOUND or worker.id in avoid:
-                continue
-            if permitted(worker, step, terms) and worker not in self.free_at:
+        for worker in candidates(step, workers, terms):
+            if worker not in self.free_at:
                 usable.append(worker)
         best: list[tuple[float, Worker]] = []
         for group in groups(step, usable, terms):
--- a/src/zinniatrestle/scheduling/placement.py
+++ b/src/zinniatrestle/scheduling/placement.py
@@ -43,12 +43,24 @@
     return worker.usable()
 
 
-def avoided(step: StepRun) -> set[WorkerId]:
-    """Return the workers on which a task of the step failed or stood still."""
-    found: set[WorkerId] = set()
+def candidates(step: StepRun, workers: list[Worker], terms: Terms) -> list[Worker]:
+    """Return the workers to consider, room aside.
+
+    Workers on which a task of the step failed or stood still are left out as long as
+    the others could hold the step if they were empty.
+    """
+    avoided: set[WorkerId] = set()
     for task in step.tasks:
-        found |= task.avoided
-    return found
+        avoided |= task.avoided
+    usable = [worker for worker in workers if permitted(worker, step, terms)]
+    if avoided:
+        others = [worker for worker in usable if worker.id not in avoided]
+        needed = step.shape.count if step.shape.gang else 1
+        if sum(empty_slots(worker, step) for worker in others) >= needed:
+            usable = others
+    return [
+        worker for worker in usable if worker.health is not WorkerHealth.QUARANTINED
+    ]
 
 
 def by_rack(workers: Iterable[Worker]) -> dict[RackId, list[Worker]]:
@@ -117,17 +129,25 @@
         self, step: StepRun, tasks: list[Task], workers: list[Worker], terms: Terms
     ) -> Assignment:
         """Return a place for all tasks of a gang or none, else for as many as fit."""
-        avoid = avoided(step)
-        usable = []
-        for worker in workers:
-            if worker.health is WorkerHealth.QUARANTINED or worker.id in avoid:
-                continue
-            if permitted(worker, step, terms):
-                usable.append(worker)
+        usable = candidates(step, workers, terms)
+        found = self._choose(step, tasks, usable, terms, trusting=False)
+        if found or not step.shape.gang:
+            return found
+        # Wide work can't wait until small work has shown that each worker is sound.
+        return self._choose(step, tasks, usable, terms, trusting=True)
+
+    def _choose(
+        self,
+        step: StepRun,
+        tasks: list[Task],
+        usable: list[Worker],
+        terms: Terms,
+        trusting: bool,
+    ) -> Assignment:
         best: Assignment = {}
         best_left = 0
         for group in groups(step, usable, terms):
-            slots = {worker: _slots(worker, step) for worker in group}
+            slots = {worker: _slots(worker, step, trusting) for worker in group}
             total = sum(slots.values())
             if step.shape.gang and total < len(tasks):
                 continue
@@ -167,9 +187,9 @@
         return found
 
 
-def _slots(worker: Worker, step: StepRun) -> int:
+def _slots(worker: Worker, step: StepRun, trusting: bool) -> int:
     slots = worker.slots(step)
-    if worker.health is WorkerHealth.CANARY:
+    if worker.health is WorkerHealth.CANARY and not trusting:
         # A gang would be lost as a whole by one sick worker.
         return 0 if (step.shape.gang and step.shape.count > 1) or worker.tasks else 1
     return slots
--- a/src/zinniatrestle/scheduling/reclaim.py
+++ b/src/zinniatrestle/scheduling/reclaim.py
@@ -6,16 +6,14 @@
 from zinniatrestle.scheduling.placement import (
     Assignment,
     Terms,
-    avoided,
+    candidates,
     groups,
-    permitted,
 )
 from zinniatrestle.scheduling.state import (
     StepRun,
     Task,
     TaskStatus,
     Worker,
-    WorkerHealth,
 )
 
 # Core-seconds (in thousandths) of extra cost for each level that a victim's queue
@@ -78,13 +76,7 @@
         now: float,
     ) -> Reclaim | None:
         """Return the cheapest plan that places all tasks, or None."""
-        avoid = avoided(step)
-        usable = []
-        for worker in workers:
-            if worker.health is not WorkerHealth.SOUND or worker.id in avoid:
-                continue
-            if permitted(worker, step, terms):
-                usable.append(worker)
+        usable = candidates(step, workers, terms)
         best: Reclaim | None = None
         for group in groups(step, usable, terms):
             if best is not None and group is usable:
--- a/src/zinniatrestle/scheduling/session.py
+++ b/src/zinniatrestle/scheduling/session.py
@@ -28,8 +28,9 @@
 RETRY_SECONDS = 0.3
 # Holds that fail one after the other before a worker counts as silent.
 MISSES = 1
-# s; the pause between two stops of one run.
-STOP_SECONDS = 0.5
+# Orders to one worker that may be under way at once, so that one without an answer
+# doesn't hold up the others.
+ORDER_LANES = 3
 
 
 class SessionDuties(ABC):
@@ -146,12 +147,10 @@
         return True
 
     async def give_orders(self):
-        """Give orders as they come, those that wait together at once."""
+        """Give orders as they come, one at a time."""
         while not self.worker.over:
-            batch = [await self.outbox.get()]
-            while not self.outbox.empty():
-                batch.append(self.outbox.get_nowait())
-            await asyncio.gather(*(order() for order in batch))
+            order = await self.outbox.get()
+            await order()
 
     def start(self, task: Task, run: RunNumber):
         """Order the start of a run that is written down."""
--- a/src/zinniatrestle/scheduling/state.py
+++ b/src/zinniatrestle/scheduling/state.py
@@ -59,7 +59,7 @@
         self.status = TaskStatus.WAITING
         self.run = RunNumber(0)
         self.worker: Worker | None = None
-        self.failures = 0
+        self.failed_runs: set[RunNumber] = set()
         self.checkpoint = ""
         self.ticket = ""
         self.started_at = BootSeconds(0.0)
@@ -91,7 +91,7 @@
             worker=worker.id if worker else WorkerId(""),
             born=worker.entry.born if worker else 0,
             generation=0,
-            failures=self.failures,
+            failed_runs=tuple(sorted(self.failed_runs)),
             checkpoint=self.checkpoint,
             done=self.status is TaskStatus.DONE,
         )
@@ -99,7 +99,7 @@
     def restore(self, record: TaskProgress):
         """Take over what was kept, but for its place."""
         self.run = record.run
-        self.failures = record.failures
+        self.failed_runs = set(record.failed_runs)
         self.checkpoint = record.checkpoint
         if record.done:
             self.status = TaskStatus.DONE
@@ -123,6 +123,15 @@
         """Return a task's weight in thousandths of a core."""
         return self.shape.cpu + self.shape.gpus * ACCELERATOR_CPU
 
+    def attempts(self, task: Task) -> int:
+        """Return how often a task has failed, or its gang as a whole."""
+        if not self.shape.gang:
+            return len(task.failed_runs)
+        failed: set[RunNumber] = set()
+        for member in self.tasks:
+            failed |= member.failed_runs
+        return len(failed)
+
     def waiting(self) -> list[Task]:
         """Return the tasks without a place."""
         return [task for task in self.tasks if task.status is TaskStatus.WAITING]
@@ -202,7 +211,7 @@
         tasks = {}
         for step in self.steps.values():
             for task in step.tasks:
-                if task.run or task.failures:
+                if task.run:
                     tasks[task.key] = task.record()
         return JobProgress(
             state=self.state,
--- a/src/zinniatrestle/scheduling/tracker.py
+++ b/src/zinniatrestle/scheduling/tracker.py
@@ -13,7 +13,7 @@
 from zinniatrestle.scheduling.fleet import Fleet, FleetDuties
 from zinniatrestle.scheduling.health import HealthJudge
 from zinniatrestle.scheduling.leadership import Standing
-from zinniatrestle.scheduling.session import SessionDuties, WorkerSession
+from zinniatrestle.scheduling.session import ORDER_LANES, SessionDuties, WorkerSession
 from zinniatrestle.scheduling.sharing import PaceController
 from zinniatrestle.scheduling.state import (
     Job,
@@ -65,9 +65,9 @@
             self.events,
         )
         self.sessions[worker] = session
+        lanes = [session.give_orders() for _ in range(ORDER_LANES)]
         self.session_tasks[worker] = [
-            asyncio.create_task(session.hold()),
-            asyncio.create_task(session.give_orders()),
+            asyncio.create_task(running) for running in (session.hold(), *lanes)
         ]
         self.wake.set()
 
@@ -247,12 +247,18 @@
 
     def _take_end(self, worker: Worker, end: EndedRun) -> Job | None:
         task = self.find(end.task)
-        if task is None or task.run != end.run or task.worker is not worker:
-            return None
-        if not task.occupies:
+        if task is None:
             return None
         now = boot_time()
         job = task.step.job
+        current = task.run == end.run and task.worker is worker and task.occupies
+        if not current:
+            # A run that was given up counts if it turns out to have failed.
+            if end.how is HowEnded.FAILED and end.run not in task.failed_runs:
+                task.failed_runs.add(end.run)
+                self._judge_attempts(task)
+                return job
+            return None
         self.metrics.ends.add(1, {"how": end.how.value})
         self.events.write(
             Event.RUN_ENDED,
@@ -261,7 +267,7 @@
             worker=worker.id,
             how=end.how.value,
             seconds=round(now - task.started_at, 2) if task.started_at else None,
-            failures=task.failures,
+            failures=len(task.failed_runs),
         )
         if end.checkpoint:
             self._keep_checkpoint(task, end.checkpoint)
@@ -297,17 +303,17 @@
             self.end_job(job, JobState.COMPLETED, "all tasks done")
 
     def _failed(self, worker: Worker, task: Task, now: BootSeconds):
-        step = task.step
-        task.failures += 1
+        task.failed_runs.add(task.run)
         if self.health.failed(worker, task, now):
             self.quarantine(worker, f"task {task.id} failed", now)
-        failures = task.failures
-        if step.shape.gang:
-            failures = sum(member.failures for member in step.tasks)
-        job = step.job
-        if step.shape.lasting or failures < job.submission.attempts or job.ended:
+        self._judge_attempts(task)
+
+    def _judge_attempts(self, task: Task):
+        step, job = task.step, task.step.job
+        attempts = step.attempts(task)
+        if step.shape.lasting or attempts < job.submission.attempts or job.ended:
             return
-        self.end_job(job, JobState.FAILED, f"task {task.id} failed {failures} times")
+        self.end_job(job, JobState.FAILED, f"task {task.id} failed {attempts} times")
 
     def quarantine(self, worker: Worker, reason: str, now: BootSeconds):
         """Leave a worker alone for a while."""
--- a/src/zinniatrestle/standins/model.py
+++ b/src/zinniatrestle/standins/model.py
@@ -163,6 +163,8 @@
         self.host_count = hosts
         self.jobs: dict[JobId, Outcome] = {}
         self.working: asyncio.Task | None = None
+        # Times at which something was disturbed.
+        self.disturbed: list[float] = []
 
     async def start(self, workers: int = 16, rack: int = 8):
         """Start workers, hosts and the store."""
