Let the lease of a silent worker run out, and end a life that has left

Change: a worker that does not answer is promised nothing more; one that was leaving, took its entry away and answers no more has left. Before: test_lost_workers red in two cases. After: green.

--- a/src/zinniatrestle/deployment.py
+++ b/src/zinniatrestle/deployment.py
@@ -62,6 +62,7 @@
     pace: float = 0.1
     harm: float = 4.0
     reclaim: float = 2.7
+    heartbeat: float = 1.5
     move: float = 1.5
     upkeep: float = 2.0
 
--- a/src/zinniatrestle/platform/settings.py
+++ b/src/zinniatrestle/platform/settings.py
@@ -90,6 +90,8 @@
     platform: StoreSection
     zones: dict[str, str] = {}
     orders: str = INVOCATION
+    # How often workers write their entries.
+    heartbeatMs: float = 1500
     advice: str = ""
     limits: WireLimits = WireLimits()
     bounds: WireBounds = WireBounds()
@@ -134,14 +136,14 @@
             FailureDomainId(zone): RegionId(region)
             for zone, region in file.zones.items()
         },
-        bounds=_bounds(file.bounds),
+        bounds=_bounds(file.bounds, file.heartbeatMs),
         store=StoreLimits(file.platform.writesPerS, file.platform.readsPerS),
     )
     deployment.check()
     return deployment
 
 
-def _bounds(wire: WireBounds) -> Bounds:
+def _bounds(wire: WireBounds, heartbeat_ms: float) -> Bounds:
     return Bounds(
         contact=wire.contactMs / MILLISECONDS,
         acknowledgement=wire.ackTimeoutMs / MILLISECONDS,
@@ -163,6 +165,7 @@
         pace=wire.paceMs / MILLISECONDS,
         harm=wire.harmMs / MILLISECONDS,
         reclaim=wire.reclaimMs / MILLISECONDS,
+        heartbeat=heartbeat_ms / MILLISECONDS,
         move=wire.migrateS,
         upkeep=wire.maintenanceS,
     )
--- a/src/zinniatrestle/scheduling/fleet.py
+++ b/src/zinniatrestle/scheduling/fleet.py
@@ -21,6 +21,10 @@
 from zinniatrestle.workers.interfaces import WorkerRows
 from zinniatrestle.workers.messages import WorkerEntry, WorkerState
 
+# Heartbeats; an entry is removed after three of silence, and may be read late by half
+# of one.
+EXPIRY_HEARTBEATS = 2.5
+
 
 class FleetDuties(ABC):
     """What the scheduler does as workers come and go."""
@@ -55,6 +59,7 @@
         self.rows = rows
         self.table = rows.table
         self.regions = deployment.regions
+        self.heartbeat = deployment.bounds.heartbeat
         self.duties = duties
         self.events = events
         self.workers: dict[WorkerId, Worker] = {}
@@ -92,6 +97,7 @@
                 and worker.entry.state is not WorkerState.DRAINING
             )
             worker.entry = entry
+            worker.entry_seen_at = boot_time()
             if worker.missing_since is not None:
                 worker.missing_since = None
                 self.events.write(Event.WORKER_SEEN, worker=worker.id, again=True)
@@ -113,6 +119,7 @@
     def _join(self, entry: WorkerEntry):
         region = self.regions.get(entry.domain, RegionId(""))
         worker = Worker(entry, region)
+        worker.entry_seen_at = boot_time()
         for former in list(self.former):
             if former.id != entry.worker:
                 continue
@@ -168,6 +175,18 @@
                 reason="entry removed",
                 silent=worker.silent,
             )
+            self._end_if_left(worker)
+
+    def _end_if_left(self, worker: Worker):
+        """End a life that has taken its own entry away and answers no more."""
+        if worker.missing_since is None or not worker.silent:
+            return
+        if worker.entry.state is not WorkerState.DRAINING:
+            return
+        # After a silence its entry would have lasted longer.
+        kept = worker.missing_since - worker.entry_seen_at
+        if kept < EXPIRY_HEARTBEATS * self.heartbeat:
+            self.end(worker, "it has left")
 
     def end(self, worker: Worker, reason: str):
         """End a life on which nothing runs any more."""
@@ -189,6 +208,8 @@
         # A cut may look like a refusal, so the registry has to say the same.
         if refused and worker.missing_since is not None:
             self.end(worker, "nothing listens and its entry is gone")
+            return
+        self._end_if_left(worker)
 
     def review(self, now: BootSeconds):
         """Give up what ran under leases that have run out for good."""
--- a/src/zinniatrestle/scheduling/session.py
+++ b/src/zinniatrestle/scheduling/session.py
@@ -105,7 +105,7 @@
                 await asyncio.sleep(RETRY_SECONDS)
                 continue
             asked_at = boot_time()
-            deadline = worker.lease.deadline(asked_at, self.hold_seconds)
+            deadline = self._deadline(asked_at)
             try:
                 answer = await self.orders.hold(
                     worker.entry, self.generation, worker.seen, deadline, wait
@@ -136,6 +136,17 @@
             # The first answer gives the clock; only the next hold can set a deadline.
             wait = LOOK_SECONDS if deadline is not None else 0.0
 
+    def _deadline(self, asked_at: BootSeconds) -> int | None:
+        """Return the deadline that a hold sets, on the worker's clock.
+
+        A worker that does not answer is not promised more, so that its lease runs out
+        although each hold may still reach it.
+        """
+        lease = self.worker.lease
+        if self.worker.silent:
+            return lease.granted_until_ms or None
+        return lease.deadline(asked_at, self.hold_seconds)
+
     def _refused(self, error: RefusedOrderError, misses: int) -> bool:
         """Handle a refused hold; tell whether to go on."""
         if error.refusal is Refusal.STALE_GENERATION:
@@ -175,7 +186,7 @@
             self.duties.not_started(task, run, Refusal.NOT_REACHED)
             return
         worker = self.worker
-        deadline = worker.lease.deadline(boot_time(), self.hold_seconds)
+        deadline = self._deadline(boot_time())
         if deadline is None:
             self.duties.not_started(task, run, Refusal.NOT_REACHED)
             return
--- a/src/zinniatrestle/scheduling/state.py
+++ b/src/zinniatrestle/scheduling/state.py
@@ -252,6 +252,7 @@
         # It has answered to this scheduler's generation number.
         self.fenced = False
         self.silent = False
+        self.entry_seen_at = BootSeconds(0.0)
         # Its entry is gone from the registry since.
         self.missing_since: BootSeconds | None = None
         self.draining_since: BootSeconds | None = None
