--- a/src/zinniatrestle/scheduling/tracker.py
+++ b/src/zinniatrestle/scheduling/tracker.py
@@ -275,6 +275,10 @@
         job = task.step.job
         current = task.run == end.run and task.worker is worker and task.occupies
         if not current:
+            if end.how is HowEnded.DONE and self._was_given_up(task, end):
+                task.started_at = BootSeconds(0.0)
+                self._done(worker, task, now)
+                return job
             # A run that was given up counts if it turns out to have failed.
             if end.how is HowEnded.FAILED and end.run not in task.failed_runs:
                 task.failed_runs.add(end.run)
@@ -302,6 +306,16 @@
         self.break_gang(task.step)
         return job
 
+    def _was_given_up(self, task: Task, end: EndedRun) -> bool:
+        """Tell whether an end is that of a task's latest run, given up before."""
+        if task.step.job.ended or task.step.shape.lasting:
+            return False
+        members = task.step.tasks if task.step.shape.gang else [task]
+        return all(
+            member.status is TaskStatus.WAITING and member.run == end.run
+            for member in members
+        )
+
     def _done(self, worker: Worker, task: Task, now: BootSeconds):
         if self.health.succeeded(worker, now):
             self.events.write(Event.WORKER_RESTORED, worker=worker.id)
--- a/tests/model/test_seeds.py
+++ b/tests/model/test_seeds.py
@@ -23,6 +23,7 @@
     29: "the same, with the failure told after the worker's lease had run out",
     34: "a job was taken up again from an answer older than its end",
     37: "the same, for a gang",
+    40: "a run that was given up and had ended well was run again",
     48: "a gang waited for ever for workers that wait for a canary",
     35: "a gang that failed on half of the workers never ran again",
 }
