--- /dev/null
+++ b/src/zinniatrestle/platform/tests/test_orders.py
@@ -0,0 +1,192 @@
+"""Orders to workers tell refusals from orders whose fate is unknown."""
+
+import asyncio
+
+import msgspec
+import pytest
+
+from zinniatrestle.ids import Generation, RowName, RunNumber, TaskId
+from zinniatrestle.platform.http import HttpClient
+from zinniatrestle.platform.orders import PlatformWorkerOrders
+from zinniatrestle.platform.registry import PlatformWorkerRows
+from zinniatrestle.standins.wire import WireWorker, served
+from zinniatrestle.workers.messages import (
+    HowEnded,
+    Refusal,
+    RefusedOrderError,
+    StartOrder,
+    UnansweredOrderError,
+    WorkerState,
+)
+
+TASK = TaskId("00000000000000aa.0.0.0")
+GENERATION = Generation(3)
+ENTRY = {
+    "service": "service",
+    "address": "127.0.0.1:1",
+    "zone": "zone-a",
+    "state": "ready",
+    "capacity": {"cpu": 8000, "memMb": 1024, "gpus": 2},
+    "labels": ["a", "r1-2"],
+    "sequence": 4,
+    "born": 17,
+    "coldRemainingMs": 0,
+}
+
+
+def entry(**changes):
+    value = msgspec.json.encode({**ENTRY, **changes})
+    return PlatformWorkerRows().decode(RowName("i-1"), value)
+
+
+def with_worker(check):
+    async def run():
+        worker = WireWorker()
+        client = HttpClient()
+        async with served(worker.app()) as address:
+            try:
+                orders = PlatformWorkerOrders(client)
+                await check(worker, orders, entry(address=address))
+            finally:
+                await client.close()
+
+    asyncio.run(run())
+
+
+def start_order() -> StartOrder:
+    return StartOrder(TASK, RunNumber(2), "spec", 9000, GENERATION, "saved", "ticket")
+
+
+def test_a_start_names_the_life_it_is_for():
+    async def check(worker, orders, known):
+        assert await orders.start(known, start_order()) == 5000
+        call, body, expected = worker.calls[0]
+        assert (call, expected) == ("run-start", "i-1")
+        assert body == {
+            "task": TASK,
+            "run": 2,
+            "spec": "spec",
+            "deadlineMs": 9000,
+            "fencingToken": 3,
+            "checkpoint": "saved",
+            "ticket": "ticket",
+        }
+
+    with_worker(check)
+
+
+@pytest.mark.parametrize(
+    "status, body, refusal",
+    [
+        (409, {"reason": "fence", "clockMs": 1}, Refusal.STALE_GENERATION),
+        (409, {"reason": "old", "clockMs": 1}, Refusal.STALE_RUN),
+        (409, {"reason": "late", "clockMs": 1}, Refusal.TOO_LATE),
+        (409, {"reason": "room", "clockMs": 1}, Refusal.NO_ROOM),
+        (409, {"reason": "ticket", "clockMs": 1}, Refusal.BAD_TICKET),
+        (421, {}, Refusal.OTHER_LIFE),
+        (429, {}, Refusal.UNHEALTHY),
+        (503, {}, Refusal.UNHEALTHY),
+        (400, {}, Refusal.MALFORMED),
+    ],
+)
+def test_a_refused_start_tells_why(status, body, refusal):
+    async def check(worker, orders, known):
+        worker.status, worker.body = status, body
+        with pytest.raises(RefusedOrderError) as caught:
+            await orders.start(known, start_order())
+        assert caught.value.refusal is refusal
+
+    with_worker(check)
+
+
+@pytest.mark.parametrize("status", [500, 502, 504])
+def test_an_answer_of_no_meaning_leaves_the_fate_unknown(status):
+    async def check(worker, orders, known):
+        worker.status = status
+        with pytest.raises(UnansweredOrderError):
+            await orders.start(known, start_order())
+
+    with_worker(check)
+
+
+def test_a_silent_worker_leaves_the_fate_unknown():
+    async def check(worker, orders, known):
+        worker.silent = True
+        with pytest.raises(UnansweredOrderError):
+            await orders.stop(known, TASK, RunNumber(2), GENERATION)
+
+    with_worker(check)
+
+
+def test_a_port_without_listener_refuses():
+    async def check(worker, orders, known):
+        known = entry(address="127.0.0.1:1")
+        with pytest.raises(RefusedOrderError) as caught:
+            await orders.stop(known, TASK, RunNumber(2), GENERATION)
+        assert caught.value.refusal is Refusal.NOT_LISTENING
+
+    with_worker(check)
+
+
+def test_a_hold_reads_both_lists():
+    async def check(worker, orders, known):
+        worker.body = {
+            "clockMs": 7000,
+            "born": 17,
+            "running": [[TASK, 2, "saved", 41, 12.5]],
+            "ended": [[58, TASK, 1, "broken", ""]],
+        }
+        answer = await orders.hold(known, GENERATION, 57, 12000, 0.1)
+        assert (answer.clock_ms, answer.born) == (7000, 17)
+        assert answer.running[0].percent == 41
+        assert answer.running[0].figure == 12.5
+        assert answer.ended[0].how is HowEnded.BROKEN
+        assert worker.calls[0][1] == {
+            "fencingToken": 3,
+            "lastSeen": 57,
+            "deadlineMs": 12000,
+            "waitMs": 100,
+        }
+
+    with_worker(check)
+
+
+@pytest.mark.parametrize(
+    "body",
+    [
+        {"clockMs": 1, "running": [["short"]], "ended": []},
+        {"clockMs": 1, "running": [], "ended": [[1, TASK, 1, "unheard", ""]]},
+        {"running": []},
+    ],
+)
+def test_unreadable_lists_tell_nothing(body):
+    async def check(worker, orders, known):
+        worker.body = body
+        with pytest.raises(UnansweredOrderError):
+            await orders.hold(known, GENERATION, 0, None, 0.0)
+
+    with_worker(check)
+
+
+def test_an_entry_tells_rack_room_and_state():
+    known = entry(state="draining", remainingMs=1500)
+    assert known.rack == "r1-2"
+    assert (known.cpu, known.memory_mb, known.gpus) == (8000, 1024, 2)
+    assert known.state is WorkerState.DRAINING
+    assert known.remaining == 1.5
+
+
+@pytest.mark.parametrize(
+    "value",
+    [
+        b"\xff\x00",
+        b"[]",
+        msgspec.json.encode({**ENTRY, "state": "unheard"}),
+        msgspec.json.encode({**ENTRY, "address": 7}),
+        msgspec.json.encode({**ENTRY, "address": "nowhere"}),
+        msgspec.json.encode({**ENTRY, "capacity": {"cpu": "many"}}),
+        msgspec.json.encode({"service": "service"}),
+    ],
+)
+def test_a_damaged_entry_names_no_worker(value):
+    assert PlatformWorkerRows().decode(RowName("i-1"), value) is None
--- /dev/null
+++ b/src/zinniatrestle/platform/tests/test_settings.py
@@ -0,0 +1,58 @@
+"""The platform's settings file is checked before anything starts."""
+
+import pytest
+
+from zinniatrestle.errors import ResultCode, SettingsError
+from zinniatrestle.platform.settings import decode, load
+
+GOOD = {
+    "nodeName": "frontend-a-1",
+    "ip": "10.0.0.1",
+    "zone": "zone-a",
+    "region": "region-a",
+    "zones": {"zone-a": "region-a"},
+    "bindAddresses": {"frontendAddr": "10.0.0.1:80", "readiness": "10.0.0.1:81"},
+    "platform": {"address": "10.0.0.2:82", "form": "table"},
+    "bounds": {"leaseMs": 3000, "revokeMs": 5000},
+    "limits": {"cpuShare": 0.5, "cores": 2},
+    "somethingNew": {"deep": [1, 2]},
+}
+
+
+def test_unknown_fields_are_ignored_and_units_are_seconds():
+    deployment = decode(GOOD)
+    assert deployment.bounds.lease == 3.0
+    assert deployment.identity.speed == 1.0
+    assert deployment.regions == {"zone-a": "region-a"}
+
+
+@pytest.mark.parametrize(
+    "change",
+    [
+        {"nodeName": None},
+        {"platform": {"address": "", "form": "table"}},
+        {"platform": {"address": "10.0.0.2:82", "form": "log"}},
+        {"platform": {"address": "10.0.0.2", "form": "table"}},
+        {"orders": "heartbeat"},
+        {"bounds": {"leaseMs": 0}},
+        {"bounds": {"leaseMs": "soon"}},
+        {"bindAddresses": {"frontendAddr": "10.0.0.1:99999"}},
+    ],
+)
+def test_a_bad_setting_is_refused_with_its_code(change):
+    with pytest.raises(SettingsError) as caught:
+        decode({**GOOD, **change})
+    assert caught.value.code is ResultCode.BAD_SETTING
+
+
+@pytest.mark.parametrize("text", ["not = [toml", "\x00", ""])
+def test_a_file_that_cannot_be_read_is_refused(tmp_path, text):
+    path = tmp_path / "settings.toml"
+    path.write_text(text)
+    with pytest.raises(SettingsError):
+        load(path)
+
+
+def test_a_missing_file_is_refused(tmp_path):
+    with pytest.raises(SettingsError):
+        load(tmp_path / "absent.toml")
--- /dev/null
+++ b/src/zinniatrestle/platform/tests/test_store.py
@@ -0,0 +1,124 @@
+"""The store's client keeps refusals, lost answers and successes apart."""
+
+import asyncio
+
+import pytest
+
+from zinniatrestle.errors import (
+    HistoryLostError,
+    StoreUnavailableError,
+    StoreUncertainError,
+)
+from zinniatrestle.ids import RowName, RowVersion, TableName
+from zinniatrestle.platform.http import HttpClient
+from zinniatrestle.platform.store import PlatformStore
+from zinniatrestle.rows import Expect, Write
+from zinniatrestle.standins.wire import WireFault, WireStore, served
+
+TABLE = TableName("table")
+NAME = RowName("name")
+CALL_SECONDS = 0.5
+
+
+def with_store(check):
+    async def run():
+        wire = WireStore()
+        client = HttpClient()
+        async with served(wire.app()) as address:
+            try:
+                await check(wire, PlatformStore(client, address))
+            finally:
+                await client.close()
+
+    asyncio.run(run())
+
+
+def write(value: bytes = b"value") -> list[Write]:
+    return [Write(TABLE, NAME, value)]
+
+
+def test_a_written_row_is_read_back_with_its_version():
+    async def check(wire, store):
+        result = await store.transact([Expect(TABLE, NAME)], write(), CALL_SECONDS)
+        assert result.applied
+        row = await store.row(TABLE, NAME)
+        assert (row.value, row.version) == (b"value", result.version)
+        assert store.clock.now > 0
+
+    with_store(check)
+
+
+def test_a_mismatch_tells_the_current_row():
+    async def check(wire, store):
+        await store.transact([], write(b"first"), CALL_SECONDS)
+        result = await store.transact([Expect(TABLE, NAME)], write(), CALL_SECONDS)
+        assert not result.applied
+        assert result.current[(TABLE, NAME)].value == b"first"
+
+    with_store(check)
+
+
+@pytest.mark.parametrize(
+    "fault, error, written",
+    [
+        (WireFault.BUSY, StoreUnavailableError, False),
+        (WireFault.REFUSED, StoreUnavailableError, False),
+        (WireFault.SILENT, StoreUncertainError, False),
+        (WireFault.LOST, StoreUncertainError, True),
+        (WireFault.CUT, StoreUncertainError, True),
+        (WireFault.GARBLED, StoreUncertainError, True),
+    ],
+)
+def test_a_transaction_that_fails_tells_whether_it_may_have_applied(
+    fault, error, written
+):
+    async def check(wire, store):
+        wire.fault = fault
+        with pytest.raises(error):
+            await store.transact([], write(), CALL_SECONDS)
+        assert (wire.rows.row(TABLE, NAME) is not None) is written
+
+    with_store(check)
+
+
+@pytest.mark.parametrize(
+    "fault",
+    [WireFault.BUSY, WireFault.REFUSED, WireFault.CUT, WireFault.GARBLED],
+)
+def test_a_read_that_fails_changes_nothing(fault):
+    async def check(wire, store):
+        wire.fault = fault
+        with pytest.raises(StoreUnavailableError):
+            await store.page(TABLE, RowName(""), RowName(""))
+
+    with_store(check)
+
+
+def test_a_store_that_is_not_there_is_unavailable():
+    async def check(wire, store):
+        store.address = "127.0.0.1:1"
+        with pytest.raises(StoreUnavailableError):
+            await store.transact([], write(), CALL_SECONDS)
+
+    with_store(check)
+
+
+def test_changes_tell_writes_and_removals_in_order():
+    async def check(wire, store):
+        await store.transact([], write(), CALL_SECONDS)
+        first = await store.changes(TABLE, RowVersion(0), 0.0)
+        wire.rows.put(TABLE, NAME, None)
+        second = await store.changes(TABLE, first.version, 0.0)
+        assert [change.value for change in second.changes] == [None]
+
+    with_store(check)
+
+
+def test_lost_history_is_told():
+    async def check(wire, store):
+        await store.transact([], write(), CALL_SECONDS)
+        wire.rows.forget()
+        with pytest.raises(HistoryLostError):
+            await store.changes(TABLE, RowVersion(0), 0.0)
+
+    with_store(check)
--- /dev/null
+++ b/src/zinniatrestle/standins/wire.py
@@ -0,0 +1,201 @@
+"""The platform's calls over HTTP, served by the stand-ins in memory, with faults."""
+
+import asyncio
+import base64
+import contextlib
+import socket
+from collections.abc import AsyncIterator
+from enum import Enum
+
+import msgspec
+import uvicorn
+from starlette.applications import Starlette
+from starlette.requests import Request
+from starlette.responses import Response
+from starlette.routing import Route
+
+from zinniatrestle.clock import boot_time
+from zinniatrestle.errors import HistoryLostError
+from zinniatrestle.ids import RowName, RowVersion, TableName
+from zinniatrestle.rows import Expect, Write
+from zinniatrestle.standins.rows import HostRows, MemoryRows
+from zinniatrestle.web import HostServer
+
+# s; longer than any time limit of a client.
+SILENCE_SECONDS = 30.0
+
+
+class WireFault(Enum):
+    """What the stand-in does with a call."""
+
+    NONE = "none"
+    BUSY = "busy"
+    REFUSED = "refused"
+    # Nothing is done and nothing is answered.
+    SILENT = "silent"
+    # It is done, and nothing is answered.
+    LOST = "lost"
+    # The connection is closed in the middle of the answer.
+    CUT = "cut"
+    GARBLED = "garbled"
+
+
+class WireStore:
+    """The platform's store over HTTP."""
+
+    def __init__(self):
+        self.rows = MemoryRows()
+        self.host = HostRows(self.rows)
+        self.fault = WireFault.NONE
+        self.calls: list[str] = []
+
+    def app(self) -> Starlette:
+        """Return the application."""
+        return Starlette(
+            routes=[
+                Route("/-/rows-tx", self.transact, methods=["POST"]),
+                Route("/-/rows-get", self.read, methods=["GET"]),
+                Route("/-/rows-feed", self.feed, methods=["GET"]),
+            ]
+        )
+
+    async def transact(self, request: Request) -> Response:
+        """Apply a transaction."""
+        self.calls.append("rows-tx")
+        body = msgspec.json.decode(await request.body())
+        expects = [
+            Expect(TableName(row["table"]), RowName(row["key"]), RowVersion(row["ver"]))
+            for row in body.get("expected", [])
+        ]
+        writes = []
+        for row in body.get("writes", []):
+            value = base64.b64decode(row["value"])
+            writes.append(Write(TableName(row["table"]), RowName(row["key"]), value))
+        for row in body.get("remove", []):
+            writes.append(Write(TableName(row["table"]), RowName(row["key"]), None))
+        refused = await self._before()
+        if refused is not None:
+            return refused
+        result = self.rows.apply(expects, writes)
+        await self._after()
+        rows = [_wire(row) for row in result.current.values()]
+        status = 200 if result.applied else 412
+        return self._answer({"rows": [] if result.applied else rows}, status)
+
+    async def read(self, request: Request) -> Response:
+        """Return rows of a table."""
+        self.calls.append("rows-get")
+        refused = await self._before()
+        if refused is not None:
+            return refused
+        query = request.query_params
+        page = await self.host.page(
+            TableName(query["table"]),
+            RowName(query.get("from", "")),
+            RowName(query.get("target", "")),
+        )
+        await self._after()
+        rows = [_wire(row) for row in page.rows]
+        return self._answer({"rows": rows, "hasMore": page.more})
+
+    async def feed(self, request: Request) -> Response:
+        """Return what changed."""
+        self.calls.append("rows-feed")
+        refused = await self._before()
+        if refused is not None:
+            return refused
+        query = request.query_params
+        wait = int(query.get("waitMs", "0")) / 1000
+        try:
+            changes = await self.host.changes(
+                TableName(query["table"]), RowVersion(int(query["after"])), wait
+            )
+        except HistoryLostError:
+            return Response(status_code=410)
+        await self._after()
+        rows = []
+        for change in changes.changes:
+            row = {"table": query["table"], "key": change.name, "ver": change.version}
+            row["part"] = "jobs"
+            if change.value is None:
+                row["deleted"] = True
+            else:
+                row["value"] = base64.b64encode(change.value).decode()
+            rows.append(row)
+        return self._answer({"rows": rows})
+
+    async def _before(self) -> Response | None:
+        if self.fault is WireFault.BUSY:
+            return Response(status_code=503)
+        if self.fault is WireFault.REFUSED:
+            return Response(status_code=429)
+        if self.fault is WireFault.SILENT:
+            await asyncio.sleep(SILENCE_SECONDS)
+        return None
+
+    async def _after(self):
+        if self.fault is WireFault.LOST:
+            await asyncio.sleep(SILENCE_SECONDS)
+
+    def _answer(self, body: dict, status: int = 200) -> Response:
+        body = {"ver": self.rows.version, "nowMs": int(boot_time() * 1000), **body}
+        data = msgspec.json.encode(body)
+        if self.fault is WireFault.GARBLED:
+            data = data[:-1]
+        if self.fault is WireFault.CUT:
+            headers = {"Content-Length": str(len(data) + 1)}
+            return Response(data, status, headers, "application/json")
+        return Response(data, status, media_type="application/json")
+
+
+class WireWorker:
+    """A worker that answers what a test tells it to."""
+
+    def __init__(self):
+        self.status = 200
+        self.body: dict = {"clockMs": 5000, "running": [], "ended": []}
+        self.silent = False
+        self.calls: list[tuple[str, dict, str]] = []
+
+    def app(self) -> Starlette:
+        """Return the application."""
+        return Starlette(routes=[Route("/-/{call}", self.handle, methods=["POST"])])
+
+    async def handle(self, request: Request) -> Response:
+        """Note a call and answer it."""
+        body = msgspec.json.decode(await request.body())
+        expected = request.headers.get("Zinniatrestle-Expect-Instance", "")
+        self.calls.append((request.path_params["call"], body, expected))
+        if self.silent:
+            await asyncio.sleep(SILENCE_SECONDS)
+        data = msgspec.json.encode(self.body)
+        return Response(data, self.status, media_type="application/json")
+
+
+@contextlib.asynccontextmanager
+async def served(app: Starlette) -> AsyncIterator[str]:
+    """Serve an application on a free port of loopback; yields IP:PORT."""
+    listening = socket.socket()
+    listening.bind(("127.0.0.1", 0))
+    listening.listen()
+    config = uvicorn.Config(
+        app, log_config=None, lifespan="off", timeout_graceful_shutdown=0
+    )
+    server = HostServer(config)
+    serving = asyncio.create_task(server.serve(sockets=[listening]))
+    try:
+        yield f"127.0.0.1:{listening.getsockname()[1]}"
+    finally:
+        server.should_exit = True
+        server.force_exit = True
+        await serving
+
+
+def _wire(row) -> dict:
+    return {
+        "table": row.table,
+        "key": row.name,
+        "part": "jobs",
+        "value": base64.b64encode(row.value).decode(),
+        "ver": row.version,
+    }
