--- a/src/zinniatrestle/events/log.py
+++ b/src/zinniatrestle/events/log.py
@@ -18,6 +18,10 @@
 FOLD_SECONDS = 1.0
 
 
+# s; how long the end of the process waits for a stalled reader of the lines.
+CLOSE_SECONDS = 0.5
+
+
 class DroppingHandler(logging.handlers.QueueHandler):
     """Queue records and count those that find the queue full."""
 
@@ -37,6 +41,22 @@
             self.dropped += 1
 
 
+class LineWriter(logging.handlers.QueueListener):
+    """Write queued records on a thread that never holds up the end of the process."""
+
+    def stop(self):
+        """Write what is queued, unless the reader has stalled."""
+        if self._thread is None:
+            return
+        try:
+            self.queue.put(self._sentinel, timeout=CLOSE_SECONDS)
+        except queue.Full:
+            # The thread is a daemon and ends with the process.
+            return
+        self._thread.join(CLOSE_SECONDS)
+        self._thread = None
+
+
 class EventLog:
     """Write events of one host; `stream` None writes nothing."""
 
@@ -44,7 +64,7 @@
         self.host = host
         self.stream = stream
         self.folded: dict[tuple[Event, str], tuple[float, int]] = {}
-        self.listener: logging.handlers.QueueListener | None = None
+        self.listener: LineWriter | None = None
         self.handler: DroppingHandler | None = None
         self.reported = 0
 
@@ -54,7 +74,7 @@
         writer = logging.StreamHandler(self.stream or sys.stdout)
         writer.setFormatter(logging.Formatter("%(message)s"))
         self.handler = DroppingHandler(lines)
-        self.listener = logging.handlers.QueueListener(lines, writer)
+        self.listener = LineWriter(lines, writer)
         self.listener.start()
         logger = absl_logging.get_absl_logger()
         logger.handlers = [self.handler]
--- /dev/null
+++ b/src/zinniatrestle/scheduling/tests/test_backfill.py
@@ -0,0 +1,45 @@
+"""A burst of small work does not starve the wide work that goes before it."""
+
+from common.scheduling import NOW, first_step, job, racks, run_on, terms
+
+from zinniatrestle.jobs.messages import Step
+from zinniatrestle.scheduling.backfill import Shadow
+from zinniatrestle.scheduling.durations import Durations
+
+WIDE = Step(count=2, gpus=8, gang=True, estimated_ms=10_000)
+
+
+def scene():
+    workers = racks(1, size=3)
+    soon = first_step(job("1" * 16, Step(gpus=8, estimated_ms=4000)))
+    late = first_step(job("2" * 16, Step(gpus=8, estimated_ms=60_000)))
+    run_on(soon.tasks[0], workers[0])
+    run_on(late.tasks[0], workers[1])
+    shadow = Shadow(Durations(), NOW)
+    wide = first_step(job("3" * 16, WIDE))
+    shadow.hold_back(wide, 2, workers, terms())
+    return workers, shadow
+
+
+def test_the_workers_that_are_free_soonest_are_held_back():
+    workers, shadow = scene()
+    assert set(shadow.free_at) == {workers[0], workers[2]}
+
+
+def test_long_small_work_stays_off_them():
+    workers, shadow = scene()
+    small = first_step(job("4" * 16, Step(gpus=1, estimated_ms=8000)))
+    assert shadow.open_to(small, workers) == [workers[1]]
+
+
+def test_small_work_that_ends_before_may_use_them():
+    workers, shadow = scene()
+    small = first_step(job("4" * 16, Step(gpus=1, estimated_ms=2000)))
+    assert shadow.open_to(small, workers) == workers
+
+
+def test_a_step_without_a_gang_holds_nothing_back():
+    workers = racks(1)
+    shadow = Shadow(Durations(), NOW)
+    shadow.hold_back(first_step(job("5" * 16)), 1, workers, terms())
+    assert shadow.free_at == {}
--- /dev/null
+++ b/src/zinniatrestle/scheduling/tests/test_leadership.py
@@ -0,0 +1,119 @@
+"""One host at a time schedules, and another follows when it is lost."""
+
+import asyncio
+
+import pytest
+
+from zinniatrestle.clock import monotonic
+from zinniatrestle.scheduling.leadership import LEASE_SHARE, Standing
+from zinniatrestle.standins.checker import violations
+from zinniatrestle.standins.model import Model, run_virtual, step
+from zinniatrestle.standins.rows import Reach
+
+
+def with_model(check, hosts=3):
+    async def run():
+        model = Model(1, hosts=hosts)
+        await model.start(workers=4, rack=4)
+        await check(model)
+
+    run_virtual(run())
+
+
+async def successor(model, first) -> float:
+    """Return the seconds until another host schedules."""
+    since = monotonic()
+    while model.leader() in (None, first):
+        await asyncio.sleep(0.02)
+    return monotonic() - since
+
+
+def lease_seconds(model) -> float:
+    return model.bounds.lease * LEASE_SHARE
+
+
+def test_a_dead_holder_is_followed_within_its_lease():
+    async def check(model):
+        first = model.leader()
+        await first.kill()
+        assert await successor(model, first) <= lease_seconds(model) + 0.5
+
+    with_model(check)
+
+
+def test_a_holder_that_stops_hands_over_without_an_expiry():
+    async def check(model):
+        first = model.leader()
+        first.leadership.released = True
+        await first.kill()
+        await first.leadership.release()
+        assert await successor(model, first) <= 0.2
+
+    with_model(check)
+
+
+def test_a_holder_that_starts_again_takes_its_own_lease_at_once():
+    async def check(model):
+        first = model.leader()
+        generation = first.leadership.generation
+        await first.kill()
+        first.start()
+        await asyncio.sleep(0.5)
+        assert model.leader() is first
+        assert first.leadership.generation > generation
+
+    with_model(check)
+
+
+def test_a_holder_cut_off_from_the_store_gives_no_orders_once_it_may_be_replaced():
+    async def check(model):
+        first = model.leader()
+        first.store.reach = Reach.SILENT
+        await successor(model, first)
+        assert first.leadership.standing is not Standing.HOLDER
+
+    with_model(check)
+
+
+def test_no_transaction_of_a_former_holder_applies():
+    async def check(model):
+        first = model.leader()
+        fence = first.leadership.fence_expectation()
+        first.store.reach = Reach.SILENT
+        await successor(model, first)
+        first.store.reach = Reach.SERVED
+        result = await first.store.transact([fence], [], 1.0)
+        assert not result.applied
+        await asyncio.sleep(3.0)
+        assert not first.leadership.is_holder
+
+    with_model(check)
+
+
+def test_a_renewal_whose_answer_was_lost_keeps_the_lease():
+    async def check(model):
+        first = model.leader()
+        first.store.lost = 0.5
+        await asyncio.sleep(6.0)
+        first.store.lost = 0.0
+        await asyncio.sleep(1.0)
+        holders = [host for host in model.hosts if host.leadership.is_holder]
+        assert len(holders) == 1
+
+    with_model(check)
+
+
+@pytest.mark.parametrize("moment", [0.0, 0.02, 0.03, 0.04, 0.05, 0.1, 0.3, 1.0])
+def test_a_job_survives_its_scheduler_at_each_moment(moment):
+    async def check(model):
+        submitting = asyncio.create_task(
+            model.submit("usual", (step(3, gpus=4, gang=True), step(2, after=(0,))), 1)
+        )
+        await asyncio.sleep(moment)
+        first = model.leader()
+        await first.kill()
+        await submitting
+        assert await model.settle(30.0)
+        assert violations(model) == []
+
+    with_model(check)
--- /dev/null
+++ b/src/zinniatrestle/scheduling/tests/test_order.py
@@ -0,0 +1,64 @@
+"""Who goes first when more waits than fits."""
+
+from common.scheduling import NOW, first_step, job
+
+from zinniatrestle.jobs.messages import Step
+from zinniatrestle.scheduling.durations import TRUSTED_RUNS, Durations
+from zinniatrestle.scheduling.order import UsefulFirst, urgency
+
+SHORT = Step(gpus=1, estimated_ms=2000)
+
+
+def ranked(*jobs, now=NOW):
+    policy = UsefulFirst(Durations())
+    steps = [first_step(found) for found in jobs]
+    steps.sort(key=lambda step: policy.key(step, now))
+    return [step.job for step in steps]
+
+
+def test_the_urgent_queue_goes_first():
+    patient = job("1" * 16, SHORT, priority=2, arrived=NOW - 1)
+    urgent = job("2" * 16, SHORT, priority=0)
+    assert ranked(patient, urgent) == [urgent, patient]
+
+
+def test_a_job_that_can_be_on_time_goes_before_one_that_is_late():
+    late = job("1" * 16, SHORT, priority=0, arrived=NOW - 8)
+    timely = job("2" * 16, SHORT, priority=2)
+    assert ranked(late, timely) == [timely, late]
+
+
+def test_a_job_of_no_more_use_goes_last():
+    useless = job("1" * 16, SHORT, priority=0, arrived=NOW - 100)
+    late = job("2" * 16, SHORT, priority=2, arrived=NOW - 8)
+    assert ranked(useless, late) == [late, useless]
+
+
+def test_less_slack_goes_first_within_a_queue():
+    first = job("2" * 16, SHORT, arrived=NOW - 2)
+    second = job("1" * 16, SHORT, arrived=NOW - 1)
+    assert ranked(second, first) == [first, second]
+
+
+def test_a_later_step_counts_what_is_left_of_the_chain():
+    made = job("1" * 16, SHORT, Step(gpus=1, estimated_ms=4000, after=(0,)))
+    durations = Durations()
+    first = urgency(made.steps["0.0"], durations).in_time
+    second = urgency(made.steps["0.1"], durations).in_time
+    assert second - first == 2.0
+
+
+def test_run_times_that_were_seen_go_before_estimates():
+    durations = Durations()
+    made = job("1" * 16, SHORT)
+    task = first_step(made).tasks[0]
+    for _ in range(TRUSTED_RUNS):
+        durations.learn(task, 9.0)
+    assert durations.task(made.submission.queue, SHORT) == 9.0
+
+
+def test_the_rest_of_a_run_follows_its_progress():
+    durations = Durations()
+    task = first_step(job("1" * 16, SHORT)).tasks[0]
+    task.started_at, task.percent = NOW, 25
+    assert durations.remaining(task, NOW + 3) == 9.0
--- a/src/zinniatrestle/scheduling/tracker.py
+++ b/src/zinniatrestle/scheduling/tracker.py
@@ -67,11 +67,23 @@
         )
         self.sessions[worker] = session
         lanes = [session.give_orders() for _ in range(ORDER_LANES)]
-        self.session_tasks[worker] = [
-            asyncio.create_task(running) for running in (session.hold(), *lanes)
-        ]
+        running = [asyncio.create_task(task) for task in (session.hold(), *lanes)]
+        for task in running:
+            task.add_done_callback(self._explain)
+        self.session_tasks[worker] = running
         self.wake.set()
 
+    def _explain(self, task: asyncio.Task):
+        """Log why a session's task failed."""
+        if task.cancelled() or task.exception() is None:
+            return
+        error = task.exception()
+        self.events.write(
+            Event.TASK_FAILED,
+            task="session",
+            reason=f"{type(error).__name__}: {error}",
+        )
+
     def drained(self, worker: Worker):
         """Plan anew, since a worker is leaving."""
         worker.draining_since = boot_time()
--- a/src/zinniatrestle/standins/checker.py
+++ b/src/zinniatrestle/standins/checker.py
@@ -26,8 +26,8 @@
 def watch_capacity(fleet: SimulatedFleet, found: list[str]):
     """Note workers that hold more than they have, as of now."""
     for worker in fleet.workers.values():
-        gpus = sum(run.script.gpus for run in worker.running.values())
-        cpu = sum(run.script.cpu for run in worker.running.values())
+        gpus = sum(run.gpus for run in worker.running.values())
+        cpu = sum(run.cpu for run in worker.running.values())
         if gpus > worker.entry.gpus or cpu > worker.entry.cpu:
             found.append(f"LIMIT: {worker.entry.worker} holds {gpus} accelerators")
 
--- a/src/zinniatrestle/standins/fleet.py
+++ b/src/zinniatrestle/standins/fleet.py
@@ -50,10 +50,10 @@
     """What a task does, carried in a job's text for workers."""
 
     seconds: float = 1.0
-    cpu: int = 0
-    memory_mb: int = 0
-    gpus: int = 0
-    gang: int = 0
+    # What a task of each step takes, and the members of each step's gang; 0: no gang.
+    cpu: tuple[int, ...] = ()
+    gpus: tuple[int, ...] = ()
+    gangs: tuple[int, ...] = ()
     # Runs that fail before one succeeds; a task with many is hopeless.
     failures: int = 0
 
@@ -100,6 +100,25 @@
     done: float = 0.0
     checkpoint: str = ""
 
+    @property
+    def gang(self) -> int:
+        """Return the members of its gang; 0: none."""
+        return self._of_step(self.script.gangs)
+
+    @property
+    def cpu(self) -> int:
+        """Return the thousandths of a core it takes."""
+        return self._of_step(self.script.cpu)
+
+    @property
+    def gpus(self) -> int:
+        """Return the accelerators it takes."""
+        return self._of_step(self.script.gpus)
+
+    def _of_step(self, values: tuple[int, ...]) -> int:
+        number = int(self.task.split(".")[2])
+        return values[number] if number < len(values) else 0
+
 
 @dataclass
 class SimulatedWorker:
@@ -238,7 +257,7 @@
         present: dict[tuple[str, int], int] = {}
         for worker in self.workers.values():
             for run in worker.running.values():
-                if run.script.gang:
+                if run.gang:
                     key = (_step(run.task), run.run)
                     present[key] = present.get(key, 0) + 1
         for worker in list(self.workers.values()):
@@ -254,7 +273,7 @@
 
     def _work(self, worker, run: SimulatedRun, now: float, passed: float, present):
         script = run.script
-        if script.gang and present.get((_step(run.task), run.run), 0) < script.gang:
+        if present.get((_step(run.task), run.run), 0) < run.gang:
             if run.done == 0.0 and now - run.started_at > self.gang_seconds:
                 self._end(worker, run, HowEnded.ALONE)
             elif run.done > 0.0:
@@ -275,7 +294,7 @@
             self._end(worker, run, HowEnded.FAILED)
             return
         self._end(worker, run, HowEnded.DONE)
-        if not script.gang:
+        if not run.gang:
             return
         for other in self.workers.values():
             for member in list(other.running.values()):
--- a/src/zinniatrestle/standins/model.py
+++ b/src/zinniatrestle/standins/model.py
@@ -189,15 +189,13 @@
     ) -> JobId:
         """Hand a job in, again and again until its fate is known."""
         job = JobId(f"{self.random.getrandbits(64):016x}")
-        shape = steps[0]
-        gang = shape.count if shape.gang else 0
+        gangs = [shape.count if shape.gang else 0 for shape in steps]
         spec = msgspec.json.encode(
             TaskScript(
                 seconds=seconds,
-                cpu=shape.cpu,
-                memory_mb=shape.memory_mb,
-                gpus=shape.gpus,
-                gang=gang,
+                cpu=tuple(shape.cpu for shape in steps),
+                gpus=tuple(shape.gpus for shape in steps),
+                gangs=tuple(gangs),
                 **script,
             )
         ).decode()
--- /dev/null
+++ b/tests/common/scheduling.py
@@ -0,0 +1,98 @@
+"""Jobs and workers for tests of scheduling decisions, without a network."""
+
+from zinniatrestle.ids import (
+    Born,
+    ClientAccountId,
+    FailureDomainId,
+    JobId,
+    QueueName,
+    RackId,
+    RegionId,
+    RowVersion,
+    RunNumber,
+    ServiceName,
+    StoreMilliseconds,
+    WorkerId,
+)
+from zinniatrestle.jobs.messages import Step, Submission
+from zinniatrestle.scheduling.placement import Terms
+from zinniatrestle.scheduling.state import Job, StepRun, Task, TaskStatus, Worker
+from zinniatrestle.workers.messages import WorkerEntry, WorkerState
+
+SERVICE = ServiceName("service")
+NOW = 1000.0
+
+
+def worker(name: str, rack: str = "r1", domain: str = "a", **entry) -> Worker:
+    values = dict(
+        worker=WorkerId(name),
+        service=SERVICE,
+        address=f"{name}:1",
+        domain=FailureDomainId(domain),
+        state=WorkerState.READY,
+        cpu=32_000,
+        memory_mb=131_072,
+        gpus=8,
+        labels=frozenset({"a", rack}),
+        rack=RackId(rack),
+        born=Born(1),
+        sequence=1,
+    )
+    values.update(entry)
+    made = Worker(WorkerEntry(**values), RegionId("region"))
+    made.fenced = True
+    return made
+
+
+def racks(count: int, size: int = 4) -> list[Worker]:
+    made = []
+    for number in range(count * size):
+        made.append(worker(f"w{number:02}", f"r{number // size}"))
+    return made
+
+
+def job(
+    name: str,
+    *steps: Step,
+    priority: int = 1,
+    queue: str = "usual",
+    stretch: float = 3.0,
+    target: float = 1.0,
+    arrived: float = NOW,
+    account: str = "account",
+    **more,
+) -> Job:
+    submission = Submission(
+        job=JobId(name),
+        queue=QueueName(queue),
+        account=ClientAccountId(account),
+        service=SERVICE,
+        spec="",
+        steps=steps or (Step(cpu=1000, gpus=1, estimated_ms=5000),),
+        accepted_at=StoreMilliseconds(0),
+        priority=priority,
+        attempts=3,
+        stretch=stretch,
+        target=target,
+        **more,
+    )
+    made = Job(submission, RowVersion(1))
+    made.due_at = made.accepted_at = arrived
+    return made
+
+
+def first_step(made: Job) -> StepRun:
+    return made.steps["0.0"]
+
+
+def run_on(task: Task, place: Worker, since: float = NOW) -> Task:
+    task.status = TaskStatus.RUNNING
+    task.worker = place
+    task.run = RunNumber(1)
+    task.started_at = task.percent_at = task.looked_at = since
+    place.put(task)
+    return task
+
+
+def terms(**values) -> Terms:
+    return Terms(service=SERVICE, **values)
