Explain a job from log lines, run experiments, ask for advice

The experiment tool plays seeded workloads through the real decisions in virtual time beside baselines. Steps of queues with advice get tickets first.

--- /dev/null
+++ b/src/zinniatrestle/advice/tests/test_desk.py
@@ -0,0 +1,85 @@
+"""Tickets are asked for in turn, used while valid, and never for denied workers."""
+
+import asyncio
+
+import pytest
+
+from zinniatrestle.advice import AdviceDesk, Adviser, AdviserError
+from zinniatrestle.advice.desk import MOST_NAMED
+from zinniatrestle.clock import boot_time
+from zinniatrestle.events import EventLog
+from zinniatrestle.queues import AdviceTerms
+from zinniatrestle.standins.model import run_virtual
+
+TERMS = AdviceTerms(decision=0.1, per_worker=0.01, validity=2.0)
+
+
+class EvenAdviser(Adviser):
+    """Allow workers whose number is even."""
+
+    def __init__(self):
+        self.calls = []
+        self.failing = False
+
+    async def advise(self, step, workers, timeout):
+        self.calls.append((step, list(workers)))
+        await asyncio.sleep(0.1)
+        if self.failing:
+            raise AdviserError("busy")
+        return {worker: f"t-{worker}" for worker in workers if int(worker[1:]) % 2 == 0}
+
+
+def with_desk(check):
+    async def run():
+        adviser = EvenAdviser()
+        woken = asyncio.Event()
+        desk = AdviceDesk(adviser, EventLog(), woken.set)
+        running = asyncio.create_task(desk.run())
+        await check(adviser, desk, woken)
+        running.cancel()
+
+    run_virtual(run())
+
+
+def test_allowed_workers_have_tickets_until_they_lapse():
+    async def check(adviser, desk, woken):
+        desk.ask("job.0.0", TERMS, ["w1", "w2"])
+        await woken.wait()
+        assert desk.tickets("job.0.0", boot_time()) == {"w2": "t-w2"}
+        await asyncio.sleep(TERMS.validity)
+        assert desk.tickets("job.0.0", boot_time()) == {}
+
+    with_desk(check)
+
+
+def test_denied_workers_are_not_asked_about_again():
+    async def check(adviser, desk, woken):
+        desk.ask("job.0.0", TERMS, ["w1", "w2"])
+        await woken.wait()
+        desk.ask("job.0.0", TERMS, ["w1", "w2", "w3"])
+        await asyncio.sleep(1.0)
+        assert adviser.calls[1] == ("job.0.0", ["w2", "w3"])
+
+    with_desk(check)
+
+
+def test_a_call_names_a_bounded_number_of_workers():
+    async def check(adviser, desk, woken):
+        desk.ask("job.0.0", TERMS, [f"w{number}" for number in range(90)])
+        await woken.wait()
+        assert len(adviser.calls[0][1]) == MOST_NAMED
+
+    with_desk(check)
+
+
+@pytest.mark.parametrize("steps", [1, 3])
+def test_a_service_that_fails_is_asked_again_only_when_wanted(steps):
+    async def check(adviser, desk, woken):
+        adviser.failing = True
+        for number in range(steps):
+            desk.ask(f"job.0.{number}", TERMS, ["w2"])
+        await asyncio.sleep(5.0)
+        assert len(adviser.calls) == steps
+        assert woken.is_set()
+
+    with_desk(check)
--- a/src/zinniatrestle/events/messages.py
+++ b/src/zinniatrestle/events/messages.py
@@ -38,4 +38,5 @@
     WORKER_GONE = "worker_gone"
     WORKER_QUARANTINED = "worker_quarantined"
     WORKER_RESTORED = "worker_restored"
+    ADVICE = "advice"
     LINES_DROPPED = "lines_dropped"
--- /dev/null
+++ b/src/zinniatrestle/experiments/__init__.py
@@ -0,0 +1,6 @@
+"""Seeded workloads through the real decisions, in virtual time, beside baselines."""
+
+from zinniatrestle.experiments.run import Experiment, Result, run_experiment
+from zinniatrestle.experiments.workload import Pattern, Workload
+
+__all__ = ["Experiment", "Pattern", "Result", "Workload", "run_experiment"]
--- /dev/null
+++ b/src/zinniatrestle/experiments/run.py
@@ -0,0 +1,223 @@
+"""Run a workload under several policies and measure how callers are served."""
+
+import asyncio
+from dataclasses import dataclass, field
+
+import msgspec
+
+from zinniatrestle.clock import monotonic
+from zinniatrestle.errors import CallerError
+from zinniatrestle.experiments.workload import Arrival, Pattern, Workload
+from zinniatrestle.jobs import JobState
+from zinniatrestle.scheduling.context import Policy
+from zinniatrestle.scheduling.order import ArrivalOrder
+from zinniatrestle.scheduling.placement import FirstFit
+from zinniatrestle.standins.checker import violations
+from zinniatrestle.standins.fleet import EventKind, Sickness
+from zinniatrestle.standins.model import Model, run_virtual
+from zinniatrestle.workers.messages import HowEnded
+
+WORKERS = 24
+RACK = 8
+# s; how long after the last arrival jobs may still end.
+DRAIN_SECONDS = 90.0
+# s; how exactly completions are timed.
+WATCH_SECONDS = 0.05
+# From when to when workers are sick, and their share of all.
+SICK_SECONDS = (6.0, 16.0)
+SICK_SHARE = 0.12
+# A job later than this many times its objective is of no use.
+LATEST_FACTOR = 3.0
+
+POLICIES: dict[str, Policy] = {
+    "usual": Policy(),
+    "first in, first fit": Policy(
+        placement=FirstFit(),
+        order=ArrivalOrder(),
+        reclaims=False,
+        quarantines=False,
+        holds_back=False,
+    ),
+    "no quarantine": Policy(quarantines=False),
+    "no reclaim": Policy(reclaims=False),
+    "nothing held back": Policy(holds_back=False),
+}
+SICKNESSES = {
+    Pattern.FAILING_WORKERS: Sickness.FAILS,
+    Pattern.HANGING_WORKERS: Sickness.HANGS,
+    Pattern.SLOW_WORKERS: Sickness.SLOW,
+}
+
+
+class Result(msgspec.Struct):
+    """How one policy served one workload; times in seconds, shares from 0 to 1."""
+
+    policy: str
+    pattern: str
+    seed: int
+    jobs: int
+    on_time: float
+    late: float
+    urgent_on_time: float
+    wide_on_time: float
+    mean_completion: float
+    mean_start: float
+    longest_urgent_start: float
+    wasted: float
+    violations: int
+
+
+@dataclass(frozen=True)
+class Experiment:
+    """Workloads and the policies to compare on them."""
+
+    patterns: tuple[Pattern, ...] = (Pattern.CALM,)
+    seeds: tuple[int, ...] = (1, 2, 3)
+    policies: tuple[str, ...] = field(default_factory=lambda: tuple(POLICIES))
+    load: float = 1.0
+
+    def check(self):
+        """Refuse what can't be run; raises CallerError."""
+        if not self.seeds:
+            raise CallerError("Give one seed at least.")
+        if self.load <= 0:
+            raise CallerError("Set a load above 0.")
+        for name in self.policies:
+            if name not in POLICIES:
+                known = ", ".join(POLICIES)
+                raise CallerError(f"No policy is named {name!r}; take one of {known}.")
+
+
+def run_experiment(experiment: Experiment) -> list[Result]:
+    """Return a result for each pattern, policy and seed; raises CallerError."""
+    experiment.check()
+    results = []
+    for pattern in experiment.patterns:
+        for name in experiment.policies:
+            for seed in experiment.seeds:
+                workload = Workload(pattern, seed, load=experiment.load)
+                results.append(run_virtual(_play(name, workload)))
+    return results
+
+
+async def _play(name: str, workload: Workload) -> Result:
+    model = Model(workload.seed, policy=POLICIES[name])
+    await model.start(WORKERS, RACK)
+    sickening = asyncio.create_task(_sicken(model, workload.pattern))
+    watching = asyncio.create_task(_watch(model))
+    handing_in = []
+    started = monotonic()
+    for arrival in workload.arrivals():
+        await asyncio.sleep(max(0.0, started + arrival.at - monotonic()))
+        handing_in.append(asyncio.create_task(_hand_in(model, arrival)))
+    await asyncio.gather(*handing_in)
+    await model.settle(DRAIN_SECONDS)
+    sickening.cancel()
+    watching.cancel()
+    return _measure(name, workload, model)
+
+
+async def _hand_in(model: Model, arrival: Arrival):
+    await model.submit(
+        arrival.queue, arrival.steps, arrival.seconds, failures=arrival.failures
+    )
+
+
+async def _watch(model: Model):
+    """Note when jobs end."""
+    while True:
+        await asyncio.sleep(WATCH_SECONDS)
+        for job, outcome in model.jobs.items():
+            if outcome.completed_at is None:
+                model.has_ended(job)
+
+
+async def _sicken(model: Model, pattern: Pattern):
+    sickness = SICKNESSES.get(pattern)
+    if sickness is None:
+        return
+    first, last = SICK_SECONDS
+    await asyncio.sleep(first)
+    workers = list(model.fleet.workers.values())
+    sick = model.random.sample(workers, max(1, int(SICK_SHARE * len(workers))))
+    for worker in sick:
+        worker.sickness = sickness
+    await asyncio.sleep(last - first)
+    for worker in sick:
+        worker.sickness = Sickness.NONE
+
+
+def _measure(name: str, workload: Workload, model: Model) -> Result:
+    queues = {queue.name: queue for queue in model.operator.queues}
+    starts = _first_starts(model)
+    on_time: list[bool] = []
+    urgent: list[bool] = []
+    late = 0
+    completions: list[float] = []
+    waits: list[float] = []
+    urgent_waits: list[float] = [0.0]
+    widths: list[tuple[int, bool]] = []
+    for job, outcome in model.jobs.items():
+        queue = queues[outcome.queue]
+        if model.state(job) is JobState.FAILED:
+            continue
+        objective = queue.stretch * outcome.seconds + queue.target
+        taken = float("inf")
+        if outcome.completed_at is not None:
+            taken = outcome.completed_at - outcome.sent_at
+            completions.append(taken)
+        timely = taken <= objective
+        on_time.append(timely)
+        late += objective < taken <= LATEST_FACTOR * objective
+        widths.append((outcome.tasks, timely))
+        wait = starts.get(job, float("inf")) - outcome.sent_at
+        waits.append(wait)
+        if outcome.queue == "urgent":
+            urgent.append(timely)
+            urgent_waits.append(wait)
+    widths.sort(key=lambda width: width[0])
+    widest = [timely for _, timely in widths[-max(1, len(widths) // 10) :]]
+    return Result(
+        policy=name,
+        pattern=workload.pattern.value,
+        seed=workload.seed,
+        jobs=len(model.jobs),
+        on_time=_share(on_time),
+        late=late / max(1, len(on_time)),
+        urgent_on_time=_share(urgent),
+        wide_on_time=_share(widest),
+        mean_completion=_mean(completions),
+        mean_start=_mean(waits),
+        longest_urgent_start=max(urgent_waits),
+        wasted=_wasted(model),
+        violations=len(violations(model)),
+    )
+
+
+def _first_starts(model: Model) -> dict:
+    found: dict = {}
+    for event in model.fleet.history:
+        if event.kind is EventKind.START:
+            found.setdefault(event.task.split(".")[0], event.at)
+    return found
+
+
+def _wasted(model: Model) -> float:
+    """Return the seconds of runs that ended without a result."""
+    started: dict = {}
+    wasted = 0.0
+    for event in model.fleet.history:
+        key = (event.worker, event.task, event.run)
+        if event.kind is EventKind.START:
+            started[key] = event.at
+        if event.kind is EventKind.END and event.how is not HowEnded.DONE:
+            wasted += event.at - started.get(key, event.at)
+    return wasted
+
+
+def _share(values: list[bool]) -> float:
+    return sum(values) / len(values) if values else 1.0
+
+
+def _mean(values: list[float]) -> float:
+    return sum(values) / len(values) if values else 0.0
--- /dev/null
+++ b/src/zinniatrestle/experiments/tests/test_experiments.py
@@ -0,0 +1,46 @@
+"""Experiments repeat from a seed, and the usual policy beats its baselines."""
+
+import pytest
+
+from zinniatrestle.errors import CallerError
+from zinniatrestle.experiments import Experiment, Pattern, Workload, run_experiment
+
+
+def results(pattern, policies, seeds=(1,), load=1.0):
+    experiment = Experiment((pattern,), seeds, policies, load)
+    return run_experiment(experiment)
+
+
+def test_a_seed_gives_the_same_arrivals_and_results():
+    assert Workload(seed=3).arrivals() == Workload(seed=3).arrivals()
+    assert Workload(seed=3).arrivals() != Workload(seed=4).arrivals()
+    first, second = results(Pattern.CALM, ("usual", "usual"))
+    assert first == second
+
+
+@pytest.mark.parametrize("pattern", list(Pattern))
+def test_no_promise_is_broken_under_any_pattern(pattern):
+    (result,) = results(pattern, ("usual",))
+    assert result.violations == 0
+    assert result.jobs > 0
+
+
+def test_a_burst_of_urgent_work_starts_sooner_than_in_order_of_arrival():
+    usual, baseline = results(
+        Pattern.URGENT_BURST, ("usual", "first in, first fit"), load=1.6
+    )
+    assert usual.urgent_on_time > baseline.urgent_on_time
+
+
+def test_workers_that_fail_waste_less_when_they_are_left_alone():
+    usual, without = results(Pattern.FAILING_WORKERS, ("usual", "no quarantine"))
+    assert usual.on_time >= without.on_time
+
+
+@pytest.mark.parametrize(
+    "experiment",
+    [Experiment(seeds=()), Experiment(load=0.0), Experiment(policies=("unheard",))],
+)
+def test_an_experiment_that_can_not_run_is_refused(experiment):
+    with pytest.raises(CallerError):
+        run_experiment(experiment)
--- a/src/zinniatrestle/operators/main.py
+++ b/src/zinniatrestle/operators/main.py
@@ -9,7 +9,7 @@
 
 from zinniatrestle import __version__
 from zinniatrestle.errors import SettingsError, ZinniatrestleError
-from zinniatrestle.operators import configuring, working
+from zinniatrestle.operators import configuring, studying, working
 from zinniatrestle.operators.client import UnreachableError
 from zinniatrestle.operators.exits import ExitCode
 from zinniatrestle.settings import ENVIRONMENT_PREFIX, HostSettings
@@ -35,6 +35,8 @@
 app.command(working.prove, name="proof")
 app.command(working.show_host, name="host")
 app.command(working.show_codes, name="codes")
+app.command(studying.explain)
+app.command(studying.experiment)
 
 
 @app.command
--- /dev/null
+++ b/src/zinniatrestle/platform/advice.py
@@ -0,0 +1,51 @@
+"""Calls to the platform's advice service."""
+
+import msgspec
+
+from zinniatrestle.advice import Adviser, AdviserError
+from zinniatrestle.ids import WorkerId
+from zinniatrestle.platform.http import CallError, HttpClient
+
+OK = 200
+
+
+class WireQuestion(msgspec.Struct, frozen=True):
+    """A step and the workers in question."""
+
+    step: str
+    workers: list[str]
+
+
+class WireAdvice(msgspec.Struct, frozen=True):
+    """The workers that may run the step, each as [id, ticket]."""
+
+    allowed: list[tuple[str, str]] = []
+
+
+class PlatformAdviser(Adviser):
+    """Ask the service; an empty address means that there is none."""
+
+    def __init__(self, client: HttpClient, address: str):
+        self.client = client
+        self.address = address
+
+    async def advise(
+        self, step: str, workers: list[WorkerId], timeout: float
+    ) -> dict[WorkerId, str]:
+        """Return the tickets of the workers that may run a step."""
+        if not self.address:
+            raise AdviserError("The settings name no advice service.")
+        body = msgspec.json.encode(WireQuestion(step, list(workers)))
+        try:
+            answer = await self.client.call(
+                "POST", self.address, "/-/advise", timeout, body
+            )
+        except CallError as error:
+            raise AdviserError(error.detail) from error
+        if answer.status != OK:
+            raise AdviserError(f"The advice service answers {answer.status}.")
+        try:
+            advice = msgspec.json.decode(answer.body, type=WireAdvice)
+        except msgspec.DecodeError as error:
+            raise AdviserError(f"Unreadable advice: {error}.") from error
+        return {WorkerId(worker): ticket for worker, ticket in advice.allowed}
--- a/src/zinniatrestle/platform/daemon.py
+++ b/src/zinniatrestle/platform/daemon.py
@@ -18,6 +18,7 @@
 from zinniatrestle.events import Event, EventLog
 from zinniatrestle.jobs import JobIntake
 from zinniatrestle.metrics import Metrics
+from zinniatrestle.platform.advice import PlatformAdviser
 from zinniatrestle.platform.front import JobCalls, ReadinessCalls
 from zinniatrestle.platform.http import HttpClient
 from zinniatrestle.platform.operator import PlatformOperatorRows
@@ -89,6 +90,7 @@
             leadership=self.leadership,
             metrics=self.metrics,
             events=self.events,
+            adviser=PlatformAdviser(self.client, addresses.advice),
         )
 
     async def run(self, stop: asyncio.Event, reload: asyncio.Event):
--- a/src/zinniatrestle/scheduling/context.py
+++ b/src/zinniatrestle/scheduling/context.py
@@ -2,6 +2,7 @@
 
 from dataclasses import dataclass
 
+from zinniatrestle.advice import Adviser
 from zinniatrestle.deployment import Deployment
 from zinniatrestle.events import EventLog
 from zinniatrestle.metrics import Metrics
@@ -36,4 +37,5 @@
     leadership: Leadership
     metrics: Metrics
     events: EventLog
+    adviser: Adviser | None = None
     policy: Policy | None = None
--- a/src/zinniatrestle/scheduling/rounds.py
+++ b/src/zinniatrestle/scheduling/rounds.py
@@ -2,7 +2,9 @@
 
 import asyncio
 import time
+from dataclasses import replace
 
+from zinniatrestle.advice import AdviceDesk
 from zinniatrestle.clock import boot_time, wall_time
 from zinniatrestle.deployment import Bounds
 from zinniatrestle.errors import LeaseLostError
@@ -18,6 +20,7 @@
     BestFit,
     PlacementPolicy,
     Terms,
+    candidates,
     permitted,
 )
 from zinniatrestle.scheduling.reclaim import ReclaimPlanner
@@ -42,6 +45,9 @@
         self.placement: PlacementPolicy = self.policy.placement or BestFit()
         self.order: OrderPolicy = self.policy.order or UsefulFirst(tracker.durations)
         self.reclaim = ReclaimPlanner(self.bounds.checkpoint_interval)
+        self.advice: AdviceDesk | None = None
+        if context.adviser is not None:
+            self.advice = AdviceDesk(context.adviser, context.events, tracker.wake.set)
         self.starting: set[asyncio.Task] = set()
 
     def round(self, now: BootSeconds):
@@ -103,10 +109,14 @@
         if account and account.regions:
             regions = regions & account.regions if regions else account.regions
         until = urgency(step, self.tracker.durations)
+        tickets = None
+        if queue is not None and queue.advice is not None and self.advice is not None:
+            tickets = self.advice.tickets(self._advice_key(step), now)
         return Terms(
             service=queue.service if queue else submission.service,
             regions=regions,
             evacuated=operator.evacuated,
+            tickets=tickets,
             anywhere=now > until.in_time,
         )
 
@@ -120,10 +130,15 @@
         waiting = step.waiting()
         open_workers = shadow.open_to(step, workers)
         assignment = self.placement.place(step, waiting, open_workers, terms)
+        if terms.tickets:
+            for task, worker in assignment.items():
+                task.ticket = terms.tickets[worker.id]
         placed = self._place(step, assignment)
         left = len(waiting) - len(placed)
         if not left:
             return placed
+        if terms.tickets is not None:
+            self._ask_advice(step, workers, terms)
         if self._reclaim(step, workers, terms, now):
             return placed
         if self.policy.holds_back:
@@ -152,6 +167,27 @@
             job.state = JobState.RUNNING
         return list(assignment)
 
+    # Advice
+
+    def _ask_advice(self, step: StepRun, workers: list[Worker], terms: Terms):
+        """Ask where a step may run that found no place with the tickets it has."""
+        queue = self.context.operator.queues[step.job.submission.queue]
+        open_terms = replace(terms, tickets=None)
+        found = candidates(step, workers, open_terms)
+        found.sort(key=lambda worker: (-worker.slots(step), worker.id))
+        names = [worker.id for worker in found if worker.id not in terms.tickets]
+        self.advice.ask(self._advice_key(step), queue.advice, names)
+
+    def _advice_key(self, step: StepRun) -> str:
+        return f"{step.job.id}.{step.key}"
+
+    def forget(self, job: Job):
+        """Drop what is kept for a job that has ended."""
+        if self.advice is None:
+            return
+        for step in job.steps.values():
+            self.advice.forget(self._advice_key(step))
+
     # Guarantees
 
     def _reclaim(
--- a/src/zinniatrestle/scheduling/scheduler.py
+++ b/src/zinniatrestle/scheduling/scheduler.py
@@ -116,6 +116,8 @@
                 group.create_task(self.fleet.follow())
                 group.create_task(self._rounds())
                 group.create_task(self._forget())
+                if self.planner.advice is not None:
+                    group.create_task(self.planner.advice.run())
         finally:
             await self._close()
 
@@ -274,6 +276,7 @@
     def _drop_ended(self):
         for job in list(self.tracker.jobs.values()):
             if job.removed and job.id not in self.book.dirty:
+                self.planner.forget(job)
                 del self.tracker.jobs[job.id]
                 now = self.context.store.clock.earliest(boot_time())
                 self.ended.append((now, job.id, job.version))
--- a/src/zinniatrestle/standins/model.py
+++ b/src/zinniatrestle/standins/model.py
@@ -141,6 +141,7 @@
     queue: QueueName
     sent_at: float
     seconds: float
+    tasks: int = 1
     accepted: bool = False
     refused: bool = False
     cancelled_at: float | None = None
@@ -199,7 +200,8 @@
                 **script,
             )
         ).decode()
-        outcome = Outcome(QueueName(queue), monotonic(), seconds)
+        tasks = sum(shape.count for shape in steps)
+        outcome = Outcome(QueueName(queue), monotonic(), seconds, tasks)
         self.jobs[job] = outcome
         refusals = tries = 0
         for _ in range(5):
