Rank urgent work that is late before patient work that is not

Cause: in a burst of urgent work what missed its objective waited for all patient work with seconds of slack, and then missed being of use at all. Ruled out: more preemption (unchanged here).

--- a/src/zinniatrestle/scheduling/order.py
+++ b/src/zinniatrestle/scheduling/order.py
@@ -37,24 +37,28 @@
 
 
 class UsefulFirst(OrderPolicy):
-    """Rank by what can still be of use, then by the queue's priority and slack.
+    """Rank by the queue's priority, then by what can be on time, then by slack.
 
-    The queues' priorities follow worth per core-second, so they go before slack.
+    The queues' priorities follow worth per core-second, and so steeply that even a late
+    job of one queue is worth more than a timely one of the next. What is of no more use
+    goes last.
     """
 
     def __init__(self, durations: Durations):
         self.durations = durations
 
     def key(self, step: StepRun, now: float) -> tuple:
-        """Return (usefulness, priority, latest start, id)."""
+        """Return (useless, priority, late, latest start, id)."""
         until = urgency(step, self.durations)
-        usefulness = 0
-        if now > until.in_time:
-            usefulness = 1
-        if now > until.of_use:
-            usefulness = 2
         job = step.job
-        return (usefulness, job.submission.priority, until.in_time, job.id, step.key)
+        return (
+            now > until.of_use,
+            job.submission.priority,
+            now > until.in_time,
+            until.in_time,
+            job.id,
+            step.key,
+        )
 
 
 class ArrivalOrder(OrderPolicy):
