Blame a hang on the worker where everything stands still

Cause: all members of a gang stand still together, and each member's worker was left alone for it. Runs of a gang that wait for a member were taken as hanging.

--- a/src/zinniatrestle/scheduling/health.py
+++ b/src/zinniatrestle/scheduling/health.py
@@ -1,7 +1,7 @@
 """Judge workers by what runs there, since sick ones answer well."""
 
 from zinniatrestle.ids import BootSeconds, JobId
-from zinniatrestle.scheduling.state import Task, Worker, WorkerHealth
+from zinniatrestle.scheduling.state import Task, TaskStatus, Worker, WorkerHealth
 
 # s; how long a worker is left alone after it failed, doubled each time it fails anew.
 QUARANTINE_SECONDS = 4.0
@@ -83,5 +83,26 @@
         """Tell whether a run that should take `expected` seconds stands still."""
         if task.percent >= 100 or task.pace < 100 or task.step.shape.fills:
             return False
+        if task.step.shape.gang and not all_running(task.step.tasks):
+            # It waits for members whose orders are under way.
+            return False
         longest = max(STALL_SECONDS, STALL_SHARE * expected)
         return task.looked_at - task.percent_at > longest
+
+    def is_suspect(self, worker: Worker, task: Task) -> bool:
+        """Tell whether a run that stands still may do so because of its worker.
+
+        All members of a gang stand still together; a worker on which something else
+        makes progress is not the one to blame.
+        """
+        for other in worker.tasks.values():
+            if other.step is task.step or other.status is not TaskStatus.RUNNING:
+                continue
+            if other.percent_at > task.percent_at:
+                return False
+        return worker.last_done_at <= task.percent_at
+
+
+def all_running(tasks: list[Task]) -> bool:
+    """Tell whether every task was confirmed to run."""
+    return all(task.status is TaskStatus.RUNNING for task in tasks)
--- a/src/zinniatrestle/scheduling/rounds.py
+++ b/src/zinniatrestle/scheduling/rounds.py
@@ -333,8 +333,9 @@
         tracker = self.tracker
         for task in tracker.stalled_tasks():
             worker = task.worker
-            task.avoided.add(worker.id)
-            tracker.quarantine(worker, f"task {task.id} stands still", now)
+            if tracker.health.is_suspect(worker, task):
+                task.avoided.add(worker.id)
+                tracker.quarantine(worker, f"task {task.id} stands still", now)
             tracker.stop(task, "no progress")
             tracker.break_gang(task.step)
 
--- a/src/zinniatrestle/scheduling/scheduler.py
+++ b/src/zinniatrestle/scheduling/scheduler.py
@@ -94,6 +94,8 @@
         self.cancelled: dict[JobId, RowVersion] = {}
         # Ended jobs in the order of their ends, to be forgotten after a time.
         self.ended: list[tuple[float, JobId, RowVersion]] = []
+        # A table that is read anew may be told as it was before their ends.
+        self.ended_ids: set[JobId] = set()
         store = context.store
         self.submissions = Feed(
             store, SubmissionReader(self), self.events, FEED_SECONDS, GATHER_SECONDS
@@ -146,7 +148,7 @@
                 await asyncio.sleep(RETRY_SECONDS)
         for job_id, (progress, version) in self.kept.items():
             if job_id not in self.tracker.jobs:
-                self.ended.append((progress.changed_at, job_id, version))
+                self._note_ended(progress.changed_at, job_id, version)
         self.ended.sort()
         self.kept.clear()
         self._restore_places()
@@ -156,7 +158,7 @@
     def take_job(self, value: bytes, version: RowVersion):
         """Take up a job unless it is known."""
         submission = decode_submission(value)
-        if submission.job in self.tracker.jobs:
+        if submission.job in self.tracker.jobs or submission.job in self.ended_ids:
             return
         job = Job(submission, version)
         store_now = self.context.store.clock.earliest(boot_time())
@@ -279,7 +281,11 @@
                 self.planner.forget(job)
                 del self.tracker.jobs[job.id]
                 now = self.context.store.clock.earliest(boot_time())
-                self.ended.append((now, job.id, job.version))
+                self._note_ended(now, job.id, job.version)
+
+    def _note_ended(self, at: float, job: JobId, version: RowVersion):
+        self.ended.append((at, job, version))
+        self.ended_ids.add(job)
 
     def _count_pending(self):
         counts: dict = {}
@@ -311,3 +317,4 @@
                     self.events.fold(Event.DEPENDENCY_LOST, error.detail, job=job_id)
                     break
                 self.ended.pop(0)
+                self.ended_ids.discard(job_id)
--- a/src/zinniatrestle/scheduling/tests/test_health.py
+++ b/src/zinniatrestle/scheduling/tests/test_health.py
@@ -90,3 +90,22 @@
     task = run_on(first_step(job("1" * 16, Step(fills=True))).tasks[0], racks(1)[0])
     task.looked_at = NOW + 60
     assert not HealthJudge().stalled(task, 1.0)
+
+
+def test_a_gang_that_stands_still_is_blamed_on_the_worker_where_all_stands_still():
+    workers = racks(1)
+    gang = first_step(job("1" * 16, Step(count=2, gpus=4, gang=True)))
+    first, second = (run_on(task, workers[n]) for n, task in enumerate(gang.tasks))
+    other = run_on(first_step(job("2" * 16)).tasks[0], workers[1])
+    other.percent_at = NOW + 2
+    judge = HealthJudge()
+    assert judge.is_suspect(workers[0], first)
+    assert not judge.is_suspect(workers[1], second)
+
+
+def test_a_gang_that_waits_for_a_member_does_not_hang():
+    workers = racks(1)
+    gang = first_step(job("1" * 16, Step(count=2, gpus=4, gang=True)))
+    task = run_on(gang.tasks[0], workers[0])
+    task.looked_at = NOW + 2.5
+    assert not HealthJudge().stalled(task, 2.0)
