--- a/src/zinniatrestle/scheduling/leadership.py
+++ b/src/zinniatrestle/scheduling/leadership.py
@@ -264,14 +264,14 @@
     async def _write(
         self, record: LeaseRecord, expects: list[Expect], more: list[Write]
     ):
-        give_up_at = monotonic() + self.lease_seconds
+        # The time in the record is counted from now, so a late try would be of no use.
+        give_up_at = monotonic() + self.lease_seconds / RENEWALS
         lease = Write(LEASES, LEASE_ROW, msgspec.msgpack.encode(record))
         return await transact_settled(
             self.store,
             expects,
             [lease, *more],
             give_up_at,
-            self.lease_seconds / RENEWALS,
         )
 
     def _handicap(self) -> float:
