Refuse at once on a host that knows it is cut off, and distrust work that fails at once

Change: a host whose feed fails refuses at once and is not ready; one that is turned away tries for 0.25 s; a run that fails within 0.3 s puts its worker into quarantine.

--- a/src/zinniatrestle/jobs/intake.py
+++ b/src/zinniatrestle/jobs/intake.py
@@ -37,6 +37,9 @@
 # Share of a caller's time after which a host that does not reach the store answers, so
 # that the caller can still try another host.
 TRY_SHARE = 0.4
+# s; how long a store that turns a host away is asked again before the caller is sent to
+# another host.
+REFUSE_SECONDS = 0.25
 
 
 class Plan:
@@ -122,7 +125,11 @@
         ]
         try:
             result = await transact_settled(
-                self.store, [Expect(PROGRESS, name)], writes, _try_until(give_up_at)
+                self.store,
+                [Expect(PROGRESS, name)],
+                writes,
+                _try_until(give_up_at),
+                refuse_seconds=REFUSE_SECONDS,
             )
         except StoreUnavailableError as error:
             self.events.fold(Event.REQUEST_REFUSED, "store unavailable", job=job)
--- a/src/zinniatrestle/platform/daemon.py
+++ b/src/zinniatrestle/platform/daemon.py
@@ -81,6 +81,7 @@
             self.metrics,
             self.events,
         )
+        self.door.is_store_reachable = lambda: self.feed.reachable
         self.context = SchedulerContext(
             deployment=self.deployment,
             store=self.store,
--- a/src/zinniatrestle/rows/settled.py
+++ b/src/zinniatrestle/rows/settled.py
@@ -1,6 +1,7 @@
 """Transactions whose lost answers are settled by reading back."""
 
 import asyncio
+import math
 
 from zinniatrestle.clock import monotonic
 from zinniatrestle.errors import StoreUnavailableError, StoreUncertainError
@@ -21,14 +22,18 @@
     writes: list[Write],
     give_up_at: float,
     call_seconds: float = CALL_SECONDS,
+    refuse_seconds: float = math.inf,
 ) -> TransactionResult:
     """Repeat a transaction until its fate is known or the loop's time is up.
 
+    Calls that were surely not done are repeated for `refuse_seconds` at most.
+
     Raises StoreUnavailableError when it surely did not and will not apply, and
     StoreUncertainError when its fate is unknown. At least one of the expected rows
     must be among those written, so that the transaction can't apply twice.
     """
     uncertain = False
+    refuse_at = monotonic() + refuse_seconds
     while True:
         left = give_up_at - monotonic()
         if left < TIMER_SECONDS:
@@ -41,6 +46,8 @@
             uncertain = True
             continue
         except StoreUnavailableError:
+            if not uncertain and monotonic() >= refuse_at:
+                raise
             await asyncio.sleep(min(RETRY_SECONDS, max(0.0, left)))
             continue
         if result.applied or not uncertain:
--- a/src/zinniatrestle/scheduling/health.py
+++ b/src/zinniatrestle/scheduling/health.py
@@ -12,6 +12,8 @@
 # s; a worker on which something ended well within this time is trusted more than a
 # task that fails there.
 TRUST_SECONDS = 5.0
+# s; a run that fails sooner has done no work, which is rarely its own fault.
+AT_ONCE_SECONDS = 0.3
 # Other workers on which a task failed before the task is blamed.
 BLAMED_AFTER = 1
 # s; a run whose progress stands still for this time from one look to the next hangs,
@@ -37,6 +39,8 @@
         if worker.health is WorkerHealth.CANARY:
             return True
         worker.failed_jobs[task.step.job.id] = now
+        if now - task.started_at < AT_ONCE_SECONDS:
+            return True
         if now - worker.last_done_at > TRUST_SECONDS:
             return True
         recent = 0
--- a/src/zinniatrestle/scheduling/tests/test_health.py
+++ b/src/zinniatrestle/scheduling/tests/test_health.py
@@ -12,8 +12,8 @@
 from zinniatrestle.scheduling.state import WorkerHealth
 
 
-def failing(where, name="1"):
-    return run_on(first_step(job(name * 16)).tasks[0], where)
+def failing(where, name="1", after=1.0):
+    return run_on(first_step(job(name * 16)).tasks[0], where, NOW - after)
 
 
 def test_a_worker_without_a_recent_success_is_left_alone_after_one_failure():
@@ -28,6 +28,12 @@
     assert judge.failed(where, failing(where, "2"), NOW + 0.1)
 
 
+def test_a_worker_on_which_work_fails_at_once_is_not_trusted():
+    judge, where = HealthJudge(), racks(1)[0]
+    judge.succeeded(where, NOW - 1)
+    assert judge.failed(where, failing(where, after=0.05), NOW)
+
+
 def test_a_hopeless_job_is_not_held_against_the_workers_it_fails_on():
     judge = HealthJudge()
     workers = racks(1)
@@ -80,7 +86,7 @@
     ],
 )
 def test_a_run_hangs_when_looks_show_no_progress(looked, percent, expected, stalled):
-    task = failing(racks(1)[0])
+    task = failing(racks(1)[0], after=0.0)
     task.percent = percent
     task.looked_at = NOW + looked
     assert HealthJudge().stalled(task, expected) is stalled
--- a/src/zinniatrestle/serving/door.py
+++ b/src/zinniatrestle/serving/door.py
@@ -1,6 +1,7 @@
 """Decide on callers' requests; knows nothing of their encoding."""
 
 import math
+from collections.abc import Callable
 from typing import NamedTuple
 
 from zinniatrestle.clock import boot_time
@@ -64,6 +65,8 @@
         self.metrics = metrics
         self.events = events
         self.stopping = False
+        # Set by whoever follows the store.
+        self.is_store_reachable: Callable[[], bool] = lambda: True
 
     @property
     def largest_body(self) -> int:
@@ -72,7 +75,9 @@
 
     def ready(self) -> bool:
         """Tell whether callers should come to this host."""
-        return not self.stopping and self._freshness() is Freshness.FRESH
+        if self.stopping or self._freshness() is not Freshness.FRESH:
+            return False
+        return self.is_store_reachable()
 
     def admit(self, host: str, path: str, key: ApiKey | None) -> Pass:
         """Return what a request may use.
@@ -90,6 +95,11 @@
 
     async def accept(self, pass_: Pass, job: JobId, plan: Plan, give_up_at: float):
         """Keep a job; raises as JobIntake.accept does."""
+        if not self.is_store_reachable():
+            self._refused(ResultCode.STORE_UNAVAILABLE, job=job)
+            raise RetryLaterError(
+                "This host does not reach the store.", ResultCode.STORE_UNAVAILABLE
+            )
         try:
             await self.intake.accept(job, plan, pass_.queue, pass_.account, give_up_at)
         except NotRunError as error:
--- a/src/zinniatrestle/serving/tests/test_door.py
+++ b/src/zinniatrestle/serving/tests/test_door.py
@@ -122,6 +122,20 @@
     with_host(check)
 
 
+def test_a_host_that_knows_it_is_cut_off_refuses_at_once():
+    async def check(model, host):
+        pass_ = admit(host)
+        host.store.reach = Reach.REFUSED
+        await asyncio.sleep(1.0)
+        asked_at = monotonic()
+        with pytest.raises(RetryLaterError):
+            await host.door.accept(pass_, JOB, PLAN, asked_at + CALLER_SECONDS)
+        assert monotonic() == asked_at
+        assert not host.door.ready()
+
+    with_host(check)
+
+
 def test_a_lost_answer_is_never_told_as_not_run():
     async def check(model, host):
         host.store.lost = 1.0
--- a/src/zinniatrestle/standins/model.py
+++ b/src/zinniatrestle/standins/model.py
@@ -105,6 +105,7 @@
             metrics,
             events,
         )
+        self.door.is_store_reachable = lambda: feed.reachable
         self.context = SchedulerContext(
             deployment=self.deployment,
             store=self.store,
