--- a/src/zinniatrestle/metrics.py
+++ b/src/zinniatrestle/metrics.py
@@ -1,6 +1,9 @@
 """Counters and histograms of a host on the platform, as text on its metrics address."""
 
+from collections.abc import Callable
+
 from opentelemetry.exporter.prometheus import PrometheusMetricReader
+from opentelemetry.metrics import CallbackOptions, Observation
 from opentelemetry.sdk.metrics import MeterProvider
 from opentelemetry.sdk.metrics.view import ExplicitBucketHistogramAggregation, View
 from prometheus_client import REGISTRY, generate_latest
@@ -18,7 +21,7 @@
         buckets = ExplicitBucketHistogramAggregation(BUCKETS)
         view = View(instrument_unit="s", aggregation=buckets)
         self.provider = MeterProvider(readers, views=[view], shutdown_on_exit=False)
-        meter = self.provider.get_meter(METER_NAME)
+        meter = self.meter = self.provider.get_meter(METER_NAME)
         self.accepted = meter.create_counter("jobs_accepted", "1")
         self.refused = meter.create_counter("requests_refused", "1")
         self.cancelled = meter.create_counter("jobs_cancelled", "1")
@@ -28,14 +31,20 @@
         self.ends = meter.create_counter("runs_ended", "1")
         self.preemptions = meter.create_counter("runs_preempted", "1")
         self.quarantines = meter.create_counter("workers_quarantined", "1")
-        self.leases = meter.create_counter("leases", "1")
-        self.store_calls = meter.create_counter("store_calls", "1")
-        self.dropped_lines = meter.create_up_down_counter("log_lines_dropped", "1")
+        self.store_time = meter.create_histogram("store_call_time", "s")
         self.waiting = meter.create_histogram("job_waiting_time", "s")
         self.completion = meter.create_histogram("job_completion_time", "s")
         self.acceptance = meter.create_histogram("acceptance_time", "s")
         self.rounds = meter.create_histogram("scheduling_round_time", "s")
 
+    def observe(self, name: str, unit: str, read: Callable[[], float]):
+        """Offer a value that is read whenever metrics are asked for."""
+
+        def observe_value(options: CallbackOptions) -> list[Observation]:
+            return [Observation(read())]
+
+        self.meter.create_observable_gauge(name, [observe_value], unit)
+
     def text(self) -> bytes:
         """Return all metrics in the Prometheus text format."""
         return generate_latest(REGISTRY)
--- a/src/zinniatrestle/platform/daemon.py
+++ b/src/zinniatrestle/platform/daemon.py
@@ -69,7 +69,7 @@
         addresses = self.deployment.addresses
         self.client = HttpClient()
         self.worker_client = HttpClient(WORKER_CONNECTIONS)
-        self.store = PlatformStore(self.client, addresses.store)
+        self.store = PlatformStore(self.client, addresses.store, self.metrics)
         self.leadership = Leadership(self.store, self.deployment, self.events)
         reader = DesiredStateReader(PlatformOperatorRows(), self.operator, self.events)
         self.feed = Feed(self.store, reader, self.events, FEED_SECONDS)
@@ -82,6 +82,9 @@
             self.events,
         )
         self.door.is_store_reachable = lambda: self.feed.reachable
+        self.metrics.observe("log_lines_dropped", "1", lambda: self.events.dropped)
+        self.metrics.observe("jobs_waiting", "1", self._jobs_waiting)
+        self.metrics.observe("lease_held", "1", lambda: self.leadership.is_holder)
         self.context = SchedulerContext(
             deployment=self.deployment,
             store=self.store,
@@ -144,6 +147,13 @@
             )
         await leaving
 
+    def _jobs_waiting(self) -> int:
+        """Return how many jobs have not begun, as this host knows."""
+        if self.leadership.is_holder:
+            return sum(self.leadership.pending.values())
+        record = self.leadership.record
+        return sum(record.pending.values()) if record is not None else 0
+
     def _spawn(self, coroutine, name: str) -> asyncio.Task:
         task = asyncio.create_task(self._guard(coroutine, name))
         self.tasks.append(task)
--- a/src/zinniatrestle/platform/store.py
+++ b/src/zinniatrestle/platform/store.py
@@ -8,7 +8,14 @@
     StoreUnavailableError,
     StoreUncertainError,
 )
-from zinniatrestle.ids import RowName, RowVersion, StoreMilliseconds, TableName
+from zinniatrestle.ids import (
+    BootSeconds,
+    RowName,
+    RowVersion,
+    StoreMilliseconds,
+    TableName,
+)
+from zinniatrestle.metrics import Metrics
 from zinniatrestle.platform.http import CallError, Fate, HttpAnswer, HttpClient
 from zinniatrestle.rows import (
     Change,
@@ -34,6 +41,7 @@
 # s; what a feed's answer may take beyond the wait asked for.
 FEED_SLACK_SECONDS = 1.0
 MILLISECONDS = 1000.0
+READ_PATH = "/-/rows-get"
 OK = 200
 MISMATCH = 412
 GONE = 410
@@ -80,8 +88,9 @@
 class PlatformStore(RowStore):
     """Call the store."""
 
-    def __init__(self, client: HttpClient, address: str):
+    def __init__(self, client: HttpClient, address: str, metrics: Metrics):
         self.client = client
+        self.metrics = metrics
         self.address = address
         self.clock = StoreClock()
 
@@ -108,9 +117,11 @@
                 "POST", self.address, "/-/rows-tx", timeout, body
             )
         except CallError as error:
+            self._note("write", error.fate.value, sent_at)
             if error.fate is Fate.NOT_DONE:
                 raise StoreUnavailableError(error.detail) from error
             raise StoreUncertainError(error.detail) from error
+        self._note("write", str(answer.status), sent_at)
         if answer.status in NOT_DONE:
             raise StoreUnavailableError(f"The store answers {answer.status}.")
         if answer.status not in (OK, MISMATCH):
@@ -136,7 +147,7 @@
             query["from"] = start
         if end:
             query["target"] = end
-        rows = await self._read("/-/rows-get", query, READ_SECONDS)
+        rows = await self._read(READ_PATH, query, READ_SECONDS)
         return Page(
             [_stored(row) for row in rows.rows if row.value is not None],
             RowVersion(rows.ver),
@@ -165,13 +176,21 @@
                 "GET", self.address, path, timeout, query=query
             )
         except CallError as error:
+            self._note("read", error.fate.value, sent_at)
             raise StoreUnavailableError(error.detail) from error
+        if path == READ_PATH:
+            # A feed's time is mostly the wait asked for.
+            self._note("read", str(answer.status), sent_at)
         if answer.status == GONE:
             raise HistoryLostError("The store dropped its history.")
         if answer.status != OK:
             raise StoreUnavailableError(f"The store answers {answer.status}.")
         return self._decode(answer, sent_at)
 
+    def _note(self, call: str, outcome: str, sent_at: BootSeconds):
+        attributes = {"call": call, "outcome": outcome}
+        self.metrics.store_time.record(boot_time() - sent_at, attributes)
+
     def _decode(self, answer: HttpAnswer, sent_at) -> WireRows:
         try:
             rows = msgspec.json.decode(answer.body, type=WireRows)
--- /dev/null
+++ b/src/zinniatrestle/scheduling/tests/test_times.py
@@ -0,0 +1,122 @@
+"""Steps in order, jobs with times, and tasks that last."""
+
+import asyncio
+
+from zinniatrestle.clock import monotonic, wall_time
+from zinniatrestle.jobs import JobState
+from zinniatrestle.jobs.intake import Plan
+from zinniatrestle.standins.checker import violations
+from zinniatrestle.standins.fleet import EventKind
+from zinniatrestle.standins.model import Model, Outcome, run_virtual, step
+from zinniatrestle.workers.messages import HowEnded
+
+JOB = "00000000000000aa"
+# s; a round and the orders of it.
+ROUND_SECONDS = 0.5
+
+
+def with_model(check, workers=4):
+    async def run():
+        model = Model(1, hosts=2)
+        await model.start(workers=workers, rack=4)
+        await check(model)
+        assert violations(model) == []
+
+    run_virtual(run())
+
+
+def starts(model, step_key="0.0"):
+    found = []
+    for event in model.fleet.history:
+        name = event.task.split(".", 1)[1].rsplit(".", 1)[0]
+        if event.kind is EventKind.START and name == step_key:
+            found.append(event)
+    return found
+
+
+async def hand_in(model, plan):
+    model.jobs[JOB] = Outcome("usual", monotonic(), 1.0)
+    host = model.hosts[0]
+    pass_ = host.door.admit("queues.example", "/usual/x", "key-first")
+    await host.door.accept(pass_, JOB, plan, monotonic() + 3.0)
+    model.jobs[JOB].accepted = True
+
+
+def test_a_step_starts_once_all_tasks_before_it_are_done():
+    async def check(model):
+        shapes = (step(3, seconds=1), step(2), step(2, after=(0, 1)))
+        await model.submit("usual", shapes, 1.0)
+        assert await model.settle(30.0)
+        ends = {}
+        for event in model.fleet.history:
+            if event.kind is EventKind.END and event.how is HowEnded.DONE:
+                ends[event.task.split(".", 1)[1]] = event.at
+        before = max(at for key, at in ends.items() if not key.startswith("0.2"))
+        assert min(event.at for event in starts(model, "0.2")) >= before
+        assert len(starts(model, "0.2")) == 2
+
+    with_model(check)
+
+
+def test_occurrences_start_when_they_are_due_and_never_early():
+    async def check(model):
+        first = wall_time() + 2.0
+        plan = Plan('{"seconds":0.5}', (step(2),), 3, int(first * 1000), 1500)
+        await hand_in(model, plan)
+        offset = wall_time() - monotonic()
+        assert await model.settle(20.0)
+        for occurrence in range(3):
+            due = first + 1.5 * occurrence - offset
+            for event in starts(model, f"{occurrence}.0"):
+                assert due <= event.at <= due + ROUND_SECONDS
+        assert model.state(JOB) is JobState.COMPLETED
+
+    with_model(check)
+
+
+def test_occurrences_that_were_due_while_nobody_scheduled_are_not_lost():
+    async def check(model):
+        first = wall_time() + 1.0
+        plan = Plan('{"seconds":0.5}', (step(1),), 4, int(first * 1000), 1000)
+        await hand_in(model, plan)
+        await asyncio.sleep(2.5)
+        await model.leader().kill()
+        assert await model.settle(30.0)
+        assert {event.task for event in model.fleet.history} == {
+            f"{JOB}.{occurrence}.0.0" for occurrence in range(4)
+        }
+
+    with_model(check)
+
+
+def test_a_task_that_lasts_is_started_again_however_it_ends():
+    async def check(model):
+        plan = Plan('{"seconds":2,"failures":1}', (step(2, lasting=True),))
+        await hand_in(model, plan)
+        model.jobs[JOB].lasting = True
+        await asyncio.sleep(12.0)
+        hows = {event.how for event in model.fleet.history if event.how}
+        assert {HowEnded.DONE, HowEnded.FAILED} <= hows
+        assert len(starts(model)) >= 6
+        running = [len(found.running) for found in model.fleet.workers.values()]
+        assert sum(running) >= 1
+        assert model.state(JOB) is JobState.RUNNING
+
+    with_model(check)
+
+
+def test_a_drained_worker_gives_up_checkpointed_work_before_it_leaves():
+    async def check(model):
+        shape = step(1, seconds=30, checkpointing=True)
+        await model.submit("usual", (shape,), 30.0)
+        await asyncio.sleep(3.0)
+        worker = next(w for w in model.fleet.workers.values() if w.running)
+        model.fleet.drain(worker, 4.0)
+        await asyncio.sleep(5.0)
+        ends = [e for e in model.fleet.history if e.kind is EventKind.END]
+        assert [(e.worker, e.how) for e in ends] == [
+            (worker.entry.worker, HowEnded.STOPPED)
+        ]
+        assert not worker.running
+
+    with_model(check)
--- a/src/zinniatrestle/scheduling/tracker.py
+++ b/src/zinniatrestle/scheduling/tracker.py
@@ -336,6 +336,8 @@
             self.durations.learn(task, now - task.started_at)
         if step.shape.lasting:
             self.vacate(task)
+            # The next run begins anew, not where this one ended.
+            task.checkpoint = ""
             return
         finished = step.tasks if step.shape.gang else [task]
         for member in finished:
--- a/src/zinniatrestle/serving/door.py
+++ b/src/zinniatrestle/serving/door.py
@@ -100,12 +100,14 @@
             raise RetryLaterError(
                 "This host does not reach the store.", ResultCode.STORE_UNAVAILABLE
             )
+        asked_at = boot_time()
         try:
             await self.intake.accept(job, plan, pass_.queue, pass_.account, give_up_at)
         except NotRunError as error:
             self._refused(error.code, job=job)
             raise RetryLaterError(error.detail, error.code) from error
         self.metrics.accepted.add(1)
+        self.metrics.acceptance.record(boot_time() - asked_at)
 
     async def show(self, job: JobId) -> JobState:
         """Return a job's state; raises NotFoundError, RetryLaterError."""
--- a/src/zinniatrestle/standins/model.py
+++ b/src/zinniatrestle/standins/model.py
@@ -143,6 +143,7 @@
     sent_at: float
     seconds: float
     tasks: int = 1
+    lasting: bool = False
     accepted: bool = False
     refused: bool = False
     cancelled_at: float | None = None
