--- a/src/zinniatrestle/events/messages.py
+++ b/src/zinniatrestle/events/messages.py
@@ -21,6 +21,8 @@
     JOB_ACCEPTED = "job_accepted"
     JOB_REPEATED = "job_repeated"
     REQUEST_REFUSED = "request_refused"
+    JOB_WAITS = "job_waits"
+    DECISIONS_PAUSED = "decisions_paused"
     JOB_CANCELLED = "job_cancelled"
     JOB_ENDED = "job_ended"
     RUN_PLACED = "run_placed"
--- a/src/zinniatrestle/scheduling/rounds.py
+++ b/src/zinniatrestle/scheduling/rounds.py
@@ -141,10 +141,29 @@
             self._ask_advice(step, workers, terms)
         if self._reclaim(step, workers, terms, now):
             return placed
+        self._tell_waiting(step, left, terms, now)
         if self.policy.holds_back:
             shadow.hold_back(step, left, workers, terms)
         return placed
 
+    def _tell_waiting(self, step: StepRun, left: int, terms: Terms, now: BootSeconds):
+        """Log why an urgent step waits; others are many and wait for room alone."""
+        submission = step.job.submission
+        if submission.priority != HIGHEST_PRIORITY:
+            return
+        self.context.events.fold(
+            Event.JOB_WAITS,
+            f"no room for job {step.job.id}",
+            job=step.job.id,
+            tasks=left,
+            gpus=step.shape.gpus,
+            rack=step.shape.data_rack,
+            rack_bound=step.shape.rack_bound,
+            anywhere=terms.anywhere,
+            guaranteed=self._is_guaranteed(step, now),
+            slack=round(urgency(step, self.tracker.durations).in_time - now, 2),
+        )
+
     def _place(self, step: StepRun, assignment: Assignment) -> list[Task]:
         if not assignment:
             return []
--- a/src/zinniatrestle/scheduling/scheduler.py
+++ b/src/zinniatrestle/scheduling/scheduler.py
@@ -259,21 +259,26 @@
             self.book.ended.clear()
             self._drop_ended()
             self._count_pending()
-            if self._may_decide():
-                self.planner.round(boot_time())
+            obstacle = self._obstacle()
+            if obstacle:
+                self.events.fold(Event.DECISIONS_PAUSED, obstacle)
+                continue
+            self.planner.round(boot_time())
 
-    def _may_decide(self) -> bool:
-        """Tell whether the lease and all beliefs that a start depends on are fresh."""
+    def _obstacle(self) -> str:
+        """Return which belief that starts depend on is missing or old, if any."""
         if self.leadership.standing is not Standing.HOLDER:
-            return False
+            return "the lease was not renewed in time"
         if self.context.operator.desired is None:
-            return False
+            return "no desired state"
         bounds = self.context.deployment.bounds
         now = boot_time()
         if now - self.fleet.confirmed_at > FRESH_SHARE * bounds.drain:
-            return False
+            return "the registry of workers is not confirmed"
         age = now - self.context.operator.confirmed_at
-        return age <= FRESH_SHARE * bounds.evacuation
+        if age > FRESH_SHARE * bounds.evacuation:
+            return "the desired state is not confirmed"
+        return ""
 
     def _drop_ended(self):
         for job in list(self.tracker.jobs.values()):
