Make room for urgent work beyond its guarantee where it is worth the loss

Change: urgent work that would come too late stops other work if that loses at most three times the work that it brings.

--- a/src/zinniatrestle/scheduling/rounds.py
+++ b/src/zinniatrestle/scheduling/rounds.py
@@ -32,6 +32,9 @@
 # s; after this time room that is kept is planned anew.
 RESERVED_SECONDS = 3.0
 HIGHEST_PRIORITY = 0
+# Work that may be lost for each unit of urgent work that would come too late without
+# its room: urgent work is short, and worth several times as much for its size.
+WORTH_LOSING = 3.0
 
 
 class Planner:
@@ -160,7 +163,7 @@
             rack=step.shape.data_rack,
             rack_bound=step.shape.rack_bound,
             anywhere=terms.anywhere,
-            guaranteed=self._is_guaranteed(step, now),
+            guaranteed=self._is_guaranteed(step),
             slack=round(urgency(step, self.tracker.durations).in_time - now, 2),
         )
 
@@ -212,9 +215,10 @@
     def _reclaim(
         self, step: StepRun, workers: list[Worker], terms: Terms, now: BootSeconds
     ) -> bool:
-        """Stop cheaper work for a step that its account is guaranteed."""
-        if not self.policy.reclaims or not self._is_guaranteed(step, now):
+        """Stop cheaper work for urgent work that waits, guaranteed or worth it."""
+        if not self.policy.reclaims or not self._is_urgent(step, now):
             return False
+        guaranteed = self._is_guaranteed(step)
         waiting = step.waiting()
         plan = self.reclaim.plan(step, waiting, workers, terms, now)
         if plan is None and not terms.anywhere:
@@ -222,6 +226,8 @@
             plan = self.reclaim.plan(step, waiting, workers, terms, now)
         if plan is None:
             return False
+        if not guaranteed and plan.cost > self._worth_losing(step, waiting):
+            return False
         for task, worker in plan.places.items():
             task.worker = worker
             task.status = TaskStatus.RESERVED
@@ -240,17 +246,25 @@
             self.tracker.stop(victim, "preempted")
         return True
 
-    def _is_guaranteed(self, step: StepRun, now: BootSeconds) -> bool:
-        job = step.job
-        if job.submission.priority != HIGHEST_PRIORITY or job.submission.timed:
+    def _is_urgent(self, step: StepRun, now: BootSeconds) -> bool:
+        """Tell whether a step is urgent and has waited long enough for room."""
+        submission = step.job.submission
+        if submission.priority != HIGHEST_PRIORITY or submission.timed:
             return False
-        account = self.context.operator.accounts.get(job.submission.account)
+        return now >= step.job.due_at + self._patience(step)
+
+    def _is_guaranteed(self, step: StepRun) -> bool:
+        """Tell whether an account's guarantee covers a step."""
+        account = self.context.operator.accounts.get(step.job.submission.account)
         if account is None or not account.guaranteed:
             return False
-        if now < job.due_at + self._patience(step):
-            return False
         return self._within(step, account.name, account.guaranteed)
 
+    def _worth_losing(self, step: StepRun, waiting: list[Task]) -> float:
+        """Return the work that may be lost for urgent work without a guarantee."""
+        seconds = self.tracker.durations.task(step.job.submission.queue, step.shape)
+        return WORTH_LOSING * seconds * step.work * len(waiting)
+
     def _patience(self, step: StepRun) -> float:
         """Return how many seconds a step waits for room that becomes free by itself."""
         until = urgency(step, self.tracker.durations)
