--- a/src/zinniatrestle/scheduling/placement.py
+++ b/src/zinniatrestle/scheduling/placement.py
@@ -196,11 +196,16 @@
 
 
 def _fill(step: StepRun, tasks: list[Task], slots: dict[Worker, int]) -> Assignment:
-    """Assign tasks, fullest workers first, whole gangs on few workers."""
+    """Assign tasks, workers in use first, and those of the fullest racks."""
+    rack_free: dict[RackId, int] = {}
+    for worker in slots:
+        rack_free[worker.rack] = rack_free.get(worker.rack, 0) + worker.free_gpus
     ranked = sorted(
         (worker for worker, count in slots.items() if count),
         key=lambda worker: (
             worker.health is WorkerHealth.CANARY,
+            not worker.tasks,
+            rack_free[worker.rack],
             worker.free_gpus,
             worker.free_cpu,
             worker.id,
--- a/src/zinniatrestle/scheduling/rounds.py
+++ b/src/zinniatrestle/scheduling/rounds.py
@@ -216,9 +216,8 @@
         self, step: StepRun, workers: list[Worker], terms: Terms, now: BootSeconds
     ) -> bool:
         """Stop cheaper work for urgent work that waits, guaranteed or worth it."""
-        if not self.policy.reclaims or not self._is_urgent(step, now):
+        if not self.policy.reclaims or not self._is_urgent(step):
             return False
-        guaranteed = self._is_guaranteed(step)
         waiting = step.waiting()
         plan = self.reclaim.plan(step, waiting, workers, terms, now)
         if plan is None and not terms.anywhere:
@@ -226,8 +225,10 @@
             plan = self.reclaim.plan(step, waiting, workers, terms, now)
         if plan is None:
             return False
-        if not guaranteed and plan.cost > self._worth_losing(step, waiting):
-            return False
+        if plan.cost > self._worth_losing(step, waiting):
+            # What costs more than it brings is done for a guarantee, and at the last.
+            if now < self._last_reclaim(step) or not self._is_guaranteed(step):
+                return False
         for task, worker in plan.places.items():
             task.worker = worker
             task.status = TaskStatus.RESERVED
@@ -246,12 +247,10 @@
             self.tracker.stop(victim, "preempted")
         return True
 
-    def _is_urgent(self, step: StepRun, now: BootSeconds) -> bool:
-        """Tell whether a step is urgent and has waited long enough for room."""
+    def _is_urgent(self, step: StepRun) -> bool:
+        """Tell whether other work may be stopped for a step."""
         submission = step.job.submission
-        if submission.priority != HIGHEST_PRIORITY or submission.timed:
-            return False
-        return now >= step.job.due_at + self._patience(step)
+        return submission.priority == HIGHEST_PRIORITY and not submission.timed
 
     def _is_guaranteed(self, step: StepRun) -> bool:
         """Tell whether an account's guarantee covers a step."""
@@ -265,12 +264,10 @@
         seconds = self.tracker.durations.task(step.job.submission.queue, step.shape)
         return WORTH_LOSING * seconds * step.work * len(waiting)
 
-    def _patience(self, step: StepRun) -> float:
-        """Return how many seconds a step waits for room that becomes free by itself."""
-        until = urgency(step, self.tracker.durations)
-        last = self.bounds.reclaim - self.bounds.stop - 2 * ORDER_SECONDS
-        in_time = until.in_time - step.job.due_at - self.bounds.stop - ORDER_SECONDS
-        return max(0.0, min(last, in_time))
+    def _last_reclaim(self, step: StepRun) -> float:
+        """Return until when a stop and a start still fit into a guarantee's time."""
+        seconds = self.bounds.reclaim - self.bounds.stop - 2 * ORDER_SECONDS
+        return step.job.due_at + max(0.0, seconds)
 
     def _within(self, step: StepRun, account: ClientAccountId, bound: int) -> bool:
         """Tell whether an account's urgent jobs up to this one keep to its share."""
--- a/src/zinniatrestle/standins/fleet.py
+++ b/src/zinniatrestle/standins/fleet.py
@@ -99,6 +99,8 @@
     started_at: float
     done: float = 0.0
     checkpoint: str = ""
+    # When a stop that is under way will have ended it.
+    stopped_at: float | None = None
 
     @property
     def gang(self) -> int:
@@ -163,7 +165,14 @@
 class SimulatedFleet(WorkerOrders):
     """All workers; orders of one host go through a `HostOrders`."""
 
-    def __init__(self, rows: MemoryRows, seed: int = 0, gang_seconds: float = 3.0):
+    def __init__(
+        self,
+        rows: MemoryRows,
+        seed: int = 0,
+        gang_seconds: float = 3.0,
+        stop_seconds: float = 0.0,
+    ):
+        self.stop_seconds = stop_seconds
         self.rows = rows
         self.random = random.Random(seed)
         self.workers: dict[WorkerId, SimulatedWorker] = {}
@@ -273,6 +282,10 @@
 
     def _work(self, worker, run: SimulatedRun, now: float, passed: float, present):
         script = run.script
+        if run.stopped_at is not None:
+            if now >= run.stopped_at:
+                self._end(worker, run, HowEnded.STOPPED)
+            return
         if present.get((_step(run.task), run.run), 0) < run.gang:
             if run.done == 0.0 and now - run.started_at > self.gang_seconds:
                 self._end(worker, run, HowEnded.ALONE)
@@ -380,7 +393,10 @@
         self._check(life, generation)
         life.barred[task] = max(life.barred.get(task, 0), run)
         present = life.running.get(task)
-        if present is not None and present.run <= run:
+        if present is None or present.run > run or present.stopped_at is not None:
+            return
+        present.stopped_at = monotonic() + self.stop_seconds
+        if not self.stop_seconds:
             self._end(life, present, HowEnded.STOPPED)
 
     async def pace(
--- a/src/zinniatrestle/standins/model.py
+++ b/src/zinniatrestle/standins/model.py
@@ -26,7 +26,7 @@
 from zinniatrestle.metrics import Metrics
 from zinniatrestle.queues import DesiredStateReader, OperatorState
 from zinniatrestle.rows.feed import Feed
-from zinniatrestle.scheduling.context import SchedulerContext
+from zinniatrestle.scheduling.context import Policy, SchedulerContext
 from zinniatrestle.scheduling.leadership import Leadership
 from zinniatrestle.scheduling.leading import lead
 from zinniatrestle.serving import FrontDoor
@@ -153,13 +153,19 @@
 class Model:
     """A deployment with callers; faults are set on its parts."""
 
-    def __init__(self, seed: int = 0, hosts: int = 3, policy=None):
+    def __init__(
+        self,
+        seed: int = 0,
+        hosts: int = 3,
+        policy: Policy | None = None,
+        bounds: Bounds | None = None,
+    ):
         self.seed = seed
         self.policy = policy
         self.random = random.Random(seed)
-        self.bounds = Bounds()
+        self.bounds = bounds or Bounds()
         self.rows = MemoryRows(seed)
-        self.fleet = SimulatedFleet(self.rows, seed, self.bounds.gang)
+        self.fleet = SimulatedFleet(self.rows, seed, self.bounds.gang, self.bounds.stop)
         self.operator = MemoryOperator(self.rows)
         self.metrics = Metrics()
         self.hosts: list[ModelHost] = []
