--- a/src/zinniatrestle/scheduling/rounds.py
+++ b/src/zinniatrestle/scheduling/rounds.py
@@ -34,7 +34,7 @@
 HIGHEST_PRIORITY = 0
 # Work that may be lost for each unit of urgent work that would come too late without
 # its room: urgent work is short, and worth several times as much for its size.
-WORTH_LOSING = 3.0
+WORTH_LOSING = 1.5
 
 
 class Planner:
