--- a/src/zinniatrestle/events/messages.py
+++ b/src/zinniatrestle/events/messages.py
@@ -7,7 +7,6 @@
     """What a line tells; docs/OPERATIONS.md has the fields of each."""
 
     STARTED = "started"
-    READY = "ready"
     STOPPING = "stopping"
     STOPPED = "stopped"
     RELOADED = "reloaded"
