--- a/src/zinniatrestle/standins/wire.py
+++ b/src/zinniatrestle/standins/wire.py
@@ -18,8 +18,15 @@
 from zinniatrestle.errors import HistoryLostError
 from zinniatrestle.ids import RowName, RowVersion, TableName
 from zinniatrestle.rows import Expect, Write
+from zinniatrestle.standins.fleet import SimulatedFleet
 from zinniatrestle.standins.rows import HostRows, MemoryRows
 from zinniatrestle.web import HostServer
+from zinniatrestle.workers.messages import (
+    Refusal,
+    RefusedOrderError,
+    StartOrder,
+    WorkerEntry,
+)
 
 # s; longer than any time limit of a client.
 SILENCE_SECONDS = 30.0
@@ -199,3 +206,125 @@
         "value": base64.b64encode(row.value).decode(),
         "ver": row.version,
     }
+
+
+REASONS = {
+    Refusal.STALE_GENERATION: "fence",
+    Refusal.STALE_RUN: "old",
+    Refusal.TOO_LATE: "late",
+    Refusal.NO_ROOM: "room",
+    Refusal.BAD_TICKET: "ticket",
+}
+
+
+class WireFleetWorker:
+    """A worker of a simulated fleet over HTTP."""
+
+    def __init__(self, fleet: SimulatedFleet, entry: WorkerEntry):
+        self.fleet = fleet
+        self.entry = entry
+
+    def app(self) -> Starlette:
+        """Return the application."""
+        return Starlette(
+            routes=[
+                Route("/-/run-start", self.start, methods=["POST"]),
+                Route("/-/run-stop", self.stop, methods=["POST"]),
+                Route("/-/hold", self.hold, methods=["POST"]),
+            ]
+        )
+
+    async def start(self, request: Request) -> Response:
+        """Start a run."""
+        body = msgspec.json.decode(await request.body())
+        order = StartOrder(
+            task=body["task"],
+            run=body["run"],
+            spec=body["spec"],
+            deadline_ms=body["deadlineMs"],
+            generation=body["fencingToken"],
+            checkpoint=body.get("checkpoint", ""),
+        )
+        try:
+            clock_ms = await self.fleet.start(self.entry, order)
+        except RefusedOrderError as error:
+            return self._refuse(error)
+        return self._reply({"clockMs": clock_ms})
+
+    async def stop(self, request: Request) -> Response:
+        """Stop a run."""
+        body = msgspec.json.decode(await request.body())
+        try:
+            await self.fleet.stop(
+                self.entry, body["task"], body["run"], body["fencingToken"]
+            )
+        except RefusedOrderError as error:
+            return self._refuse(error)
+        return self._reply({"clockMs": self._clock_ms()})
+
+    async def hold(self, request: Request) -> Response:
+        """Hold what runs, and tell it."""
+        body = msgspec.json.decode(await request.body())
+        wait = body.get("waitMs", 0) / 1000
+        try:
+            answer = await self.fleet.hold(
+                self.entry,
+                body["fencingToken"],
+                body["lastSeen"],
+                body.get("deadlineMs"),
+                wait,
+            )
+        except RefusedOrderError as error:
+            return self._refuse(error)
+        running = [
+            [run.task, run.run, run.checkpoint, run.percent, run.figure]
+            for run in answer.running
+        ]
+        ended = [
+            [end.number, end.task, end.run, end.how.value, end.checkpoint]
+            for end in answer.ended
+        ]
+        return self._reply(
+            {
+                "clockMs": answer.clock_ms,
+                "born": answer.born,
+                "running": running,
+                "ended": ended,
+            }
+        )
+
+    def _clock_ms(self) -> int:
+        return self.fleet.life(self.entry).clock_ms()
+
+    def _refuse(self, error: RefusedOrderError) -> Response:
+        reason = REASONS.get(error.refusal)
+        if reason is None:
+            return Response(status_code=503)
+        return self._reply({"clockMs": self._clock_ms(), "reason": reason}, 409)
+
+    def _reply(self, body: dict, status: int = 200) -> Response:
+        data = msgspec.json.encode(body)
+        return Response(data, status, media_type="application/json")
+
+
+def server_row(entry: WorkerEntry, address: str) -> bytes:
+    """Return a worker's entry as workers of the platform write it."""
+    return msgspec.json.encode(
+        {
+            "service": entry.service,
+            "address": address,
+            "zone": entry.domain,
+            "version": "v1",
+            "slots": 8,
+            "state": entry.state.value,
+            "coldRemainingMs": 0,
+            "capacity": {
+                "cpu": entry.cpu,
+                "memMb": entry.memory_mb,
+                "gpus": entry.gpus,
+            },
+            "labels": ["a", entry.rack],
+            "sequence": entry.sequence,
+            "born": entry.born,
+        }
+    )
