--- /dev/null
+++ b/src/zinniatrestle/scheduling/ledger.py
@@ -0,0 +1,180 @@
+"""The scheduler's jobs, tasks and workers, and the changes that decisions make."""
+
+import asyncio
+from abc import ABC
+from collections.abc import Iterable
+
+from zinniatrestle.clock import boot_time
+from zinniatrestle.events import Event
+from zinniatrestle.ids import BootSeconds, JobId, TaskId
+from zinniatrestle.jobs.messages import JobState
+from zinniatrestle.scheduling.book import ProgressBook
+from zinniatrestle.scheduling.context import SchedulerContext
+from zinniatrestle.scheduling.durations import Durations
+from zinniatrestle.scheduling.fleet import Fleet, FleetDuties
+from zinniatrestle.scheduling.health import HealthJudge
+from zinniatrestle.scheduling.session import WorkerSession
+from zinniatrestle.scheduling.sharing import PaceController
+from zinniatrestle.scheduling.state import Job, StepRun, Task, TaskStatus, Worker
+
+
+class Ledger(FleetDuties, ABC):
+    """Hold what is scheduled, and change it in step with the workers' sessions."""
+
+    def __init__(self, context: SchedulerContext, book: ProgressBook):
+        self.context = context
+        self.events = context.events
+        self.metrics = context.metrics
+        self.book = book
+        self.jobs: dict[JobId, Job] = {}
+        self.fleet = Fleet(
+            context.worker_rows, context.deployment, self, context.events
+        )
+        self.sessions: dict[Worker, WorkerSession] = {}
+        self.session_tasks: dict[Worker, list[asyncio.Task]] = {}
+        self.durations = Durations()
+        self.health = HealthJudge()
+        self.pacing = PaceController()
+        self.wake = asyncio.Event()
+        self.unsaved: set[Job] = set()
+        self.keeping: set[asyncio.Task] = set()
+
+    # Tasks
+
+    def stop(self, task: Task, reason: str):
+        """Order a run to be stopped."""
+        if not task.occupies or task.status is TaskStatus.STOPPING:
+            return
+        task.status = TaskStatus.STOPPING
+        self.events.write(
+            Event.RUN_STOPPED,
+            task=task.id,
+            run=task.run,
+            worker=task.worker.id,
+            reason=reason,
+        )
+        session = self.sessions.get(task.worker)
+        if session is not None:
+            session.stop(task.id, task.run)
+
+    def break_gang(self, step: StepRun):
+        """Stop the other members of a gang of which one is gone."""
+        if not step.shape.gang:
+            return
+        for member in step.tasks:
+            if member.status is TaskStatus.RESERVED:
+                self.release(member)
+            self.stop(member, "another member is gone")
+
+    def vacate(self, task: Task):
+        """Give up a task's place, since nothing of it runs there."""
+        if task.worker is not None:
+            task.worker.drop(task)
+        task.worker = None
+        task.ordering = False
+        task.inherited = False
+        task.pace = 100
+        if task.status is not TaskStatus.DONE:
+            task.status = TaskStatus.WAITING
+        self.unsaved.add(task.step.job)
+
+    def release(self, task: Task):
+        """Give up the room kept for a task."""
+        if task.status is not TaskStatus.RESERVED:
+            return
+        task.worker.unreserve(task)
+        task.worker = None
+        task.status = TaskStatus.WAITING
+
+    def keep_checkpoint(self, task: Task, checkpoint: str):
+        """Note a checkpoint of a task, or of its whole gang."""
+        if not task.step.shape.gang:
+            task.checkpoint = checkpoint
+            return
+        # Any member's checkpoint stands for the whole gang.
+        for member in task.step.tasks:
+            member.checkpoint = checkpoint
+
+    # Jobs
+
+    def find(self, task: TaskId, job: Job | None = None) -> Task | None:
+        """Return a task by its id, or None; `job` if it is not taken up yet."""
+        job_id, occurrence, number, index = task.split(".")
+        job = job or self.jobs.get(JobId(job_id))
+        if job is None:
+            return None
+        step = job.steps.get(f"{occurrence}.{number}")
+        if step is None or int(index) >= len(step.tasks):
+            return None
+        return step.tasks[int(index)]
+
+    def end_job(self, job: Job, state: JobState, reason: str):
+        """End a job for good and stop what runs of it."""
+        job.state = state
+        self.unsaved.add(job)
+        seconds = boot_time() - job.due_at
+        self.metrics.ended.add(1, {"state": state.value})
+        self.metrics.completion.record(max(0.0, seconds))
+        self.events.write(
+            Event.JOB_ENDED,
+            job=job.id,
+            queue=job.submission.queue,
+            state=state.value,
+            reason=reason,
+            seconds=round(seconds, 2),
+        )
+        self.stop_all(job, f"job {state.value}")
+        self.wake.set()
+
+    def stop_all(self, job: Job, reason: str):
+        """Stop all that runs of a job."""
+        for step in job.steps.values():
+            for task in step.tasks:
+                self.release(task)
+                self.stop(task, reason)
+
+    def waiting_jobs(self) -> Iterable[Job]:
+        """Return the jobs without times of which nothing has begun."""
+        for job in self.jobs.values():
+            if not job.began and not job.ended and not job.submission.timed:
+                yield job
+
+    def judge_attempts(self, task: Task):
+        """End the job of a task that has failed too often."""
+        step, job = task.step, task.step.job
+        attempts = step.attempts(task)
+        if step.shape.lasting or attempts < job.submission.attempts or job.ended:
+            return
+        self.end_job(job, JobState.FAILED, f"task {task.id} failed {attempts} times")
+
+    # Workers
+
+    def quarantine(self, worker: Worker, reason: str, now: BootSeconds):
+        """Leave a worker alone for a while."""
+        if self.context.policy and not self.context.policy.quarantines:
+            return
+        workers = list(self.fleet.workers.values())
+        if self.health.quarantine(worker, workers, now):
+            self.metrics.quarantines.add(1)
+            self.events.write(
+                Event.WORKER_QUARANTINED,
+                worker=worker.id,
+                reason=reason,
+                seconds=round(worker.quarantined_until - now, 1),
+            )
+
+    def _stalled(self, task: Task) -> bool:
+        queue = task.step.job.submission.queue
+        expected = self.durations.task(queue, task.step.shape)
+        return self.health.stalled(task, expected)
+
+    def stalled_tasks(self) -> list[Task]:
+        """Return the runs that stand still."""
+        found = []
+        for worker in self.fleet.workers.values():
+            for task in worker.tasks.values():
+                if task.status is not TaskStatus.RUNNING:
+                    continue
+                if self._stalled(task):
+                    found.append(task)
+        return found
--- a/src/zinniatrestle/scheduling/rounds.py
+++ b/src/zinniatrestle/scheduling/rounds.py
@@ -9,11 +9,16 @@
 from zinniatrestle.deployment import Bounds
 from zinniatrestle.errors import LeaseLostError
 from zinniatrestle.events import Event
-from zinniatrestle.ids import BootSeconds, ClientAccountId, RunNumber
+from zinniatrestle.ids import BootSeconds, RunNumber
 from zinniatrestle.jobs.messages import JobState
 from zinniatrestle.queues import Queue
 from zinniatrestle.scheduling.backfill import Shadow
 from zinniatrestle.scheduling.context import Policy, SchedulerContext
+from zinniatrestle.scheduling.making_room import (
+    HIGHEST_PRIORITY,
+    ORDER_SECONDS,
+    RoomMaker,
+)
 from zinniatrestle.scheduling.order import OrderPolicy, UsefulFirst, urgency
 from zinniatrestle.scheduling.placement import (
     Assignment,
@@ -21,21 +26,10 @@
     PlacementPolicy,
     Terms,
     candidates,
-    permitted,
 )
-from zinniatrestle.scheduling.reclaim import ReclaimPlanner
 from zinniatrestle.scheduling.state import Job, StepRun, Task, TaskStatus, Worker
 from zinniatrestle.scheduling.tracker import Tracker
 
-# s; a part of the time for a reclaim that is left for orders and their answers.
-ORDER_SECONDS = 0.3
-# s; after this time room that is kept is planned anew.
-RESERVED_SECONDS = 3.0
-HIGHEST_PRIORITY = 0
-# Work that may be lost for each unit of urgent work that would come too late without
-# its room: urgent work is short, and worth several times as much for its size.
-WORTH_LOSING = 1.5
-
 
 class Planner:
     """Decide rounds; the tracker carries the decisions out."""
@@ -47,7 +41,7 @@
         self.policy = context.policy or Policy()
         self.placement: PlacementPolicy = self.policy.placement or BestFit()
         self.order: OrderPolicy = self.policy.order or UsefulFirst(tracker.durations)
-        self.reclaim = ReclaimPlanner(self.bounds.checkpoint_interval)
+        self.room = RoomMaker(context, tracker, self.policy)
         self.advice: AdviceDesk | None = None
         if context.adviser is not None:
             self.advice = AdviceDesk(context.adviser, context.events, tracker.wake.set)
@@ -129,7 +123,7 @@
         terms = self.terms(step, now)
         reserved = [task for task in step.tasks if task.status is TaskStatus.RESERVED]
         if reserved:
-            return self._use_reserved(step, reserved, terms, now)
+            return self._place(step, self.room.take(step, reserved, terms, now))
         waiting = step.waiting()
         open_workers = shadow.open_to(step, workers)
         assignment = self.placement.place(step, waiting, open_workers, terms)
@@ -142,7 +136,7 @@
             return placed
         if terms.tickets is not None:
             self._ask_advice(step, workers, terms)
-        if self._reclaim(step, workers, terms, now):
+        if self.room.make_room(step, workers, terms, now):
             return placed
         self._tell_waiting(step, left, terms, now)
         if self.policy.holds_back:
@@ -163,7 +157,7 @@
             rack=step.shape.data_rack,
             rack_bound=step.shape.rack_bound,
             anywhere=terms.anywhere,
-            guaranteed=self._is_guaranteed(step),
+            guaranteed=self.room.is_guaranteed(step),
             slack=round(urgency(step, self.tracker.durations).in_time - now, 2),
         )
 
@@ -210,105 +204,6 @@
         for step in job.steps.values():
             self.advice.forget(self._advice_key(step))
 
-    # Guarantees
-
-    def _reclaim(
-        self, step: StepRun, workers: list[Worker], terms: Terms, now: BootSeconds
-    ) -> bool:
-        """Stop cheaper work for urgent work that waits, guaranteed or worth it."""
-        if not self.policy.reclaims or not self._is_urgent(step):
-            return False
-        waiting = step.waiting()
-        plan = self.reclaim.plan(step, waiting, workers, terms, now)
-        if plan is None and not terms.anywhere:
-            terms.anywhere = True
-            plan = self.reclaim.plan(step, waiting, workers, terms, now)
-        if plan is None:
-            return False
-        if plan.cost > self._worth_losing(step, waiting):
-            # What costs more than it brings is done for a guarantee, and at the last.
-            if now < self._last_reclaim(step) or not self._is_guaranteed(step):
-                return False
-        for task, worker in plan.places.items():
-            task.worker = worker
-            task.status = TaskStatus.RESERVED
-            task.confirmed_at = now
-            worker.reserve(task)
-        for victim in plan.victims:
-            self.context.metrics.preemptions.add(1)
-            self.context.events.write(
-                Event.RUN_PREEMPTED,
-                task=victim.id,
-                run=victim.run,
-                worker=victim.worker.id,
-                reason=f"room for job {step.job.id}",
-                cost=round(self.reclaim.loss(victim, now) / 1000, 1),
-            )
-            self.tracker.stop(victim, "preempted")
-        return True
-
-    def _is_urgent(self, step: StepRun) -> bool:
-        """Tell whether other work may be stopped for a step."""
-        submission = step.job.submission
-        return submission.priority == HIGHEST_PRIORITY and not submission.timed
-
-    def _is_guaranteed(self, step: StepRun) -> bool:
-        """Tell whether an account's guarantee covers a step."""
-        account = self.context.operator.accounts.get(step.job.submission.account)
-        if account is None or not account.guaranteed:
-            return False
-        return self._within(step, account.name, account.guaranteed)
-
-    def _worth_losing(self, step: StepRun, waiting: list[Task]) -> float:
-        """Return the work that may be lost for urgent work without a guarantee."""
-        seconds = self.tracker.durations.task(step.job.submission.queue, step.shape)
-        return WORTH_LOSING * seconds * step.work * len(waiting)
-
-    def _last_reclaim(self, step: StepRun) -> float:
-        """Return until when a stop and a start still fit into a guarantee's time."""
-        seconds = self.bounds.reclaim - self.bounds.stop - 2 * ORDER_SECONDS
-        return step.job.due_at + max(0.0, seconds)
-
-    def _within(self, step: StepRun, account: ClientAccountId, bound: int) -> bool:
-        """Tell whether an account's urgent jobs up to this one keep to its share."""
-        needed = 0
-        for job in self.tracker.jobs.values():
-            submission = job.submission
-            if job.ended or submission.account != account:
-                continue
-            if submission.priority != HIGHEST_PRIORITY:
-                continue
-            if job.due_at > step.job.due_at:
-                continue
-            for other in job.steps.values():
-                if not other.done and job.is_ready(other):
-                    needed += other.shape.count * other.shape.gpus
-        return needed <= bound
-
-    def _use_reserved(
-        self, step: StepRun, reserved: list[Task], terms: Terms, now: BootSeconds
-    ) -> list[Task]:
-        """Place a step whose room is free by now, or give the room up."""
-        ready: Assignment = {}
-        for task in reserved:
-            worker = task.worker
-            if not permitted(worker, step, terms):
-                self._release(reserved)
-                return []
-            if min(worker.free_cpu, worker.free_memory, worker.free_gpus) >= 0:
-                ready[task] = worker
-        if step.shape.gang and len(ready) < len(reserved):
-            if now - reserved[0].confirmed_at > RESERVED_SECONDS:
-                self._release(reserved)
-            return []
-        for task in ready:
-            task.worker.unreserve(task)
-        return self._place(step, ready)
-
-    def _release(self, tasks: list[Task]):
-        for task in tasks:
-            self.tracker.release(task)
-
     # Starting
 
     def _start(self, placed: list[Task]):
