--- /dev/null
+++ b/src/zinniatrestle/scheduling/tests/test_advice.py
@@ -0,0 +1,53 @@
+"""Steps of a queue whose policy asks for advice run only where it allows them."""
+
+import asyncio
+
+import msgspec
+
+from zinniatrestle.advice import Adviser
+from zinniatrestle.queues import AdviceTerms
+from zinniatrestle.standins.checker import violations
+from zinniatrestle.standins.fleet import EventKind
+from zinniatrestle.standins.model import Model, run_virtual, step
+
+TERMS = AdviceTerms(decision=0.2, per_worker=0.01, validity=3.0)
+
+
+class EvenAdviser(Adviser):
+    """Allow workers whose number is even."""
+
+    async def advise(self, step, workers, timeout):
+        await asyncio.sleep(TERMS.decision + TERMS.per_worker * len(workers))
+        return {name: f"t-{name}" for name in workers if int(name[1:]) % 2 == 0}
+
+
+def play(workers: int, count: int, gang: bool = False):
+    async def run():
+        model = Model(1, hosts=2, adviser=EvenAdviser())
+        model.operator.set_up()
+        queues = []
+        for queue in model.operator.queues:
+            queues.append(msgspec.structs.replace(queue, advice=TERMS))
+        model.operator.set_up = model.operator.write
+        model.operator.queues = tuple(queues)
+        await model.start(workers=workers, rack=workers)
+        await model.submit("usual", (step(count, gpus=4, gang=gang),), 1.0)
+        settled = await model.settle(20.0)
+        return model, settled
+
+    return run_virtual(run())
+
+
+def test_tasks_run_only_on_allowed_workers():
+    model, settled = play(workers=6, count=4)
+    assert settled
+    assert violations(model) == []
+    places = {e.worker for e in model.fleet.history if e.kind is EventKind.START}
+    assert places <= {"w0", "w2", "w4"}
+
+
+def test_a_gang_waits_until_enough_workers_are_allowed():
+    model, settled = play(workers=2, count=3, gang=True)
+    assert not settled
+    starts = [e for e in model.fleet.history if e.kind is EventKind.START]
+    assert starts == []
--- a/src/zinniatrestle/standins/model.py
+++ b/src/zinniatrestle/standins/model.py
@@ -8,6 +8,7 @@
 
 import msgspec
 
+from zinniatrestle.advice import Adviser
 from zinniatrestle.clock import monotonic
 from zinniatrestle.deployment import Addresses, Bounds, Deployment, Identity
 from zinniatrestle.errors import NotRunError, UnknownOutcomeError
@@ -117,6 +118,7 @@
             events=events,
         )
         self.context.policy = self.model.policy
+        self.context.adviser = self.model.adviser
         self.tasks = [
             asyncio.create_task(self.leadership.keep()),
             asyncio.create_task(feed.follow()),
@@ -159,7 +161,9 @@
         hosts: int = 3,
         policy: Policy | None = None,
         bounds: Bounds | None = None,
+        adviser: Adviser | None = None,
     ):
+        self.adviser = adviser
         self.seed = seed
         self.policy = policy
         self.random = random.Random(seed)
