--- a/src/zinniatrestle/standins/relay.py
+++ b/src/zinniatrestle/standins/relay.py
@@ -1,27 +1,46 @@
-"""A TCP relay between two hosts, whose link can be cut."""
+"""A TCP relay between two processes, whose link can be disturbed."""
 
 import asyncio
+import contextlib
+from enum import Enum
 
 CHUNK = 65536
+# s; how often a link that lets nothing through is looked at again.
+LOOK_SECONDS = 0.05
+
+
+class Link(Enum):
+    """What a relay does with its connections."""
+
+    SOUND = "sound"
+    # Bytes come late.
+    DELAYED = "delayed"
+    # Connections are reset, old and new.
+    RESET = "reset"
+    # Answers are held back, requests pass.
+    ONE_WAY = "one_way"
+    # Nothing passes and nothing is reset.
+    SILENT = "silent"
 
 
 class Relay:
-    """Pass bytes to a target until the link is cut."""
+    """Pass bytes to a target as the state of the link allows."""
 
-    def __init__(self, target: str, target_port: int):
+    def __init__(self, target: str, target_port: int, delay: float = 0.3):
         self.target = target
         self.target_port = target_port
-        self.cut = False
+        self.delay = delay
+        self.link = Link.SOUND
         self.writers: set[asyncio.StreamWriter] = set()
 
     async def start(self, address: str, port: int) -> asyncio.Server:
         """Listen."""
         return await asyncio.start_server(self._connected, address, port)
 
-    def set_cut(self, cut: bool):
-        """Cut the link, or mend it."""
-        self.cut = cut
-        if not cut:
+    def set_link(self, link: Link):
+        """Change the state of the link."""
+        self.link = link
+        if link is not Link.RESET:
             return
         for writer in list(self.writers):
             writer.transport.abort()
@@ -29,7 +48,7 @@
     async def _connected(
         self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
     ):
-        if self.cut:
+        if self.link is Link.RESET:
             writer.transport.abort()
             return
         try:
@@ -39,17 +58,33 @@
             return
         self.writers.update((writer, there[1]))
         try:
-            await asyncio.gather(_pump(reader, there[1]), _pump(there[0], writer))
+            await asyncio.gather(
+                self._pump(reader, there[1], answers=False),
+                self._pump(there[0], writer, answers=True),
+            )
         finally:
             self.writers.difference_update((writer, there[1]))
 
+    async def _pump(
+        self,
+        reader: asyncio.StreamReader,
+        writer: asyncio.StreamWriter,
+        answers: bool,
+    ):
+        try:
+            while data := await reader.read(CHUNK):
+                await self._hold_back(answers)
+                writer.write(data)
+                await writer.drain()
+        except OSError:
+            writer.transport.abort()
+            return
+        with contextlib.suppress(OSError):
+            # The other side may have closed first.
+            writer.close()
 
-async def _pump(reader: asyncio.StreamReader, writer: asyncio.StreamWriter):
-    try:
-        while data := await reader.read(CHUNK):
-            writer.write(data)
-            await writer.drain()
-    except OSError:
-        writer.transport.abort()
-        return
-    writer.close()
+    async def _hold_back(self, answers: bool):
+        if self.link is Link.DELAYED:
+            await asyncio.sleep(self.delay)
+        while self.link is Link.SILENT or (answers and self.link is Link.ONE_WAY):
+            await asyncio.sleep(LOOK_SECONDS)
