--- a/src/zinniatrestle/operators/trial.py
+++ b/src/zinniatrestle/operators/trial.py
@@ -2,7 +2,7 @@
 
 import asyncio
 
-from zinniatrestle.clock import SystemClock
+from zinniatrestle.clock import SystemClock, monotonic
 from zinniatrestle.configuration.messages import (
     ApplyAccount,
     DomainState,
@@ -28,6 +28,8 @@
 from zinniatrestle.requests import Request
 from zinniatrestle.settings import HostSettings
 from zinniatrestle.standins.embedded import EmbeddedMinions
+from zinniatrestle.standins.fleet import EventKind
+from zinniatrestle.standins.model import Model, step
 from zinniatrestle.standins.site import minion_list, worker_list
 from zinniatrestle.store.embedded import EmbeddedPlatform
 
@@ -38,6 +40,8 @@
 READY_SECONDS = 0.1
 LOOK_SECONDS = 0.2
 LONGEST_WAIT_SECONDS = 60.0
+# s; how long a task of the job with steps runs.
+STEP_SECONDS = 0.3
 
 TEMPLATE = Template(
     TemplateName("franchise"),
@@ -92,6 +96,7 @@
         await self._run_gang(seconds)
         await self._take_out_and_back()
         proven = await self._retire()
+        await self._run_steps()
         await self.host.leave()
         await self.host.drain()
         await self.host.stop()
@@ -149,6 +154,27 @@
         )
         return True
 
+    async def _run_steps(self):
+        """Run a job with two steps on the embedded form of the platform path."""
+        model = Model(hosts=2)
+        await model.start(workers=4, rack=4)
+        shapes = (step(3, gang=True, gpus=4), step(2, after=(0,)))
+        began = monotonic()
+        job = await model.submit("usual", shapes, STEP_SECONDS)
+        settled = await model.settle(LONGEST_WAIT_SECONDS)
+        starts = {
+            event.worker
+            for event in model.fleet.history
+            if event.kind is EventKind.START
+        }
+        state = model.state(job)
+        show_line(
+            f"10. A job with two steps, a gang of 3 and 2 tasks after it, is "
+            f"{state.value if settled and state else 'not done'} after "
+            f"{monotonic() - began:.1f} s on {len(starts)} workers."
+        )
+        await model.stop()
+
     async def _change(self, change) -> int:
         return await self.host.changes.submit(change, new_operation_token())
 
--- a/src/zinniatrestle/standins/model.py
+++ b/src/zinniatrestle/standins/model.py
@@ -190,6 +190,14 @@
             self.hosts.append(ModelHost(self, f"host-{number}", "r"))
         await asyncio.sleep(1.0)
 
+    async def stop(self):
+        """End all hosts and workers."""
+        for host in self.hosts:
+            await host.kill()
+        if self.working is not None:
+            self.working.cancel()
+            await asyncio.gather(self.working, return_exceptions=True)
+
     def leader(self) -> ModelHost | None:
         """Return the host that schedules, or None."""
         for host in self.hosts:
