--- a/src/zinniatrestle/standins/model.py
+++ b/src/zinniatrestle/standins/model.py
@@ -12,7 +12,7 @@
 from zinniatrestle.clock import monotonic
 from zinniatrestle.deployment import Addresses, Bounds, Deployment, Identity
 from zinniatrestle.errors import NotRunError, UnknownOutcomeError
-from zinniatrestle.events import EventLog
+from zinniatrestle.events import Event, EventLog
 from zinniatrestle.ids import (
     FailureDomainId,
     HostId,
@@ -70,6 +70,23 @@
         await asyncio.gather(*others, return_exceptions=True)
 
 
+class LineCollector(EventLog):
+    """Keep structured lines instead of writing them."""
+
+    def __init__(self, host: str, lines: list[dict[str, Any]]):
+        super().__init__(host)
+        self.lines = lines
+
+    def write(self, event: Event, **fields: Any):
+        """Keep one line."""
+        line = {"at": monotonic(), "host": self.host, "event": event.value, **fields}
+        self.lines.append(line)
+
+    def fold(self, event: Event, reason: str, **fields: Any):
+        """Keep each line, repeats too."""
+        self.write(event, reason=reason, **fields)
+
+
 class ModelHost:
     """One entry host of the model."""
 
@@ -91,7 +108,7 @@
 
     def start(self):
         """Start the host's process."""
-        events = EventLog(self.name)
+        events = LineCollector(self.name, self.model.lines)
         metrics = self.model.metrics
         self.operator = OperatorState()
         self.leadership = Leadership(self.store, self.deployment, events)
@@ -176,6 +193,8 @@
         self.host_count = hosts
         self.jobs: dict[JobId, Outcome] = {}
         self.working: asyncio.Task | None = None
+        # Structured lines of all hosts.
+        self.lines: list[dict[str, Any]] = []
         # Times at which something was disturbed.
         self.disturbed: list[float] = []
 
