Hold no caller longer than a stop allows

Cause: soak seed 129: a host that stopped answered 500 to a request whose transaction had waited for a store without answers for longer than the two seconds in which open requests are finished; the caller had 20 s to spare. Ruled out: a longer wait at the stop, which the grace time bounds. Change: a try lasts 1.5 s at most. With the 3 s of the users' callers nothing changes. The soak restarted one host from two sides at once; it does so from one now.

--- a/src/zinniatrestle/jobs/intake.py
+++ b/src/zinniatrestle/jobs/intake.py
@@ -37,6 +37,9 @@
 # Share of a caller's time after which a host that does not reach the store answers, so
 # that the caller can still try another host.
 TRY_SHARE = 0.4
+# s; the same for callers with much time: a host that stops finishes open requests
+# within a third of its time for that.
+LONGEST_TRY_SECONDS = 1.5
 # s; how long a store that turns a host away is asked again before the caller is sent to
 # another host.
 REFUSE_SECONDS = 0.25
@@ -192,4 +195,4 @@
 
 def _try_until(give_up_at: float) -> float:
     now = monotonic()
-    return now + TRY_SHARE * (give_up_at - now)
+    return now + min(TRY_SHARE * (give_up_at - now), LONGEST_TRY_SECONDS)
--- a/src/zinniatrestle/serving/tests/test_door.py
+++ b/src/zinniatrestle/serving/tests/test_door.py
@@ -13,7 +13,7 @@
 )
 from zinniatrestle.ids import ApiKey, JobId
 from zinniatrestle.jobs import JobState
-from zinniatrestle.jobs.intake import TRY_SHARE, Plan
+from zinniatrestle.jobs.intake import LONGEST_TRY_SECONDS, TRY_SHARE, Plan
 from zinniatrestle.scheduling.leadership import LeaseRecord
 from zinniatrestle.serving import RetryLaterError
 from zinniatrestle.serving.door import COUNTS_AGE_SECONDS, FRESH_SHARE
@@ -122,6 +122,19 @@
     with_host(check)
 
 
+@pytest.mark.parametrize("seconds", [3.0, 20.0, 600.0])
+def test_a_silent_store_holds_a_caller_no_longer_than_a_stop_allows(seconds):
+    async def check(model, host):
+        pass_ = admit(host)
+        host.store.lost = 1.0
+        asked_at = monotonic()
+        with pytest.raises(UnknownOutcomeError):
+            await host.door.accept(pass_, JOB, PLAN, asked_at + seconds)
+        assert monotonic() - asked_at <= LONGEST_TRY_SECONDS + 0.1
+
+    with_host(check)
+
+
 def test_a_host_that_knows_it_is_cut_off_refuses_at_once():
     async def check(model, host):
         pass_ = admit(host)
--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -39,6 +39,7 @@
         self.unknown: set[str] = set()
         self.cancelled: dict[str, float] = {}
         self.found: list[str] = []
+        self.restarting: set[str] = set()
         self.running: list[asyncio.Task] = []
 
     async def run(self) -> list[str]:
@@ -109,20 +110,22 @@
 
     async def _kill(self):
         host = self.rng.choice(self.site.hosts)
-        if host.process.returncode is not None:
-            return
-        host.process.send_signal(signal.SIGKILL)
-        await host.process.wait()
-        await asyncio.sleep(self.rng.uniform(0.1, 2.0))
-        await host.start()
+        await self._restart(host, signal.SIGKILL, self.rng.uniform(0.1, 2.0))
 
     async def _stop_in_turn(self):
         for host in self.site.hosts:
-            if host.process.returncode is not None:
-                continue
-            host.process.send_signal(signal.SIGTERM)
-            await host.process.wait()
-            await host.start()
+            await self._restart(host, signal.SIGTERM, 0.0)
+
+    async def _restart(self, host, number: signal.Signals, pause: float):
+        """End a host's process and start it again, unless that is under way."""
+        if host.name in self.restarting or host.process.returncode is not None:
+            return
+        self.restarting.add(host.name)
+        host.process.send_signal(number)
+        await host.process.wait()
+        await asyncio.sleep(pause)
+        await host.start()
+        self.restarting.discard(host.name)
 
     async def _pause(self):
         host = self.rng.choice(self.site.hosts)
--- a/tests/soak/test_soak.py
+++ b/tests/soak/test_soak.py
@@ -6,7 +6,9 @@
 
 CI_SEEDS = (1,)
 # Seeds that once failed, with the cause.
-REGRESSIONS: dict[int, str] = {}
+REGRESSIONS: dict[int, str] = {
+    129: "a stop cut off requests that waited for a store without answers",
+}
 
 
 @pytest.mark.parametrize("seed", [*CI_SEEDS, *REGRESSIONS])
