Split the stand-in fleet by duty, and let far work run slower there

Change: runs and workers (runs.py), the fleet (fleet.py) and one host's way to it (host_orders.py) stand apart. A task's script carries its steps as jobs do, in place of parallel lists. Work away from its data, or on several racks where it is bound to one, takes the deployment's factor as long.

--- a/src/zinniatrestle/events/tests/test_explain.py
+++ b/src/zinniatrestle/events/tests/test_explain.py
@@ -9,9 +9,9 @@
 from zinniatrestle.jobs import JobState
 from zinniatrestle.jobs.intake import Plan
 from zinniatrestle.serving import RetryLaterError
-from zinniatrestle.standins.fleet import Sickness
 from zinniatrestle.standins.model import Model, run_virtual, step
 from zinniatrestle.standins.rows import Reach
+from zinniatrestle.standins.runs import Sickness
 
 JOB = "00000000000000aa"
 
--- a/src/zinniatrestle/experiments/run.py
+++ b/src/zinniatrestle/experiments/run.py
@@ -13,8 +13,8 @@
 from zinniatrestle.scheduling.order import ArrivalOrder
 from zinniatrestle.scheduling.placement import FirstFit
 from zinniatrestle.standins.checker import violations
-from zinniatrestle.standins.fleet import EventKind, Sickness
 from zinniatrestle.standins.model import Model, run_virtual
+from zinniatrestle.standins.runs import EventKind, Sickness
 from zinniatrestle.workers.messages import HowEnded
 
 WORKERS = 24
--- a/src/zinniatrestle/operators/trial.py
+++ b/src/zinniatrestle/operators/trial.py
@@ -28,8 +28,8 @@
 from zinniatrestle.requests import Request
 from zinniatrestle.settings import HostSettings
 from zinniatrestle.standins.embedded import EmbeddedMinions
-from zinniatrestle.standins.fleet import EventKind
 from zinniatrestle.standins.model import Model, step
+from zinniatrestle.standins.runs import EventKind
 from zinniatrestle.standins.site import minion_list, worker_list
 from zinniatrestle.store.embedded import EmbeddedPlatform
 
--- a/src/zinniatrestle/scheduling/tests/test_advice.py
+++ b/src/zinniatrestle/scheduling/tests/test_advice.py
@@ -7,8 +7,8 @@
 from zinniatrestle.advice import Adviser
 from zinniatrestle.queues import AdviceTerms
 from zinniatrestle.standins.checker import violations
-from zinniatrestle.standins.fleet import EventKind
 from zinniatrestle.standins.model import Model, run_virtual, step
+from zinniatrestle.standins.runs import EventKind
 
 TERMS = AdviceTerms(decision=0.2, per_worker=0.01, validity=3.0)
 
--- a/src/zinniatrestle/scheduling/tests/test_lost_workers.py
+++ b/src/zinniatrestle/scheduling/tests/test_lost_workers.py
@@ -7,8 +7,8 @@
 from zinniatrestle.clock import monotonic
 from zinniatrestle.scheduling.session import HOLD_SHARE
 from zinniatrestle.standins.checker import violations
-from zinniatrestle.standins.fleet import EventKind
 from zinniatrestle.standins.model import Model, run_virtual, step
+from zinniatrestle.standins.runs import EventKind
 
 # s; noticing the loss, and a round.
 NOTICE_SECONDS = 3.0
--- a/src/zinniatrestle/scheduling/tests/test_times.py
+++ b/src/zinniatrestle/scheduling/tests/test_times.py
@@ -6,8 +6,8 @@
 from zinniatrestle.jobs import JobState
 from zinniatrestle.jobs.intake import Plan
 from zinniatrestle.standins.checker import violations
-from zinniatrestle.standins.fleet import EventKind
 from zinniatrestle.standins.model import Model, Outcome, run_virtual, step
+from zinniatrestle.standins.runs import EventKind
 from zinniatrestle.workers.messages import HowEnded
 
 JOB = "00000000000000aa"
--- a/src/zinniatrestle/standins/checker.py
+++ b/src/zinniatrestle/standins/checker.py
@@ -3,13 +3,9 @@
 import msgspec
 
 from zinniatrestle.ids import JobId, TaskId, WorkerId
-from zinniatrestle.standins.fleet import (
-    EventKind,
-    SimulatedFleet,
-    TaskScript,
-    WorkerEvent,
-)
+from zinniatrestle.standins.fleet import SimulatedFleet
 from zinniatrestle.standins.model import Model
+from zinniatrestle.standins.runs import EventKind, TaskScript, WorkerEvent
 from zinniatrestle.workers.messages import HowEnded
 
 
@@ -26,8 +22,8 @@
 def watch_capacity(fleet: SimulatedFleet, found: list[str]):
     """Note workers that hold more than they have, as of now."""
     for worker in fleet.workers.values():
-        gpus = sum(run.gpus for run in worker.running.values())
-        cpu = sum(run.cpu for run in worker.running.values())
+        gpus = sum(run.shape.gpus for run in worker.running.values())
+        cpu = sum(run.shape.cpu for run in worker.running.values())
         if gpus > worker.entry.gpus or cpu > worker.entry.cpu:
             found.append(f"LIMIT: {worker.entry.worker} holds {gpus} accelerators")
 
--- a/src/zinniatrestle/standins/fleet.py
+++ b/src/zinniatrestle/standins/fleet.py
@@ -2,8 +2,6 @@
 
 import asyncio
 import random
-from dataclasses import dataclass, field
-from enum import Enum
 
 import msgspec
 
@@ -21,6 +19,15 @@
     WorkerId,
 )
 from zinniatrestle.standins.rows import MemoryRows
+from zinniatrestle.standins.runs import (
+    EventKind,
+    Sickness,
+    SimulatedRun,
+    SimulatedWorker,
+    TaskScript,
+    WorkerEvent,
+    step_of,
+)
 from zinniatrestle.workers.interfaces import WorkerOrders, WorkerRows
 from zinniatrestle.workers.messages import (
     EndedRun,
@@ -30,123 +37,17 @@
     RefusedOrderError,
     RunningTask,
     StartOrder,
-    UnansweredOrderError,
     WorkerEntry,
     WorkerState,
 )
 
 SERVERS = TableName("workers")
-NO_GENERATION = Generation(0)
 TICK_SECONDS = 0.05
 # s; what is left of a wait below which it counts as over.
 TIMER_SECONDS = 0.001
-HEARTBEAT_SECONDS = 1.5
-# Heartbeats without which an entry is removed.
-MISSED_HEARTBEATS = 3
 CHECKPOINT_SECONDS = 2.0
-
-
-class TaskScript(msgspec.Struct, frozen=True):
-    """What a task does, carried in a job's text for workers."""
-
-    seconds: float = 1.0
-    # What a task of each step takes, and the members of each step's gang; 0: no gang.
-    cpu: tuple[int, ...] = ()
-    gpus: tuple[int, ...] = ()
-    gangs: tuple[int, ...] = ()
-    # Runs that fail before one succeeds; a task with many is hopeless.
-    failures: int = 0
-
-
-class Sickness(Enum):
-    """What is wrong with a worker that answers well."""
-
-    NONE = "none"
-    FAILS = "fails"
-    HANGS = "hangs"
-    SHEDS = "sheds"
-    SLOW = "slow"
-
-
-class EventKind(Enum):
-    """What happened at a worker."""
-
-    START = "start"
-    END = "end"
-    NOTED = "noted"
-
-
-@dataclass
-class WorkerEvent:
-    """One event of the history that checkers read."""
-
-    at: float
-    kind: EventKind
-    worker: WorkerId
-    task: TaskId
-    run: RunNumber
-    how: HowEnded | None = None
-    generation: Generation = NO_GENERATION
-
-
-@dataclass
-class SimulatedRun:
-    """A run at a worker."""
-
-    task: TaskId
-    run: RunNumber
-    script: TaskScript
-    started_at: float
-    done: float = 0.0
-    checkpoint: str = ""
-    # When a stop that is under way will have ended it.
-    stopped_at: float | None = None
-
-    @property
-    def gang(self) -> int:
-        """Return the members of its gang; 0: none."""
-        return self._of_step(self.script.gangs)
-
-    @property
-    def cpu(self) -> int:
-        """Return the thousandths of a core it takes."""
-        return self._of_step(self.script.cpu)
-
-    @property
-    def gpus(self) -> int:
-        """Return the accelerators it takes."""
-        return self._of_step(self.script.gpus)
-
-    def _of_step(self, values: tuple[int, ...]) -> int:
-        number = int(self.task.split(".")[2])
-        return values[number] if number < len(values) else 0
-
-
-@dataclass
-class SimulatedWorker:
-    """A worker: its room, what runs on it and what ended."""
-
-    entry: WorkerEntry
-    run_limit: float
-    alive: bool = True
-    reachable: bool = True
-    heartbeats: bool = True
-    sickness: Sickness = Sickness.NONE
-    generation: Generation = NO_GENERATION
-    deadline: float = 0.0
-    running: dict[TaskId, SimulatedRun] = field(default_factory=dict)
-    ended: list[EndedRun] = field(default_factory=list)
-    # The highest run of each task that was stopped or ended here.
-    barred: dict[TaskId, int] = field(default_factory=dict)
-    # Ends that were told only after the worker's lease had run out.
-    lapsed_ends: set[int] = field(default_factory=set)
-    count: int = 0
-    born_at: float = 0.0
-    changed: asyncio.Event = field(default_factory=asyncio.Event)
-
-    def clock_ms(self) -> int:
-        """Return the worker's own clock, which is a little slow."""
-        return int((monotonic() - self.born_at) * 990)
+# How much slower a sick worker of that kind is.
+SLOW_FACTOR = 6.0
 
 
 class MemoryWorkerRows(WorkerRows):
@@ -171,8 +72,10 @@
         seed: int = 0,
         gang_seconds: float = 3.0,
         stop_seconds: float = 0.0,
+        far_factor: float = 3.0,
     ):
         self.stop_seconds = stop_seconds
+        self.far_factor = far_factor
         self.rows = rows
         self.random = random.Random(seed)
         self.workers: dict[WorkerId, SimulatedWorker] = {}
@@ -263,12 +166,13 @@
             last = now
 
     def _advance(self, now: float, passed: float):
-        present: dict[tuple[str, int], int] = {}
+        # The racks of the members of each run of a gang.
+        present: dict[tuple[str, int], list[RackId]] = {}
         for worker in self.workers.values():
             for run in worker.running.values():
                 if run.gang:
-                    key = (_step(run.task), run.run)
-                    present[key] = present.get(key, 0) + 1
+                    key = (step_of(run.task), run.run)
+                    present.setdefault(key, []).append(worker.entry.rack)
         for worker in list(self.workers.values()):
             if not worker.alive:
                 continue
@@ -286,7 +190,8 @@
             if now >= run.stopped_at:
                 self._end(worker, run, HowEnded.STOPPED)
             return
-        if present.get((_step(run.task), run.run), 0) < run.gang:
+        racks = present.get((step_of(run.task), run.run), [])
+        if len(racks) < run.gang:
             if run.done == 0.0 and now - run.started_at > self.gang_seconds:
                 self._end(worker, run, HowEnded.ALONE)
             elif run.done > 0.0:
@@ -297,7 +202,7 @@
             return
         if worker.sickness is Sickness.HANGS:
             return
-        run.done += passed / (6.0 if worker.sickness is Sickness.SLOW else 1.0)
+        run.done += passed / self._slowness(worker, run, racks)
         run.checkpoint = str(int(run.done / CHECKPOINT_SECONDS) or "")
         if run.done < script.seconds:
             return
@@ -311,10 +216,22 @@
             return
         for other in self.workers.values():
             for member in list(other.running.values()):
-                same = _step(member.task) == _step(run.task)
+                same = step_of(member.task) == step_of(run.task)
                 if same and member.run == run.run:
                     self._end(other, member, HowEnded.DONE)
 
+    def _slowness(
+        self, worker: SimulatedWorker, run: SimulatedRun, racks: list[RackId]
+    ) -> float:
+        """Return how many times as long a run takes here as it should."""
+        slowness = SLOW_FACTOR if worker.sickness is Sickness.SLOW else 1.0
+        shape = run.shape
+        if shape.data_rack and worker.entry.rack != shape.data_rack:
+            slowness *= self.far_factor
+        if shape.rack_bound and len(set(racks)) > 1:
+            slowness *= self.far_factor
+        return slowness
+
     def _end(self, worker: SimulatedWorker, run: SimulatedRun, how: HowEnded):
         del worker.running[run.task]
         worker.count += 1
@@ -339,10 +256,6 @@
             )
         )
 
-    def host(self, name: str) -> "HostOrders":
-        """Return the orders of one host."""
-        return HostOrders(self, name)
-
     # Orders, as they take effect at a worker
 
     def life(self, entry: WorkerEntry) -> SimulatedWorker:
@@ -444,97 +357,3 @@
         return HoldAnswer(
             life.clock_ms(), life.entry.born, tuple(running), tuple(life.ended)
         )
-
-
-class HostOrders(WorkerOrders):
-    """One host's way to the workers."""
-
-    def __init__(self, fleet: SimulatedFleet, host: str, delay: float = 0.002):
-        self.fleet = fleet
-        self.host = host
-        self.delay = delay
-        self.timeout = 1.0
-
-    async def start(self, worker: WorkerEntry, order: StartOrder) -> int:
-        """Start a run; returns the worker's clock in milliseconds."""
-        return await self._order(worker, lambda: self.fleet.start(worker, order))
-
-    async def stop(
-        self,
-        worker: WorkerEntry,
-        task: TaskId,
-        run: RunNumber,
-        generation: Generation,
-    ):
-        """Stop a run, and keep it from starting if it has not come yet."""
-        await self._order(
-            worker, lambda: self.fleet.stop(worker, task, run, generation)
-        )
-
-    async def pace(
-        self,
-        worker: WorkerEntry,
-        task: TaskId,
-        run: RunNumber,
-        percent: int,
-        generation: Generation,
-    ):
-        """Let a run work at a share of its speed."""
-        await self._order(
-            worker, lambda: self.fleet.pace(worker, task, run, percent, generation)
-        )
-
-    async def hold(
-        self,
-        worker: WorkerEntry,
-        generation: Generation,
-        seen: int,
-        deadline_ms: int | None,
-        wait: float,
-    ) -> HoldAnswer:
-        """Extend the lease of all that runs, and wait up to `wait` s for an end."""
-        await self._travel(worker)
-        answer = await self.fleet.hold(worker, generation, seen, deadline_ms, wait)
-        await self._travel(worker)
-        return answer
-
-    async def _travel(self, worker: WorkerEntry):
-        life = self.fleet.workers.get(worker.worker)
-        cut = (self.host, worker.worker) in self.fleet.cuts
-        if cut or (life is not None and not life.reachable):
-            await asyncio.sleep(self.timeout)
-            raise UnansweredOrderError("The worker is out of reach.")
-        await asyncio.sleep(self.delay)
-
-    async def _order(self, worker: WorkerEntry, act):
-        await self._travel(worker)
-        if self.fleet.random.random() < self.fleet.late:
-            self._act_later(worker, act)
-            await asyncio.sleep(self.timeout)
-            raise UnansweredOrderError("The order got no answer.")
-        answer = await act()
-        await self._travel(worker)
-        return answer
-
-    def _act_later(self, worker: WorkerEntry, act):
-        life = self.fleet.workers.get(worker.worker)
-        born = life.entry.born if life else None
-
-        async def later():
-            await asyncio.sleep(self.fleet.random.uniform(2.0, 12.0))
-            if life is None or life.entry.born != born:
-                # The worker kept the order in its memory.
-                return
-            try:
-                await act()
-            except RefusedOrderError:
-                # Nobody waits for the refusal of a late order.
-                return
-
-        task = asyncio.create_task(later())
-        self.fleet.late_tasks.add(task)
-        task.add_done_callback(self.fleet.late_tasks.discard)
-
-
-def _step(task: TaskId) -> str:
-    return task.rsplit(".", 1)[0]
--- /dev/null
+++ b/src/zinniatrestle/standins/host_orders.py
@@ -0,0 +1,104 @@
+"""One host's way to the stand-in workers, with cuts and late orders."""
+
+import asyncio
+
+from zinniatrestle.ids import Generation, RunNumber, TaskId
+from zinniatrestle.standins.fleet import SimulatedFleet
+from zinniatrestle.workers.interfaces import WorkerOrders
+from zinniatrestle.workers.messages import (
+    HoldAnswer,
+    RefusedOrderError,
+    StartOrder,
+    UnansweredOrderError,
+    WorkerEntry,
+)
+
+
+class HostOrders(WorkerOrders):
+    """One host's way to the workers."""
+
+    def __init__(self, fleet: SimulatedFleet, host: str, delay: float = 0.002):
+        self.fleet = fleet
+        self.host = host
+        self.delay = delay
+        self.timeout = 1.0
+
+    async def start(self, worker: WorkerEntry, order: StartOrder) -> int:
+        """Start a run; returns the worker's clock in milliseconds."""
+        return await self._order(worker, lambda: self.fleet.start(worker, order))
+
+    async def stop(
+        self,
+        worker: WorkerEntry,
+        task: TaskId,
+        run: RunNumber,
+        generation: Generation,
+    ):
+        """Stop a run, and keep it from starting if it has not come yet."""
+        await self._order(
+            worker, lambda: self.fleet.stop(worker, task, run, generation)
+        )
+
+    async def pace(
+        self,
+        worker: WorkerEntry,
+        task: TaskId,
+        run: RunNumber,
+        percent: int,
+        generation: Generation,
+    ):
+        """Let a run work at a share of its speed."""
+        await self._order(
+            worker, lambda: self.fleet.pace(worker, task, run, percent, generation)
+        )
+
+    async def hold(
+        self,
+        worker: WorkerEntry,
+        generation: Generation,
+        seen: int,
+        deadline_ms: int | None,
+        wait: float,
+    ) -> HoldAnswer:
+        """Extend the lease of all that runs, and wait up to `wait` s for an end."""
+        await self._travel(worker)
+        answer = await self.fleet.hold(worker, generation, seen, deadline_ms, wait)
+        await self._travel(worker)
+        return answer
+
+    async def _travel(self, worker: WorkerEntry):
+        life = self.fleet.workers.get(worker.worker)
+        cut = (self.host, worker.worker) in self.fleet.cuts
+        if cut or (life is not None and not life.reachable):
+            await asyncio.sleep(self.timeout)
+            raise UnansweredOrderError("The worker is out of reach.")
+        await asyncio.sleep(self.delay)
+
+    async def _order(self, worker: WorkerEntry, act):
+        await self._travel(worker)
+        if self.fleet.random.random() < self.fleet.late:
+            self._act_later(worker, act)
+            await asyncio.sleep(self.timeout)
+            raise UnansweredOrderError("The order got no answer.")
+        answer = await act()
+        await self._travel(worker)
+        return answer
+
+    def _act_later(self, worker: WorkerEntry, act):
+        life = self.fleet.workers.get(worker.worker)
+        born = life.entry.born if life else None
+
+        async def later():
+            await asyncio.sleep(self.fleet.random.uniform(2.0, 12.0))
+            if life is None or life.entry.born != born:
+                # The worker kept the order in its memory.
+                return
+            try:
+                await act()
+            except RefusedOrderError:
+                # Nobody waits for the refusal of a late order.
+                return
+
+        task = asyncio.create_task(later())
+        self.fleet.late_tasks.add(task)
+        task.add_done_callback(self.fleet.late_tasks.discard)
--- a/src/zinniatrestle/standins/model.py
+++ b/src/zinniatrestle/standins/model.py
@@ -31,9 +31,11 @@
 from zinniatrestle.scheduling.leadership import Leadership
 from zinniatrestle.scheduling.leading import lead
 from zinniatrestle.serving import FrontDoor
-from zinniatrestle.standins.fleet import MemoryWorkerRows, SimulatedFleet, TaskScript
+from zinniatrestle.standins.fleet import MemoryWorkerRows, SimulatedFleet
+from zinniatrestle.standins.host_orders import HostOrders
 from zinniatrestle.standins.operator import MemoryOperator, MemoryOperatorRows
 from zinniatrestle.standins.rows import HostRows, MemoryRows
+from zinniatrestle.standins.runs import TaskScript
 
 FEED_SECONDS = 0.8
 ORIGIN = 1_800_000_000.0
@@ -94,7 +96,7 @@
         self.model = model
         self.name = name
         self.store = HostRows(model.rows, 0.001)
-        self.orders = model.fleet.host(name)
+        self.orders = HostOrders(model.fleet, name)
         self.deployment = Deployment(
             identity=Identity(
                 HostId(name), name, FailureDomainId("a"), RegionId(region)
@@ -186,7 +188,9 @@
         self.random = random.Random(seed)
         self.bounds = bounds or Bounds()
         self.rows = MemoryRows(seed)
-        self.fleet = SimulatedFleet(self.rows, seed, self.bounds.gang, self.bounds.stop)
+        self.fleet = SimulatedFleet(
+            self.rows, seed, self.bounds.gang, self.bounds.stop, self.bounds.far_factor
+        )
         self.operator = MemoryOperator(self.rows)
         self.metrics = Metrics()
         self.hosts: list[ModelHost] = []
@@ -229,15 +233,8 @@
     ) -> JobId:
         """Hand a job in, again and again until its fate is known."""
         job = JobId(f"{self.random.getrandbits(64):016x}")
-        gangs = [shape.count if shape.gang else 0 for shape in steps]
         spec = msgspec.json.encode(
-            TaskScript(
-                seconds=seconds,
-                cpu=tuple(shape.cpu for shape in steps),
-                gpus=tuple(shape.gpus for shape in steps),
-                gangs=tuple(gangs),
-                **script,
-            )
+            TaskScript(seconds=seconds, steps=steps, **script)
         ).decode()
         tasks = sum(shape.count for shape in steps)
         outcome = Outcome(QueueName(queue), monotonic(), seconds, tasks)
--- /dev/null
+++ b/src/zinniatrestle/standins/runs.py
@@ -0,0 +1,114 @@
+"""Runs and workers of the stand-in fleet, and the history that checkers read."""
+
+import asyncio
+from dataclasses import dataclass, field
+from enum import Enum
+
+import msgspec
+
+from zinniatrestle.clock import monotonic
+from zinniatrestle.ids import Generation, RunNumber, TaskId, WorkerId
+from zinniatrestle.jobs.messages import Step
+from zinniatrestle.workers.messages import EndedRun, HowEnded, WorkerEntry
+
+NO_GENERATION = Generation(0)
+NO_STEP = Step()
+
+
+class TaskScript(msgspec.Struct, frozen=True):
+    """What a task does, carried in a job's text for workers."""
+
+    seconds: float = 1.0
+    # The steps of its job: what each task takes and where it runs at full speed.
+    steps: tuple[Step, ...] = ()
+    # Runs that fail before one succeeds; a task with many is hopeless.
+    failures: int = 0
+
+
+class Sickness(Enum):
+    """What is wrong with a worker that answers well."""
+
+    NONE = "none"
+    FAILS = "fails"
+    HANGS = "hangs"
+    SHEDS = "sheds"
+    SLOW = "slow"
+
+
+class EventKind(Enum):
+    """What happened at a worker."""
+
+    START = "start"
+    END = "end"
+    NOTED = "noted"
+
+
+@dataclass
+class WorkerEvent:
+    """One event of the history that checkers read."""
+
+    at: float
+    kind: EventKind
+    worker: WorkerId
+    task: TaskId
+    run: RunNumber
+    how: HowEnded | None = None
+    generation: Generation = NO_GENERATION
+
+
+@dataclass
+class SimulatedRun:
+    """A run at a worker."""
+
+    task: TaskId
+    run: RunNumber
+    script: TaskScript
+    started_at: float
+    done: float = 0.0
+    checkpoint: str = ""
+    # When a stop that is under way will have ended it.
+    stopped_at: float | None = None
+
+    @property
+    def shape(self) -> Step:
+        """Return its step."""
+        number = int(self.task.split(".")[2])
+        steps = self.script.steps
+        return steps[number] if number < len(steps) else NO_STEP
+
+    @property
+    def gang(self) -> int:
+        """Return the members of its gang; 0: none."""
+        return self.shape.count if self.shape.gang else 0
+
+
+@dataclass
+class SimulatedWorker:
+    """A worker: its room, what runs on it and what ended."""
+
+    entry: WorkerEntry
+    run_limit: float
+    alive: bool = True
+    reachable: bool = True
+    heartbeats: bool = True
+    sickness: Sickness = Sickness.NONE
+    generation: Generation = NO_GENERATION
+    deadline: float = 0.0
+    running: dict[TaskId, SimulatedRun] = field(default_factory=dict)
+    ended: list[EndedRun] = field(default_factory=list)
+    # The highest run of each task that was stopped or ended here.
+    barred: dict[TaskId, int] = field(default_factory=dict)
+    # Ends that were told only after the worker's lease had run out.
+    lapsed_ends: set[int] = field(default_factory=set)
+    count: int = 0
+    born_at: float = 0.0
+    changed: asyncio.Event = field(default_factory=asyncio.Event)
+
+    def clock_ms(self) -> int:
+        """Return the worker's own clock, which is a little slow."""
+        return int((monotonic() - self.born_at) * 990)
+
+
+def step_of(task: TaskId) -> str:
+    """Return the step of a task, with its job and occurrence."""
+    return task.rsplit(".", 1)[0]
--- a/src/zinniatrestle/standins/tests/test_checker.py
+++ b/src/zinniatrestle/standins/tests/test_checker.py
@@ -3,14 +3,15 @@
 import pytest
 
 from zinniatrestle.ids import QueueName
+from zinniatrestle.jobs.messages import Step
 from zinniatrestle.standins.checker import violations, watch_capacity
-from zinniatrestle.standins.fleet import (
+from zinniatrestle.standins.model import Model, Outcome, run_virtual
+from zinniatrestle.standins.runs import (
     EventKind,
     SimulatedRun,
     TaskScript,
     WorkerEvent,
 )
-from zinniatrestle.standins.model import Model, Outcome, run_virtual
 from zinniatrestle.workers.messages import HowEnded
 
 JOB = "00000000000000aa"
@@ -82,7 +83,7 @@
     async def check():
         model = Model(1, hosts=0)
         worker = model.fleet.add("w1")
-        script = TaskScript(gpus=(8,))
+        script = TaskScript(steps=(Step(gpus=8),))
         for index in range(2):
             name = f"{JOB}.0.0.{index}"
             worker.running[name] = SimulatedRun(name, 1, script, 0.0)
--- a/tests/common/platform_site.py
+++ b/tests/common/platform_site.py
@@ -12,9 +12,11 @@
 
 from zinniatrestle.events.explain import read_lines
 from zinniatrestle.ids import RowName, TableName
-from zinniatrestle.standins.fleet import EventKind, SimulatedFleet, TaskScript
+from zinniatrestle.jobs.messages import Step
+from zinniatrestle.standins.fleet import SimulatedFleet
 from zinniatrestle.standins.relay import Relay
 from zinniatrestle.standins.rows import MemoryRows
+from zinniatrestle.standins.runs import EventKind, TaskScript
 from zinniatrestle.standins.wire import (
     WireFleetWorker,
     WireStore,
@@ -140,8 +142,11 @@
 
     async def submit(self, host: Host, job: str, seconds=0.3, steps=None) -> int:
         shapes = steps or [{"count": 2, "gpus": 1, "cpu": 100, "gang": True}]
-        gangs = [shape["count"] if shape.get("gang") else 0 for shape in shapes]
-        script = TaskScript(seconds=seconds, gangs=tuple(gangs))
+        kept = [
+            Step(count=shape["count"], gang=shape.get("gang", False))
+            for shape in shapes
+        ]
+        script = TaskScript(seconds=seconds, steps=tuple(kept))
         spec = msgspec.json.encode(script).decode()
         body = {"spec": spec, "steps": shapes}
         status, _ = await self.call(host, "POST", f"/q/{job}", body)
--- a/tests/model/test_seeds.py
+++ b/tests/model/test_seeds.py
@@ -7,9 +7,9 @@
 
 from zinniatrestle.clock import monotonic
 from zinniatrestle.standins.checker import violations, watch_capacity
-from zinniatrestle.standins.fleet import Sickness
 from zinniatrestle.standins.model import Model, run_virtual, step
 from zinniatrestle.standins.rows import Reach
+from zinniatrestle.standins.runs import Sickness
 
 # Virtual seconds of traffic and of calm after it. The calm is longer than the longest
 # lease, the longest late order and the longest run together.
--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -14,8 +14,8 @@
 from common.platform_site import Site, with_site
 
 from zinniatrestle.clock import monotonic
-from zinniatrestle.standins.fleet import EventKind, Sickness
 from zinniatrestle.standins.relay import Link, Relay
+from zinniatrestle.standins.runs import EventKind, Sickness
 from zinniatrestle.standins.wire import WireFault
 from zinniatrestle.workers.messages import HowEnded
 
