Weigh experiments by what callers gain and what lost work costs, at two sizes

Cause: experiments told shares of jobs on time and seconds of runs lost, so a policy that stops much work to start a little looked good; and they knew only a fleet of 24 workers.

--- a/src/zinniatrestle/experiments/__init__.py
+++ b/src/zinniatrestle/experiments/__init__.py
@@ -1,6 +1,6 @@
 """Seeded workloads through the real decisions, in virtual time, beside baselines."""
 
 from zinniatrestle.experiments.run import Experiment, Result, run_experiment
-from zinniatrestle.experiments.workload import Pattern, Workload
+from zinniatrestle.experiments.workload import Pattern, Size, Workload
 
-__all__ = ["Experiment", "Pattern", "Result", "Workload", "run_experiment"]
+__all__ = ["Experiment", "Pattern", "Result", "Size", "Workload", "run_experiment"]
--- a/src/zinniatrestle/experiments/run.py
+++ b/src/zinniatrestle/experiments/run.py
@@ -7,18 +7,24 @@
 
 from zinniatrestle.clock import monotonic
 from zinniatrestle.errors import CallerError
-from zinniatrestle.experiments.workload import Arrival, Pattern, Workload
+from zinniatrestle.experiments.workload import (
+    Arrival,
+    Pattern,
+    Size,
+    Value,
+    Workload,
+    cores,
+)
+from zinniatrestle.ids import JobId
 from zinniatrestle.jobs import JobState
 from zinniatrestle.scheduling.context import Policy
 from zinniatrestle.scheduling.order import ArrivalOrder
 from zinniatrestle.scheduling.placement import FirstFit
 from zinniatrestle.standins.checker import violations
 from zinniatrestle.standins.model import Model, run_virtual
-from zinniatrestle.standins.runs import EventKind, Sickness
+from zinniatrestle.standins.runs import EventKind, Sickness, step_of
 from zinniatrestle.workers.messages import HowEnded
 
-WORKERS = 24
-RACK = 8
 # s; how long after the last arrival jobs may still end.
 DRAIN_SECONDS = 90.0
 # s; how exactly completions are timed.
@@ -28,6 +34,8 @@
 SICK_SHARE = 0.12
 # A job later than this many times its objective is of no use.
 LATEST_FACTOR = 3.0
+# Worth that a lost core-second costs, as the users count.
+LOST_WORK_PRICE = 0.002
 
 POLICIES: dict[str, Policy] = {
     "usual": Policy(),
@@ -50,7 +58,11 @@
 
 
 class Result(msgspec.Struct):
-    """How one policy served one workload; times in seconds, shares from 0 to 1."""
+    """How one policy served one workload; times in seconds, shares from 0 to 1.
+
+    `worth` is the share earned of what callers could gain, less the price of the work
+    that was lost; `lost_work` is in core-seconds.
+    """
 
     policy: str
     pattern: str
@@ -63,7 +75,8 @@
     mean_completion: float
     mean_start: float
     longest_urgent_start: float
-    wasted: float
+    worth: float
+    lost_work: float
     violations: int
 
 
@@ -75,6 +88,7 @@
     seeds: tuple[int, ...] = (1, 2, 3)
     policies: tuple[str, ...] = field(default_factory=lambda: tuple(POLICIES))
     load: float = 1.0
+    size: Size = Size.SMALL
 
     def check(self):
         """Refuse what can't be run; raises CallerError."""
@@ -95,32 +109,40 @@
     for pattern in experiment.patterns:
         for name in experiment.policies:
             for seed in experiment.seeds:
-                workload = Workload(pattern, seed, load=experiment.load)
+                workload = Workload(
+                    pattern, seed, load=experiment.load, size=experiment.size
+                )
                 results.append(run_virtual(_play(name, workload)))
     return results
 
 
 async def _play(name: str, workload: Workload) -> Result:
     model = Model(workload.seed, policy=POLICIES[name])
-    await model.start(WORKERS, RACK)
+    await model.start(workload.fleet.workers, workload.fleet.rack)
     sickening = asyncio.create_task(_sicken(model, workload.pattern))
     watching = asyncio.create_task(_watch(model))
     handing_in = []
+    values: dict[JobId, Value] = {}
     started = monotonic()
     for arrival in workload.arrivals():
         await asyncio.sleep(max(0.0, started + arrival.at - monotonic()))
-        handing_in.append(asyncio.create_task(_hand_in(model, arrival)))
+        handing_in.append(
+            asyncio.create_task(_hand_in(model, workload, arrival, values))
+        )
     await asyncio.gather(*handing_in)
     await model.settle(DRAIN_SECONDS)
     sickening.cancel()
     watching.cancel()
-    return _measure(name, workload, model)
+    return _measure(name, workload, model, values)
 
 
-async def _hand_in(model: Model, arrival: Arrival):
-    await model.submit(
+async def _hand_in(
+    model: Model, workload: Workload, arrival: Arrival, values: dict[JobId, Value]
+):
+    job = await model.submit(
         arrival.queue, arrival.steps, arrival.seconds, failures=arrival.failures
     )
+    values[job] = workload.value(arrival)
 
 
 async def _watch(model: Model):
@@ -147,12 +169,15 @@
         worker.sickness = Sickness.NONE
 
 
-def _measure(name: str, workload: Workload, model: Model) -> Result:
+def _measure(
+    name: str, workload: Workload, model: Model, values: dict[JobId, Value]
+) -> Result:
     queues = {queue.name: queue for queue in model.operator.queues}
     starts = _first_starts(model)
     on_time: list[bool] = []
     urgent: list[bool] = []
     late = 0
+    owed = earned = 0.0
     completions: list[float] = []
     waits: list[float] = []
     urgent_waits: list[float] = [0.0]
@@ -168,7 +193,12 @@
             completions.append(taken)
         timely = taken <= objective
         on_time.append(timely)
-        late += objective < taken <= LATEST_FACTOR * objective
+        owed += values[job].on_time
+        if timely:
+            earned += values[job].on_time
+        elif taken <= LATEST_FACTOR * objective:
+            late += 1
+            earned += values[job].late
         widths.append((outcome.tasks, timely))
         wait = starts.get(job, float("inf")) - outcome.sent_at
         waits.append(wait)
@@ -177,6 +207,7 @@
             urgent_waits.append(wait)
     widths.sort(key=lambda width: width[0])
     widest = [timely for _, timely in widths[-max(1, len(widths) // 10) :]]
+    lost = _lost_work(model)
     return Result(
         policy=name,
         pattern=workload.pattern.value,
@@ -189,7 +220,8 @@
         mean_completion=_mean(completions),
         mean_start=_mean(waits),
         longest_urgent_start=max(urgent_waits),
-        wasted=_wasted(model),
+        worth=(earned - LOST_WORK_PRICE * lost) / owed if owed else 1.0,
+        lost_work=lost,
         violations=len(violations(model)),
     )
 
@@ -202,17 +234,35 @@
     return found
 
 
-def _wasted(model: Model) -> float:
-    """Return the seconds of runs that ended without a result."""
+def _lost_work(model: Model) -> float:
+    """Return the core-seconds of runs that were not saved and ended without a result.
+
+    A gang has one result, told by one of its members.
+    """
     started: dict = {}
-    wasted = 0.0
+    gangs_done: set = set()
+    ends = []
     for event in model.fleet.history:
         key = (event.worker, event.task, event.run)
         if event.kind is EventKind.START:
             started[key] = event.at
-        if event.kind is EventKind.END and event.how is not HowEnded.DONE:
-            wasted += event.at - started.get(key, event.at)
-    return wasted
+        if event.kind is not EventKind.END:
+            continue
+        if event.how is HowEnded.DONE:
+            gangs_done.add((step_of(event.task), event.run))
+            continue
+        ends.append(event)
+    lost = 0.0
+    for event in ends:
+        seconds = event.at - started[(event.worker, event.task, event.run)]
+        shape = model.shape(event.task)
+        if shape.gang and (step_of(event.task), event.run) in gangs_done:
+            continue
+        if shape.checkpointing and event.how is not HowEnded.LAPSED:
+            # A stop saves what was done.
+            continue
+        lost += seconds * cores(shape)
+    return lost
 
 
 def _share(values: list[bool]) -> float:
--- a/src/zinniatrestle/experiments/tests/test_experiments.py
+++ b/src/zinniatrestle/experiments/tests/test_experiments.py
@@ -3,7 +3,13 @@
 import pytest
 
 from zinniatrestle.errors import CallerError
-from zinniatrestle.experiments import Experiment, Pattern, Workload, run_experiment
+from zinniatrestle.experiments import (
+    Experiment,
+    Pattern,
+    Size,
+    Workload,
+    run_experiment,
+)
 
 
 def results(pattern, policies, seeds=(1,), load=1.0):
@@ -37,6 +43,19 @@
     assert usual.on_time >= without.on_time
 
 
+def test_lost_work_costs_worth():
+    usual, without = results(Pattern.URGENT_BURST, ("usual", "no reclaim"), load=1.3)
+    assert usual.lost_work > without.lost_work == 0.0
+    assert usual.worth < 1.0
+
+
+def test_a_large_fleet_has_wider_work_and_more_of_it():
+    small, large = Workload(size=Size.SMALL), Workload(size=Size.LARGE)
+    assert len(large.arrivals()) > 3 * len(small.arrivals())
+    widths = [arrival.steps[0].count for arrival in large.arrivals()]
+    assert max(widths) > 60
+
+
 @pytest.mark.parametrize(
     "experiment",
     [Experiment(seeds=()), Experiment(load=0.0), Experiment(policies=("unheard",))],
--- a/src/zinniatrestle/experiments/workload.py
+++ b/src/zinniatrestle/experiments/workload.py
@@ -6,6 +6,7 @@
 from typing import NamedTuple
 
 from zinniatrestle.jobs import Step
+from zinniatrestle.scheduling.state import ACCELERATOR_CPU
 from zinniatrestle.standins.model import step
 
 
@@ -21,8 +22,18 @@
     HOPELESS_JOBS = "hopeless-jobs"
 
 
+class Size(Enum):
+    """How large the deployment is."""
+
+    SMALL = "small"
+    LARGE = "large"
+
+
 class Kind(NamedTuple):
-    """A kind of job; rates a second for 24 workers, times in seconds."""
+    """A kind of job; rates a second for the whole fleet, times in seconds.
+
+    `worth` and `late_worth` are what callers gain from a job of the mean size.
+    """
 
     queue: str
     rate: float
@@ -35,14 +46,58 @@
     gang: bool
     rack_bound: float
     estimate_off: float
-
-
-# The mix of the users' letter: quick checks, wide long builds, reports of many tasks.
-KINDS = (
-    Kind("urgent", 0.8, 3.0, 12, 2.5, 0.5, 3700, (1, 2, 4, 8, 8), True, 0.8, 0.5),
-    Kind("usual", 0.22, 5.0, 16, 11.0, 0.3, 13000, (1, 2, 4, 8, 8), True, 0.6, 0.9),
-    Kind("patient", 0.2, 14.0, 60, 9.5, 0.3, 2800, (1,), False, 0.0, 0.2),
-)
+    worth: float
+    late_worth: float
+
+    @property
+    def mean_work(self) -> float:
+        """Return the core-seconds of a job of the mean size."""
+        gpus = sum(self.gpus) / len(self.gpus)
+        cores = (self.cpu + gpus * ACCELERATOR_CPU) / MILLICORES
+        return cores * self.seconds * self.width
+
+
+class Fleet(NamedTuple):
+    """Workers, the workers of a rack, and the kinds of jobs that they run."""
+
+    workers: int
+    rack: int
+    kinds: tuple[Kind, ...]
+
+
+MILLICORES = 1000
+ANY_GPUS = (1, 2, 4, 8, 8)
+# The mix of the users' letters: quick checks, wide long builds, reports of many tasks.
+FLEETS = {
+    Size.SMALL: Fleet(
+        24,
+        8,
+        (
+            Kind(
+                "urgent", 0.8, 3.0, 12, 2.5, 0.5, 3700, ANY_GPUS, True, 0.8, 0.5, 4, 0.8
+            ),
+            Kind(
+                "usual", 0.22, 5, 16, 11.0, 0.3, 13000, ANY_GPUS, True, 0.6, 0.9, 3, 0.9
+            ),
+            Kind("patient", 0.2, 14, 60, 9.5, 0.3, 2800, (1,), False, 0.0, 0.2, 1, 0.3),
+        ),
+    ),
+    Size.LARGE: Fleet(
+        176,
+        12,
+        (
+            Kind(
+                "urgent", 3.8, 5.0, 32, 2.5, 0.5, 3700, ANY_GPUS, True, 0.8, 0.5, 4, 0.8
+            ),
+            Kind(
+                "usual", 0.7, 13, 78, 11.0, 0.3, 13000, ANY_GPUS, True, 0.6, 0.9, 3, 0.9
+            ),
+            Kind(
+                "patient", 0.7, 39, 230, 9.5, 0.3, 2800, (1,), False, 0.0, 0.2, 1, 0.3
+            ),
+        ),
+    ),
+}
 # How much more of a kind arrives in a burst, and from when to when.
 BURST_FACTOR = 2.5
 BURST_SECONDS = (8.0, 14.0)
@@ -59,6 +114,29 @@
     seconds: float
     failures: int
 
+    @property
+    def work(self) -> float:
+        """Return its core-seconds."""
+        return sum(cores(shape) * shape.count for shape in self.steps) * self.seconds
+
+
+def cores(shape: Step) -> float:
+    """Return the cores that a task takes, accelerators included."""
+    return (shape.cpu + shape.gpus * ACCELERATOR_CPU) / MILLICORES
+
+
+class Value(NamedTuple):
+    """What callers gain from a job, by when it is done."""
+
+    on_time: float
+    late: float
+
+
+# The part of a job's worth that does not depend on its size, and how many times the
+# worth of its kind a job may have, as the users count.
+SIZELESS_SHARE = 0.3
+MOST_VALUED = 4.0
+
 
 @dataclass(frozen=True)
 class Workload:
@@ -68,12 +146,25 @@
     seed: int = 1
     seconds: float = 34.0
     load: float = 1.0
+    size: Size = Size.SMALL
+
+    @property
+    def fleet(self) -> Fleet:
+        """Return the fleet and the kinds of jobs."""
+        return FLEETS[self.size]
+
+    def value(self, arrival: "Arrival") -> Value:
+        """Return what callers gain from a job."""
+        kind = next(k for k in self.fleet.kinds if k.queue == arrival.queue)
+        size = arrival.work / kind.mean_work
+        factor = min(MOST_VALUED, SIZELESS_SHARE + (1 - SIZELESS_SHARE) * size)
+        return Value(kind.worth * factor, kind.late_worth * factor)
 
     def arrivals(self) -> list[Arrival]:
         """Return all arrivals in order."""
         rng = random.Random(f"{self.pattern.value}-{self.seed}")
         found = []
-        for kind in KINDS:
+        for kind in self.fleet.kinds:
             found.extend(self._of_kind(kind, rng))
         found.sort(key=lambda arrival: arrival.at)
         return found
--- a/src/zinniatrestle/operators/studying.py
+++ b/src/zinniatrestle/operators/studying.py
@@ -5,7 +5,7 @@
 
 from zinniatrestle.errors import NotFoundError, ResultCode
 from zinniatrestle.events.explain import cause, read_lines, render, trail
-from zinniatrestle.experiments import Experiment, Pattern, run_experiment
+from zinniatrestle.experiments import Experiment, Pattern, Size, run_experiment
 from zinniatrestle.experiments.run import POLICIES
 from zinniatrestle.operators.exits import ExitCode
 from zinniatrestle.operators.output import show_json, show_line, show_list
@@ -46,6 +46,7 @@
     *patterns: Pattern,
     seeds: int = 3,
     load: float = 1.0,
+    size: Size = Size.SMALL,
     policy: list[str] | None = None,
     json: bool = False,
 ) -> ExitCode:
@@ -59,6 +60,8 @@
         How many seeds each policy gets.
     load
         Arrivals as a multiple of the usual.
+    size
+        The fleet and the widths of its jobs.
     policy
         Policies to compare; without any, all.
     json
@@ -69,12 +72,13 @@
         seeds=tuple(range(1, seeds + 1)),
         policies=tuple(policy or POLICIES),
         load=load,
+        size=size,
     )
     results = run_experiment(study)
     headings = [
         "pattern", "policy", "seed", "jobs", "on time", "late", "urgent on time",
         "widest on time", "completion s", "start s", "longest urgent start s",
-        "wasted s", "broken promises",
+        "worth", "lost core-s", "broken promises",
     ]  # fmt: skip
     rows = []
     for result in results:
@@ -91,7 +95,8 @@
                 f"{result.mean_completion:.2f}",
                 f"{result.mean_start:.2f}",
                 f"{result.longest_urgent_start:.2f}",
-                f"{result.wasted:.1f}",
+                f"{result.worth:.3f}",
+                f"{result.lost_work:.0f}",
                 result.violations,
             ]
         )
--- a/src/zinniatrestle/standins/model.py
+++ b/src/zinniatrestle/standins/model.py
@@ -20,6 +20,7 @@
     QueueName,
     RackId,
     RegionId,
+    TaskId,
 )
 from zinniatrestle.jobs import JobIntake, JobState, Step
 from zinniatrestle.jobs.intake import Plan
@@ -163,13 +164,22 @@
     queue: QueueName
     sent_at: float
     seconds: float
-    tasks: int = 1
-    lasting: bool = False
+    steps: tuple[Step, ...] = (Step(),)
     accepted: bool = False
     refused: bool = False
     cancelled_at: float | None = None
     completed_at: float | None = None
 
+    @property
+    def tasks(self) -> int:
+        """Return how many tasks it has."""
+        return sum(shape.count for shape in self.steps)
+
+    @property
+    def lasting(self) -> bool:
+        """Tell whether its tasks run until it is cancelled."""
+        return any(shape.lasting for shape in self.steps)
+
 
 class Model:
     """A deployment with callers; faults are set on its parts."""
@@ -233,11 +243,8 @@
     ) -> JobId:
         """Hand a job in, again and again until its fate is known."""
         job = JobId(f"{self.random.getrandbits(64):016x}")
-        spec = msgspec.json.encode(
-            TaskScript(seconds=seconds, steps=steps, **script)
-        ).decode()
-        tasks = sum(shape.count for shape in steps)
-        outcome = Outcome(QueueName(queue), monotonic(), seconds, tasks)
+        spec = TaskScript(seconds=seconds, steps=steps, **script).encoded()
+        outcome = Outcome(QueueName(queue), monotonic(), seconds, steps)
         self.jobs[job] = outcome
         refusals = tries = 0
         for _ in range(5):
@@ -276,6 +283,11 @@
             self.jobs[job].cancelled_at = monotonic()
             return
 
+    def shape(self, task: TaskId) -> Step:
+        """Return the step of a task as it was handed in."""
+        job, _, number, _ = task.split(".")
+        return self.jobs[JobId(job)].steps[int(number)]
+
     def state(self, job: JobId) -> JobState | None:
         """Return what is kept of a job, faults aside."""
         row = self.rows.row(PROGRESS, row_name(job))
--- a/src/zinniatrestle/standins/runs.py
+++ b/src/zinniatrestle/standins/runs.py
@@ -24,6 +24,10 @@
     # Runs that fail before one succeeds; a task with many is hopeless.
     failures: int = 0
 
+    def encoded(self) -> str:
+        """Return the text that carries it."""
+        return msgspec.json.encode(self).decode()
+
 
 class Sickness(Enum):
     """What is wrong with a worker that answers well."""
--- a/tests/common/platform_site.py
+++ b/tests/common/platform_site.py
@@ -147,7 +147,7 @@
             for shape in shapes
         ]
         script = TaskScript(seconds=seconds, steps=tuple(kept))
-        spec = msgspec.json.encode(script).decode()
+        spec = script.encoded()
         body = {"spec": spec, "steps": shapes}
         status, _ = await self.call(host, "POST", f"/q/{job}", body)
         return status
