Repeat a start or a stop that gets no answer at once, under the same run

Ruled out: late execution running a task twice. A worker answers a repeat of a run that is there with success, and refuses one that was stopped or ended.

Change: tries of 0.3, 0.3 and 1.0 s; a refusal after a try without an answer says nothing of that try. How long an answer may take is the session's to say, not the adapter's.

--- a/src/zinniatrestle/platform/orders.py
+++ b/src/zinniatrestle/platform/orders.py
@@ -20,9 +20,6 @@
 )
 
 INSTANCE_HEADER = "Zinniatrestle-Expect-Instance"
-# s; an order takes a round trip and a few ms; what is not answered by then may be
-# carried out later and is closed by a stop.
-ORDER_SECONDS = 1.0
 MILLISECONDS = 1000.0
 OK = 200
 OTHER_BOOT = 421
@@ -106,7 +103,9 @@
     def __init__(self, client: HttpClient):
         self.client = client
 
-    async def start(self, worker: WorkerEntry, order: StartOrder) -> int:
+    async def start(
+        self, worker: WorkerEntry, order: StartOrder, timeout: float
+    ) -> int:
         """Start a run; returns the worker's clock in milliseconds."""
         body = WireStart(
             order.task,
@@ -117,7 +116,7 @@
             order.checkpoint,
             order.ticket,
         )
-        answer = await self._call(worker, "/-/run-start", body, ORDER_SECONDS)
+        answer = await self._call(worker, "/-/run-start", body, timeout)
         return _decode(answer, WireLists).clockMs
 
     async def stop(
@@ -126,10 +125,11 @@
         task: TaskId,
         run: RunNumber,
         generation: Generation,
+        timeout: float,
     ):
         """Stop a run, and keep it from starting if it has not come yet."""
         body = WireStop(task, run, generation)
-        await self._call(worker, "/-/run-stop", body, ORDER_SECONDS)
+        await self._call(worker, "/-/run-stop", body, timeout)
 
     async def pace(
         self,
@@ -138,10 +138,11 @@
         run: RunNumber,
         percent: int,
         generation: Generation,
+        timeout: float,
     ):
         """Let a run work at a share of its speed."""
         body = WirePace(task, run, percent, generation)
-        await self._call(worker, "/-/pace", body, ORDER_SECONDS)
+        await self._call(worker, "/-/pace", body, timeout)
 
     async def hold(
         self,
@@ -150,10 +151,11 @@
         seen: int,
         deadline_ms: int | None,
         wait: float,
+        timeout: float,
     ) -> HoldAnswer:
         """Extend the lease of all that runs, and wait for an end."""
         body = WireHold(generation, seen, deadline_ms, int(wait * MILLISECONDS))
-        answer = await self._call(worker, "/-/hold", body, wait + ORDER_SECONDS)
+        answer = await self._call(worker, "/-/hold", body, wait + timeout)
         lists = _decode(answer, WireLists)
         try:
             running = tuple(_running(entry) for entry in lists.running)
--- a/src/zinniatrestle/platform/tests/test_orders.py
+++ b/src/zinniatrestle/platform/tests/test_orders.py
@@ -21,6 +21,8 @@
 
 TASK = TaskId("00000000000000aa.0.0.0")
 GENERATION = Generation(3)
+# s; also how long a test waits for a worker that never answers.
+TIMEOUT = 1.0
 ENTRY = {
     "service": "service",
     "address": "127.0.0.1:1",
@@ -59,7 +61,7 @@
 
 def test_a_start_names_the_life_it_is_for():
     async def check(worker, orders, known):
-        assert await orders.start(known, start_order()) == 5000
+        assert await orders.start(known, start_order(), TIMEOUT) == 5000
         call, body, expected = worker.calls[0]
         assert (call, expected) == ("run-start", "i-1")
         assert body == {
@@ -93,7 +95,7 @@
     async def check(worker, orders, known):
         worker.status, worker.body = status, body
         with pytest.raises(RefusedOrderError) as caught:
-            await orders.start(known, start_order())
+            await orders.start(known, start_order(), TIMEOUT)
         assert caught.value.refusal is refusal
 
     with_worker(check)
@@ -104,7 +106,7 @@
     async def check(worker, orders, known):
         worker.status = status
         with pytest.raises(UnansweredOrderError):
-            await orders.start(known, start_order())
+            await orders.start(known, start_order(), TIMEOUT)
 
     with_worker(check)
 
@@ -113,7 +115,7 @@
     async def check(worker, orders, known):
         worker.silent = True
         with pytest.raises(UnansweredOrderError):
-            await orders.stop(known, TASK, RunNumber(2), GENERATION)
+            await orders.stop(known, TASK, RunNumber(2), GENERATION, TIMEOUT)
 
     with_worker(check)
 
@@ -122,7 +124,7 @@
     async def check(worker, orders, known):
         known = entry(address="127.0.0.1:1")
         with pytest.raises(RefusedOrderError) as caught:
-            await orders.stop(known, TASK, RunNumber(2), GENERATION)
+            await orders.stop(known, TASK, RunNumber(2), GENERATION, TIMEOUT)
         assert caught.value.refusal is Refusal.NOT_LISTENING
 
     with_worker(check)
@@ -136,7 +138,7 @@
             "running": [[TASK, 2, "saved", 41, 12.5]],
             "ended": [[58, TASK, 1, "broken", ""]],
         }
-        answer = await orders.hold(known, GENERATION, 57, 12000, 0.1)
+        answer = await orders.hold(known, GENERATION, 57, 12000, 0.1, TIMEOUT)
         assert (answer.clock_ms, answer.born) == (7000, 17)
         assert answer.running[0].percent == 41
         assert answer.running[0].figure == 12.5
@@ -163,7 +165,7 @@
     async def check(worker, orders, known):
         worker.body = body
         with pytest.raises(UnansweredOrderError):
-            await orders.hold(known, GENERATION, 0, None, 0.0)
+            await orders.hold(known, GENERATION, 0, None, 0.0, TIMEOUT)
 
     with_worker(check)
 
--- a/src/zinniatrestle/scheduling/session.py
+++ b/src/zinniatrestle/scheduling/session.py
@@ -9,7 +9,7 @@
 from zinniatrestle.errors import WorkerError
 from zinniatrestle.events import Event, EventLog
 from zinniatrestle.ids import BootSeconds, Generation, RunNumber, TaskId
-from zinniatrestle.scheduling.state import Task, Worker
+from zinniatrestle.scheduling.state import Task, TaskStatus, Worker
 from zinniatrestle.workers.interfaces import WorkerOrders
 from zinniatrestle.workers.messages import (
     HoldAnswer,
@@ -28,6 +28,11 @@
 RETRY_SECONDS = 0.3
 # Holds that fail one after the other before a worker counts as silent.
 MISSES = 1
+# s; how long the answer to each try of an order may take. An order takes a round trip
+# and some ms; one without an answer is repeated, which is harmless under the same run.
+TRY_SECONDS = (0.3, 0.3, 1.0)
+# s; the same for a hold, beyond the time for which the worker waits for an end.
+HOLD_TRY_SECONDS = 1.0
 # Orders to one worker that may be under way at once, so that one without an answer
 # doesn't hold up the others.
 ORDER_LANES = 3
@@ -108,7 +113,12 @@
             deadline = self._deadline(asked_at)
             try:
                 answer = await self.orders.hold(
-                    worker.entry, self.generation, worker.seen, deadline, wait
+                    worker.entry,
+                    self.generation,
+                    worker.seen,
+                    deadline,
+                    wait,
+                    HOLD_TRY_SECONDS,
                 )
             except RefusedOrderError as error:
                 misses += 1
@@ -199,44 +209,65 @@
             checkpoint=task.checkpoint,
             ticket=task.ticket,
         )
-        try:
-            clock_ms = await self.orders.start(worker.entry, order)
-        except RefusedOrderError as error:
-            if error.refusal is Refusal.STALE_GENERATION:
-                self.duties.fenced_off(worker)
-            self.duties.not_started(task, run, error.refusal)
-            return
-        except UnansweredOrderError:
-            self.duties.unanswered(task, run)
+        unanswered = False
+        for timeout in TRY_SECONDS:
+            if unanswered and not self._may_repeat(task, run):
+                break
+            try:
+                clock_ms = await self.orders.start(worker.entry, order, timeout)
+            except RefusedOrderError as error:
+                if error.refusal is Refusal.STALE_GENERATION:
+                    self.duties.fenced_off(worker)
+                if unanswered:
+                    # The refused try says nothing of the one before it.
+                    break
+                self.duties.not_started(task, run, error.refusal)
+                return
+            except UnansweredOrderError:
+                unanswered = True
+                continue
+            worker.lease.observe(clock_ms, boot_time())
+            self.duties.started(task, run)
             return
-        worker.lease.observe(clock_ms, boot_time())
-        self.duties.started(task, run)
+        self.duties.unanswered(task, run)
+
+    def _may_repeat(self, task: Task, run: RunNumber) -> bool:
+        """Tell whether the start of a run is still wanted here."""
+        wanted = task.run == run and task.status is TaskStatus.PLACED
+        return wanted and self.duties.may_order()
 
     async def _stop(self, task_id: TaskId, run: RunNumber):
-        if not self.duties.may_order():
-            self.stops.pop((task_id, run), None)
-            return
-        try:
-            await self.orders.stop(self.worker.entry, task_id, run, self.generation)
-        except RefusedOrderError as error:
-            if error.refusal is Refusal.STALE_GENERATION:
-                self.duties.fenced_off(self.worker)
-                return
-            if error.refusal is not Refusal.STALE_RUN:
-                # The next report finds the run still there and stops it again.
-                self.stops.pop((task_id, run), None)
-                return
-        except UnansweredOrderError:
-            self.stops.pop((task_id, run), None)
+        for timeout in TRY_SECONDS:
+            if not self.duties.may_order():
+                break
+            try:
+                await self.orders.stop(
+                    self.worker.entry, task_id, run, self.generation, timeout
+                )
+            except RefusedOrderError as error:
+                if error.refusal is Refusal.STALE_GENERATION:
+                    self.duties.fenced_off(self.worker)
+                    return
+                if error.refusal is not Refusal.STALE_RUN:
+                    break
+            except UnansweredOrderError:
+                continue
+            self.stops[(task_id, run)] = boot_time()
             return
-        self.stops[(task_id, run)] = boot_time()
+        # The next report finds the run still there and stops it again.
+        self.stops.pop((task_id, run), None)
 
     async def _pace(self, task: Task, run: RunNumber, percent: int):
         if not self.duties.may_order() or task.run != run:
             return
         try:
             await self.orders.pace(
-                self.worker.entry, task.id, run, percent, self.generation
+                self.worker.entry,
+                task.id,
+                run,
+                percent,
+                self.generation,
+                TRY_SECONDS[-1],
             )
         except WorkerError as error:
             self.events.fold(
--- a/src/zinniatrestle/scheduling/tests/test_times.py
+++ b/src/zinniatrestle/scheduling/tests/test_times.py
@@ -35,7 +35,7 @@
 
 
 async def hand_in(model, plan):
-    model.jobs[JOB] = Outcome("usual", monotonic(), 1.0)
+    model.jobs[JOB] = Outcome("usual", monotonic(), 1.0, plan.steps)
     host = model.hosts[0]
     pass_ = host.door.admit("queues.example", "/usual/x", "key-first")
     await host.door.accept(pass_, JOB, plan, monotonic() + 3.0)
@@ -93,7 +93,6 @@
     async def check(model):
         plan = Plan('{"seconds":2,"failures":1}', (step(2, lasting=True),))
         await hand_in(model, plan)
-        model.jobs[JOB].lasting = True
         await asyncio.sleep(12.0)
         hows = {event.how for event in model.fleet.history if event.how}
         assert {HowEnded.DONE, HowEnded.FAILED} <= hows
--- a/src/zinniatrestle/standins/fleet.py
+++ b/src/zinniatrestle/standins/fleet.py
@@ -28,7 +28,7 @@
     WorkerEvent,
     step_of,
 )
-from zinniatrestle.workers.interfaces import WorkerOrders, WorkerRows
+from zinniatrestle.workers.interfaces import WorkerRows
 from zinniatrestle.workers.messages import (
     EndedRun,
     HoldAnswer,
@@ -63,7 +63,7 @@
             return None
 
 
-class SimulatedFleet(WorkerOrders):
+class SimulatedFleet:
     """All workers; orders of one host go through a `HostOrders`."""
 
     def __init__(
--- a/src/zinniatrestle/standins/host_orders.py
+++ b/src/zinniatrestle/standins/host_orders.py
@@ -21,11 +21,14 @@
         self.fleet = fleet
         self.host = host
         self.delay = delay
-        self.timeout = 1.0
 
-    async def start(self, worker: WorkerEntry, order: StartOrder) -> int:
+    async def start(
+        self, worker: WorkerEntry, order: StartOrder, timeout: float
+    ) -> int:
         """Start a run; returns the worker's clock in milliseconds."""
-        return await self._order(worker, lambda: self.fleet.start(worker, order))
+        return await self._order(
+            worker, timeout, lambda: self.fleet.start(worker, order)
+        )
 
     async def stop(
         self,
@@ -33,10 +36,11 @@
         task: TaskId,
         run: RunNumber,
         generation: Generation,
+        timeout: float,
     ):
         """Stop a run, and keep it from starting if it has not come yet."""
         await self._order(
-            worker, lambda: self.fleet.stop(worker, task, run, generation)
+            worker, timeout, lambda: self.fleet.stop(worker, task, run, generation)
         )
 
     async def pace(
@@ -46,10 +50,13 @@
         run: RunNumber,
         percent: int,
         generation: Generation,
+        timeout: float,
     ):
         """Let a run work at a share of its speed."""
         await self._order(
-            worker, lambda: self.fleet.pace(worker, task, run, percent, generation)
+            worker,
+            timeout,
+            lambda: self.fleet.pace(worker, task, run, percent, generation),
         )
 
     async def hold(
@@ -59,29 +66,30 @@
         seen: int,
         deadline_ms: int | None,
         wait: float,
+        timeout: float,
     ) -> HoldAnswer:
         """Extend the lease of all that runs, and wait up to `wait` s for an end."""
-        await self._travel(worker)
+        await self._travel(worker, wait + timeout)
         answer = await self.fleet.hold(worker, generation, seen, deadline_ms, wait)
-        await self._travel(worker)
+        await self._travel(worker, timeout)
         return answer
 
-    async def _travel(self, worker: WorkerEntry):
+    async def _travel(self, worker: WorkerEntry, timeout: float):
         life = self.fleet.workers.get(worker.worker)
         cut = (self.host, worker.worker) in self.fleet.cuts
         if cut or (life is not None and not life.reachable):
-            await asyncio.sleep(self.timeout)
+            await asyncio.sleep(timeout)
             raise UnansweredOrderError("The worker is out of reach.")
         await asyncio.sleep(self.delay)
 
-    async def _order(self, worker: WorkerEntry, act):
-        await self._travel(worker)
+    async def _order(self, worker: WorkerEntry, timeout: float, act):
+        await self._travel(worker, timeout)
         if self.fleet.random.random() < self.fleet.late:
             self._act_later(worker, act)
-            await asyncio.sleep(self.timeout)
+            await asyncio.sleep(timeout)
             raise UnansweredOrderError("The order got no answer.")
         answer = await act()
-        await self._travel(worker)
+        await self._travel(worker, timeout)
         return answer
 
     def _act_later(self, worker: WorkerEntry, act):
--- a/src/zinniatrestle/workers/interfaces.py
+++ b/src/zinniatrestle/workers/interfaces.py
@@ -7,14 +7,16 @@
 
 
 class WorkerOrders(ABC):
-    """Give orders to workers.
+    """Give orders to workers; `timeout` in seconds is how long an answer may take.
 
     Each method raises RefusedOrderError when the worker surely did nothing, and
     UnansweredOrderError when it may have, or may yet.
     """
 
     @abstractmethod
-    async def start(self, worker: WorkerEntry, order: StartOrder) -> int:
+    async def start(
+        self, worker: WorkerEntry, order: StartOrder, timeout: float
+    ) -> int:
         """Start a run; returns the worker's clock in milliseconds."""
 
     @abstractmethod
@@ -24,6 +26,7 @@
         task: TaskId,
         run: RunNumber,
         generation: Generation,
+        timeout: float,
     ):
         """Stop a run, and keep it from starting if it has not come yet."""
 
@@ -35,6 +38,7 @@
         run: RunNumber,
         percent: int,
         generation: Generation,
+        timeout: float,
     ):
         """Let a run work at a share of its speed."""
 
@@ -46,8 +50,12 @@
         seen: int,
         deadline_ms: int | None,
         wait: float,
+        timeout: float,
     ) -> HoldAnswer:
-        """Extend the lease of all that runs, and wait up to `wait` s for an end."""
+        """Extend the lease of all that runs, and wait up to `wait` s for an end.
+
+        `timeout` comes on top of `wait`.
+        """
 
 
 class WorkerRows(ABC):
