Learn run times only from runs whose start is known, and keep them for a successor

Cause: a run taken over from a predecessor counted from the moment it was first seen, so a successor learned run times that were far too short; and it began with none at all.

Change: a run teaches its time only if its start was answered, it began without a checkpoint and ran near its data. Of a queue's mean and its callers' estimates the one that was closer to earlier runs is trusted. What a run still needs follows the progress it made since it was first told, less the time since. What was learned lies in the lease's row.

--- a/src/zinniatrestle/scheduling/durations.py
+++ b/src/zinniatrestle/scheduling/durations.py
@@ -1,15 +1,18 @@
-"""How long tasks run, learned from those that ended."""
+"""How long tasks run, learned from those that ended and from what runs."""
+
+import math
 
 from zinniatrestle.ids import QueueName
 from zinniatrestle.jobs.messages import Step
+from zinniatrestle.scheduling.messages import LearnedTimes
 from zinniatrestle.scheduling.state import Job, StepRun, Task
 
 MILLISECONDS = 1000.0
 # s; what a task is taken to run for that says nothing, until one has ended.
 UNKNOWN_SECONDS = 5.0
-# Weight of the newest run in the running mean.
+# Weight of the newest run in the running means.
 NEWEST_WEIGHT = 0.1
-# Runs after which the mean is trusted more than the callers' estimates.
+# Runs after which what was learned is trusted more than the callers' estimates.
 TRUSTED_RUNS = 5
 
 
@@ -26,35 +29,98 @@
         weight = max(1 / self.count, NEWEST_WEIGHT)
         self.value += weight * (value - self.value)
 
+    def restore(self, count: int, value: float):
+        """Go on from a mean of so many values."""
+        self.count = count
+        self.value = value
+
+
+class QueueTimes:
+    """Run times of one queue, and how far off two ways to foretell them were.
+
+    Errors are logarithms, so that half and twice the time are equally wrong.
+    """
+
+    def __init__(self):
+        self.seconds = Mean()
+        self.estimate_error = Mean()
+        self.mean_error = Mean()
+
+    def learn(self, seconds: float, estimate: float):
+        """Take a run time and what the caller had estimated; 0: nothing."""
+        if seconds <= 0:
+            return
+        if self.seconds.count:
+            self.mean_error.add(abs(math.log(self.seconds.value / seconds)))
+        if estimate > 0:
+            self.estimate_error.add(abs(math.log(estimate / seconds)))
+        self.seconds.add(seconds)
+
+    def trusts_estimates(self) -> bool:
+        """Tell whether callers' estimates are better than the mean."""
+        if self.seconds.count < TRUSTED_RUNS:
+            return True
+        if not self.estimate_error.count:
+            return False
+        return self.estimate_error.value < self.mean_error.value
+
 
 class Durations:
-    """Estimate run times by queue, since callers' estimates are far off."""
+    """Foretell run times by queue, since callers' estimates may be far off."""
 
     def __init__(self):
-        self.means: dict[QueueName, Mean] = {}
+        self.queues: dict[QueueName, QueueTimes] = {}
 
     def learn(self, task: Task, seconds: float):
-        """Take the time that a run without a checkpoint took."""
-        self.means.setdefault(task.step.job.submission.queue, Mean()).add(seconds)
+        """Take the time that a whole run took near its data."""
+        step = task.step
+        queue = step.job.submission.queue
+        times = self.queues.setdefault(queue, QueueTimes())
+        times.learn(seconds, step.shape.estimated_ms / MILLISECONDS)
+
+    def export(self) -> dict[QueueName, LearnedTimes]:
+        """Return what was learned, for a successor."""
+        found = {}
+        for queue, times in self.queues.items():
+            found[queue] = LearnedTimes(
+                times.seconds.count,
+                round(times.seconds.value, 3),
+                round(times.estimate_error.value, 3),
+                round(times.mean_error.value, 3),
+            )
+        return found
+
+    def restore(self, learned: dict[QueueName, LearnedTimes]):
+        """Take over what a predecessor learned."""
+        for queue, kept in learned.items():
+            times = self.queues.setdefault(queue, QueueTimes())
+            times.seconds.restore(kept.count, kept.seconds)
+            times.estimate_error.restore(kept.count, kept.estimate_error)
+            times.mean_error.restore(kept.count, kept.mean_error)
 
     def task(self, queue: QueueName, shape: Step) -> float:
         """Return how many seconds a task of a step most likely runs."""
-        mean = self.means.get(queue)
-        if mean is not None and mean.count >= TRUSTED_RUNS:
-            return mean.value
-        if shape.estimated_ms:
-            return shape.estimated_ms / MILLISECONDS
-        return mean.value if mean is not None else UNKNOWN_SECONDS
+        estimate = shape.estimated_ms / MILLISECONDS
+        times = self.queues.get(queue)
+        if times is None or not times.seconds.count:
+            return estimate or UNKNOWN_SECONDS
+        if estimate and times.trusts_estimates():
+            return estimate
+        return times.seconds.value
 
     def remaining(self, task: Task, now: float) -> float:
         """Return how many seconds a running task most likely needs still."""
-        expected = self.task(task.step.job.submission.queue, task.step.shape)
-        elapsed = now - task.started_at
         if task.percent >= 100:
             return 0.0
-        if task.percent > 0:
-            return elapsed * (100 - task.percent) / task.percent
-        return max(expected - elapsed, 0.0)
+        gained = task.percent - task.base_percent
+        if task.base_at and gained > 0:
+            pace = (task.percent_at - task.base_at) / gained
+            left = pace * (100 - task.percent) - (now - task.percent_at)
+            return max(left, 0.0)
+        expected = self.task(task.step.job.submission.queue, task.step.shape)
+        left = expected * (100 - task.percent) / 100
+        since = task.base_at or task.started_at
+        return max(left - (now - since), 0.0)
 
     def chain(self, job: Job, first: StepRun | None = None) -> float:
         """Return the seconds of the longest chain of steps, from one or from all."""
--- a/src/zinniatrestle/scheduling/leadership.py
+++ b/src/zinniatrestle/scheduling/leadership.py
@@ -25,6 +25,7 @@
 )
 from zinniatrestle.rows import ABSENT, Expect, RowStore, Write
 from zinniatrestle.rows.settled import transact_settled
+from zinniatrestle.scheduling.messages import LearnedTimes, LeaseRecord
 
 LEASES = TableName("leases")
 LEASE_ROW = RowName("scheduler")
@@ -54,17 +55,6 @@
     SUSPENDED = "suspended"
 
 
-class LeaseRecord(msgspec.Struct, frozen=True):
-    """Who schedules, until when by the store's clock, and what waits."""
-
-    holder: HostId
-    address: str
-    until: float
-    generation: Generation
-    written_at: float
-    pending: dict[QueueName, int] = {}
-
-
 class Leadership:
     """Contend for the lease, keep it, and follow its holder."""
 
@@ -84,6 +74,8 @@
         self.lost.set()
         self.released = False
         self.pending: dict[QueueName, int] = {}
+        # Run times, for the successor.
+        self.learned: dict[QueueName, LearnedTimes] = {}
         # Until when (store time) the predecessor may have held workers.
         self.predecessor_until = 0.0
         self.feed_version: RowVersion | None = None
@@ -222,6 +214,7 @@
             return
         if self.record is not None:
             self.predecessor_until = self.record.until + self.hold_on * MILLISECONDS
+            self.learned = self.record.learned
         self.record = record
         self.version = self.fence = result.version
         self.generation = generation
@@ -259,6 +252,7 @@
             generation=generation,
             written_at=asked,
             pending=self.pending,
+            learned=self.learned,
         )
 
     async def _write(
--- a/src/zinniatrestle/scheduling/placement.py
+++ b/src/zinniatrestle/scheduling/placement.py
@@ -91,6 +91,15 @@
     return most
 
 
+def is_far(step: StepRun) -> bool:
+    """Tell whether a step runs away from its data, or on several racks in vain."""
+    shape = step.shape
+    racks = {task.worker.rack for task in step.tasks if task.worker is not None}
+    if shape.data_rack and racks - {shape.data_rack}:
+        return True
+    return shape.rack_bound and len(racks) > 1
+
+
 def groups(step: StepRun, workers: list[Worker], terms: Terms) -> list[list[Worker]]:
     """Return sets of workers in which a step runs at full speed, best first.
 
--- a/src/zinniatrestle/scheduling/rounds.py
+++ b/src/zinniatrestle/scheduling/rounds.py
@@ -174,8 +174,9 @@
             task.ordering = True
             task.inherited = False
             task.resumed = bool(task.checkpoint)
-            task.percent = 0.0
-            task.started_at = BootSeconds(0.0)
+            task.percent = task.base_percent = 0.0
+            task.started_at = task.base_at = BootSeconds(0.0)
+            task.start_known = False
             task.pace = 100
             worker.put(task)
         job = step.job
--- a/src/zinniatrestle/scheduling/scheduler.py
+++ b/src/zinniatrestle/scheduling/scheduler.py
@@ -89,6 +89,7 @@
         self.leadership = context.leadership
         self.book = ProgressBook(context.store, context.leadership, context.events)
         self.tracker = Tracker(context, self.book)
+        self.tracker.durations.restore(context.leadership.learned)
         self.planner = Planner(context, self.tracker)
         self.kept: dict[JobId, tuple[JobProgress, RowVersion]] = {}
         self.cancelled: dict[JobId, RowVersion] = {}
@@ -258,7 +259,7 @@
                 tracker.unsaved.add(job)
             self.book.ended.clear()
             self._drop_ended()
-            self._count_pending()
+            self._publish()
             obstacle = self._obstacle()
             if obstacle:
                 self.events.fold(Event.DECISIONS_PAUSED, obstacle)
@@ -292,12 +293,14 @@
         self.ended.append((at, job, version))
         self.ended_ids.add(job)
 
-    def _count_pending(self):
+    def _publish(self):
+        """Tell all hosts what waits, and a successor what was learned."""
         counts: dict = {}
         for job in self.tracker.waiting_jobs():
             queue = job.submission.queue
             counts[queue] = counts.get(queue, 0) + 1
         self.leadership.pending = counts
+        self.leadership.learned = self.tracker.durations.export()
 
     async def _forget(self):
         """Remove the progress of jobs that ended long ago."""
--- a/src/zinniatrestle/scheduling/state.py
+++ b/src/zinniatrestle/scheduling/state.py
@@ -73,8 +73,13 @@
         self.place = (WorkerId(""), 0)
         # Its run began from a checkpoint.
         self.resumed = False
+        # Its start was answered, so it is known for how long it runs.
+        self.start_known = False
         self.percent = 0.0
         self.percent_at = BootSeconds(0.0)
+        # The first progress told of this run, from which its pace is counted.
+        self.base_percent = 0.0
+        self.base_at = BootSeconds(0.0)
         self.looked_at = BootSeconds(0.0)
         # Workers on which it failed or stood still.
         self.avoided: set[WorkerId] = set()
--- a/src/zinniatrestle/scheduling/tests/test_leadership.py
+++ b/src/zinniatrestle/scheduling/tests/test_leadership.py
@@ -75,6 +75,35 @@
     with_model(check)
 
 
+def test_a_run_taken_over_from_a_predecessor_teaches_no_run_time():
+    async def check(model):
+        first = model.leader()
+        await model.submit("usual", (step(1),), 6.0)
+        await asyncio.sleep(1.0)
+        await first.kill()
+        assert await model.settle(30.0)
+        ends = [line for line in model.lines if line["event"] == "run_ended"]
+        assert [line["seconds"] for line in ends] == [None]
+
+    with_model(check)
+
+
+def test_a_successor_knows_the_run_times_that_were_learned():
+    async def check(model):
+        first = model.leader()
+        for _ in range(6):
+            await model.submit("usual", (step(1, seconds=9.0),), 0.5)
+        assert await model.settle(30.0)
+        await asyncio.sleep(lease_seconds(model))
+        await first.kill()
+        await successor(model, first)
+        (times,) = model.leader().leadership.learned.values()
+        assert times.count == 6
+        assert times.seconds == pytest.approx(0.5, abs=0.2)
+
+    with_model(check)
+
+
 def test_no_transaction_of_a_former_holder_applies():
     async def check(model):
         first = model.leader()
--- a/src/zinniatrestle/scheduling/tests/test_order.py
+++ b/src/zinniatrestle/scheduling/tests/test_order.py
@@ -1,5 +1,6 @@
 """Who goes first when more waits than fits."""
 
+import pytest
 from common.scheduling import NOW, first_step, job
 
 from zinniatrestle.jobs.messages import Step
@@ -66,5 +67,34 @@
 def test_the_rest_of_a_run_follows_its_progress():
     durations = Durations()
     task = first_step(job("1" * 16, SHORT)).tasks[0]
-    task.started_at, task.percent = NOW, 25
+    task.started_at = task.base_at = NOW
+    task.percent, task.percent_at = 25, NOW + 3
     assert durations.remaining(task, NOW + 3) == 9.0
+    assert durations.remaining(task, NOW + 5) == 7.0
+
+
+def test_the_rest_of_a_run_from_a_checkpoint_follows_what_it_gained_since():
+    durations = Durations()
+    task = first_step(job("1" * 16, SHORT)).tasks[0]
+    task.started_at = NOW - 1
+    task.base_percent, task.base_at = 60, NOW
+    task.percent, task.percent_at = 80, NOW + 2
+    assert durations.remaining(task, NOW + 2) == 2.0
+
+
+@pytest.mark.parametrize(
+    "estimate_factor, expected",
+    [(1.1, "estimate"), (3.0, "mean"), (0.3, "mean")],
+)
+def test_what_was_closer_to_earlier_runs_is_trusted(estimate_factor, expected):
+    durations = Durations()
+    for number, seconds in enumerate([2.0, 3.0, 4.0, 2.0, 3.0, 4.0, 2.0, 3.0]):
+        shape = Step(estimated_ms=int(seconds * estimate_factor * 1000))
+        made = job(f"{number:016x}", shape)
+        durations.learn(first_step(made).tasks[0], seconds)
+    asked = Step(estimated_ms=60_000)
+    found = durations.task(made.submission.queue, asked)
+    if expected == "estimate":
+        assert found == 60.0
+    else:
+        assert 2.0 <= found <= 4.0
--- a/src/zinniatrestle/scheduling/tracker.py
+++ b/src/zinniatrestle/scheduling/tracker.py
@@ -10,6 +10,7 @@
 from zinniatrestle.scheduling.fleet import FleetDuties
 from zinniatrestle.scheduling.leadership import Standing
 from zinniatrestle.scheduling.ledger import Ledger
+from zinniatrestle.scheduling.placement import is_far
 from zinniatrestle.scheduling.session import ORDER_LANES, SessionDuties, WorkerSession
 from zinniatrestle.scheduling.state import (
     Job,
@@ -206,8 +207,11 @@
         if task.status is TaskStatus.STOPPING and session is not None:
             session.stop(task.id, task.run)
         if task.status is TaskStatus.PLACED:
-            self.started(task, task.run)
+            self._confirm(task)
         task.looked_at = asked_at
+        if not task.base_at:
+            task.base_percent = running.percent
+            task.base_at = asked_at
         if running.percent != task.percent or task.percent_at == 0.0:
             task.percent = running.percent
             task.percent_at = asked_at
@@ -256,7 +260,7 @@
         current = task.run == end.run and task.worker is worker and task.occupies
         if not current:
             if end.how is HowEnded.DONE and self._was_given_up(task, end):
-                task.started_at = BootSeconds(0.0)
+                task.start_known = False
                 self._done(worker, task, now)
                 return job
             # A run that was given up counts if it turns out to have failed.
@@ -272,7 +276,7 @@
             run=task.run,
             worker=worker.id,
             how=end.how.value,
-            seconds=round(now - task.started_at, 2) if task.started_at else None,
+            seconds=round(now - task.started_at, 2) if task.start_known else None,
             failures=len(task.failed_runs),
         )
         if end.checkpoint:
@@ -300,7 +304,7 @@
         if self.health.succeeded(worker, now):
             self.events.write(Event.WORKER_RESTORED, worker=worker.id)
         step = task.step
-        if task.started_at and not task.resumed:
+        if task.start_known and not task.resumed and not is_far(step):
             self.durations.learn(task, now - task.started_at)
         if step.shape.lasting:
             self.vacate(task)
@@ -335,11 +339,17 @@
         task.ordering = False
         if task.status is not TaskStatus.PLACED:
             return
+        task.start_known = True
+        self._confirm(task)
+        if not task.resumed:
+            task.base_at = task.started_at
+
+    def _confirm(self, task: Task):
+        """Note that a run is there."""
         now = boot_time()
         task.status = TaskStatus.RUNNING
         task.inherited = False
         task.started_at = task.percent_at = task.confirmed_at = now
-        task.percent = 0.0
         self.metrics.starts.add(1)
         job = task.step.job
         if not job.began:
--- a/src/zinniatrestle/serving/tests/test_door.py
+++ b/src/zinniatrestle/serving/tests/test_door.py
@@ -14,7 +14,7 @@
 from zinniatrestle.ids import ApiKey, JobId
 from zinniatrestle.jobs import JobState
 from zinniatrestle.jobs.intake import LONGEST_TRY_SECONDS, TRY_SHARE, Plan
-from zinniatrestle.scheduling.leadership import LeaseRecord
+from zinniatrestle.scheduling.messages import LeaseRecord
 from zinniatrestle.serving import RetryLaterError
 from zinniatrestle.serving.door import COUNTS_AGE_SECONDS, FRESH_SHARE
 from zinniatrestle.standins.model import Model, run_virtual, step
