Move work off leaving workers at once if it can't end there

Ruled out: waiting for a checkpoint. What has none saves nothing by going on.

Change: leaving.py tells which runs a leaving worker will cut off and whether to stop them now. Until when a worker works is noted as its entries come, so a successor knows too.

--- a/src/zinniatrestle/scheduling/fleet.py
+++ b/src/zinniatrestle/scheduling/fleet.py
@@ -60,6 +60,7 @@
         self.table = rows.table
         self.regions = deployment.regions
         self.heartbeat = deployment.bounds.heartbeat
+        self.drain = deployment.bounds.drain
         self.duties = duties
         self.events = events
         self.workers: dict[WorkerId, Worker] = {}
@@ -98,6 +99,7 @@
             )
             worker.entry = entry
             worker.entry_seen_at = boot_time()
+            self._note_leaving(worker)
             if worker.missing_since is not None:
                 worker.missing_since = None
                 self.events.write(Event.WORKER_SEEN, worker=worker.id, again=True)
@@ -116,10 +118,21 @@
             self.end(worker, "started anew")
         self._join(entry)
 
+    def _note_leaving(self, worker: Worker):
+        """Note until when a leaving worker works; later entries may tell less."""
+        if worker.entry.state is not WorkerState.DRAINING:
+            return
+        remaining = worker.entry.remaining
+        if remaining is None:
+            remaining = self.drain
+        at = BootSeconds(worker.entry_seen_at + remaining)
+        worker.leaves_at = at if worker.leaves_at is None else min(worker.leaves_at, at)
+
     def _join(self, entry: WorkerEntry):
         region = self.regions.get(entry.domain, RegionId(""))
         worker = Worker(entry, region)
         worker.entry_seen_at = boot_time()
+        self._note_leaving(worker)
         for former in list(self.former):
             if former.id != entry.worker:
                 continue
--- a/src/zinniatrestle/scheduling/making_room.py
+++ b/src/zinniatrestle/scheduling/making_room.py
@@ -3,6 +3,7 @@
 from zinniatrestle.events import Event
 from zinniatrestle.ids import BootSeconds, ClientAccountId
 from zinniatrestle.scheduling.context import Policy, SchedulerContext
+from zinniatrestle.scheduling.leaving import ORDER_SECONDS
 from zinniatrestle.scheduling.placement import Assignment, Terms, permitted
 from zinniatrestle.scheduling.reclaim import ReclaimPlanner
 from zinniatrestle.scheduling.state import StepRun, Task, TaskStatus, Worker
@@ -14,8 +15,6 @@
 # Work that may be lost for each unit of urgent work that would come too late without
 # its room: urgent work is short, and worth several times as much for its size.
 WORTH_LOSING = 1.5
-# s; a part of the time for a reclaim that is left for orders and their answers.
-ORDER_SECONDS = 0.3
 
 
 class RoomMaker:
--- a/src/zinniatrestle/scheduling/rounds.py
+++ b/src/zinniatrestle/scheduling/rounds.py
@@ -14,11 +14,8 @@
 from zinniatrestle.queues import Queue
 from zinniatrestle.scheduling.backfill import Shadow
 from zinniatrestle.scheduling.context import Policy, SchedulerContext
-from zinniatrestle.scheduling.making_room import (
-    HIGHEST_PRIORITY,
-    ORDER_SECONDS,
-    RoomMaker,
-)
+from zinniatrestle.scheduling.leaving import cut_off, should_move
+from zinniatrestle.scheduling.making_room import HIGHEST_PRIORITY, RoomMaker
 from zinniatrestle.scheduling.order import OrderPolicy, UsefulFirst, urgency
 from zinniatrestle.scheduling.placement import (
     Assignment,
@@ -266,32 +263,15 @@
             tracker.break_gang(task.step)
 
     def _leave_draining(self, workers: list[Worker], now: BootSeconds):
-        """Move work that a leaving worker would cut off, if a checkpoint saves it."""
+        """Stop what a leaving worker would cut off, so that it runs elsewhere."""
+        durations = self.tracker.durations
         for worker in workers:
-            if worker.draining_since is None or worker.over:
-                continue
-            remaining = worker.entry.remaining
-            if remaining is None:
-                remaining = self.bounds.drain
-            left = worker.draining_since + remaining - now
-            for task in list(worker.tasks.values()):
-                if task.status is not TaskStatus.RUNNING:
-                    continue
-                needed = self.tracker.durations.remaining(task, now)
-                if needed < left:
-                    continue
-                if self._worth_moving(task, left):
-                    self.tracker.stop(task, "its worker is leaving")
+            for task in cut_off(worker, durations, now):
+                terms = self.terms(task.step, now)
+                if should_move(task, workers, terms, self.bounds, now):
+                    self.tracker.stop(task, "its worker leaves before it can end")
                     self.tracker.break_gang(task.step)
 
-    def _worth_moving(self, task: Task, left: float) -> bool:
-        shape = task.step.shape
-        if shape.lasting and shape.may_miss:
-            return False
-        if not shape.checkpointing:
-            return False
-        return left < self.bounds.stop + 2 * ORDER_SECONDS
-
     # Time
 
     def _add_due_occurrences(self):
--- a/src/zinniatrestle/scheduling/state.py
+++ b/src/zinniatrestle/scheduling/state.py
@@ -260,7 +260,8 @@
         self.entry_seen_at = BootSeconds(0.0)
         # Its entry is gone from the registry since.
         self.missing_since: BootSeconds | None = None
-        self.draining_since: BootSeconds | None = None
+        # Until when it works at least, once it is leaving.
+        self.leaves_at: BootSeconds | None = None
         self.over = False
         # Ends up to this number are kept, and the worker may forget them.
         self.seen = 0
--- a/src/zinniatrestle/scheduling/tracker.py
+++ b/src/zinniatrestle/scheduling/tracker.py
@@ -63,7 +63,6 @@
 
     def drained(self, worker: Worker):
         """Plan anew, since a worker is leaving."""
-        worker.draining_since = boot_time()
         self.wake.set()
 
     def ended(self, worker: Worker, reason: str):
