Look for runs in a worker's new life before they run elsewhere

Cause: an order names a worker's id, and a worker may start again under its id. A start sent before the new entry was read reached the new life and ran there, while the scheduler gave the run up with the old life and placed it anew: TWICE, model seed 1058. A successor did the same with places that its predecessor had noted for the life before. Besides, a worker that refused connections got start after start, each 30 ms.

Change: what a life has listed ends with it; what it has not listed is looked for in the new life's first report. A worker that can't be reached for a start counts as silent until it answers a hold.

--- a/src/zinniatrestle/scheduling/fleet.py
+++ b/src/zinniatrestle/scheduling/fleet.py
@@ -42,8 +42,11 @@
         """Note that everything on a worker out of reach was killed by its lease."""
 
     @abstractmethod
-    def ended(self, worker: Worker, reason: str):
-        """Note that nothing runs on a worker's life any more."""
+    def ended(self, worker: Worker, reason: str, replaced: bool):
+        """Note that a worker's life is over; `replaced`: another one answers.
+
+        What stays on a life that was replaced may run in the new one.
+        """
 
 
 class Fleet(TableReader):
@@ -61,6 +64,7 @@
         self.regions = deployment.regions
         self.heartbeat = deployment.bounds.heartbeat
         self.drain = deployment.bounds.drain
+        self.longest_hold = deployment.bounds.longest_hold
         self.duties = duties
         self.events = events
         self.workers: dict[WorkerId, Worker] = {}
@@ -115,7 +119,7 @@
         if worker is not None:
             if entry.born < worker.entry.born:
                 return
-            self.end(worker, "started anew")
+            self.end(worker, "started anew", replaced=True)
         self._join(entry)
 
     def _note_leaving(self, worker: Worker):
@@ -134,12 +138,8 @@
         worker.entry_seen_at = boot_time()
         self._note_leaving(worker)
         for former in list(self.former):
-            if former.id != entry.worker:
-                continue
-            if _same_life(former.entry, entry):
+            if former.id == entry.worker:
                 self._adopt(former, worker)
-            else:
-                self.end(former, "started anew")
         self.workers[entry.worker] = worker
         self.events.write(
             Event.WORKER_SEEN, worker=worker.id, domain=worker.domain, born=entry.born
@@ -147,7 +147,11 @@
         self.duties.joined(worker)
 
     def _adopt(self, former: Worker, worker: Worker):
-        """Move what a life that was missing runs to its new entry."""
+        """Move what a former life may run to the life that answers now.
+
+        Orders name a worker's id alone, so they may have reached the new life; its
+        first report tells.
+        """
         self.former.remove(former)
         for task in list(former.tasks.values()):
             former.drop(task)
@@ -201,17 +205,23 @@
         if kept < EXPIRY_HEARTBEATS * self.heartbeat:
             self.end(worker, "it has left")
 
-    def end(self, worker: Worker, reason: str):
-        """End a life on which nothing runs any more."""
-        if worker.over:
+    def end(self, worker: Worker, reason: str, replaced: bool = False):
+        """End a life on which nothing runs any more, but what a new one may run."""
+        if worker in self.former:
+            self.former.remove(worker)
+        elif worker.over:
             return
         worker.over = True
         if self.workers.get(worker.id) is worker:
             del self.workers[worker.id]
-        if worker in self.former:
-            self.former.remove(worker)
         self.events.write(Event.WORKER_GONE, worker=worker.id, reason=reason)
-        self.duties.ended(worker, reason)
+        self.duties.ended(worker, reason, replaced)
+        if not worker.tasks:
+            return
+        # On the new life's clock the orders' deadlines are far ahead.
+        worker.lease.assume_granted(boot_time(), self.longest_hold)
+        worker.missing_since = worker.missing_since or boot_time()
+        self.former.append(worker)
 
     def silence(self, worker: Worker, refused: bool):
         """Note that a worker does not answer."""
--- a/src/zinniatrestle/scheduling/rounds.py
+++ b/src/zinniatrestle/scheduling/rounds.py
@@ -173,7 +173,7 @@
             task.resumed = bool(task.checkpoint)
             task.percent = task.base_percent = 0.0
             task.started_at = task.base_at = BootSeconds(0.0)
-            task.start_known = False
+            task.start_known = task.listed = False
             task.pace = 100
             worker.put(task)
         job = step.job
--- a/src/zinniatrestle/scheduling/scheduler.py
+++ b/src/zinniatrestle/scheduling/scheduler.py
@@ -221,10 +221,7 @@
             if not worker_id:
                 continue
             worker = self.tracker.fleet.workers.get(worker_id)
-            if worker is not None and worker.entry.born > born:
-                # The life in which it was placed is over.
-                continue
-            if worker is None or worker.entry.born != born:
+            if worker is None or worker.entry.born < born:
                 worker = self.tracker.fleet.ghost(worker_id, born, until)
             task.status = TaskStatus.PLACED
             task.inherited = True
--- a/src/zinniatrestle/scheduling/session.py
+++ b/src/zinniatrestle/scheduling/session.py
@@ -193,12 +193,12 @@
 
     async def _start(self, task: Task, run: RunNumber):
         if not self.duties.may_order():
-            self.duties.not_started(task, run, Refusal.NOT_REACHED)
+            self.duties.not_started(task, run, Refusal.NOT_ORDERED)
             return
         worker = self.worker
         deadline = self._deadline(boot_time())
         if deadline is None:
-            self.duties.not_started(task, run, Refusal.NOT_REACHED)
+            self.duties.not_started(task, run, Refusal.NOT_ORDERED)
             return
         order = StartOrder(
             task=task.id,
--- a/src/zinniatrestle/scheduling/state.py
+++ b/src/zinniatrestle/scheduling/state.py
@@ -73,6 +73,8 @@
         self.place = (WorkerId(""), 0)
         # Its run began from a checkpoint.
         self.resumed = False
+        # Its worker has listed this run, so it belongs to the life that is known.
+        self.listed = False
         # Its start was answered, so it is known for how long it runs.
         self.start_known = False
         self.percent = 0.0
--- a/src/zinniatrestle/scheduling/tracker.py
+++ b/src/zinniatrestle/scheduling/tracker.py
@@ -65,13 +65,13 @@
         """Plan anew, since a worker is leaving."""
         self.wake.set()
 
-    def ended(self, worker: Worker, reason: str):
-        """Give up what ran on a life that is over."""
+    def ended(self, worker: Worker, reason: str, replaced: bool):
+        """Give up what ran on a life that is over, but what a new one may run."""
         self.sessions.pop(worker, None)
         for running in self.session_tasks.pop(worker, ()):
             if running is not asyncio.current_task():
                 running.cancel()
-        self._lose_all(worker, reason)
+        self._lose_all(worker, reason, listed_only=replaced)
         for task in list(worker.reserved.values()):
             self.release(task)
         self.wake.set()
@@ -81,8 +81,12 @@
         self._lose_all(worker, "lease expired out of reach")
         self.wake.set()
 
-    def _lose_all(self, worker: Worker, reason: str):
+    def _lose_all(self, worker: Worker, reason: str, listed_only: bool = False):
         for task in list(worker.tasks.values()):
+            if listed_only and not task.listed:
+                # The session that ordered it is gone.
+                task.ordering = False
+                continue
             self.events.write(
                 Event.RUN_LOST,
                 task=task.id,
@@ -100,7 +104,7 @@
 
     def life_over(self, worker: Worker):
         """End a life that the worker itself denies."""
-        self.fleet.end(worker, "another life answers")
+        self.fleet.end(worker, "another life answers", replaced=True)
 
     def fenced_off(self, worker: Worker):
         """Stop scheduling, since a worker follows a newer generation number."""
@@ -207,6 +211,7 @@
             session.stop(task.id, task.run)
         if task.status is TaskStatus.PLACED:
             self._confirm(task)
+        task.listed = True
         task.looked_at = asked_at
         if not task.base_at:
             task.base_percent = running.percent
@@ -372,6 +377,8 @@
         if refusal is Refusal.UNHEALTHY:
             task.avoided.add(worker.id)
             self.quarantine(worker, "it sheds starts", boot_time())
+        if refusal in (Refusal.NOT_LISTENING, Refusal.NOT_REACHED):
+            self.silence(worker, refusal is Refusal.NOT_LISTENING)
         self.vacate(task)
         self.break_gang(task.step)
         self.wake.set()
--- a/src/zinniatrestle/workers/messages.py
+++ b/src/zinniatrestle/workers/messages.py
@@ -52,6 +52,8 @@
     NOT_LISTENING = "not_listening"
     # No connection could be opened in time.
     NOT_REACHED = "not_reached"
+    # It was not sent, since the scheduler may not order or lacks the worker's clock.
+    NOT_ORDERED = "not_ordered"
 
 
 class WorkerEntry(msgspec.Struct, frozen=True):
--- a/tests/model/test_seeds.py
+++ b/tests/model/test_seeds.py
@@ -26,6 +26,7 @@
     40: "a run that was given up and had ended well was run again",
     48: "a gang waited for ever for workers that wait for a canary",
     35: "a gang that failed on half of the workers never ran again",
+    1058: "a start that reached a worker's new life was repeated elsewhere",
 }
 
 
