Conclude from a broken gang that the member out of reach has ended

Cause: when a worker died, the other members were told broken within 50 ms, but the dead member's place counted as held until its entry had lapsed (4.4 s) or its lease had.

Ruled out: the member still running. Members end broken because another one ended; if all others ended so, it is the one that can't be heard of.

Change: the last member that has a place, on a silent worker, is given up then. With more than one member out of reach nothing is concluded.

--- a/src/zinniatrestle/scheduling/state.py
+++ b/src/zinniatrestle/scheduling/state.py
@@ -126,6 +126,8 @@
         self.tasks = [Task(self, index) for index in range(self.shape.count)]
         self.done = False
         self.ready_at: BootSeconds | None = None
+        # Members of the latest run that ended because another member had ended.
+        self.broken: set[Task] = set()
 
     @property
     def work(self) -> float:
--- a/src/zinniatrestle/scheduling/tests/test_lost_workers.py
+++ b/src/zinniatrestle/scheduling/tests/test_lost_workers.py
@@ -57,6 +57,24 @@
     model.fleet.restart(worker)
 
 
+def test_a_gang_is_redone_at_once_if_its_breaking_shows_which_worker_is_lost():
+    async def play():
+        model = Model(1)
+        await model.start(workers=6, rack=6)
+        await model.submit("usual", (step(3, gpus=8, gang=True),), 8.0)
+        await asyncio.sleep(2.0)
+        worker = next(w for w in model.fleet.workers.values() if w.running)
+        lost_at = monotonic()
+        worker.reachable = False
+        model.fleet.crash(worker)
+        assert await model.settle(60.0)
+        assert violations(model) == []
+        starts = [e.at for e in model.fleet.history if e.kind is EventKind.START]
+        return max(starts) - lost_at
+
+    assert run_virtual(play()) < NOTICE_SECONDS
+
+
 @pytest.mark.parametrize("lose", [vanish, cut_for_good])
 def test_work_on_a_silent_worker_is_redone_once_its_lease_has_run_out(lose):
     model, delay = run_virtual(lose_worker(lose))
--- a/src/zinniatrestle/scheduling/tracker.py
+++ b/src/zinniatrestle/scheduling/tracker.py
@@ -14,6 +14,7 @@
 from zinniatrestle.scheduling.session import ORDER_LANES, SessionDuties, WorkerSession
 from zinniatrestle.scheduling.state import (
     Job,
+    StepRun,
     Task,
     TaskStatus,
     Worker,
@@ -100,6 +101,8 @@
     def silence(self, worker: Worker, refused: bool):
         """Note that a worker does not answer."""
         self.fleet.silence(worker, refused)
+        for task in list(worker.tasks.values()):
+            self._find_end_out_of_reach(task.step)
         self.wake.set()
 
     def life_over(self, worker: Worker):
@@ -291,9 +294,26 @@
         self.vacate(task)
         if end.how is HowEnded.FAILED:
             self._failed(worker, task, now)
+        if end.how is HowEnded.BROKEN:
+            task.step.broken.add(task)
         self.break_gang(task.step)
+        self._find_end_out_of_reach(task.step)
         return job
 
+    def _find_end_out_of_reach(self, step: StepRun):
+        """Give up the one member that must have ended, since all others were broken.
+
+        Its worker does not answer, so its end can't be heard of.
+        """
+        if not step.broken or len(step.broken) != len(step.tasks) - 1:
+            return
+        left = [member for member in step.tasks if member.occupies]
+        if len(left) != 1:
+            return
+        (member,) = left
+        if member.worker.silent and member.listed:
+            self._lose(member.worker, member, "its gang was broken by its end")
+
     def _was_given_up(self, task: Task, end: EndedRun) -> bool:
         """Tell whether an end is that of a task's latest run, given up before."""
         if task.step.job.ended or task.step.shape.lasting:
