Make room by what it loses and what it brings, and at once for guarantees

Cause: a fixed cost for each level of urgency (160 core-s a victim) counted as lost work, so room was hardly ever made from small patient tasks; a guarantee waited for its last moment although nothing came free, and was late by that; jobs were stopped twice and thrice until they were late; a plan took 12 ms for 176 workers and was made anew each round.

Ruled out: a larger factor on the old cost (it stops gangs that have nearly ended).

Change: losses.py works out once a round what each stop would lose, with a part of the job's work if the stop makes it late. A plan takes the cheapest room for the next task until all fit, spares what is not needed, and gives up at a limit: 4 times the urgent work that is on time only with that room, once the work if it is late or of no use. Nothing is stopped if enough comes free in time by itself. A guarantee is met at once unless room comes free.

--- a/src/zinniatrestle/scheduling/backfill.py
+++ b/src/zinniatrestle/scheduling/backfill.py
@@ -1,5 +1,7 @@
 """Keep workers from filling up with small work while wide work waits for them."""
 
+from typing import NamedTuple
+
 from zinniatrestle.scheduling.durations import Durations
 from zinniatrestle.scheduling.placement import Terms, candidates, groups
 from zinniatrestle.scheduling.state import StepRun, Worker
@@ -9,6 +11,13 @@
 MOST_HELD_BACK = 4
 
 
+class FreeRoom(NamedTuple):
+    """When a step that waits will find room without a stop, and on which workers."""
+
+    at: float
+    workers: list[Worker]
+
+
 class Shadow:
     """Hold workers back for the steps that go first but don't fit yet.
 
@@ -34,10 +43,12 @@
                 found.append(worker)
         return found
 
-    def hold_back(self, step: StepRun, count: int, workers: list[Worker], terms: Terms):
-        """Hold back the workers on which a step could start soonest."""
+    def soonest(
+        self, step: StepRun, count: int, workers: list[Worker], terms: Terms
+    ) -> FreeRoom | None:
+        """Return where and when a gang could start soonest, if that can be told."""
         if not step.shape.gang or self.steps >= MOST_HELD_BACK:
-            return
+            return None
         usable = []
         for worker in candidates(step, workers, terms):
             if worker not in self.free_at:
@@ -48,11 +59,14 @@
             if chosen and (not best or chosen[-1][0] < best[-1][0]):
                 best = chosen
         if not best:
-            return
+            return None
+        return FreeRoom(best[-1][0], [worker for _, worker in best])
+
+    def hold_back(self, room: FreeRoom):
+        """Hold workers back for the step that is to start there."""
         self.steps += 1
-        start = best[-1][0]
-        for _, worker in best:
-            self.free_at[worker] = start
+        for worker in room.workers:
+            self.free_at[worker] = room.at
 
     def _soonest(
         self, step: StepRun, count: int, group: list[Worker]
--- /dev/null
+++ b/src/zinniatrestle/scheduling/losses.py
@@ -0,0 +1,109 @@
+"""What would be lost by stopping what runs."""
+
+from dataclasses import dataclass
+
+from zinniatrestle.ids import BootSeconds
+from zinniatrestle.scheduling.durations import Durations
+from zinniatrestle.scheduling.order import urgency
+from zinniatrestle.scheduling.state import StepRun, Task, TaskStatus, Worker
+
+# How much more a unit of lost work weighs for each level that its queue stands higher,
+# so that of similar losses the less urgent one is taken.
+LEVEL_WEIGHT = 1.5
+# Share of a job's work that counts as lost besides if a stop makes the job late:
+# callers gain some two thirds less by a late job.
+LATE_SHARE = 0.3
+# s; a stopped run starts again this much later, if there is room.
+RESTART_SECONDS = 0.5
+
+
+@dataclass(eq=False)
+class Unit:
+    """What can only be stopped together: a task, or all members of a gang.
+
+    `loss` is in thousandths of core-seconds; `rank` weighs it by urgency.
+    """
+
+    tasks: list[Task]
+    loss: float
+    rank: float
+
+
+class Losses:
+    """Losses as of one instant, each worked out once."""
+
+    def __init__(
+        self, durations: Durations, checkpoint_interval: float, now: BootSeconds
+    ):
+        self.durations = durations
+        self.checkpoint_interval = checkpoint_interval
+        self.now = now
+        self.workers: dict[Worker, list[Unit]] = {}
+        self.gangs: dict[StepRun, Unit] = {}
+
+    def at(self, worker: Worker) -> list[Unit]:
+        """Return what may be stopped at a worker, the least loss first."""
+        found = self.workers.get(worker)
+        if found is not None:
+            return found
+        found = []
+        for task in worker.tasks.values():
+            if not _may_stop(task):
+                continue
+            unit = self._unit(task)
+            if unit not in found:
+                found.append(unit)
+        found.sort(key=lambda unit: unit.rank)
+        self.workers[worker] = found
+        return found
+
+    def of(self, task: Task) -> float:
+        """Return the work that stopping a task would throw away."""
+        elapsed = max(0.0, self.now - task.started_at) if task.started_at else 0.0
+        shape = task.step.shape
+        if not task.start_known and task.percent:
+            expected = self.durations.task(task.step.job.submission.queue, shape)
+            elapsed = max(elapsed, expected * task.percent / 100)
+        if shape.checkpointing:
+            elapsed = min(elapsed, self.checkpoint_interval / 2)
+        return elapsed * task.step.work
+
+    def _unit(self, task: Task) -> Unit:
+        step = task.step
+        if not step.shape.gang:
+            return self._weighed([task])
+        unit = self.gangs.get(step)
+        if unit is None:
+            unit = self._weighed([member for member in step.tasks if member.occupies])
+            self.gangs[step] = unit
+        return unit
+
+    def _weighed(self, tasks: list[Task]) -> Unit:
+        loss = sum(self.of(task) for task in tasks)
+        step = tasks[0].step
+        if self._makes_late(tasks):
+            whole = self.durations.task(step.job.submission.queue, step.shape)
+            loss += LATE_SHARE * whole * step.work * len(tasks)
+        weight = LEVEL_WEIGHT**-step.job.submission.priority
+        return Unit(tasks, loss, loss * weight)
+
+    def _makes_late(self, tasks: list[Task]) -> bool:
+        """Tell whether a job is on time now and would not be after a stop."""
+        step = tasks[0].step
+        in_time = urgency(step, self.durations).in_time
+        whole = self.durations.task(step.job.submission.queue, step.shape)
+        left = max(self.durations.remaining(task, self.now) for task in tasks)
+        # Until when the step may end for its job to be on time.
+        due = in_time + whole
+        if self.now + left > due:
+            return False
+        again = left if step.shape.checkpointing else whole
+        return self.now + RESTART_SECONDS + again > due
+
+
+def _may_stop(task: Task) -> bool:
+    if task.status not in (TaskStatus.RUNNING, TaskStatus.PLACED):
+        return False
+    if task.step.shape.lasting:
+        return False
+    return task.step.job.submission.priority > 0
--- a/src/zinniatrestle/scheduling/making_room.py
+++ b/src/zinniatrestle/scheduling/making_room.py
@@ -1,9 +1,14 @@
 """Make room for urgent work, and keep it until the step can use it."""
 
+import math
+
 from zinniatrestle.events import Event
 from zinniatrestle.ids import BootSeconds, ClientAccountId
+from zinniatrestle.scheduling.backfill import FreeRoom
 from zinniatrestle.scheduling.context import Policy, SchedulerContext
 from zinniatrestle.scheduling.leaving import ORDER_SECONDS
+from zinniatrestle.scheduling.losses import Losses
+from zinniatrestle.scheduling.order import urgency
 from zinniatrestle.scheduling.placement import Assignment, Terms, permitted
 from zinniatrestle.scheduling.reclaim import ReclaimPlanner
 from zinniatrestle.scheduling.state import StepRun, Task, TaskStatus, Worker
@@ -12,9 +17,14 @@
 # s; after this time room that is kept is planned anew.
 RESERVED_SECONDS = 3.0
 HIGHEST_PRIORITY = 0
-# Work that may be lost for each unit of urgent work that would come too late without
-# its room: urgent work is short, and worth several times as much for its size.
-WORTH_LOSING = 1.5
+MILLICORES = 1000
+# Work that may be lost for each unit of urgent work that is on time only with that
+# room, or late with it and of no use without: urgent work is short, and worth several
+# times as much for its size.
+WORTH_BEING_ON_TIME = 4.0
+WORTH_BEING_LATE = 1.0
+# s; an attempt to make room for a step that failed is not repeated sooner.
+RETRY_SECONDS = 0.1
 
 
 class RoomMaker:
@@ -24,25 +34,43 @@
         self.context = context
         self.tracker = tracker
         self.policy = policy
-        self.planner = ReclaimPlanner(context.deployment.bounds.checkpoint_interval)
+        self.planner = ReclaimPlanner()
+        self.losses = Losses(tracker.durations, 0.0, BootSeconds(0.0))
+
+    def begin(self, now: BootSeconds):
+        """Begin a round: what would be lost is worked out anew."""
+        interval = self.context.deployment.bounds.checkpoint_interval
+        self.losses = Losses(self.tracker.durations, interval, now)
 
     def make_room(
-        self, step: StepRun, workers: list[Worker], terms: Terms, now: BootSeconds
+        self,
+        step: StepRun,
+        workers: list[Worker],
+        terms: Terms,
+        room: FreeRoom | None,
+        now: BootSeconds,
     ) -> bool:
-        """Stop cheaper work for urgent work that waits, guaranteed or worth it."""
+        """Stop cheaper work for urgent work that waits, guaranteed or worth it.
+
+        `room` is what it will find without that, if known.
+        """
         if not self.policy.reclaims or not self._is_urgent(step):
             return False
+        if now - step.room_sought_at < RETRY_SECONDS:
+            return False
+        step.room_sought_at = now
         waiting = step.waiting()
-        plan = self.planner.plan(step, waiting, workers, terms, now)
-        if plan is None and not terms.anywhere:
+        limit = self._worth_losing(step, waiting, room, now)
+        if self._must_reclaim(step, room, now):
+            limit = math.inf
+        if limit <= 0:
+            return False
+        plan = self.planner.plan(step, waiting, workers, terms, self.losses, limit)
+        if plan is None and limit == math.inf and not terms.anywhere:
             terms.anywhere = True
-            plan = self.planner.plan(step, waiting, workers, terms, now)
+            plan = self.planner.plan(step, waiting, workers, terms, self.losses)
         if plan is None:
             return False
-        if plan.cost > self._worth_losing(step, waiting):
-            # What costs more than it brings is done for a guarantee, and at the last.
-            if now < self._last_reclaim(step) or not self.is_guaranteed(step):
-                return False
         for task, worker in plan.places.items():
             task.worker = worker
             task.status = TaskStatus.RESERVED
@@ -58,7 +86,7 @@
                 run=victim.run,
                 worker=victim.worker.id,
                 reason=f"room for job {step.job.id}",
-                cost=round(self.planner.loss(victim, now) / 1000, 1),
+                lost=round(self.losses.of(victim) / MILLICORES, 1),
             )
             self.tracker.stop(victim, "preempted")
         return True
@@ -75,10 +103,37 @@
             return False
         return self._within(step, account.name, account.guaranteed)
 
-    def _worth_losing(self, step: StepRun, waiting: list[Task]) -> float:
-        """Return the work that may be lost for urgent work without a guarantee."""
+    def _worth_losing(
+        self,
+        step: StepRun,
+        waiting: list[Task],
+        room: FreeRoom | None,
+        now: BootSeconds,
+    ) -> float:
+        """Return the work that may be lost so that a step need not wait for room."""
+        until = urgency(step, self.tracker.durations)
+        with_stops = now + self.context.deployment.bounds.stop + ORDER_SECONDS
+        without = room.at if room is not None else math.inf
         seconds = self.tracker.durations.task(step.job.submission.queue, step.shape)
-        return WORTH_LOSING * seconds * step.work * len(waiting)
+        work = seconds * step.work * len(waiting)
+        if with_stops <= until.in_time < without:
+            return WORTH_BEING_ON_TIME * work
+        if with_stops <= until.of_use < without:
+            return WORTH_BEING_LATE * work
+        return 0.0
+
+    def _must_reclaim(
+        self, step: StepRun, room: FreeRoom | None, now: BootSeconds
+    ) -> bool:
+        """Tell whether a guarantee makes room whatever it costs.
+
+        That is done at once if the step would find no room in time by itself, else at
+        the last, in case it does not come free as expected.
+        """
+        if not self.is_guaranteed(step):
+            return False
+        last = self._last_reclaim(step)
+        return now >= last or room is None or room.at > last
 
     def _last_reclaim(self, step: StepRun) -> float:
         """Return until when a stop and a start still fit into a guarantee's time."""
--- a/src/zinniatrestle/scheduling/reclaim.py
+++ b/src/zinniatrestle/scheduling/reclaim.py
@@ -1,8 +1,10 @@
-"""Make room for guaranteed work by stopping the work whose loss is cheapest."""
+"""Make room for urgent work by stopping the work whose loss is cheapest."""
 
+import heapq
+import math
 from dataclasses import dataclass, field
 
-from zinniatrestle.ids import JobId
+from zinniatrestle.scheduling.losses import Losses, Unit
 from zinniatrestle.scheduling.placement import (
     Assignment,
     Terms,
@@ -16,39 +18,44 @@
     Worker,
 )
 
-# Core-seconds (in thousandths) of extra cost for each level that a victim's queue
-# stands above the lowest, so that the least urgent work is stopped first.
-LEVEL_COST = 20_000.0
-LOWEST_LEVEL = 9
-
 
 @dataclass
 class Reclaim:
-    """Where a step will go, and what has to be stopped for it."""
+    """Where a step will go, and what has to be stopped for it.
+
+    `loss` is in thousandths of core-seconds.
+    """
 
     places: Assignment = field(default_factory=dict)
     victims: list[Task] = field(default_factory=list)
-    cost: float = 0.0
+    loss: float = 0.0
 
 
-@dataclass
 class Room:
     """What is free at a worker, in a plan."""
 
-    cpu: int
-    memory: int
-    gpus: int
+    def __init__(self, worker: Worker, step: StepRun):
+        self.worker = worker
+        self.step = step
+        self.cpu = worker.free_cpu
+        self.memory = worker.free_memory
+        self.gpus = worker.free_gpus
+        for task in worker.tasks.values():
+            if task.status is TaskStatus.STOPPING:
+                self.add(task)
+        # Raised by each change, so that offers made before it are known as old.
+        self.changes = 0
 
-    def add(self, task: Task):
-        """Count a task's room as free."""
+    def add(self, task: Task, sign: int = 1):
+        """Count a task's room as free, or as taken again by a `sign` of -1."""
         shape = task.step.shape
-        self.cpu += 0 if shape.fills else shape.cpu
-        self.memory += shape.memory_mb
-        self.gpus += shape.gpus
+        self.cpu += 0 if shape.fills else sign * shape.cpu
+        self.memory += sign * shape.memory_mb
+        self.gpus += sign * shape.gpus
 
-    def slots(self, step: StepRun) -> int:
-        """Return how many tasks of a step fit."""
-        shape = step.shape
+    def slots(self) -> int:
+        """Return how many tasks of the step fit."""
+        shape = self.step.shape
         most = shape.count
         if shape.cpu and not shape.fills:
             most = min(most, self.cpu // shape.cpu)
@@ -61,126 +68,154 @@
         return max(0, most)
 
 
+@dataclass(order=True)
+class Offer:
+    """Units whose stop makes room for more tasks at one worker."""
+
+    rank_per_slot: float
+    number: int
+    room: Room = field(compare=False)
+    changes: int = field(compare=False)
+    units: list[Unit] = field(compare=False)
+
+
 class ReclaimPlanner:
     """Plan the whole step before the first stop."""
 
-    def __init__(self, checkpoint_interval: float):
-        self.checkpoint_interval = checkpoint_interval
-
     def plan(
         self,
         step: StepRun,
         tasks: list[Task],
         workers: list[Worker],
         terms: Terms,
-        now: float,
+        losses: Losses,
+        limit: float = math.inf,
     ) -> Reclaim | None:
-        """Return the cheapest plan that places all tasks, or None."""
+        """Return the cheapest plan that places all tasks, or None.
+
+        A plan that would lose more than `limit` (thousandths of core-seconds) is none.
+        """
         usable = candidates(step, workers, terms)
         best: Reclaim | None = None
         for group in groups(step, usable, terms):
             if best is not None and group is usable:
                 break
-            found = self._plan_in(step, tasks, group, now)
-            if found is None:
-                continue
-            if best is None or found.cost < best.cost:
+            most = limit if best is None else min(limit, best.loss)
+            found = GroupPlan(step, tasks, group, losses).make(most)
+            if found is not None and (best is None or found.loss < best.loss):
                 best = found
         return best
 
-    def loss(self, task: Task, now: float) -> float:
-        """Return the work in thousandths of core-seconds that a stop would lose."""
-        elapsed = max(0.0, now - task.started_at)
-        if task.step.shape.checkpointing:
-            elapsed = min(elapsed, self.checkpoint_interval / 2)
-        level = max(0, LOWEST_LEVEL - task.step.job.submission.priority)
-        return elapsed * task.step.work + level * LEVEL_COST
 
-    def _plan_in(
-        self, step: StepRun, tasks: list[Task], group: list[Worker], now: float
-    ) -> Reclaim | None:
-        rooms: dict[Worker, Room] = {}
-        for worker in group:
-            room = Room(worker.free_cpu, worker.free_memory, worker.free_gpus)
-            for task in worker.tasks.values():
-                if task.status is TaskStatus.STOPPING:
-                    room.add(task)
-            rooms[worker] = room
-        chosen = Reclaim()
-        stopped: set[Task] = set()
-        while sum(room.slots(step) for room in rooms.values()) < len(tasks):
-            cheapest = self._cheapest(step, rooms, stopped, now)
-            if cheapest is None:
+class GroupPlan:
+    """Plan for one step within one set of workers."""
+
+    def __init__(
+        self, step: StepRun, tasks: list[Task], group: list[Worker], losses: Losses
+    ):
+        self.step = step
+        self.tasks = tasks
+        self.losses = losses
+        self.rooms = {worker: Room(worker, step) for worker in group}
+        self.slots = {worker: room.slots() for worker, room in self.rooms.items()}
+        self.total = sum(self.slots.values())
+        self.chosen: list[Unit] = []
+        self.stopped: set[Unit] = set()
+        self.offers: list[Offer] = []
+
+    def make(self, limit: float) -> Reclaim | None:
+        """Return the plan, or None if it can't be made or loses more than `limit`."""
+        for room in self.rooms.values():
+            self._offer(room)
+        loss = 0.0
+        while self.total < len(self.tasks):
+            if not self.offers:
                 return None
-            cost, victims = cheapest
-            chosen.cost += cost
-            for victim in victims:
-                stopped.add(victim)
-                chosen.victims.append(victim)
-                if victim.worker in rooms:
-                    rooms[victim.worker].add(victim)
-        waiting = iter(tasks)
-        ranked = sorted(rooms, key=lambda worker: (rooms[worker].gpus, worker.id))
-        for worker in ranked:
-            for _ in range(rooms[worker].slots(step)):
-                task = next(waiting, None)
-                if task is None:
-                    return chosen
-                chosen.places[task] = worker
-        return chosen
-
-    def _cheapest(
-        self,
-        step: StepRun,
-        rooms: dict[Worker, Room],
-        stopped: set[Task],
-        now: float,
-    ) -> tuple[float, list[Task]] | None:
-        """Return the cheapest victims that make room for one more task."""
-        best: tuple[float, list[Task]] | None = None
-        for worker, room in rooms.items():
-            before = room.slots(step)
-            if before >= step.shape.count:
+            offer = heapq.heappop(self.offers)
+            if offer.changes != offer.room.changes:
+                self._offer(offer.room)
                 continue
-            trial = Room(room.cpu, room.memory, room.gpus)
-            victims: list[Task] = []
-            cost = 0.0
-            for unit_cost, unit in self._units(worker, step.job.id, stopped, now):
-                victims.extend(unit)
-                cost += unit_cost
-                for task in unit:
-                    if task.worker is worker:
-                        trial.add(task)
-                if trial.slots(step) > before:
-                    if best is None or cost < best[0]:
-                        best = (cost, victims)
-                    break
-        return best
-
-    def _units(
-        self, worker: Worker, job: JobId, stopped: set[Task], now: float
-    ) -> list[tuple[float, list[Task]]]:
-        """Return what may be stopped at a worker, cheapest first, gangs as one."""
+            for unit in offer.units:
+                loss += unit.loss
+                self._stop(unit)
+            if loss > limit:
+                return None
+            self._offer(offer.room)
+        self._spare_what_is_not_needed()
+        return self._result()
+
+    def _offer(self, room: Room):
+        """Offer the cheapest units that make room for one more task at a worker."""
+        before = self.slots[room.worker]
+        if before >= self.step.shape.count:
+            return
+        rank = 0.0
         units = []
-        counted: set[StepRun] = set()
-        for task in worker.tasks.values():
-            if not self._may_stop(task) or task in stopped or task.step in counted:
+        for unit in self.losses.at(room.worker):
+            if unit in self.stopped:
                 continue
-            members = [task]
-            if task.step.shape.gang:
-                counted.add(task.step)
-                members = [
-                    member
-                    for member in task.step.tasks
-                    if member.occupies and member not in stopped
-                ]
-            units.append((sum(self.loss(member, now) for member in members), members))
-        units.sort(key=lambda unit: unit[0])
-        return units
-
-    def _may_stop(self, task: Task) -> bool:
-        if task.status not in (TaskStatus.RUNNING, TaskStatus.PLACED):
-            return False
-        if task.step.shape.lasting:
-            return False
-        return task.step.job.submission.priority > 0
+            units.append(unit)
+            rank += unit.rank
+            self._count(unit, room)
+            if room.slots() > before:
+                break
+        gained = room.slots() - before
+        for unit in units:
+            self._count(unit, room, -1)
+        if gained <= 0:
+            return
+        needed = min(gained, len(self.tasks) - self.total)
+        offer = Offer(
+            rank / max(1, needed), len(self.offers), room, room.changes, units
+        )
+        heapq.heappush(self.offers, offer)
+
+    def _count(self, unit: Unit, room: Room, sign: int = 1):
+        for task in unit.tasks:
+            if task.worker is room.worker:
+                room.add(task, sign)
+
+    def _stop(self, unit: Unit, sign: int = 1):
+        """Count all that a unit frees, on all its workers."""
+        touched = set()
+        for task in unit.tasks:
+            room = self.rooms.get(task.worker)
+            if room is None:
+                continue
+            room.add(task, sign)
+            touched.add(room)
+        for room in touched:
+            room.changes += 1
+            slots = room.slots()
+            self.total += slots - self.slots[room.worker]
+            self.slots[room.worker] = slots
+        if sign > 0:
+            self.stopped.add(unit)
+            self.chosen.append(unit)
+
+    def _spare_what_is_not_needed(self):
+        """Leave units alone without which the step fits as well."""
+        for unit in sorted(self.chosen, key=lambda unit: -unit.rank):
+            self._stop(unit, -1)
+            if self.total >= len(self.tasks):
+                self.chosen.remove(unit)
+                continue
+            self.chosen.remove(unit)
+            self._stop(unit)
+
+    def _result(self) -> Reclaim:
+        found = Reclaim()
+        for unit in self.chosen:
+            found.loss += unit.loss
+            found.victims.extend(unit.tasks)
+        waiting = iter(self.tasks)
+        ranked = sorted(
+            self.rooms, key=lambda worker: (self.rooms[worker].gpus, worker.id)
+        )
+        for worker in ranked:
+            for _ in range(self.slots[worker]):
+                task = next(waiting, None)
+                if task is None:
+                    return found
+                found.places[task] = worker
+        return found
--- a/src/zinniatrestle/scheduling/rounds.py
+++ b/src/zinniatrestle/scheduling/rounds.py
@@ -58,6 +58,7 @@
         steps = self._waiting_steps(now)
         steps.sort(key=lambda step: self.order.key(step, now))
         shadow = Shadow(tracker.durations, now)
+        self.room.begin(now)
         placed: list[Task] = []
         for step in steps:
             placed.extend(self._decide(step, workers, shadow, now))
@@ -133,11 +134,14 @@
             return placed
         if terms.tickets is not None:
             self._ask_advice(step, workers, terms)
-        if self.room.make_room(step, workers, terms, now):
+        room = None
+        if self.policy.holds_back:
+            room = shadow.soonest(step, left, workers, terms)
+        if self.room.make_room(step, workers, terms, room, now):
             return placed
         self._tell_waiting(step, left, terms, now)
-        if self.policy.holds_back:
-            shadow.hold_back(step, left, workers, terms)
+        if room is not None:
+            shadow.hold_back(room)
         return placed
 
     def _tell_waiting(self, step: StepRun, left: int, terms: Terms, now: BootSeconds):
--- a/src/zinniatrestle/scheduling/state.py
+++ b/src/zinniatrestle/scheduling/state.py
@@ -126,6 +126,8 @@
         self.tasks = [Task(self, index) for index in range(self.shape.count)]
         self.done = False
         self.ready_at: BootSeconds | None = None
+        # When room was last to be made for it.
+        self.room_sought_at = BootSeconds(float("-inf"))
         # Members of the latest run that ended because another member had ended.
         self.broken: set[Task] = set()
 
--- a/src/zinniatrestle/scheduling/tests/test_backfill.py
+++ b/src/zinniatrestle/scheduling/tests/test_backfill.py
@@ -17,7 +17,7 @@
     run_on(late.tasks[0], workers[1])
     shadow = Shadow(Durations(), NOW)
     wide = first_step(job("3" * 16, WIDE))
-    shadow.hold_back(wide, 2, workers, terms())
+    shadow.hold_back(shadow.soonest(wide, 2, workers, terms()))
     return workers, shadow
 
 
@@ -41,5 +41,5 @@
 def test_a_step_without_a_gang_holds_nothing_back():
     workers = racks(1)
     shadow = Shadow(Durations(), NOW)
-    shadow.hold_back(first_step(job("5" * 16)), 1, workers, terms())
+    assert shadow.soonest(first_step(job("5" * 16)), 1, workers, terms()) is None
     assert shadow.free_at == {}
--- a/src/zinniatrestle/scheduling/tests/test_reclaim.py
+++ b/src/zinniatrestle/scheduling/tests/test_reclaim.py
@@ -1,19 +1,25 @@
 """A burst of guaranteed work in a full cluster: the cheapest loss makes room."""
 
+import math
+
 from common.scheduling import NOW, first_step, job, racks, run_on, terms
 
 from zinniatrestle.jobs.messages import Step
+from zinniatrestle.scheduling.durations import Durations
+from zinniatrestle.scheduling.losses import Losses
 from zinniatrestle.scheduling.reclaim import ReclaimPlanner
 from zinniatrestle.scheduling.state import TaskStatus
 
-PLANNER = ReclaimPlanner(checkpoint_interval=2.0)
+PLANNER = ReclaimPlanner()
+CHECKPOINT_SECONDS = 2.0
 
 
-def plan(count, workers, gpus=8):
+def plan(count, workers, gpus=8, limit=math.inf, **shape):
     step = first_step(
-        job("a" * 16, Step(count=count, gpus=gpus, gang=True), priority=0)
+        job("a" * 16, Step(count=count, gpus=gpus, gang=True, **shape), priority=0)
     )
-    return PLANNER.plan(step, step.waiting(), workers, terms(), NOW)
+    losses = Losses(Durations(), CHECKPOINT_SECONDS, NOW)
+    return PLANNER.plan(step, step.waiting(), workers, terms(), losses, limit)
 
 
 def busy(name, where, priority, since, gpus=8, **shape):
@@ -80,3 +86,52 @@
     workers = racks(1, size=1)
     busy("1", workers[0], 2, NOW - 1, lasting=True)
     assert plan(1, workers) is None
+
+
+def test_a_plan_that_loses_more_than_it_is_worth_is_none():
+    workers = racks(1, size=1)
+    busy("1", workers[0], 2, NOW - 10, estimated_ms=60_000)
+    # 10 s on one core and 8 accelerators, which count as 8 cores each.
+    lost = 10 * (1000 + 8 * 8000)
+    assert plan(1, workers, limit=lost - 1) is None
+    assert plan(1, workers, limit=lost).loss == lost
+
+
+def test_many_small_victims_count_by_what_they_have_done_alone():
+    workers = racks(1, size=1)
+    for number in range(8):
+        busy(f"{number}", workers[0], 2, NOW - 1, gpus=1, estimated_ms=20_000)
+    found = plan(1, workers)
+    assert len(found.victims) == 8
+    assert found.loss == 8 * (1000 + 8000)
+
+
+def test_work_that_a_stop_would_make_late_is_spared():
+    workers = racks(1, size=2)
+    slack = dict(estimated_ms=10_000, count=1)
+    tight = job("1" * 16, Step(gpus=8, **slack), priority=2, arrived=NOW - 21)
+    run_on(first_step(tight).tasks[0], workers[0], NOW - 3)
+    loose = job("2" * 16, Step(gpus=8, **slack), priority=2, arrived=NOW - 5)
+    spare = run_on(first_step(loose).tasks[0], workers[1], NOW - 4)
+    assert plan(1, workers).victims == [spare]
+
+
+def test_what_turns_out_not_to_be_needed_is_spared():
+    workers = racks(1, size=2)
+    small = busy("1", workers[0], 2, NOW - 1, gpus=1)
+    gang = first_step(job("2" * 16, Step(count=2, gpus=4, gang=True), priority=2))
+    # The small task and one half of the gang fill the first worker.
+    run_on(gang.tasks[0], workers[0], NOW - 2)
+    run_on(gang.tasks[1], workers[1], NOW - 2)
+    found = plan(1, workers, gpus=4)
+    assert small not in found.victims or found.victims == [small]
+
+
+def test_room_for_several_tasks_on_one_worker_is_made_once():
+    workers = racks(1, size=2)
+    whole = busy("1", workers[0], 2, NOW - 3)
+    for number in range(2, 10):
+        busy(f"{number}", workers[1], 2, NOW - 5, gpus=1)
+    found = plan(8, workers, gpus=1)
+    assert found.victims == [whole]
+    assert set(found.places.values()) == {workers[0]}
