Count the time that urgent work may wait as if it turned out short

Objectives grow with run times.

Change: the latest start for being on time takes the lesser of the estimate and the mean. Lines on waiting tell when room is expected, lines on runs that end in vain what was lost.

--- a/src/zinniatrestle/experiments/workload.py
+++ b/src/zinniatrestle/experiments/workload.py
@@ -6,7 +6,7 @@
 from typing import NamedTuple
 
 from zinniatrestle.jobs import Step
-from zinniatrestle.scheduling.state import ACCELERATOR_CPU
+from zinniatrestle.scheduling.state import ACCELERATOR_CPU, MILLICORES
 from zinniatrestle.standins.model import step
 
 
@@ -65,7 +65,6 @@
     kinds: tuple[Kind, ...]
 
 
-MILLICORES = 1000
 ANY_GPUS = (1, 2, 4, 8, 8)
 # The mix of the users' letters: quick checks, wide long builds, reports of many tasks.
 FLEETS = {
--- a/src/zinniatrestle/scheduling/durations.py
+++ b/src/zinniatrestle/scheduling/durations.py
@@ -1,6 +1,7 @@
 """How long tasks run, learned from those that ended and from what runs."""
 
 import math
+from collections.abc import Callable
 
 from zinniatrestle.ids import QueueName
 from zinniatrestle.jobs.messages import Step
@@ -15,6 +16,8 @@
 # Runs after which what was learned is trusted more than the callers' estimates.
 TRUSTED_RUNS = 5
 
+Foretell = Callable[[QueueName, Step], float]
+
 
 class Mean:
     """A running mean that forgets old values."""
@@ -108,6 +111,16 @@
             return estimate
         return times.seconds.value
 
+    def shortest(self, queue: QueueName, shape: Step) -> float:
+        """Return how many seconds a task may run if it is one of the short ones."""
+        expected = self.task(queue, shape)
+        times = self.queues.get(queue)
+        if times is not None and times.seconds.count >= TRUSTED_RUNS:
+            expected = min(expected, times.seconds.value)
+        if shape.estimated_ms:
+            expected = min(expected, shape.estimated_ms / MILLISECONDS)
+        return expected
+
     def remaining(self, task: Task, now: float) -> float:
         """Return how many seconds a running task most likely needs still."""
         if task.percent >= 100:
@@ -122,12 +135,18 @@
         since = task.base_at or task.started_at
         return max(left - (now - since), 0.0)
 
-    def chain(self, job: Job, first: StepRun | None = None) -> float:
+    def chain(
+        self,
+        job: Job,
+        first: StepRun | None = None,
+        foretell: Foretell | None = None,
+    ) -> float:
         """Return the seconds of the longest chain of steps, from one or from all."""
+        foretell = foretell or self.task
         steps = job.submission.steps
         longest: list[float] = []
         for number, shape in enumerate(steps):
-            own = self.task(job.submission.queue, shape)
+            own = foretell(job.submission.queue, shape)
             if first is not None and number == first.number:
                 longest.append(own)
                 continue
--- a/src/zinniatrestle/scheduling/ledger.py
+++ b/src/zinniatrestle/scheduling/ledger.py
@@ -13,9 +13,17 @@
 from zinniatrestle.scheduling.durations import Durations
 from zinniatrestle.scheduling.fleet import Fleet, FleetDuties
 from zinniatrestle.scheduling.health import HealthJudge
+from zinniatrestle.scheduling.losses import work_lost
 from zinniatrestle.scheduling.session import WorkerSession
 from zinniatrestle.scheduling.sharing import PaceController
-from zinniatrestle.scheduling.state import Job, StepRun, Task, TaskStatus, Worker
+from zinniatrestle.scheduling.state import (
+    MILLICORES,
+    Job,
+    StepRun,
+    Task,
+    TaskStatus,
+    Worker,
+)
 
 
 class Ledger(FleetDuties, ABC):
@@ -41,6 +49,12 @@
 
     # Tasks
 
+    def lost_core_seconds(self, task: Task) -> float:
+        """Return what a run has done and not saved."""
+        interval = self.context.deployment.bounds.checkpoint_interval
+        lost = work_lost(task, self.durations, interval, boot_time())
+        return round(lost / MILLICORES, 1)
+
     def stop(self, task: Task, reason: str):
         """Order a run to be stopped."""
         if not task.occupies or task.status is TaskStatus.STOPPING:
@@ -52,6 +66,7 @@
             run=task.run,
             worker=task.worker.id,
             reason=reason,
+            lost=self.lost_core_seconds(task),
         )
         session = self.sessions.get(task.worker)
         if session is not None:
--- a/src/zinniatrestle/scheduling/losses.py
+++ b/src/zinniatrestle/scheduling/losses.py
@@ -29,6 +29,20 @@
     rank: float
 
 
+def work_lost(
+    task: Task, durations: Durations, checkpoint_interval: float, now: float
+) -> float:
+    """Return what a run has done and not saved, in thousandths of core-seconds."""
+    elapsed = max(0.0, now - task.started_at) if task.started_at else 0.0
+    shape = task.step.shape
+    if not task.start_known and task.percent:
+        expected = durations.task(task.step.job.submission.queue, shape)
+        elapsed = max(elapsed, expected * task.percent / 100)
+    if shape.checkpointing:
+        elapsed = min(elapsed, checkpoint_interval / 2)
+    return elapsed * task.step.work
+
+
 class Losses:
     """Losses as of one instant, each worked out once."""
 
@@ -59,14 +73,7 @@
 
     def of(self, task: Task) -> float:
         """Return the work that stopping a task would throw away."""
-        elapsed = max(0.0, self.now - task.started_at) if task.started_at else 0.0
-        shape = task.step.shape
-        if not task.start_known and task.percent:
-            expected = self.durations.task(task.step.job.submission.queue, shape)
-            elapsed = max(elapsed, expected * task.percent / 100)
-        if shape.checkpointing:
-            elapsed = min(elapsed, self.checkpoint_interval / 2)
-        return elapsed * task.step.work
+        return work_lost(task, self.durations, self.checkpoint_interval, self.now)
 
     def _unit(self, task: Task) -> Unit:
         step = task.step
--- a/src/zinniatrestle/scheduling/making_room.py
+++ b/src/zinniatrestle/scheduling/making_room.py
@@ -11,13 +11,18 @@
 from zinniatrestle.scheduling.order import urgency
 from zinniatrestle.scheduling.placement import Assignment, Terms, permitted
 from zinniatrestle.scheduling.reclaim import ReclaimPlanner
-from zinniatrestle.scheduling.state import StepRun, Task, TaskStatus, Worker
+from zinniatrestle.scheduling.state import (
+    MILLICORES,
+    StepRun,
+    Task,
+    TaskStatus,
+    Worker,
+)
 from zinniatrestle.scheduling.tracker import Tracker
 
 # s; after this time room that is kept is planned anew.
 RESERVED_SECONDS = 3.0
 HIGHEST_PRIORITY = 0
-MILLICORES = 1000
 # Work that may be lost for each unit of urgent work that is on time only with that
 # room, or late with it and of no use without: urgent work is short, and worth several
 # times as much for its size.
--- a/src/zinniatrestle/scheduling/order.py
+++ b/src/zinniatrestle/scheduling/order.py
@@ -3,7 +3,7 @@
 from abc import ABC, abstractmethod
 from typing import NamedTuple
 
-from zinniatrestle.scheduling.durations import Durations
+from zinniatrestle.scheduling.durations import Durations, Foretell
 from zinniatrestle.scheduling.state import StepRun
 
 # A job that takes longer than this many times its objective is of no use to callers.
@@ -18,14 +18,28 @@
 
 
 def urgency(step: StepRun, durations: Durations) -> Urgency:
-    """Return until when (boot seconds) a step may start."""
+    """Return until when (boot seconds) a step may start.
+
+    Objectives grow with run times, so a job that turns out to be short has less time to
+    wait; to be on time it has to start as if it were.
+    """
     job = step.job
-    objective = durations.chain(job) * job.submission.stretch + job.submission.target
-    left = durations.chain(job, step)
     due = job.due_at
     if job.submission.timed:
         due = step.ready_at or job.due_at
-    return Urgency(due + objective - left, due + LATEST_FACTOR * objective - left)
+    in_time = _latest_start(step, durations, durations.shortest, 1.0)
+    of_use = _latest_start(step, durations, durations.task, LATEST_FACTOR)
+    return Urgency(due + in_time, due + of_use)
+
+
+def _latest_start(
+    step: StepRun, durations: Durations, foretell: Foretell, factor: float
+) -> float:
+    """Return how many seconds after its job is due a step may start."""
+    job = step.job
+    chain = durations.chain(job, foretell=foretell)
+    objective = chain * job.submission.stretch + job.submission.target
+    return factor * objective - durations.chain(job, step, foretell)
 
 
 class OrderPolicy(ABC):
--- a/src/zinniatrestle/scheduling/rounds.py
+++ b/src/zinniatrestle/scheduling/rounds.py
@@ -12,7 +12,7 @@
 from zinniatrestle.ids import BootSeconds, RunNumber
 from zinniatrestle.jobs.messages import JobState
 from zinniatrestle.queues import Queue
-from zinniatrestle.scheduling.backfill import Shadow
+from zinniatrestle.scheduling.backfill import FreeRoom, Shadow
 from zinniatrestle.scheduling.context import Policy, SchedulerContext
 from zinniatrestle.scheduling.leaving import cut_off, should_move
 from zinniatrestle.scheduling.making_room import HIGHEST_PRIORITY, RoomMaker
@@ -139,12 +139,19 @@
             room = shadow.soonest(step, left, workers, terms)
         if self.room.make_room(step, workers, terms, room, now):
             return placed
-        self._tell_waiting(step, left, terms, now)
+        self._tell_waiting(step, left, terms, room, now)
         if room is not None:
             shadow.hold_back(room)
         return placed
 
-    def _tell_waiting(self, step: StepRun, left: int, terms: Terms, now: BootSeconds):
+    def _tell_waiting(
+        self,
+        step: StepRun,
+        left: int,
+        terms: Terms,
+        room: FreeRoom | None,
+        now: BootSeconds,
+    ):
         """Log why an urgent step waits; others are many and wait for room alone."""
         submission = step.job.submission
         if submission.priority != HIGHEST_PRIORITY:
@@ -159,6 +166,7 @@
             rack_bound=step.shape.rack_bound,
             anywhere=terms.anywhere,
             guaranteed=self.room.is_guaranteed(step),
+            room_in=round(room.at - now, 2) if room is not None else None,
             slack=round(urgency(step, self.tracker.durations).in_time - now, 2),
         )
 
--- a/src/zinniatrestle/scheduling/state.py
+++ b/src/zinniatrestle/scheduling/state.py
@@ -27,6 +27,7 @@
 from zinniatrestle.workers.messages import WorkerEntry, WorkerState
 
 MILLISECONDS = 1000.0
+MILLICORES = 1000.0
 # Thousandths of a core that an accelerator counts as when work is weighed.
 ACCELERATOR_CPU = 8000
 
--- a/src/zinniatrestle/scheduling/tests/test_order.py
+++ b/src/zinniatrestle/scheduling/tests/test_order.py
@@ -64,6 +64,17 @@
     assert durations.task(made.submission.queue, SHORT) == 9.0
 
 
+def test_what_may_turn_out_short_has_to_start_soon():
+    durations = Durations()
+    made = job("1" * 16, Step(estimated_ms=9000), stretch=1.5, target=0.4)
+    for _ in range(TRUSTED_RUNS):
+        durations.learn(first_step(made).tasks[0], 9.0)
+    short = job("2" * 16, Step(estimated_ms=2000), stretch=1.5, target=0.4)
+    until = urgency(first_step(short), durations)
+    assert until.in_time == pytest.approx(NOW + 1.0 + 0.4)
+    assert until.of_use > until.in_time + 2 * (1.5 * 2 + 0.4)
+
+
 def test_the_rest_of_a_run_follows_its_progress():
     durations = Durations()
     task = first_step(job("1" * 16, SHORT)).tasks[0]
--- a/src/zinniatrestle/scheduling/tracker.py
+++ b/src/zinniatrestle/scheduling/tracker.py
@@ -94,6 +94,7 @@
                 run=task.run,
                 worker=worker.id,
                 reason=reason,
+                lost=self.lost_core_seconds(task),
             )
             self.vacate(task)
             self.break_gang(task.step)
@@ -252,7 +253,12 @@
 
     def _lose(self, worker: Worker, task: Task, reason: str):
         self.events.write(
-            Event.RUN_LOST, task=task.id, run=task.run, worker=worker.id, reason=reason
+            Event.RUN_LOST,
+            task=task.id,
+            run=task.run,
+            worker=worker.id,
+            reason=reason,
+            lost=self.lost_core_seconds(task),
         )
         self.vacate(task)
         self.break_gang(task.step)
@@ -285,6 +291,7 @@
             how=end.how.value,
             seconds=round(now - task.started_at, 2) if task.start_known else None,
             failures=len(task.failed_runs),
+            lost=0.0 if end.how is HowEnded.DONE else self.lost_core_seconds(task),
         )
         if end.checkpoint:
             self.keep_checkpoint(task, end.checkpoint)
