Lead waves of upkeep

Cause: operators can ask for a wave of upkeep, and nothing led it.

Ways weighed: taking machines down as they are (cuts work off, breaks what a step may miss); emptying each before, with as much patience as the wave's time leaves.

Change: slice upkeep. What is down, may be, or is being emptied counts against the bound of the wave. What saves its progress moves at once, what lasts one by one as its step allows, the rest may end by itself while there is time. What has begun is kept in the store, so a successor goes on. The host that schedules runs it as a companion of the rounds.

--- a/src/zinniatrestle/events/messages.py
+++ b/src/zinniatrestle/events/messages.py
@@ -40,4 +40,8 @@
     WORKER_QUARANTINED = "worker_quarantined"
     WORKER_RESTORED = "worker_restored"
     ADVICE = "advice"
+    WAVE = "wave"
+    MACHINE_EMPTIED = "machine_emptied"
+    UPKEEP_BEGUN = "upkeep_begun"
+    UPKEEP_REFUSED = "upkeep_refused"
     LINES_DROPPED = "lines_dropped"
--- a/src/zinniatrestle/ids.py
+++ b/src/zinniatrestle/ids.py
@@ -8,6 +8,8 @@
 RegionId = NewType("RegionId", str)
 RackId = NewType("RackId", str)
 WorkerId = NewType("WorkerId", str)
+# A machine outlives the workers that run on it one after the other.
+MachineId = NewType("MachineId", str)
 MinionId = NewType("MinionId", str)
 ServiceName = NewType("ServiceName", str)
 ClientAccountId = NewType("ClientAccountId", str)
--- a/src/zinniatrestle/platform/daemon.py
+++ b/src/zinniatrestle/platform/daemon.py
@@ -21,6 +21,7 @@
 from zinniatrestle.platform.advice import PlatformAdviser
 from zinniatrestle.platform.front import JobCalls, ReadinessCalls
 from zinniatrestle.platform.http import HttpClient
+from zinniatrestle.platform.machines import PlatformMachineCalls, PlatformWaveRows
 from zinniatrestle.platform.operator import PlatformOperatorRows
 from zinniatrestle.platform.orders import PlatformWorkerOrders
 from zinniatrestle.platform.registry import PlatformWorkerRows
@@ -33,6 +34,7 @@
 from zinniatrestle.scheduling.leadership import Leadership
 from zinniatrestle.scheduling.leading import lead
 from zinniatrestle.serving import FrontDoor
+from zinniatrestle.upkeep import WaveKeeper
 from zinniatrestle.web import HostServer
 
 # Connections to one worker: one holds, the others carry orders.
@@ -95,6 +97,19 @@
             metrics=self.metrics,
             events=self.events,
             adviser=PlatformAdviser(self.client, addresses.advice),
+            companions=[self._wave_keeper()],
+        )
+
+    def _wave_keeper(self) -> WaveKeeper:
+        host = self.deployment.identity.host
+        return WaveKeeper(
+            PlatformMachineCalls(self.client, self.deployment.addresses.machines, host),
+            PlatformWaveRows(),
+            self.store,
+            self.operator,
+            self.leadership,
+            self.deployment.bounds,
+            self.events,
         )
 
     async def run(self, stop: asyncio.Event, reload: asyncio.Event):
--- /dev/null
+++ b/src/zinniatrestle/platform/machines.py
@@ -0,0 +1,167 @@
+"""Calls about machines, and what operators read of waves of upkeep."""
+
+from typing import Any
+
+import msgspec
+
+from zinniatrestle.ids import (
+    FailureDomainId,
+    Generation,
+    HostId,
+    MachineId,
+    RowName,
+    ServiceName,
+    TableName,
+    WorkerId,
+)
+from zinniatrestle.platform.http import CallError, Fate, HttpAnswer, HttpClient
+from zinniatrestle.rows import Write
+from zinniatrestle.upkeep.interfaces import MachineCalls, WaveRows
+from zinniatrestle.upkeep.messages import (
+    Machine,
+    MachineRefusal,
+    MachineRefusedError,
+    MachineState,
+    UnansweredMachineError,
+    WaveState,
+)
+
+HOLDER_HEADER = "Zinniatrestle-Lease-Holder"
+GENERATION_HEADER = "Zinniatrestle-Fencing-Token"
+STATUS = TableName("status")
+OK = 200
+REASONS = {
+    "fence": MachineRefusal.STALE_GENERATION,
+    "busy": MachineRefusal.BUSY,
+    "wave": MachineRefusal.OTHER_WAVE,
+}
+STATUSES = {
+    400: MachineRefusal.UNKNOWN_MACHINE,
+    429: MachineRefusal.UNAVAILABLE,
+    503: MachineRefusal.UNAVAILABLE,
+}
+
+
+class WireMachine(msgspec.Struct, frozen=True):
+    """A machine; `id` is its worker's, `pool` the service that it works for."""
+
+    machine: str
+    pool: str | None = None
+    state: str = ""
+    zone: str = ""
+    id: str | None = None
+
+
+class WireMachines(msgspec.Struct, frozen=True):
+    """A page of machines."""
+
+    machines: list[WireMachine] = []
+    nextPageToken: str | None = None
+
+
+class WireUpkeep(msgspec.Struct, frozen=True):
+    """A machine to take down for a wave."""
+
+    machine: str
+    wave: int
+
+
+class WireRefusal(msgspec.Struct, frozen=True):
+    """Why a call was refused."""
+
+    reason: str = ""
+
+
+class WireStatus(msgspec.Struct, frozen=True):
+    """How far a wave is."""
+
+    wave: int
+    state: str
+
+
+class PlatformMachineCalls(MachineCalls):
+    """Call the platform; an empty address means that it takes no such calls."""
+
+    def __init__(self, client: HttpClient, address: str, host: HostId):
+        self.client = client
+        self.address = address
+        self.host = host
+
+    async def machines(self, timeout: float) -> list[Machine]:
+        """Return all machines."""
+        found: list[Machine] = []
+        token: str | None = ""
+        while token is not None:
+            query = {"pageToken": token} if token else None
+            answer = await self._call("GET", "/-/machines", timeout, query=query)
+            page = _decode(answer, WireMachines)
+            found.extend(_machine(entry) for entry in page.machines)
+            token = page.nextPageToken or None
+        return found
+
+    async def begin_upkeep(
+        self, machine: MachineId, wave: int, generation: Generation, timeout: float
+    ):
+        """Take a machine down for a wave; what runs there ends at once."""
+        body = msgspec.json.encode(WireUpkeep(machine, wave))
+        headers = {HOLDER_HEADER: self.host, GENERATION_HEADER: str(generation)}
+        path = "/-/machine-upkeep"
+        await self._call("POST", path, timeout, body=body, headers=headers)
+
+    async def _call(
+        self, method: str, path: str, timeout: float, **more: Any
+    ) -> HttpAnswer:
+        if not self.address:
+            raise MachineRefusedError(MachineRefusal.UNAVAILABLE)
+        try:
+            answer = await self.client.call(method, self.address, path, timeout, **more)
+        except CallError as error:
+            if error.fate is Fate.NOT_DONE:
+                raise MachineRefusedError(MachineRefusal.UNAVAILABLE) from error
+            raise UnansweredMachineError(error.detail) from error
+        if answer.status == OK:
+            return answer
+        if answer.status == 409:
+            reason = REASONS.get(_decode(answer, WireRefusal).reason)
+            raise MachineRefusedError(reason or MachineRefusal.BUSY)
+        if answer.status in STATUSES:
+            raise MachineRefusedError(STATUSES[answer.status])
+        raise UnansweredMachineError(f"The platform answers {answer.status}.")
+
+
+class PlatformWaveRows(WaveRows):
+    """Encode the rows in which operators read how far waves are."""
+
+    def status(self, wave: int, state: WaveState) -> Write:
+        """Return the row that tells how far a wave is."""
+        value = msgspec.json.encode(WireStatus(wave, state.value))
+        return Write(STATUS, RowName(f"wave/{wave}"), value)
+
+    def decode_status(self, value: bytes) -> WaveState | None:
+        """Return what such a row tells, or None if it can't be read."""
+        try:
+            return WaveState(msgspec.json.decode(value, type=WireStatus).state)
+        except (msgspec.DecodeError, ValueError):
+            return None
+
+
+def _machine(wire: WireMachine) -> Machine:
+    try:
+        state = MachineState(wire.state)
+    except ValueError:
+        # A state of another name is none in which a machine may be taken down.
+        state = MachineState.DOWN
+    return Machine(
+        MachineId(wire.machine),
+        ServiceName(wire.pool or ""),
+        state,
+        FailureDomainId(wire.zone),
+        WorkerId(wire.id or ""),
+    )
+
+
+def _decode(answer: HttpAnswer, wanted: type) -> Any:
+    try:
+        return msgspec.json.decode(answer.body, type=wanted)
+    except msgspec.DecodeError as error:
+        raise UnansweredMachineError(f"Unreadable answer: {error}.") from error
--- a/src/zinniatrestle/platform/operator.py
+++ b/src/zinniatrestle/platform/operator.py
@@ -109,13 +109,13 @@
     table = TableName("op")
 
     def decode(
-        self, name: RowName, value: bytes
+        self, name: RowName, value: bytes | None
     ) -> DesiredState | Evacuation | Wave | None:
         """Return what a row says, or None for a row of no interest."""
         if name.startswith(EVACUATE):
             return Evacuation(FailureDomainId(name.removeprefix(EVACUATE)))
         try:
-            if name == CONFIG:
+            if name == CONFIG and value is not None:
                 return _desired(msgspec.json.decode(value, type=WireConfig))
             if name.startswith(WAVE):
                 return _wave(name, value)
@@ -172,8 +172,8 @@
     )
 
 
-def _wave(name: RowName, value: bytes) -> Wave:
-    if value == b"{}":
+def _wave(name: RowName, value: bytes | None) -> Wave:
+    if value is None:
         number = name.removeprefix(WAVE)
         return Wave(int(number) if number.isdigit() else 0, (), 0.0, 0)
     wire = msgspec.json.decode(value, type=WireWave)
--- a/src/zinniatrestle/queues/follower.py
+++ b/src/zinniatrestle/queues/follower.py
@@ -22,9 +22,12 @@
 
     @abstractmethod
     def decode(
-        self, name: RowName, value: bytes
+        self, name: RowName, value: bytes | None
     ) -> DesiredState | Evacuation | Wave | None:
-        """Return what a row says, or None for a row of no interest."""
+        """Return what a row says, or None for a row of no interest.
+
+        A `value` of None asks what a row was about that has been removed.
+        """
 
 
 class DesiredStateReader(TableReader):
@@ -72,8 +75,7 @@
             self.state.waves[decoded.number] = decoded
 
     def _remove(self, name: RowName):
-        # A removed row has no value left to decode, so its kind comes from the name.
-        decoded = self.rows.decode(name, b"{}")
+        decoded = self.rows.decode(name, None)
         if isinstance(decoded, Evacuation):
             self.state.evacuated.discard(decoded.domain)
             self.events.write(Event.EVACUATION, domain=decoded.domain, out=False)
--- /dev/null
+++ b/src/zinniatrestle/scheduling/companion.py
@@ -0,0 +1,15 @@
+"""Abstract base of other duties that the host has which schedules."""
+
+from abc import ABC, abstractmethod
+from typing import TYPE_CHECKING
+
+if TYPE_CHECKING:
+    from zinniatrestle.scheduling.ledger import Ledger
+
+
+class Companion(ABC):
+    """A duty beside the rounds; it begins anew with each generation."""
+
+    @abstractmethod
+    async def run(self, ledger: "Ledger"):
+        """Do the duty until cancelled."""
--- a/src/zinniatrestle/scheduling/context.py
+++ b/src/zinniatrestle/scheduling/context.py
@@ -1,6 +1,6 @@
 """What the parts of the scheduler share."""
 
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 
 from zinniatrestle.advice import Adviser
 from zinniatrestle.deployment import Deployment
@@ -8,6 +8,7 @@
 from zinniatrestle.metrics import Metrics
 from zinniatrestle.queues import OperatorState
 from zinniatrestle.rows import RowStore
+from zinniatrestle.scheduling.companion import Companion
 from zinniatrestle.scheduling.leadership import Leadership
 from zinniatrestle.scheduling.order import OrderPolicy
 from zinniatrestle.scheduling.placement import PlacementPolicy
@@ -38,4 +39,5 @@
     metrics: Metrics
     events: EventLog
     adviser: Adviser | None = None
+    companions: list[Companion] = field(default_factory=list)
     policy: Policy | None = None
--- a/src/zinniatrestle/scheduling/state.py
+++ b/src/zinniatrestle/scheduling/state.py
@@ -270,6 +270,8 @@
         # Until when it works at least, once it is leaving.
         self.leaves_at: BootSeconds | None = None
         self.over = False
+        # It is being emptied and gets no new work.
+        self.cordoned = False
         # Ends up to this number are kept, and the worker may forget them.
         self.seen = 0
         self.keeping_up_to = 0
@@ -296,6 +298,7 @@
             self.fenced
             and not self.silent
             and not self.over
+            and not self.cordoned
             and self.missing_since is None
             and self.entry.state is WorkerState.READY
             and not self.strangers
--- a/src/zinniatrestle/standins/fleet.py
+++ b/src/zinniatrestle/standins/fleet.py
@@ -352,8 +352,9 @@
                 break
         running = []
         for run in life.running.values():
-            percent = min(99.0, int(100 * run.done / max(run.script.seconds, 0.01)))
-            running.append(RunningTask(run.task, run.run, run.checkpoint, percent))
+            running.append(
+                RunningTask(run.task, run.run, run.checkpoint, run.percent())
+            )
         return HoldAnswer(
             life.clock_ms(), life.entry.born, tuple(running), tuple(life.ended)
         )
--- /dev/null
+++ b/src/zinniatrestle/standins/machines.py
@@ -0,0 +1,135 @@
+"""Machines in memory: each runs one worker after the other, and can be taken down."""
+
+import asyncio
+
+import msgspec
+
+from zinniatrestle.clock import monotonic
+from zinniatrestle.ids import (
+    Generation,
+    MachineId,
+    RowName,
+    ServiceName,
+    TableName,
+    WorkerId,
+)
+from zinniatrestle.rows import Write
+from zinniatrestle.standins.fleet import SimulatedFleet
+from zinniatrestle.upkeep.interfaces import MachineCalls, WaveRows
+from zinniatrestle.upkeep.messages import (
+    Machine,
+    MachineRefusal,
+    MachineRefusedError,
+    MachineState,
+    UnansweredMachineError,
+    WaveState,
+)
+
+WAVE_STATUS = TableName("wave status")
+
+
+class SimulatedMachine:
+    """A machine and the worker that runs on it now."""
+
+    def __init__(self, machine: MachineId, worker: WorkerId):
+        self.machine = machine
+        self.worker = worker
+        self.state = MachineState.UP
+        # Waves in which it has had its upkeep, with the time of its begin.
+        self.upkeeps: dict[int, float] = {}
+
+
+class SimulatedMachines(MachineCalls):
+    """All machines of a fleet; `generation` is the highest that was seen."""
+
+    def __init__(self, fleet: SimulatedFleet, upkeep_seconds: float):
+        self.fleet = fleet
+        self.upkeep_seconds = upkeep_seconds
+        self.generation = Generation(0)
+        self.all: dict[MachineId, SimulatedMachine] = {}
+        # Machines of each wave, as the operator asked for them.
+        self.waves: dict[int, tuple[MachineId, ...]] = {}
+        # Calls that are carried out without an answer, one after the other.
+        self.unanswered = 0
+        self.calls = 0
+        # The most machines that were down at once.
+        self.most_down = 0
+        # What ran on a machine when it was taken down.
+        self.cut_off: list[str] = []
+        self.returning: set[asyncio.Task] = set()
+        for worker in fleet.workers:
+            machine = MachineId(f"m-{worker}")
+            self.all[machine] = SimulatedMachine(machine, worker)
+
+    async def machines(self, timeout: float) -> list[Machine]:
+        """Return all machines."""
+        self.calls += 1
+        found = []
+        for entry in self.all.values():
+            worker = self.fleet.workers[entry.worker].entry
+            found.append(
+                Machine(
+                    entry.machine,
+                    ServiceName(worker.service),
+                    entry.state,
+                    worker.domain,
+                    entry.worker,
+                )
+            )
+        return found
+
+    async def begin_upkeep(
+        self, machine: MachineId, wave: int, generation: Generation, timeout: float
+    ):
+        """Take a machine down for a wave; what runs there ends at once."""
+        if generation < self.generation:
+            raise MachineRefusedError(MachineRefusal.STALE_GENERATION)
+        self.generation = generation
+        entry = self.all.get(machine)
+        if entry is None:
+            raise MachineRefusedError(MachineRefusal.UNKNOWN_MACHINE)
+        if machine not in self.waves.get(wave, ()):
+            raise MachineRefusedError(MachineRefusal.OTHER_WAVE)
+        if wave in entry.upkeeps:
+            return
+        if entry.state is not MachineState.UP:
+            raise MachineRefusedError(MachineRefusal.BUSY)
+        self._take_down(entry, wave)
+        if self.unanswered:
+            self.unanswered -= 1
+            await asyncio.sleep(timeout)
+            raise UnansweredMachineError("The call got no answer.")
+
+    def _take_down(self, entry: SimulatedMachine, wave: int):
+        entry.upkeeps[wave] = monotonic()
+        entry.state = MachineState.UPKEEP
+        worker = self.fleet.workers[entry.worker]
+        self.cut_off.extend(worker.running)
+        self.fleet.crash(worker)
+        self.fleet.remove(worker)
+        down = sum(found.state is MachineState.UPKEEP for found in self.all.values())
+        self.most_down = max(self.most_down, down)
+        task = asyncio.create_task(self._come_back(entry, wave))
+        self.returning.add(task)
+        task.add_done_callback(self.returning.discard)
+
+    async def _come_back(self, entry: SimulatedMachine, wave: int):
+        await asyncio.sleep(self.upkeep_seconds)
+        old = self.fleet.workers[entry.worker].entry
+        worker = self.fleet.add(f"{old.worker}+{wave}", old.rack, old.domain)
+        entry.worker = worker.entry.worker
+        entry.state = MachineState.UP
+
+
+class MemoryWaveRows(WaveRows):
+    """Encode how far waves are."""
+
+    def status(self, wave: int, state: WaveState) -> Write:
+        """Return the row that tells how far a wave is."""
+        return Write(
+            WAVE_STATUS, RowName(str(wave)), msgspec.msgpack.encode(state.value)
+        )
+
+    def decode_status(self, value: bytes) -> WaveState | None:
+        """Return what such a row tells."""
+        return WaveState(msgspec.msgpack.decode(value))
--- a/src/zinniatrestle/standins/model.py
+++ b/src/zinniatrestle/standins/model.py
@@ -34,9 +34,11 @@
 from zinniatrestle.serving import FrontDoor
 from zinniatrestle.standins.fleet import MemoryWorkerRows, SimulatedFleet
 from zinniatrestle.standins.host_orders import HostOrders
+from zinniatrestle.standins.machines import MemoryWaveRows, SimulatedMachines
 from zinniatrestle.standins.operator import MemoryOperator, MemoryOperatorRows
 from zinniatrestle.standins.rows import HostRows, MemoryRows
 from zinniatrestle.standins.runs import TaskScript
+from zinniatrestle.upkeep import WaveKeeper
 
 FEED_SECONDS = 0.8
 ORIGIN = 1_800_000_000.0
@@ -137,6 +139,17 @@
             metrics=metrics,
             events=events,
         )
+        if self.model.machines is not None:
+            keeper = WaveKeeper(
+                self.model.machines,
+                MemoryWaveRows(),
+                self.store,
+                self.operator,
+                self.leadership,
+                self.model.bounds,
+                events,
+            )
+            self.context.companions = [keeper]
         self.context.policy = self.model.policy
         self.context.adviser = self.model.adviser
         self.tasks = [
@@ -191,7 +204,10 @@
         policy: Policy | None = None,
         bounds: Bounds | None = None,
         adviser: Adviser | None = None,
+        upkeep: bool = False,
     ):
+        self.upkeep = upkeep
+        self.machines: SimulatedMachines | None = None
         self.adviser = adviser
         self.seed = seed
         self.policy = policy
@@ -218,6 +234,8 @@
         for number in range(workers):
             domain = "abc"[number // rack % 3]
             self.fleet.add(f"w{number}", f"rack-{number // rack}", domain)
+        if self.upkeep:
+            self.machines = SimulatedMachines(self.fleet, self.bounds.upkeep)
         self.working = asyncio.create_task(self.fleet.run())
         for number in range(self.host_count):
             self.hosts.append(ModelHost(self, f"host-{number}", "r"))
--- a/src/zinniatrestle/standins/operator.py
+++ b/src/zinniatrestle/standins/operator.py
@@ -25,6 +25,7 @@
 OPERATOR = TableName("operator")
 DESIRED = RowName("desired")
 OUT = "out/"
+WAVE = "wave/"
 
 
 class MemoryOperatorRows(OperatorRows):
@@ -33,12 +34,16 @@
     table = OPERATOR
 
     def decode(
-        self, name: RowName, value: bytes
+        self, name: RowName, value: bytes | None
     ) -> DesiredState | Evacuation | Wave | None:
         """Return what a row says, or None for a row of no interest."""
         if name.startswith(OUT):
             return Evacuation(FailureDomainId(name.removeprefix(OUT)))
-        if name == DESIRED:
+        if name.startswith(WAVE):
+            if value is None:
+                return Wave(int(name.removeprefix(WAVE)), (), 0.0, 1)
+            return msgspec.msgpack.decode(value, type=Wave)
+        if name == DESIRED and value is not None:
             return msgspec.msgpack.decode(value, type=DesiredState)
         return None
 
@@ -91,6 +96,11 @@
         )
         self.rows.put(OPERATOR, DESIRED, msgspec.msgpack.encode(desired))
 
+    def ask_wave(self, wave: Wave):
+        """Ask for a wave of upkeep."""
+        name = RowName(f"{WAVE}{wave.number}")
+        self.rows.put(OPERATOR, name, msgspec.msgpack.encode(wave))
+
     def evacuate(self, domain: str):
         """Take a failure domain out."""
         self.rows.put(OPERATOR, RowName(OUT + domain), b"")
--- a/src/zinniatrestle/standins/runs.py
+++ b/src/zinniatrestle/standins/runs.py
@@ -13,6 +13,8 @@
 
 NO_GENERATION = Generation(0)
 NO_STEP = Step()
+# s; how long a task that lasts takes until it is at work.
+STARTUP_SECONDS = 0.5
 
 
 class TaskScript(msgspec.Struct, frozen=True):
@@ -80,6 +82,12 @@
         steps = self.script.steps
         return steps[number] if number < len(steps) else NO_STEP
 
+    def percent(self) -> float:
+        """Return what it tells of its progress; what lasts tells 100 once at work."""
+        if self.shape.lasting:
+            return 100.0 if self.done >= STARTUP_SECONDS else 0.0
+        return min(99.0, int(100 * self.done / max(self.script.seconds, 0.01)))
+
     @property
     def gang(self) -> int:
         """Return the members of its gang; 0: none."""
--- a/tests/pages/test_pages.py
+++ b/tests/pages/test_pages.py
@@ -8,6 +8,7 @@
 
 from zinniatrestle.configuration.templates import fill, read_template
 from zinniatrestle.errors import ResultCode
+from zinniatrestle.events import Event
 from zinniatrestle.operators.client import ClientSettings
 from zinniatrestle.settings import HostSettings, flag_of, variable_of
 from zinniatrestle.web import HTTP_STATUS, OTHER_STATUS
@@ -25,6 +26,13 @@
     assert found == expected
 
 
+@pytest.mark.parametrize("event", list(Event))
+def test_page_of_operations_tells_of_every_line(event):
+    text = (ROOT / "docs" / "OPERATIONS.md").read_text()
+    rows = [line for line in text.splitlines() if line.startswith("| `")]
+    assert any(f"`{event.value}`" in row for row in rows)
+
+
 @pytest.mark.parametrize("settings", [HostSettings, ClientSettings])
 def test_page_of_settings_lists_every_flag_with_its_default(settings):
     text = (ROOT / "docs" / "CONFIGURATION.md").read_text()
