Take no overdue run for one that is about to end

Change: progress is counted up to the last look, so a run that stands still needs more; an overdue run that tells no progress is taken to need a quarter of its time more.

Conclusion: test_order.py fails without it.

--- a/src/zinniatrestle/scheduling/durations.py
+++ b/src/zinniatrestle/scheduling/durations.py
@@ -11,6 +11,10 @@
 MILLISECONDS = 1000.0
 # s; what a task is taken to run for that says nothing, until one has ended.
 UNKNOWN_SECONDS = 5.0
+# s; a run that is about to end still has to be told of.
+SOONEST_SECONDS = 0.1
+# Share of the time it has run that an overdue run is taken to need still.
+OVERDUE_SHARE = 0.25
 # Weight of the newest run in the running means.
 NEWEST_WEIGHT = 0.1
 # Runs after which what was learned is trusted more than the callers' estimates.
@@ -127,13 +131,14 @@
             return 0.0
         gained = task.percent - task.base_percent
         if task.base_at and gained > 0:
-            pace = (task.percent_at - task.base_at) / gained
-            left = pace * (100 - task.percent) - (now - task.percent_at)
-            return max(left, 0.0)
+            pace = (task.looked_at - task.base_at) / gained
+            left = pace * (100 - task.percent) - (now - task.looked_at)
+            return max(left, SOONEST_SECONDS)
         expected = self.task(task.step.job.submission.queue, task.step.shape)
         left = expected * (100 - task.percent) / 100
-        since = task.base_at or task.started_at
-        return max(left - (now - since), 0.0)
+        elapsed = now - (task.base_at or task.started_at)
+        # What has run longer than expected is none of those that end soon.
+        return max(left - elapsed, OVERDUE_SHARE * elapsed, SOONEST_SECONDS)
 
     def chain(
         self,
--- a/src/zinniatrestle/scheduling/tests/test_order.py
+++ b/src/zinniatrestle/scheduling/tests/test_order.py
@@ -80,16 +80,34 @@
     task = first_step(job("1" * 16, SHORT)).tasks[0]
     task.started_at = task.base_at = NOW
     task.percent, task.percent_at = 25, NOW + 3
+    task.looked_at = NOW + 3
     assert durations.remaining(task, NOW + 3) == 9.0
     assert durations.remaining(task, NOW + 5) == 7.0
 
 
+def test_a_run_that_stands_still_is_not_about_to_end():
+    durations = Durations()
+    task = first_step(job("1" * 16, SHORT)).tasks[0]
+    task.started_at = task.base_at = NOW
+    task.percent, task.percent_at = 50, NOW + 2
+    task.looked_at = NOW + 6
+    assert durations.remaining(task, NOW + 6) == 6.0
+
+
+def test_a_run_that_tells_no_progress_and_is_overdue_is_not_about_to_end():
+    durations = Durations()
+    task = first_step(job("1" * 16, Step(estimated_ms=2000))).tasks[0]
+    task.started_at = task.base_at = task.looked_at = NOW
+    assert durations.remaining(task, NOW + 1) == 1.0
+    assert durations.remaining(task, NOW + 8) == 2.0
+
+
 def test_the_rest_of_a_run_from_a_checkpoint_follows_what_it_gained_since():
     durations = Durations()
     task = first_step(job("1" * 16, SHORT)).tasks[0]
     task.started_at = NOW - 1
     task.base_percent, task.base_at = 60, NOW
-    task.percent, task.percent_at = 80, NOW + 2
+    task.percent, task.percent_at, task.looked_at = 80, NOW + 2, NOW + 2
     assert durations.remaining(task, NOW + 2) == 2.0
 
 
