Wait for a large answer as long as it goes on coming

Cause: a read of the store had 1 s in all.

Ruled out: the store; it answered at once.

Change: an answer that has begun may take 10 s more while its next part comes in time.

Conclusion: test_store.py fails without it.

--- a/src/zinniatrestle/platform/http.py
+++ b/src/zinniatrestle/platform/http.py
@@ -54,10 +54,17 @@
         body: bytes | None = None,
         query: dict[str, Any] | None = None,
         headers: dict[str, str] | None = None,
+        body_seconds: float = 0.0,
     ) -> HttpAnswer:
-        """Make one call; `timeout` in seconds; raises CallError."""
+        """Make one call; raises CallError.
+
+        `timeout` in seconds is for the answer. An answer that has begun and goes on
+        coming may take `body_seconds` more.
+        """
         limits = aiohttp.ClientTimeout(
-            total=timeout, sock_connect=min(timeout, CONNECT_SECONDS)
+            total=timeout + body_seconds,
+            sock_connect=min(timeout, CONNECT_SECONDS),
+            sock_read=timeout,
         )
         sent = dict(headers or {})
         if body is not None:
--- a/src/zinniatrestle/platform/store.py
+++ b/src/zinniatrestle/platform/store.py
@@ -38,6 +38,9 @@
 SHARED_TABLES = frozenset({"op", "servers", "status"})
 # s; a read takes some 10 ms; an outage is found out within this time.
 READ_SECONDS = 1.0
+# s; how long an answer may take that goes on coming: a large desired state takes some
+# seconds over the slowest links.
+BODY_SECONDS = 10.0
 # s; what a feed's answer may take beyond the wait asked for.
 FEED_SLACK_SECONDS = 1.0
 MILLISECONDS = 1000.0
@@ -173,7 +176,12 @@
         sent_at = boot_time()
         try:
             answer = await self.client.call(
-                "GET", self.address, path, timeout, query=query
+                "GET",
+                self.address,
+                path,
+                timeout,
+                query=query,
+                body_seconds=BODY_SECONDS,
             )
         except CallError as error:
             self._note("read", error.fate.value, sent_at)
--- a/src/zinniatrestle/platform/tests/test_store.py
+++ b/src/zinniatrestle/platform/tests/test_store.py
@@ -12,9 +12,15 @@
 from zinniatrestle.ids import RowName, RowVersion, TableName
 from zinniatrestle.metrics import Metrics
 from zinniatrestle.platform.http import HttpClient
-from zinniatrestle.platform.store import PlatformStore
+from zinniatrestle.platform.store import READ_SECONDS, PlatformStore
 from zinniatrestle.rows import Expect, Write
-from zinniatrestle.standins.wire import WireFault, WireStore, served
+from zinniatrestle.standins.wire import (
+    PART_SECONDS,
+    PARTS,
+    WireFault,
+    WireStore,
+    served,
+)
 
 TABLE = TableName("table")
 NAME = RowName("name")
@@ -95,6 +101,28 @@
     with_store(check)
 
 
+def test_a_large_answer_over_a_slow_link_is_waited_for():
+    async def check(wire, store):
+        await store.transact([], write(), CALL_SECONDS)
+        wire.fault = WireFault.TRICKLED
+        assert PARTS * PART_SECONDS > READ_SECONDS
+        page = await store.page(TABLE, RowName(""), RowName(""))
+        assert [row.value for row in page.rows] == [b"value"]
+        changes = await store.changes(TABLE, RowVersion(0), 0.0)
+        assert len(changes.changes) == 1
+
+    with_store(check)
+
+
+def test_an_answer_that_stops_coming_is_given_up():
+    async def check(wire, store):
+        wire.fault = WireFault.STUCK
+        with pytest.raises(StoreUnavailableError):
+            await store.page(TABLE, RowName(""), RowName(""))
+
+    with_store(check)
+
+
 def test_a_store_that_is_not_there_is_unavailable():
     async def check(wire, store):
         store.address = "127.0.0.1:1"
--- a/src/zinniatrestle/standins/wire.py
+++ b/src/zinniatrestle/standins/wire.py
@@ -11,7 +11,7 @@
 import uvicorn
 from starlette.applications import Starlette
 from starlette.requests import Request
-from starlette.responses import Response
+from starlette.responses import Response, StreamingResponse
 from starlette.routing import Route
 
 from zinniatrestle.clock import boot_time
@@ -30,6 +30,9 @@
 
 # s; longer than any time limit of a client.
 SILENCE_SECONDS = 30.0
+# Parts of an answer that trickles, and the pause after each, in seconds.
+PARTS = 8
+PART_SECONDS = 0.2
 
 
 class WireFault(Enum):
@@ -45,6 +48,10 @@
     # The connection is closed in the middle of the answer.
     CUT = "cut"
     GARBLED = "garbled"
+    # The answer comes in parts, with pauses between them.
+    TRICKLED = "trickled"
+    # The answer begins and never ends.
+    STUCK = "stuck"
 
 
 class WireStore:
@@ -152,8 +159,19 @@
         if self.fault is WireFault.CUT:
             headers = {"Content-Length": str(len(data) + 1)}
             return Response(data, status, headers, "application/json")
+        if self.fault in (WireFault.TRICKLED, WireFault.STUCK):
+            parts = self._parts(data)
+            return StreamingResponse(parts, status, media_type="application/json")
         return Response(data, status, media_type="application/json")
 
+    async def _parts(self, data: bytes) -> AsyncIterator[bytes]:
+        size = len(data) // PARTS + 1
+        for start in range(0, len(data), size):
+            yield data[start : start + size]
+            if self.fault is WireFault.STUCK:
+                await asyncio.sleep(SILENCE_SECONDS)
+            await asyncio.sleep(PART_SECONDS)
+
 
 class WireWorker:
     """A worker that answers what a test tells it to."""
