--- a/src/zinniatrestle/experiments/workload.py
+++ b/src/zinniatrestle/experiments/workload.py
@@ -65,6 +65,7 @@
     kinds: tuple[Kind, ...]
 
 
+WORKER_GPUS = 8
 ANY_GPUS = (1, 2, 4, 8, 8)
 # The mix of the users' letters: quick checks, wide long builds, reports of many tasks.
 FLEETS = {
@@ -189,12 +190,14 @@
         seconds = kind.seconds * rng.uniform(1 - kind.spread, 1 + kind.spread)
         off = rng.uniform(1 - kind.estimate_off, 1 + kind.estimate_off)
         gpus = rng.choice(kind.gpus)
+        # What no rack can hold is not bound to one.
+        fits_rack = width * gpus <= self.fleet.rack * WORKER_GPUS
         shape = step(
             width,
             cpu=kind.cpu,
             gpus=gpus,
             gang=kind.gang,
-            rack_bound=rng.random() < kind.rack_bound,
+            rack_bound=rng.random() < kind.rack_bound and fits_rack,
             seconds=seconds * off,
             checkpointing=rng.random() < 0.45,
         )
