Foretell a gang's end by its slowest member, and plan no room twice

Progress counted from when a look was asked for, not answered. The order of a gang's room was not by time.

Change: forecast.py works out each end once a round, for a gang that of its slowest member; progress is timed by the answer; room is as late as its last worker; a unit that has been stopped is offered no more, and reserved room expires for all steps. Stand-in gangs end with their slowest member too.

--- a/src/zinniatrestle/scheduling/backfill.py
+++ b/src/zinniatrestle/scheduling/backfill.py
@@ -2,7 +2,7 @@
 
 from typing import NamedTuple
 
-from zinniatrestle.scheduling.durations import Durations
+from zinniatrestle.scheduling.forecast import Forecast
 from zinniatrestle.scheduling.placement import Terms, candidates, groups
 from zinniatrestle.scheduling.state import StepRun, Worker
 
@@ -25,9 +25,9 @@
     the earlier one could start there.
     """
 
-    def __init__(self, durations: Durations, now: float):
-        self.durations = durations
-        self.now = now
+    def __init__(self, forecast: Forecast):
+        self.forecast = forecast
+        self.now = forecast.now
         self.free_at: dict[Worker, float] = {}
         self.steps = 0
 
@@ -35,7 +35,7 @@
         """Return the workers on which a step delays no step that goes first."""
         if not self.free_at:
             return workers
-        seconds = self.durations.task(step.job.submission.queue, step.shape)
+        seconds = self.forecast.durations.task(step.job.submission.queue, step.shape)
         ends_at = self.now + seconds
         found = []
         for worker in workers:
@@ -83,7 +83,10 @@
             found += slots - chosen.get(worker, (0.0, 0))[1]
             chosen[worker] = (at, slots)
             if found >= count:
-                return [(at, worker) for worker, (at, _) in chosen.items()]
+                return sorted(
+                    ((at, worker) for worker, (at, _) in chosen.items()),
+                    key=lambda choice: choice[0],
+                )
         return []
 
     def _offers(self, step: StepRun, worker: Worker) -> list[tuple[float, int]]:
@@ -98,7 +101,7 @@
         for task in worker.tasks.values():
             if task.step.shape.lasting:
                 continue
-            left = self.durations.remaining(task, self.now)
+            left = self.forecast.remaining(task)
             ends.append((self.now + left, task.id, task.step.shape))
         ends.sort(key=lambda end: end[:2])
         for at, _, ended in ends:
--- a/src/zinniatrestle/scheduling/durations.py
+++ b/src/zinniatrestle/scheduling/durations.py
@@ -126,7 +126,7 @@
         return expected
 
     def remaining(self, task: Task, now: float) -> float:
-        """Return how many seconds a running task most likely needs still."""
+        """Return how many seconds a run by itself most likely needs still."""
         if task.percent >= 100:
             return 0.0
         gained = task.percent - task.base_percent
--- a/src/zinniatrestle/scheduling/leaving.py
+++ b/src/zinniatrestle/scheduling/leaving.py
@@ -1,7 +1,7 @@
 """Move work off workers that leave before it can end there."""
 
 from zinniatrestle.deployment import Bounds
-from zinniatrestle.scheduling.durations import Durations
+from zinniatrestle.scheduling.forecast import Forecast
 from zinniatrestle.scheduling.placement import Terms, candidates
 from zinniatrestle.scheduling.state import StepRun, Task, TaskStatus, Worker
 
@@ -11,19 +11,19 @@
 ORDER_SECONDS = 0.3
 
 
-def cut_off(worker: Worker, durations: Durations, now: float) -> list[Task]:
+def cut_off(worker: Worker, forecast: Forecast) -> list[Task]:
     """Return the runs that a leaving worker will cut off."""
     found: list[Task] = []
     if worker.leaves_at is None or worker.over:
         return found
-    left = worker.leaves_at - now
+    left = worker.leaves_at - forecast.now
     for task in worker.tasks.values():
         if task.status not in (TaskStatus.PLACED, TaskStatus.RUNNING):
             continue
         if task.step.shape.lasting:
             found.append(task)
             continue
-        if durations.remaining(task, now) + ESTIMATE_SECONDS > left:
+        if forecast.remaining(task) + ESTIMATE_SECONDS > left:
             found.append(task)
     return found
 
--- a/src/zinniatrestle/scheduling/losses.py
+++ b/src/zinniatrestle/scheduling/losses.py
@@ -2,8 +2,8 @@
 
 from dataclasses import dataclass
 
-from zinniatrestle.ids import BootSeconds
 from zinniatrestle.scheduling.durations import Durations
+from zinniatrestle.scheduling.forecast import Forecast
 from zinniatrestle.scheduling.order import urgency
 from zinniatrestle.scheduling.state import StepRun, Task, TaskStatus, Worker
 
@@ -13,6 +13,7 @@
 # Share of a job's work that counts as lost besides if a stop makes the job late:
 # callers gain some two thirds less by a late job.
 LATE_SHARE = 0.3
+STOPPABLE = frozenset({TaskStatus.PLACED, TaskStatus.RUNNING})
 # s; a stopped run starts again this much later, if there is room.
 RESTART_SECONDS = 0.5
 
@@ -28,6 +29,11 @@
     loss: float
     rank: float
 
+    @property
+    def is_stopped(self) -> bool:
+        """Tell whether it has been stopped since its loss was worked out."""
+        return any(task.status not in STOPPABLE for task in self.tasks)
+
 
 def work_lost(
     task: Task, durations: Durations, checkpoint_interval: float, now: float
@@ -46,12 +52,11 @@
 class Losses:
     """Losses as of one instant, each worked out once."""
 
-    def __init__(
-        self, durations: Durations, checkpoint_interval: float, now: BootSeconds
-    ):
-        self.durations = durations
+    def __init__(self, forecast: Forecast, checkpoint_interval: float):
+        self.forecast = forecast
+        self.durations = forecast.durations
         self.checkpoint_interval = checkpoint_interval
-        self.now = now
+        self.now = forecast.now
         self.workers: dict[Worker, list[Unit]] = {}
         self.gangs: dict[StepRun, Unit] = {}
 
@@ -99,7 +104,7 @@
         step = tasks[0].step
         in_time = urgency(step, self.durations).in_time
         whole = self.durations.task(step.job.submission.queue, step.shape)
-        left = max(self.durations.remaining(task, self.now) for task in tasks)
+        left = max(self.forecast.remaining(task) for task in tasks)
         # Until when the step may end for its job to be on time.
         due = in_time + whole
         if self.now + left > due:
@@ -109,7 +114,7 @@
 
 
 def _may_stop(task: Task) -> bool:
-    if task.status not in (TaskStatus.RUNNING, TaskStatus.PLACED):
+    if task.status not in STOPPABLE:
         return False
     if task.step.shape.lasting:
         return False
--- a/src/zinniatrestle/scheduling/making_room.py
+++ b/src/zinniatrestle/scheduling/making_room.py
@@ -6,6 +6,7 @@
 from zinniatrestle.ids import BootSeconds, ClientAccountId
 from zinniatrestle.scheduling.backfill import FreeRoom
 from zinniatrestle.scheduling.context import Policy, SchedulerContext
+from zinniatrestle.scheduling.forecast import Forecast
 from zinniatrestle.scheduling.leaving import ORDER_SECONDS
 from zinniatrestle.scheduling.losses import Losses
 from zinniatrestle.scheduling.order import urgency
@@ -40,12 +41,12 @@
         self.tracker = tracker
         self.policy = policy
         self.planner = ReclaimPlanner()
-        self.losses = Losses(tracker.durations, 0.0, BootSeconds(0.0))
+        self.losses = Losses(Forecast(tracker.durations, BootSeconds(0.0)), 0.0)
 
-    def begin(self, now: BootSeconds):
+    def begin(self, forecast: Forecast):
         """Begin a round: what would be lost is worked out anew."""
         interval = self.context.deployment.bounds.checkpoint_interval
-        self.losses = Losses(self.tracker.durations, interval, now)
+        self.losses = Losses(forecast, interval)
 
     def make_room(
         self,
@@ -177,12 +178,15 @@
                 return {}
             if min(worker.free_cpu, worker.free_memory, worker.free_gpus) >= 0:
                 ready[task] = worker
+        late = now - reserved[0].confirmed_at > RESERVED_SECONDS
         if step.shape.gang and len(ready) < len(reserved):
-            if now - reserved[0].confirmed_at > RESERVED_SECONDS:
+            if late:
                 self._release(reserved)
             return {}
         for task in ready:
             task.worker.unreserve(task)
+        if late:
+            self._release([task for task in reserved if task not in ready])
         return ready
 
     def _release(self, tasks: list[Task]):
--- a/src/zinniatrestle/scheduling/reclaim.py
+++ b/src/zinniatrestle/scheduling/reclaim.py
@@ -152,7 +152,7 @@
         rank = 0.0
         units = []
         for unit in self.losses.at(room.worker):
-            if unit in self.stopped:
+            if unit in self.stopped or unit.is_stopped:
                 continue
             units.append(unit)
             rank += unit.rank
--- a/src/zinniatrestle/scheduling/rounds.py
+++ b/src/zinniatrestle/scheduling/rounds.py
@@ -14,6 +14,7 @@
 from zinniatrestle.queues import Queue
 from zinniatrestle.scheduling.backfill import FreeRoom, Shadow
 from zinniatrestle.scheduling.context import Policy, SchedulerContext
+from zinniatrestle.scheduling.forecast import Forecast
 from zinniatrestle.scheduling.leaving import cut_off, should_move
 from zinniatrestle.scheduling.making_room import HIGHEST_PRIORITY, RoomMaker
 from zinniatrestle.scheduling.order import OrderPolicy, UsefulFirst, urgency
@@ -54,11 +55,12 @@
             tracker.health.review(worker, now)
         self._add_due_occurrences()
         self._stop_stalled(now)
-        self._leave_draining(workers, now)
+        forecast = Forecast(tracker.durations, now)
+        self._leave_draining(workers, forecast)
         steps = self._waiting_steps(now)
         steps.sort(key=lambda step: self.order.key(step, now))
-        shadow = Shadow(tracker.durations, now)
-        self.room.begin(now)
+        shadow = Shadow(forecast)
+        self.room.begin(forecast)
         placed: list[Task] = []
         for step in steps:
             placed.extend(self._decide(step, workers, shadow, now))
@@ -275,11 +277,11 @@
             tracker.stop(task, "no progress")
             tracker.break_gang(task.step)
 
-    def _leave_draining(self, workers: list[Worker], now: BootSeconds):
+    def _leave_draining(self, workers: list[Worker], forecast: Forecast):
         """Stop what a leaving worker would cut off, so that it runs elsewhere."""
-        durations = self.tracker.durations
+        now = forecast.now
         for worker in workers:
-            for task in cut_off(worker, durations, now):
+            for task in cut_off(worker, forecast):
                 terms = self.terms(task.step, now)
                 if should_move(task, workers, terms, self.bounds, now):
                     self.tracker.stop(task, "its worker leaves before it can end")
--- a/src/zinniatrestle/scheduling/tests/test_backfill.py
+++ b/src/zinniatrestle/scheduling/tests/test_backfill.py
@@ -5,6 +5,7 @@
 from zinniatrestle.jobs.messages import Step
 from zinniatrestle.scheduling.backfill import Shadow
 from zinniatrestle.scheduling.durations import Durations
+from zinniatrestle.scheduling.forecast import Forecast
 
 WIDE = Step(count=2, gpus=8, gang=True, estimated_ms=10_000)
 
@@ -15,7 +16,7 @@
     late = first_step(job("2" * 16, Step(gpus=8, estimated_ms=60_000)))
     run_on(soon.tasks[0], workers[0])
     run_on(late.tasks[0], workers[1])
-    shadow = Shadow(Durations(), NOW)
+    shadow = Shadow(Forecast(Durations(), NOW))
     wide = first_step(job("3" * 16, WIDE))
     shadow.hold_back(shadow.soonest(wide, 2, workers, terms()))
     return workers, shadow
@@ -26,6 +27,15 @@
     assert set(shadow.free_at) == {workers[0], workers[2]}
 
 
+def test_room_on_a_worker_that_has_some_already_is_free_once_all_of_it_is():
+    workers = racks(1, size=2)
+    rest = first_step(job("1" * 16, Step(gpus=4, estimated_ms=7000)))
+    run_on(rest.tasks[0], workers[0])
+    wide = first_step(job("3" * 16, Step(count=4, gpus=4, gang=True)))
+    room = Shadow(Forecast(Durations(), NOW)).soonest(wide, 4, workers, terms())
+    assert room.at == NOW + 7.0
+
+
 def test_long_small_work_stays_off_them():
     workers, shadow = scene()
     small = first_step(job("4" * 16, Step(gpus=1, estimated_ms=8000)))
@@ -40,6 +50,18 @@
 
 def test_a_step_without_a_gang_holds_nothing_back():
     workers = racks(1)
-    shadow = Shadow(Durations(), NOW)
+    shadow = Shadow(Forecast(Durations(), NOW))
     assert shadow.soonest(first_step(job("5" * 16)), 1, workers, terms()) is None
     assert shadow.free_at == {}
+
+
+def test_a_gang_frees_its_workers_when_its_slowest_member_ends():
+    workers = racks(1, size=2)
+    gang = first_step(job("1" * 16, Step(count=2, gpus=8, gang=True)))
+    for member, where, percent in zip(gang.tasks, workers, (100, 50), strict=True):
+        run_on(member, where, NOW - 2)
+        member.percent, member.percent_at, member.looked_at = percent, NOW, NOW
+    room = Shadow(Forecast(Durations(), NOW)).soonest(
+        first_step(job("3" * 16, WIDE)), 2, workers, terms()
+    )
+    assert room.at == NOW + 2
--- a/src/zinniatrestle/scheduling/tests/test_leaving.py
+++ b/src/zinniatrestle/scheduling/tests/test_leaving.py
@@ -8,6 +8,7 @@
 from zinniatrestle.deployment import Bounds
 from zinniatrestle.jobs.messages import Step
 from zinniatrestle.scheduling.durations import Durations
+from zinniatrestle.scheduling.forecast import Forecast
 from zinniatrestle.scheduling.leaving import cut_off, should_move
 from zinniatrestle.standins.checker import violations
 from zinniatrestle.standins.model import Model, run_virtual, step
@@ -32,13 +33,13 @@
 def test_what_can_still_end_stays(seconds_needed, notice, is_cut_off):
     shape = Step(gpus=1, estimated_ms=int(seconds_needed * 1000))
     task, workers = leaving(shape, notice)
-    found = cut_off(workers[0], Durations(), NOW)
+    found = cut_off(workers[0], Forecast(Durations(), NOW))
     assert found == ([task] if is_cut_off else [])
 
 
 def test_what_lasts_never_stays():
     task, workers = leaving(Step(gpus=1, lasting=True), 60.0)
-    assert cut_off(workers[0], Durations(), NOW) == [task]
+    assert cut_off(workers[0], Forecast(Durations(), NOW)) == [task]
 
 
 @pytest.mark.parametrize(
--- a/src/zinniatrestle/scheduling/tracker.py
+++ b/src/zinniatrestle/scheduling/tracker.py
@@ -139,9 +139,10 @@
             if job is not None:
                 changed.add(job)
         figures: dict[Task, float] = {}
+        answered_at = boot_time()
         for running in answer.running:
             listed.add((running.task, running.run))
-            task = self._take_running(worker, running, asked_at)
+            task = self._take_running(worker, running, answered_at)
             if task is not None:
                 figures[task] = running.figure
         self._find_absent(worker, listed, asked_at)
@@ -194,7 +195,7 @@
         self.wake.set()
 
     def _take_running(
-        self, worker: Worker, running: RunningTask, asked_at: BootSeconds
+        self, worker: Worker, running: RunningTask, answered_at: BootSeconds
     ) -> Task | None:
         task = self.find(running.task)
         session = self.sessions.get(worker)
@@ -216,13 +217,13 @@
         if task.status is TaskStatus.PLACED:
             self._confirm(task)
         task.listed = True
-        task.looked_at = asked_at
+        task.looked_at = answered_at
         if not task.base_at:
             task.base_percent = running.percent
-            task.base_at = asked_at
+            task.base_at = answered_at
         if running.percent != task.percent or task.percent_at == 0.0:
             task.percent = running.percent
-            task.percent_at = asked_at
+            task.percent_at = answered_at
         if running.checkpoint:
             self.keep_checkpoint(task, running.checkpoint)
         return task
--- a/src/zinniatrestle/standins/fleet.py
+++ b/src/zinniatrestle/standins/fleet.py
@@ -166,13 +166,13 @@
             last = now
 
     def _advance(self, now: float, passed: float):
-        # The racks of the members of each run of a gang.
-        present: dict[tuple[str, int], list[RackId]] = {}
+        # The members of each run of a gang, with their racks.
+        present: dict[tuple[str, int], list[tuple[RackId, SimulatedRun]]] = {}
         for worker in self.workers.values():
             for run in worker.running.values():
                 if run.gang:
                     key = (step_of(run.task), run.run)
-                    present.setdefault(key, []).append(worker.entry.rack)
+                    present.setdefault(key, []).append((worker.entry.rack, run))
         for worker in list(self.workers.values()):
             if not worker.alive:
                 continue
@@ -190,8 +190,8 @@
             if now >= run.stopped_at:
                 self._end(worker, run, HowEnded.STOPPED)
             return
-        racks = present.get((step_of(run.task), run.run), [])
-        if len(racks) < run.gang:
+        members = present.get((step_of(run.task), run.run), [])
+        if len(members) < run.gang:
             if run.done == 0.0 and now - run.started_at > self.gang_seconds:
                 self._end(worker, run, HowEnded.ALONE)
             elif run.done > 0.0:
@@ -202,8 +202,10 @@
             return
         if worker.sickness is Sickness.HANGS:
             return
-        run.done += passed / self._slowness(worker, run, racks)
+        run.done += passed / self._slowness(worker, run, {rack for rack, _ in members})
         run.checkpoint = str(int(run.done / CHECKPOINT_SECONDS) or "")
+        if any(member.done < script.seconds for _, member in members):
+            return
         if run.done < script.seconds:
             return
         failed = self.failed_runs.get(run.task, 0)
@@ -221,14 +223,14 @@
                     self._end(other, member, HowEnded.DONE)
 
     def _slowness(
-        self, worker: SimulatedWorker, run: SimulatedRun, racks: list[RackId]
+        self, worker: SimulatedWorker, run: SimulatedRun, racks: set[RackId]
     ) -> float:
         """Return how many times as long a run takes here as it should."""
         slowness = SLOW_FACTOR if worker.sickness is Sickness.SLOW else 1.0
         shape = run.shape
         if shape.data_rack and worker.entry.rack != shape.data_rack:
             slowness *= self.far_factor
-        if shape.rack_bound and len(set(racks)) > 1:
+        if shape.rack_bound and len(racks) > 1:
             slowness *= self.far_factor
         return slowness
 
--- a/src/zinniatrestle/upkeep/keeper.py
+++ b/src/zinniatrestle/upkeep/keeper.py
@@ -13,6 +13,7 @@
 from zinniatrestle.rows import ABSENT, Expect, RowStore, Write
 from zinniatrestle.rows.settled import transact_settled
 from zinniatrestle.scheduling.companion import Companion
+from zinniatrestle.scheduling.forecast import Forecast
 from zinniatrestle.scheduling.leadership import Leadership, Standing
 from zinniatrestle.scheduling.ledger import Ledger
 from zinniatrestle.scheduling.losses import Losses
@@ -111,7 +112,8 @@
         progress.observe(await self.calls.machines(CALL_SECONDS))
         workers = self._workers(progress)
         now = boot_time()
-        losses = Losses(self.ledger.durations, self.bounds.checkpoint_interval, now)
+        forecast = Forecast(self.ledger.durations, now)
+        losses = Losses(forecast, self.bounds.checkpoint_interval)
         for machine in next_machines(progress, workers, losses, self.bounds, now):
             progress.emptying[machine] = now
             self.events.write(Event.MACHINE_EMPTIED, wave=wave.number, machine=machine)
--- a/src/zinniatrestle/upkeep/tests/test_planner.py
+++ b/src/zinniatrestle/upkeep/tests/test_planner.py
@@ -8,6 +8,7 @@
 from zinniatrestle.jobs.messages import Step
 from zinniatrestle.queues import Wave
 from zinniatrestle.scheduling.durations import Durations
+from zinniatrestle.scheduling.forecast import Forecast
 from zinniatrestle.scheduling.losses import Losses
 from zinniatrestle.upkeep.messages import Machine, MachineState
 from zinniatrestle.upkeep.planner import next_machines, patience, to_stop
@@ -34,7 +35,7 @@
 
 
 def chosen(made, workers=None, now=NOW):
-    losses = Losses(Durations(), 2.0, now)
+    losses = Losses(Forecast(Durations(), now), 2.0)
     return next_machines(made, workers or {}, losses, BOUNDS, now)
 
 
