Learn workers' speeds from what runs there, and leave those that crawl

Cause: workers of a grown deployment differ by a factor of 1.5 in speed and turn 4 to 8 times slower for seconds; a gang goes at the pace of its slowest member, and nothing but a full stop of progress was noticed.

Ways weighed: run times of ended tasks (too late), a health question (it is answered well). Tasks of one step on several workers tell it within a second.

Change: speeds.py compares the progress of a step's tasks, with believed speeds taken out. A crawling worker gets nothing while others can hold the step, what is late there and would end much sooner elsewhere starts anew, and what is in a hurry goes to the fastest workers. Progress is counted by its rate of late. Stand-in workers and large experiments have speeds.

--- a/src/zinniatrestle/experiments/run.py
+++ b/src/zinniatrestle/experiments/run.py
@@ -119,6 +119,8 @@
 async def _play(name: str, workload: Workload) -> Result:
     model = Model(workload.seed, policy=POLICIES[name])
     await model.start(workload.fleet.workers, workload.fleet.rack)
+    for worker in model.fleet.workers.values():
+        worker.speed = model.random.choice(workload.fleet.speeds)
     sickening = asyncio.create_task(_sicken(model, workload.pattern))
     watching = asyncio.create_task(_watch(model))
     handing_in = []
--- a/src/zinniatrestle/experiments/workload.py
+++ b/src/zinniatrestle/experiments/workload.py
@@ -58,11 +58,12 @@
 
 
 class Fleet(NamedTuple):
-    """Workers, the workers of a rack, and the kinds of jobs that they run."""
+    """Workers, the workers of a rack, the kinds of jobs, and the workers' speeds."""
 
     workers: int
     rack: int
     kinds: tuple[Kind, ...]
+    speeds: tuple[float, ...] = (1.0,)
 
 
 WORKER_GPUS = 8
@@ -96,6 +97,7 @@
                 "patient", 0.7, 39, 230, 9.5, 0.3, 2800, (1,), False, 0.0, 0.2, 1, 0.3
             ),
         ),
+        speeds=(0.8, 1.0, 1.25),
     ),
 }
 # How much more of a kind arrives in a burst, and from when to when.
--- a/src/zinniatrestle/scheduling/durations.py
+++ b/src/zinniatrestle/scheduling/durations.py
@@ -6,7 +6,7 @@
 from zinniatrestle.ids import QueueName
 from zinniatrestle.jobs.messages import Step
 from zinniatrestle.scheduling.messages import LearnedTimes
-from zinniatrestle.scheduling.state import Job, StepRun, Task
+from zinniatrestle.scheduling.state import DONE_PERCENT, Job, StepRun, Task
 
 MILLISECONDS = 1000.0
 # s; what a task is taken to run for that says nothing, until one has ended.
@@ -127,15 +127,16 @@
 
     def remaining(self, task: Task, now: float) -> float:
         """Return how many seconds a run by itself most likely needs still."""
-        if task.percent >= 100:
+        if task.percent >= DONE_PERCENT:
             return 0.0
-        gained = task.percent - task.base_percent
-        if task.base_at and gained > 0:
-            pace = (task.looked_at - task.base_at) / gained
-            left = pace * (100 - task.percent) - (now - task.looked_at)
-            return max(left, SOONEST_SECONDS)
         expected = self.task(task.step.job.submission.queue, task.step.shape)
-        left = expected * (100 - task.percent) / 100
+        if task.progress_rate == 0:
+            # It stands still, and most likely has to start anew.
+            return expected
+        if task.progress_rate is not None:
+            left = (DONE_PERCENT - task.percent) / task.progress_rate
+            return max(left - (now - task.looked_at), SOONEST_SECONDS)
+        left = expected * (1 - task.percent / DONE_PERCENT)
         elapsed = now - (task.base_at or task.started_at)
         # What has run longer than expected is none of those that end soon.
         return max(left - elapsed, OVERDUE_SHARE * elapsed, SOONEST_SECONDS)
--- a/src/zinniatrestle/scheduling/leaving.py
+++ b/src/zinniatrestle/scheduling/leaving.py
@@ -41,21 +41,24 @@
         return True
     if task.worker.leaves_at - now < bounds.stop + 2 * ORDER_SECONDS:
         return True
-    return _has_room(step, workers, terms)
-
-
-def _has_room(step: StepRun, workers: list[Worker], terms: Terms) -> bool:
-    """Tell whether the members on leaving workers fit elsewhere right now."""
-    leaving = 0
-    for member in step.tasks:
-        worker = member.worker
-        if member.occupies and worker and worker.leaves_at is not None:
-            leaving += 1
-    if not step.shape.gang:
-        leaving = 1
+    leaving = [task]
+    if step.shape.gang:
+        leaving = [member for member in step.tasks if _is_leaving(member)]
+    return has_room(step, leaving, workers, terms)
+
+
+def has_room(
+    step: StepRun, tasks: list[Task], workers: list[Worker], terms: Terms
+) -> bool:
+    """Tell whether some tasks of a step fit elsewhere right now."""
     free = 0
     for worker in candidates(step, workers, terms):
         free += worker.slots(step)
-        if free >= leaving:
+        if free >= len(tasks):
             return True
     return False
+
+
+def _is_leaving(task: Task) -> bool:
+    worker = task.worker
+    return task.occupies and worker is not None and worker.leaves_at is not None
--- a/src/zinniatrestle/scheduling/ledger.py
+++ b/src/zinniatrestle/scheduling/ledger.py
@@ -16,6 +16,7 @@
 from zinniatrestle.scheduling.losses import work_lost
 from zinniatrestle.scheduling.session import WorkerSession
 from zinniatrestle.scheduling.sharing import PaceController
+from zinniatrestle.scheduling.speeds import SpeedBook
 from zinniatrestle.scheduling.state import (
     MILLICORES,
     Job,
@@ -43,6 +44,7 @@
         self.durations = Durations()
         self.health = HealthJudge()
         self.pacing = PaceController()
+        self.speeds = SpeedBook()
         self.wake = asyncio.Event()
         self.unsaved: set[Job] = set()
         self.keeping: set[asyncio.Task] = set()
--- a/src/zinniatrestle/scheduling/losses.py
+++ b/src/zinniatrestle/scheduling/losses.py
@@ -4,7 +4,7 @@
 
 from zinniatrestle.scheduling.durations import Durations
 from zinniatrestle.scheduling.forecast import Forecast
-from zinniatrestle.scheduling.order import urgency
+from zinniatrestle.scheduling.order import Timeliness, timeliness
 from zinniatrestle.scheduling.state import StepRun, Task, TaskStatus, Worker
 
 # How much more a unit of lost work weighs for each level that its queue stands higher,
@@ -102,15 +102,15 @@
     def _makes_late(self, tasks: list[Task]) -> bool:
         """Tell whether a job is on time now and would not be after a stop."""
         step = tasks[0].step
-        in_time = urgency(step, self.durations).in_time
-        whole = self.durations.task(step.job.submission.queue, step.shape)
         left = max(self.forecast.remaining(task) for task in tasks)
-        # Until when the step may end for its job to be on time.
-        due = in_time + whole
-        if self.now + left > due:
+        again = left
+        if not step.shape.checkpointing:
+            again = self.durations.task(step.job.submission.queue, step.shape)
+        now = timeliness(step, self.now + left, self.durations)
+        after = self.now + RESTART_SECONDS + again
+        if now is not Timeliness.ON_TIME:
             return False
-        again = left if step.shape.checkpointing else whole
-        return self.now + RESTART_SECONDS + again > due
+        return timeliness(step, after, self.durations) is not Timeliness.ON_TIME
 
 
 def _may_stop(task: Task) -> bool:
--- a/src/zinniatrestle/scheduling/order.py
+++ b/src/zinniatrestle/scheduling/order.py
@@ -1,6 +1,7 @@
 """The order in which steps are placed."""
 
 from abc import ABC, abstractmethod
+from enum import IntEnum
 from typing import NamedTuple
 
 from zinniatrestle.scheduling.durations import Durations, Foretell
@@ -32,6 +33,25 @@
     return Urgency(due + in_time, due + of_use)
 
 
+class Timeliness(IntEnum):
+    """Of what use a job is, the more the better."""
+
+    USELESS = 0
+    LATE = 1
+    ON_TIME = 2
+
+
+def timeliness(step: StepRun, ends_at: float, durations: Durations) -> Timeliness:
+    """Tell of what use a job is if one of its steps ends at a time."""
+    until = urgency(step, durations)
+    queue = step.job.submission.queue
+    if ends_at <= until.in_time + durations.shortest(queue, step.shape):
+        return Timeliness.ON_TIME
+    if ends_at <= until.of_use + durations.task(queue, step.shape):
+        return Timeliness.LATE
+    return Timeliness.USELESS
+
+
 def _latest_start(
     step: StepRun, durations: Durations, foretell: Foretell, factor: float
 ) -> float:
--- a/src/zinniatrestle/scheduling/placement.py
+++ b/src/zinniatrestle/scheduling/placement.py
@@ -4,7 +4,14 @@
 from collections.abc import Iterable
 from dataclasses import dataclass, field
 
-from zinniatrestle.ids import FailureDomainId, RackId, RegionId, ServiceName, WorkerId
+from zinniatrestle.ids import (
+    FailureDomainId,
+    RackId,
+    RegionId,
+    ServiceName,
+    WorkerId,
+)
+from zinniatrestle.scheduling.speeds import believed, is_crawling
 from zinniatrestle.scheduling.state import (
     StepRun,
     Task,
@@ -12,6 +19,9 @@
     WorkerHealth,
 )
 
+# Speeds that differ by less count as equal, since they are told by whole percents.
+SPEED_STEP = 0.2
+
 
 @dataclass
 class Terms:
@@ -22,6 +32,10 @@
     evacuated: set[FailureDomainId] = field(default_factory=set)
     # Tickets of the workers that an advice service allows; None: all are allowed.
     tickets: dict[WorkerId, str] | None = None
+    # As of when speeds are believed, in boot seconds.
+    now: float = 0.0
+    # The step has less time to spare than it runs, so that fast workers matter.
+    hurried: bool = False
     # Whether a place far from the data, or on several racks, is better than waiting.
     anywhere: bool = False
 
@@ -46,15 +60,19 @@
 def candidates(step: StepRun, workers: list[Worker], terms: Terms) -> list[Worker]:
     """Return the workers to consider, room aside.
 
-    Workers on which a task of the step failed or stood still are left out as long as
-    the others could hold the step if they were empty.
+    Workers on which a task of the step failed or stood still, and those that crawl, are
+    left out as long as the others could hold the step if they were empty.
     """
     avoided: set[WorkerId] = set()
     for task in step.tasks:
         avoided |= task.avoided
     usable = [worker for worker in workers if permitted(worker, step, terms)]
-    if avoided:
-        others = [worker for worker in usable if worker.id not in avoided]
+    others = [
+        worker
+        for worker in usable
+        if worker.id not in avoided and not is_crawling(worker, terms.now)
+    ]
+    if len(others) < len(usable):
         needed = step.shape.count if step.shape.gang else 1
         if sum(empty_slots(worker, step) for worker in others) >= needed:
             usable = others
@@ -167,7 +185,7 @@
                 continue
             if best and group is usable:
                 continue
-            best = _fill(step, tasks, slots)
+            best = _fill(tasks, slots, terms)
             best_left = left
         return best
 
@@ -196,6 +214,10 @@
         return found
 
 
+def _speed_class(worker: Worker, terms: Terms) -> int:
+    return round(believed(worker, terms.now) / SPEED_STEP)
+
+
 def _slots(worker: Worker, step: StepRun, trusting: bool) -> int:
     slots = worker.slots(step)
     if worker.health is WorkerHealth.CANARY and not trusting:
@@ -204,8 +226,11 @@
     return slots
 
 
-def _fill(step: StepRun, tasks: list[Task], slots: dict[Worker, int]) -> Assignment:
-    """Assign tasks, workers in use first, and those of the fullest racks."""
+def _fill(tasks: list[Task], slots: dict[Worker, int], terms: Terms) -> Assignment:
+    """Assign tasks, workers in use first, and those of the fullest racks.
+
+    What is in a hurry goes to the fastest workers first.
+    """
     rack_free: dict[RackId, int] = {}
     for worker in slots:
         rack_free[worker.rack] = rack_free.get(worker.rack, 0) + worker.free_gpus
@@ -213,6 +238,7 @@
         (worker for worker, count in slots.items() if count),
         key=lambda worker: (
             worker.health is WorkerHealth.CANARY,
+            -_speed_class(worker, terms) if terms.hurried else 0,
             not worker.tasks,
             rack_free[worker.rack],
             worker.free_gpus,
--- a/src/zinniatrestle/scheduling/rounds.py
+++ b/src/zinniatrestle/scheduling/rounds.py
@@ -15,7 +15,7 @@
 from zinniatrestle.scheduling.backfill import FreeRoom, Shadow
 from zinniatrestle.scheduling.context import Policy, SchedulerContext
 from zinniatrestle.scheduling.forecast import Forecast
-from zinniatrestle.scheduling.leaving import cut_off, should_move
+from zinniatrestle.scheduling.leaving import cut_off, has_room, should_move
 from zinniatrestle.scheduling.making_room import HIGHEST_PRIORITY, RoomMaker
 from zinniatrestle.scheduling.order import OrderPolicy, UsefulFirst, urgency
 from zinniatrestle.scheduling.placement import (
@@ -25,6 +25,7 @@
     Terms,
     candidates,
 )
+from zinniatrestle.scheduling.speeds import is_crawling, should_start_anew
 from zinniatrestle.scheduling.state import Job, StepRun, Task, TaskStatus, Worker
 from zinniatrestle.scheduling.tracker import Tracker
 
@@ -57,6 +58,7 @@
         self._stop_stalled(now)
         forecast = Forecast(tracker.durations, now)
         self._leave_draining(workers, forecast)
+        self._leave_crawling(workers, forecast)
         steps = self._waiting_steps(now)
         steps.sort(key=lambda step: self.order.key(step, now))
         shadow = Shadow(forecast)
@@ -105,7 +107,9 @@
         regions = queue.regions if queue else frozenset()
         if account and account.regions:
             regions = regions & account.regions if regions else account.regions
-        until = urgency(step, self.tracker.durations)
+        durations = self.tracker.durations
+        until = urgency(step, durations)
+        spare = until.in_time - now
         tickets = None
         if queue is not None and queue.advice is not None and self.advice is not None:
             tickets = self.advice.tickets(self._advice_key(step), now)
@@ -114,7 +118,9 @@
             regions=regions,
             evacuated=operator.evacuated,
             tickets=tickets,
-            anywhere=now > until.in_time,
+            now=now,
+            hurried=0 < spare < durations.task(submission.queue, step.shape),
+            anywhere=spare < 0,
         )
 
     def _decide(
@@ -186,9 +192,7 @@
             task.ordering = True
             task.inherited = False
             task.resumed = bool(task.checkpoint)
-            task.percent = task.base_percent = 0.0
-            task.started_at = task.base_at = BootSeconds(0.0)
-            task.start_known = task.listed = False
+            task.begin_run()
             task.pace = 100
             worker.put(task)
         job = step.job
@@ -287,6 +291,19 @@
                     self.tracker.stop(task, "its worker leaves before it can end")
                     self.tracker.break_gang(task.step)
 
+    def _leave_crawling(self, workers: list[Worker], forecast: Forecast):
+        """Stop what is of more use if it starts anew on another worker."""
+        for worker in workers:
+            if not is_crawling(worker, forecast.now):
+                continue
+            for task in list(worker.tasks.values()):
+                if not should_start_anew(task, forecast):
+                    continue
+                terms = self.terms(task.step, forecast.now)
+                if has_room(task.step, [task], workers, terms):
+                    self.tracker.stop(task, "its worker crawls")
+                    self.tracker.break_gang(task.step)
+
     # Time
 
     def _add_due_occurrences(self):
--- a/src/zinniatrestle/scheduling/state.py
+++ b/src/zinniatrestle/scheduling/state.py
@@ -28,6 +28,12 @@
 
 MILLISECONDS = 1000.0
 MILLICORES = 1000.0
+DONE_PERCENT = 100.0
+# Progress is told in whole percents, so a rate is counted over so many percents, or
+# over so many seconds if there are fewer.
+RATE_GAIN = 10.0
+RATE_SECONDS = 1.5
+LEAST_RATE_SECONDS = 0.05
 # Thousandths of a core that an accelerator counts as when work is weighed.
 ACCELERATOR_CPU = 8000
 
@@ -83,11 +89,44 @@
         # The first progress told of this run, from which its pace is counted.
         self.base_percent = 0.0
         self.base_at = BootSeconds(0.0)
+        # Percent a second that it made of late; None: not known yet.
+        self.progress_rate: float | None = None
+        # From when and where that is counted.
+        self.rate_percent = 0.0
+        self.rate_at = BootSeconds(0.0)
         self.looked_at = BootSeconds(0.0)
         # Workers on which it failed or stood still.
         self.avoided: set[WorkerId] = set()
         self.pace = 100
 
+    def note_progress(self, percent: float, at: BootSeconds):
+        """Take what a worker told of a run's progress."""
+        if not self.base_at:
+            self.base_percent = percent
+            self.base_at = at
+        if not self.rate_at:
+            self.rate_percent = self.base_percent
+            self.rate_at = self.base_at
+        if percent != self.percent or self.percent_at == 0.0:
+            self.percent = percent
+            self.percent_at = at
+        self.looked_at = at
+        gained = percent - self.rate_percent
+        seconds = at - self.rate_at
+        if gained < RATE_GAIN and seconds < RATE_SECONDS:
+            return
+        self.progress_rate = gained / max(seconds, LEAST_RATE_SECONDS)
+        if percent < DONE_PERCENT:
+            self.rate_percent = percent
+            self.rate_at = at
+
+    def begin_run(self):
+        """Forget the progress of the run before."""
+        self.percent = self.base_percent = self.rate_percent = 0.0
+        self.progress_rate = None
+        self.started_at = self.base_at = self.rate_at = BootSeconds(0.0)
+        self.start_known = self.listed = False
+
     @property
     def occupies(self) -> bool:
         """Tell whether it takes room at its worker."""
@@ -276,6 +315,9 @@
         self.seen = 0
         self.keeping_up_to = 0
         self.keeping: asyncio.Task | None = None
+        # Its speed as compared with others, 1 being the usual one.
+        self.speed = 1.0
+        self.speed_seen_at = BootSeconds(0.0)
         self.health = WorkerHealth.SOUND
         self.quarantined_until = BootSeconds(0.0)
         self.quarantines = 0
--- a/src/zinniatrestle/scheduling/tracker.py
+++ b/src/zinniatrestle/scheduling/tracker.py
@@ -145,6 +145,8 @@
             task = self._take_running(worker, running, answered_at)
             if task is not None:
                 figures[task] = running.figure
+        for step in {task.step for task in figures}:
+            self.speeds.compare(step, answered_at)
         self._find_absent(worker, listed, asked_at)
         session = self.sessions.get(worker)
         if session is None:
@@ -217,13 +219,7 @@
         if task.status is TaskStatus.PLACED:
             self._confirm(task)
         task.listed = True
-        task.looked_at = answered_at
-        if not task.base_at:
-            task.base_percent = running.percent
-            task.base_at = answered_at
-        if running.percent != task.percent or task.percent_at == 0.0:
-            task.percent = running.percent
-            task.percent_at = answered_at
+        task.note_progress(running.percent, answered_at)
         if running.checkpoint:
             self.keep_checkpoint(task, running.checkpoint)
         return task
@@ -350,6 +346,7 @@
         if any(member.status is not TaskStatus.DONE for member in step.tasks):
             return
         step.finish()
+        self.speeds.forget(step)
         job = step.job
         job.finished.add(step.key)
         job.drop_finished_occurrences()
--- a/src/zinniatrestle/standins/fleet.py
+++ b/src/zinniatrestle/standins/fleet.py
@@ -226,7 +226,9 @@
         self, worker: SimulatedWorker, run: SimulatedRun, racks: set[RackId]
     ) -> float:
         """Return how many times as long a run takes here as it should."""
-        slowness = SLOW_FACTOR if worker.sickness is Sickness.SLOW else 1.0
+        slowness = 1 / worker.speed
+        if worker.sickness is Sickness.SLOW:
+            slowness *= SLOW_FACTOR
         shape = run.shape
         if shape.data_rack and worker.entry.rack != shape.data_rack:
             slowness *= self.far_factor
--- a/src/zinniatrestle/standins/runs.py
+++ b/src/zinniatrestle/standins/runs.py
@@ -104,6 +104,8 @@
     reachable: bool = True
     heartbeats: bool = True
     sickness: Sickness = Sickness.NONE
+    # How fast it is when it is well, 1 being the usual speed.
+    speed: float = 1.0
     generation: Generation = NO_GENERATION
     deadline: float = 0.0
     running: dict[TaskId, SimulatedRun] = field(default_factory=dict)
--- a/tests/common/scheduling.py
+++ b/tests/common/scheduling.py
@@ -89,11 +89,19 @@
     task.status = TaskStatus.RUNNING
     task.worker = place
     task.run = RunNumber(1)
-    task.started_at = task.percent_at = task.looked_at = task.base_at = since
+    task.started_at = task.percent_at = task.looked_at = since
+    task.base_at = task.rate_at = since
     task.start_known = True
     place.put(task)
     return task
 
 
+def told(task: Task, *progress: tuple[float, float]) -> Task:
+    """Let a run's worker tell percents, each at a time."""
+    for percent, at in progress:
+        task.note_progress(percent, at)
+    return task
+
+
 def terms(**values) -> Terms:
     return Terms(service=SERVICE, **values)
