Play a daemon under load whose log nobody reads

Cause: that a stalled reader costs lines and no service was shown by a unit test alone.

Change: a test plays a real daemon for 10 s under load with its lines going to a pipe that nobody reads: every answer is 200 and lines are counted as dropped.

--- a/src/zinniatrestle/events/log.py
+++ b/src/zinniatrestle/events/log.py
@@ -60,9 +60,12 @@
 class EventLog:
     """Write events of one host; `stream` None writes nothing."""
 
-    def __init__(self, host: str = "", stream: Any = None):
+    def __init__(
+        self, host: str = "", stream: Any = None, buffered: int = BUFFERED_LINES
+    ):
         self.host = host
         self.stream = stream
+        self.buffered = buffered
         self.folded: dict[tuple[Event, str], tuple[float, int]] = {}
         self.listener: LineWriter | None = None
         self.handler: DroppingHandler | None = None
@@ -70,7 +73,7 @@
 
     def open(self):
         """Start the thread that writes the lines."""
-        lines: queue.Queue = queue.Queue(BUFFERED_LINES)
+        lines: queue.Queue = queue.Queue(self.buffered)
         writer = logging.StreamHandler(self.stream or sys.stdout)
         writer.setFormatter(logging.Formatter("%(message)s"))
         self.handler = DroppingHandler(lines)
--- a/src/zinniatrestle/platform/__main__.py
+++ b/src/zinniatrestle/platform/__main__.py
@@ -21,6 +21,7 @@
     *,
     settings: cyclopts.types.ExistingFile | None = None,
     metrics_port: int = DaemonSettings.metrics_port,
+    log_lines: int = DaemonSettings.log_lines,
 ):
     """Serve until SIGTERM.
 
@@ -30,11 +31,13 @@
         The platform's settings file; by default the one that its variable names.
     metrics_port
         Port on which metrics are served.
+    log_lines
+        Lines kept for a reader of the log that has stalled; more are dropped.
     """
     import os
 
     path = settings or Path(os.environ.get(SETTINGS_VARIABLE, ""))
-    await serve_on_platform(DaemonSettings(path, metrics_port))
+    await serve_on_platform(DaemonSettings(path, metrics_port, log_lines))
 
 
 def main():
--- a/src/zinniatrestle/platform/daemon.py
+++ b/src/zinniatrestle/platform/daemon.py
@@ -16,6 +16,7 @@
 from zinniatrestle.deployment import Deployment, split_address
 from zinniatrestle.errors import PlatformError, SettingsError
 from zinniatrestle.events import Event, EventLog
+from zinniatrestle.events.log import BUFFERED_LINES
 from zinniatrestle.jobs import JobIntake
 from zinniatrestle.metrics import Metrics
 from zinniatrestle.platform.advice import PlatformAdviser
@@ -54,6 +55,12 @@
 
     settings: Path
     metrics_port: int = 9464
+    log_lines: int = BUFFERED_LINES
+
+    def check(self):
+        """Refuse settings that can't be used; raises SettingsError."""
+        if self.log_lines < 1:
+            raise SettingsError("Buffer one line at least: set log-lines above 0.")
 
 
 @dataclass
@@ -249,8 +256,9 @@
 
 async def serve_on_platform(options: DaemonSettings):
     """Run an entry host of the platform until SIGTERM; raises SettingsError."""
+    options.check()
     deployment = load(options.settings)
-    events = EventLog(deployment.identity.host)
+    events = EventLog(deployment.identity.host, buffered=options.log_lines)
     events.open()
     stop, reload = asyncio.Event(), asyncio.Event()
     loop = asyncio.get_running_loop()
--- a/tests/common/platform_site.py
+++ b/tests/common/platform_site.py
@@ -82,7 +82,8 @@
         self.relay: Relay | None = None
         self.process: asyncio.subprocess.Process | None = None
 
-    async def start(self):
+    async def start(self, *flags: str, stdout: int | None = None):
+        """Start the daemon; `stdout` takes its lines in place of the log file."""
         environment = {**os.environ, "ZINNIATRESTLE_BOOT": str(self.settings)}
         with self.log.open("ab") as log:
             self.process = await asyncio.create_subprocess_exec(
@@ -91,7 +92,8 @@
                 "zinniatrestle.platform",
                 "--metrics-port",
                 str(self.metrics),
-                stdout=log,
+                *flags,
+                stdout=log if stdout is None else stdout,
                 stderr=log,
                 env=environment,
             )
@@ -128,6 +130,11 @@
         except aiohttp.ClientError:
             return 0
 
+    async def metrics(self, host: Host) -> str:
+        url = f"http://127.0.0.1:{host.metrics}/metrics"
+        async with self.session.get(url) as response:
+            return await response.text()
+
     async def call(self, host: Host, method: str, path: str, body=None, key="key"):
         headers = {"Host": "queue.example", "Zinniatrestle-Deadline-Ms": "20000"}
         if key:
--- a/tests/end_to_end/test_platform.py
+++ b/tests/end_to_end/test_platform.py
@@ -1,6 +1,8 @@
 """Real daemons against stand-ins of the platform, over HTTP, with real signals."""
 
 import asyncio
+import os
+import re
 import signal
 
 import aiohttp
@@ -112,3 +114,37 @@
         assert await site.state(host, "00000000000000a6") in ("410", "503")
 
     with_site(tmp_path, check)
+
+
+LINES_KEPT = 50
+STALLED_SECONDS = 10.0
+
+
+def test_a_reader_of_the_log_that_stalls_costs_lines_and_no_answers(tmp_path):
+    async def check(site):
+        host = site.hosts[0]
+        await host.kill()
+        reading, writing = os.pipe()
+        try:
+            # Nobody reads until the load is over.
+            await host.start("--log-lines", str(LINES_KEPT), stdout=writing)
+            os.close(writing)
+            await site.ready(host)
+            until = asyncio.get_running_loop().time() + STALLED_SECONDS
+            answers = []
+            number = 0
+            while asyncio.get_running_loop().time() < until:
+                batch = []
+                for _ in range(20):
+                    number += 1
+                    job = f"{number:016x}"
+                    batch.append(site.submit(host, job, seconds=0.05))
+                answers.extend(await asyncio.gather(*batch))
+            assert set(answers) == {200}
+            text = await site.metrics(host)
+            dropped = re.search(r"^log_lines_dropped\S* (\S+)", text, re.MULTILINE)
+            assert float(dropped.group(1)) > 0
+        finally:
+            os.close(reading)
+
+    with_site(tmp_path, check, hosts=1)
