Keep jobs' progress compact, and refuse what no row can hold

Cause: a row of progress named a worker and its start for each task, some 55 bytes a task, and kept every finished occurrence for ever, so a wide or long timed job could outgrow what the store takes (rowBytes) and hold up all that is written with it.

Conclusion: jobs/tests/test_rows.py: 1000 tasks of the largest kind fit.

--- a/src/zinniatrestle/deployment.py
+++ b/src/zinniatrestle/deployment.py
@@ -32,10 +32,15 @@
 
 @dataclass(frozen=True)
 class StoreLimits:
-    """Calls a second that all hosts together may make to the store."""
+    """What the store takes.
+
+    `writes` and `reads` are calls a second of all hosts together, `row_bytes` the
+    largest value of a row as it is sent, which is a third more than it holds.
+    """
 
     writes: float = 100.0
     reads: float = 100.0
+    row_bytes: int = 65_536
 
 
 @dataclass(frozen=True)
--- a/src/zinniatrestle/jobs/intake.py
+++ b/src/zinniatrestle/jobs/intake.py
@@ -3,6 +3,7 @@
 import asyncio
 
 from zinniatrestle.clock import boot_time, monotonic
+from zinniatrestle.deployment import StoreLimits
 from zinniatrestle.errors import (
     CallerError,
     NotFoundError,
@@ -31,8 +32,10 @@
 from zinniatrestle.rows import Expect, RowStore, Write
 from zinniatrestle.rows.settled import RETRY_SECONDS, transact_settled
 
-# Tasks; a row of progress has to hold them all.
+# Tasks; a row of progress has to hold them all, at some 40 bytes each.
 MOST_TASKS = 1000
+# Bytes sent for each byte of a row's value: base64 takes four for three.
+SENT_FACTOR = 4 / 3
 MOST_SPEC_BYTES = 4000
 # Share of a caller's time after which a host that does not reach the store answers, so
 # that the caller can still try another host.
@@ -85,9 +88,10 @@
 class JobIntake:
     """Answer callers from the store alone, so that every host says the same."""
 
-    def __init__(self, store: RowStore, events: EventLog):
+    def __init__(self, store: RowStore, events: EventLog, limits: StoreLimits):
         self.store = store
         self.events = events
+        self.limits = limits
 
     async def accept(
         self,
@@ -122,9 +126,15 @@
         )
         progress = JobProgress(queue=queue.name, timed=submission.timed, changed_at=now)
         name = row_name(job)
+        kept = encode_submission(submission)
+        if len(kept) * SENT_FACTOR > self.limits.row_bytes:
+            raise CallerError(
+                "Split the job: its steps are too many to be kept in one row.",
+                ResultCode.TOO_LARGE,
+            )
         writes = [
             Write(PROGRESS, name, encode_progress(progress)),
-            Write(SUBMISSIONS, name, encode_submission(submission)),
+            Write(SUBMISSIONS, name, kept),
         ]
         try:
             result = await transact_settled(
--- a/src/zinniatrestle/jobs/messages.py
+++ b/src/zinniatrestle/jobs/messages.py
@@ -7,7 +7,6 @@
 from zinniatrestle.ids import (
     Born,
     ClientAccountId,
-    Generation,
     JobId,
     QueueName,
     RackId,
@@ -90,30 +89,57 @@
         return self.occurrences > 0
 
 
-class TaskProgress(msgspec.Struct, omit_defaults=True, array_like=True):
+class TaskProgress(msgspec.Struct):
     """What is known of one task; `worker` is empty while it has no place."""
 
     run: RunNumber = RunNumber(0)
     worker: WorkerId = WorkerId("")
     born: Born = Born(0)
-    generation: Generation = Generation(0)
     # Runs that ended as failed: a number may be told twice, and counts once.
     failed_runs: tuple[RunNumber, ...] = ()
     checkpoint: str = ""
     done: bool = False
 
 
-class JobProgress(msgspec.Struct, omit_defaults=True):
-    """What became of a job so far; finished steps are named OCCURRENCE.STEP."""
+class JobProgress(msgspec.Struct):
+    """What became of a job so far.
+
+    Finished steps are named OCCURRENCE.STEP; all occurrences before `finished_before`
+    are finished. Tasks are named OCCURRENCE.STEP.INDEX.
+    """
 
     state: JobState = JobState.PENDING
     queue: QueueName = QueueName("")
     timed: bool = False
     changed_at: StoreMilliseconds = StoreMilliseconds(0)
+    finished_before: int = 0
     finished: list[str] = []
     tasks: dict[str, TaskProgress] = {}
 
 
+class KeptTask(msgspec.Struct, omit_defaults=True, array_like=True):
+    """A task as it is kept; `place` counts the places of its job from 1, 0 is none."""
+
+    run: RunNumber
+    place: int = 0
+    failed_runs: tuple[RunNumber, ...] = ()
+    checkpoint: str = ""
+    done: bool = False
+
+
+class KeptProgress(msgspec.Struct, omit_defaults=True, array_like=True):
+    """Progress as it is kept: each place once, tasks by step and index."""
+
+    state: JobState
+    queue: QueueName
+    timed: bool = False
+    changed_at: StoreMilliseconds = StoreMilliseconds(0)
+    finished_before: int = 0
+    finished: list[str] = []
+    places: list[tuple[WorkerId, Born]] = []
+    steps: dict[str, dict[int, KeptTask]] = {}
+
+
 def row_name(job: JobId) -> RowName:
     """Return the name of a job's rows."""
     return RowName(job)
@@ -140,10 +166,48 @@
 
 
 def encode_progress(progress: JobProgress) -> bytes:
-    """Return progress as it is kept."""
-    return msgspec.msgpack.encode(progress)
+    """Return progress as it is kept: compact, since each change writes it anew."""
+    places: dict[tuple[WorkerId, Born], int] = {}
+    steps: dict[str, dict[int, KeptTask]] = {}
+    for key, task in progress.tasks.items():
+        place = 0
+        if task.worker:
+            place = places.setdefault((task.worker, task.born), len(places) + 1)
+        step, index = key.rsplit(".", 1)
+        steps.setdefault(step, {})[int(index)] = KeptTask(
+            task.run, place, task.failed_runs, task.checkpoint, task.done
+        )
+    kept = KeptProgress(
+        progress.state,
+        progress.queue,
+        progress.timed,
+        progress.changed_at,
+        progress.finished_before,
+        progress.finished,
+        list(places),
+        steps,
+    )
+    return msgspec.msgpack.encode(kept)
 
 
 def decode_progress(value: bytes) -> JobProgress:
     """Return kept progress."""
-    return msgspec.msgpack.decode(value, type=JobProgress)
+    kept = msgspec.msgpack.decode(value, type=KeptProgress)
+    tasks = {}
+    for step, members in kept.steps.items():
+        for index, task in members.items():
+            worker, born = WorkerId(""), Born(0)
+            if task.place:
+                worker, born = kept.places[task.place - 1]
+            tasks[f"{step}.{index}"] = TaskProgress(
+                task.run, worker, born, task.failed_runs, task.checkpoint, task.done
+            )
+    return JobProgress(
+        kept.state,
+        kept.queue,
+        kept.timed,
+        kept.changed_at,
+        kept.finished_before,
+        kept.finished,
+        tasks,
+    )
--- /dev/null
+++ b/src/zinniatrestle/jobs/tests/test_rows.py
@@ -0,0 +1,88 @@
+"""Rows of jobs: what is kept comes back, and fits into what the store takes."""
+
+import asyncio
+
+import pytest
+
+from zinniatrestle.clock import monotonic
+from zinniatrestle.deployment import StoreLimits
+from zinniatrestle.errors import CallerError, ResultCode
+from zinniatrestle.events import EventLog
+from zinniatrestle.ids import Born, ClientAccountId, JobId, RunNumber, WorkerId
+from zinniatrestle.jobs import JobIntake, JobProgress, JobState, Step, TaskProgress
+from zinniatrestle.jobs.intake import MOST_TASKS, SENT_FACTOR, Plan
+from zinniatrestle.jobs.messages import (
+    PROGRESS,
+    decode_progress,
+    encode_progress,
+    row_name,
+)
+from zinniatrestle.queues import Queue
+from zinniatrestle.standins.rows import HostRows, MemoryRows
+
+JOB = JobId("00000000000000aa")
+QUEUE = Queue("usual", "queues.example", "/usual/", "service")
+
+
+def largest_progress() -> JobProgress:
+    """Return progress of as many tasks as a job may have, each as large as it gets."""
+    tasks = {}
+    for index in range(MOST_TASKS):
+        tasks[f"7.0.{index}"] = TaskProgress(
+            RunNumber(300),
+            WorkerId(f"i-{index % 400:010x}"),
+            Born(1_800_000_000_000 + index % 400),
+            (RunNumber(298), RunNumber(299)),
+            f"{index:016x}",
+        )
+    return JobProgress(
+        JobState.RUNNING,
+        QUEUE.name,
+        finished_before=7,
+        finished=["8.0"],
+        tasks=tasks,
+    )
+
+
+@pytest.mark.parametrize(
+    "progress",
+    [
+        JobProgress(),
+        JobProgress(JobState.COMPLETED, QUEUE.name, True, 5, 3, ["3.0", "4.1"]),
+        JobProgress(
+            tasks={
+                "0.0.0": TaskProgress(RunNumber(1), WorkerId("w"), Born(9)),
+                "0.0.11": TaskProgress(RunNumber(2), failed_runs=(RunNumber(1),)),
+                "0.1.0": TaskProgress(RunNumber(1), checkpoint="c", done=True),
+            }
+        ),
+        largest_progress(),
+    ],
+)
+def test_progress_that_is_kept_comes_back(progress):
+    assert decode_progress(encode_progress(progress)) == progress
+
+
+def test_the_largest_job_fits_into_a_row():
+    sent = len(encode_progress(largest_progress())) * SENT_FACTOR
+    assert sent <= StoreLimits().row_bytes
+
+
+def accepted(plan: Plan, row_bytes: int) -> MemoryRows:
+    rows = MemoryRows()
+
+    async def accept():
+        limits = StoreLimits(row_bytes=row_bytes)
+        intake = JobIntake(HostRows(rows), EventLog(), limits)
+        await intake.accept(JOB, plan, QUEUE, ClientAccountId("a"), monotonic() + 3)
+
+    asyncio.run(accept())
+    return rows
+
+
+def test_steps_that_no_row_can_hold_are_refused_and_not_kept():
+    plan = Plan("x", (Step(label="l" * 60),) * 100)
+    assert accepted(plan, 65_536).row(PROGRESS, row_name(JOB)) is not None
+    with pytest.raises(CallerError) as caught:
+        accepted(plan, 4096)
+    assert caught.value.code is ResultCode.TOO_LARGE
--- a/src/zinniatrestle/platform/daemon.py
+++ b/src/zinniatrestle/platform/daemon.py
@@ -85,7 +85,7 @@
         self.door = FrontDoor(
             self.deployment.bounds,
             self.operator,
-            JobIntake(self.store, self.events),
+            JobIntake(self.store, self.events, self.deployment.store),
             self.leadership,
             self.metrics,
             self.events,
--- a/src/zinniatrestle/platform/settings.py
+++ b/src/zinniatrestle/platform/settings.py
@@ -69,6 +69,8 @@
     form: str = "table"
     writesPerS: float = 100
     readsPerS: float = 100
+    # The largest value of a row, in base64.
+    rowBytes: int = 65_536
 
 
 class CloudSection(msgspec.Struct, frozen=True):
@@ -137,7 +139,11 @@
             for zone, region in file.zones.items()
         },
         bounds=_bounds(file.bounds, file.heartbeatMs),
-        store=StoreLimits(file.platform.writesPerS, file.platform.readsPerS),
+        store=StoreLimits(
+            file.platform.writesPerS,
+            file.platform.readsPerS,
+            file.platform.rowBytes,
+        ),
     )
     deployment.check()
     return deployment
--- a/src/zinniatrestle/scheduling/scheduler.py
+++ b/src/zinniatrestle/scheduling/scheduler.py
@@ -23,7 +23,7 @@
 from zinniatrestle.scheduling.leadership import Standing
 from zinniatrestle.scheduling.rounds import Planner
 from zinniatrestle.scheduling.session import HOLD_SHARE
-from zinniatrestle.scheduling.state import Job, StepRun, TaskStatus
+from zinniatrestle.scheduling.state import Job, StepRun, TaskStatus, occurrence_of
 from zinniatrestle.scheduling.tracker import Tracker
 from zinniatrestle.workers.lease import SLACK_SECONDS, SLOWEST_CLOCK
 
@@ -184,11 +184,12 @@
         job.began = progress.state is not JobState.PENDING
         job.finished = set(progress.finished)
         if job.submission.timed:
-            started = {int(key.split(".")[0]) for key in progress.tasks}
-            started |= {int(key.split(".")[0]) for key in progress.finished}
-            for occurrence in range(max(started, default=-1) + 1):
-                job.add_occurrence(occurrence)
-                job.next_occurrence = occurrence + 1
+            started = {occurrence_of(key) for key in progress.tasks}
+            started |= {occurrence_of(key) for key in progress.finished}
+            job.finished_before = job.next_occurrence = progress.finished_before
+            while job.next_occurrence <= max(started, default=-1):
+                job.add_occurrence(job.next_occurrence)
+                job.next_occurrence += 1
         for key in job.finished:
             if key in job.steps:
                 job.steps[key].finish()
--- a/src/zinniatrestle/scheduling/state.py
+++ b/src/zinniatrestle/scheduling/state.py
@@ -139,7 +139,6 @@
             run=self.run,
             worker=worker.id if worker else WorkerId(""),
             born=worker.entry.born if worker else 0,
-            generation=0,
             failed_runs=tuple(sorted(self.failed_runs)),
             checkpoint=self.checkpoint,
             done=self.status is TaskStatus.DONE,
@@ -205,7 +204,9 @@
         self.state = JobState.PENDING
         self.began = False
         self.steps: dict[str, StepRun] = {}
+        # Steps that are done, of the occurrences from `finished_before` on.
         self.finished: set[str] = set()
+        self.finished_before = 0
         self.next_occurrence = 0
         self.removed = False
         self.accepted_at = BootSeconds(0.0)
@@ -255,9 +256,22 @@
         open_occurrences = {
             step.occurrence for step in self.steps.values() if not step.done
         }
+        self.finished_before = min(open_occurrences, default=self.next_occurrence)
         for key, step in list(self.steps.items()):
             if step.occurrence not in open_occurrences:
                 del self.steps[key]
+        for key in list(self.finished):
+            if occurrence_of(key) < self.finished_before:
+                self.finished.discard(key)
+
+    @property
+    def tasks_of_occurrence(self) -> int:
+        """Return how many tasks one occurrence has."""
+        return sum(step.count for step in self.submission.steps)
+
+    def open_tasks(self) -> int:
+        """Return how many tasks its steps have that are not done."""
+        return sum(len(step.tasks) for step in self.steps.values())
 
     def record(self, now_ms: float) -> JobProgress:
         """Return what is kept of it."""
@@ -271,11 +285,17 @@
             queue=self.submission.queue,
             timed=self.submission.timed,
             changed_at=int(now_ms),
+            finished_before=self.finished_before,
             finished=sorted(self.finished),
             tasks={} if self.ended and not self.occupying() else tasks,
         )
 
 
+def occurrence_of(key: str) -> int:
+    """Return the occurrence in the name of a step or a task within its job."""
+    return int(key.split(".")[0])
+
+
 class WorkerHealth(Enum):
     """Whether a worker is trusted with tasks."""
 
--- a/src/zinniatrestle/scheduling/tests/test_times.py
+++ b/src/zinniatrestle/scheduling/tests/test_times.py
@@ -5,6 +5,7 @@
 from zinniatrestle.clock import monotonic, wall_time
 from zinniatrestle.jobs import JobState
 from zinniatrestle.jobs.intake import Plan
+from zinniatrestle.jobs.messages import PROGRESS, decode_progress, row_name
 from zinniatrestle.standins.checker import violations
 from zinniatrestle.standins.model import Model, Outcome, run_virtual, step
 from zinniatrestle.standins.runs import EventKind
@@ -119,3 +120,22 @@
         assert not worker.running
 
     with_model(check)
+
+
+def test_occurrences_that_are_done_leave_nothing_in_the_row():
+    async def check(model):
+        plan = Plan('{"seconds":0.2}', (step(2),), 30, int(wall_time() * 1000), 400)
+        await hand_in(model, plan)
+        await asyncio.sleep(9.0)
+        kept = decode_progress(model.rows.row(PROGRESS, row_name(JOB)).value)
+        assert kept.finished_before >= 15
+        assert len(kept.finished) + len(kept.tasks) <= 6
+        await model.leader().kill()
+        assert await model.settle(40.0)
+        assert len({event.task for event in starts_of(model)}) == 60
+
+    with_model(check)
+
+
+def starts_of(model):
+    return [event for event in model.fleet.history if event.kind is EventKind.START]
--- a/src/zinniatrestle/standins/model.py
+++ b/src/zinniatrestle/standins/model.py
@@ -117,7 +117,7 @@
         metrics = self.model.metrics
         self.operator = OperatorState()
         self.leadership = Leadership(self.store, self.deployment, events)
-        self.intake = JobIntake(self.store, events)
+        self.intake = JobIntake(self.store, events, self.deployment.store)
         reader = DesiredStateReader(MemoryOperatorRows(), self.operator, events)
         feed = Feed(self.store, reader, events, FEED_SECONDS)
         self.door = FrontDoor(
