Tell fragmentation and time to reclaim in experiments, and draw the worth

Cause: experiments told neither how the free accelerators lie nor how long work waits for which other work is stopped, and printed tables alone.

--- /dev/null
+++ b/src/zinniatrestle/experiments/plots.py
@@ -0,0 +1,57 @@
+"""Draw the results of an experiment; needs the extra zinniatrestle[plots]."""
+
+from pathlib import Path
+
+from zinniatrestle.errors import CallerError
+from zinniatrestle.experiments.run import Result
+
+# Inches for each pattern and in all, and the share of a pattern's width that its
+# bars take.
+WIDTH_PER_PATTERN = 1.6
+LEAST_WIDTH = 4.0
+HEIGHT = 3.6
+BARS_SHARE = 0.8
+
+
+def draw(results: list[Result], path: Path):
+    """Write a picture of the worth of each policy by pattern; raises CallerError.
+
+    A bar is the mean of all seeds, its whisker reaches from the least to the most.
+    """
+    try:
+        import matplotlib
+    except ImportError as error:
+        raise CallerError("Install zinniatrestle[plots] to draw pictures.") from error
+    matplotlib.use("Agg")
+    import matplotlib.pyplot as plt
+
+    patterns = list(dict.fromkeys(result.pattern for result in results))
+    policies = list(dict.fromkeys(result.policy for result in results))
+    width = max(LEAST_WIDTH, WIDTH_PER_PATTERN * len(patterns))
+    figure, axes = plt.subplots(figsize=(width, HEIGHT), layout="constrained")
+    bar = BARS_SHARE / len(policies)
+    for number, policy in enumerate(policies):
+        means, below, above, places = [], [], [], []
+        for place, pattern in enumerate(patterns):
+            found = [
+                result.worth
+                for result in results
+                if (result.pattern, result.policy) == (pattern, policy)
+            ]
+            if not found:
+                continue
+            mean = sum(found) / len(found)
+            means.append(mean)
+            below.append(mean - min(found))
+            above.append(max(found) - mean)
+            places.append(place + (number - (len(policies) - 1) / 2) * bar)
+        axes.bar(places, means, bar, yerr=[below, above], capsize=2, label=policy)
+    axes.set_xticks(range(len(patterns)), patterns)
+    axes.set_ylabel("worth")
+    axes.legend(fontsize="small")
+    try:
+        figure.savefig(path)
+    except (OSError, ValueError) as error:
+        raise CallerError(f"The picture can't be written: {error}.") from error
+    finally:
+        plt.close(figure)
--- a/src/zinniatrestle/experiments/run.py
+++ b/src/zinniatrestle/experiments/run.py
@@ -8,6 +8,7 @@
 from zinniatrestle.clock import monotonic
 from zinniatrestle.deployment import Bounds
 from zinniatrestle.errors import CallerError
+from zinniatrestle.events import Event
 from zinniatrestle.experiments.workload import (
     Arrival,
     Pattern,
@@ -62,7 +63,10 @@
     """How one policy served one workload; times in seconds, shares from 0 to 1.
 
     `worth` is the share earned of what callers could gain, less the price of the work
-    that was lost; `lost_work` is in core-seconds.
+    that was lost; `lost_work` is in core-seconds. `fragmentation` is the mean share of
+    the free accelerators that lie on workers in use, so that they make no whole worker.
+    `reclaim` is the mean time from a job's arrival to its start where other work was
+    stopped for it.
     """
 
     policy: str
@@ -76,6 +80,8 @@
     mean_completion: float
     mean_start: float
     longest_urgent_start: float
+    fragmentation: float
+    reclaim: float
     worth: float
     lost_work: float
     violations: int
@@ -128,7 +134,8 @@
     for worker in model.fleet.workers.values():
         worker.speed = model.random.choice(workload.fleet.speeds)
     sickening = asyncio.create_task(_sicken(model, workload.pattern))
-    watching = asyncio.create_task(_watch(model))
+    fragments: list[float] = []
+    watching = asyncio.create_task(_watch(model, fragments))
     handing_in = []
     values: dict[JobId, Value] = {}
     started = monotonic()
@@ -141,7 +148,7 @@
     await model.settle(DRAIN_SECONDS)
     sickening.cancel()
     watching.cancel()
-    return _measure(name, workload, model, values)
+    return _measure(name, workload, model, values, fragments)
 
 
 async def _hand_in(
@@ -153,10 +160,12 @@
     values[job] = workload.value(arrival)
 
 
-async def _watch(model: Model):
-    """Note when jobs end."""
+async def _watch(model: Model, fragments: list[float]):
+    """Note when jobs end, and how the free accelerators lie."""
     while True:
         await asyncio.sleep(WATCH_SECONDS)
+        if not all(model.has_ended(job) for job in model.jobs):
+            fragments.append(_fragmentation(model))
         for job, outcome in model.jobs.items():
             if outcome.completed_at is None:
                 model.has_ended(job)
@@ -177,8 +186,37 @@
         worker.sickness = Sickness.NONE
 
 
+def _fragmentation(model: Model) -> float:
+    """Return the share of the free accelerators that lie on workers in use."""
+    free = in_pieces = 0
+    for worker in model.fleet.workers.values():
+        taken = sum(run.shape.gpus for run in worker.running.values())
+        free += worker.entry.gpus - taken
+        if taken:
+            in_pieces += worker.entry.gpus - taken
+    return in_pieces / free if free else 0.0
+
+
+def _reclaims(model: Model, starts: dict) -> list[float]:
+    """Return how long jobs waited for which other work was stopped."""
+    found = []
+    reclaimed = {
+        line["for_job"]
+        for line in model.lines
+        if line["event"] == Event.RUN_PREEMPTED.value
+    }
+    for job, outcome in model.jobs.items():
+        if job in reclaimed and job in starts:
+            found.append(starts[job] - outcome.sent_at)
+    return found
+
+
 def _measure(
-    name: str, workload: Workload, model: Model, values: dict[JobId, Value]
+    name: str,
+    workload: Workload,
+    model: Model,
+    values: dict[JobId, Value],
+    fragments: list[float],
 ) -> Result:
     queues = {queue.name: queue for queue in model.operator.queues}
     starts = _first_starts(model)
@@ -228,6 +266,8 @@
         mean_completion=_mean(completions),
         mean_start=_mean(waits),
         longest_urgent_start=max(urgent_waits),
+        fragmentation=_mean(fragments),
+        reclaim=_mean(_reclaims(model, starts)),
         worth=(earned - LOST_WORK_PRICE * lost) / owed if owed else 1.0,
         lost_work=lost,
         violations=len(violations(model)),
--- a/src/zinniatrestle/experiments/tests/test_experiments.py
+++ b/src/zinniatrestle/experiments/tests/test_experiments.py
@@ -1,7 +1,10 @@
 """Experiments repeat from a seed, and the usual policy beats its baselines."""
 
+import importlib.util
+
 import pytest
 
+from zinniatrestle.deployment import Bounds
 from zinniatrestle.errors import CallerError
 from zinniatrestle.experiments import (
     Experiment,
@@ -10,6 +13,7 @@
     Workload,
     run_experiment,
 )
+from zinniatrestle.experiments.plots import draw
 
 
 def results(pattern, policies, seeds=(1,), load=1.0):
@@ -49,6 +53,24 @@
     assert usual.worth < 1.0
 
 
+def test_room_made_for_urgent_work_is_timed_and_pieces_are_counted():
+    usual, without = results(Pattern.URGENT_BURST, ("usual", "no reclaim"), load=1.3)
+    assert 0.0 < usual.reclaim < Bounds().reclaim
+    assert without.reclaim == 0.0
+    assert 0.0 <= usual.fragmentation <= 1.0
+
+
+def test_a_picture_is_drawn_or_its_extra_is_asked_for(tmp_path):
+    found = results(Pattern.CALM, ("usual",))
+    path = tmp_path / "worth.png"
+    if importlib.util.find_spec("matplotlib") is None:
+        with pytest.raises(CallerError, match="plots"):
+            draw(found, path)
+        return
+    draw(found, path)
+    assert path.read_bytes().startswith(b"\x89PNG")
+
+
 def test_a_large_fleet_has_wider_work_and_more_of_it():
     small, large = Workload(size=Size.SMALL), Workload(size=Size.LARGE)
     assert len(large.arrivals()) > 3 * len(small.arrivals())
@@ -58,7 +80,12 @@
 
 @pytest.mark.parametrize(
     "experiment",
-    [Experiment(seeds=()), Experiment(load=0.0), Experiment(policies=("unheard",))],
+    [
+        Experiment(seeds=()),
+        Experiment(load=0.0),
+        Experiment(stop=-1.0),
+        Experiment(policies=("unheard",)),
+    ],
 )
 def test_an_experiment_that_can_not_run_is_refused(experiment):
     with pytest.raises(CallerError):
--- a/src/zinniatrestle/operators/studying.py
+++ b/src/zinniatrestle/operators/studying.py
@@ -6,6 +6,7 @@
 from zinniatrestle.errors import NotFoundError, ResultCode
 from zinniatrestle.events.explain import cause, read_lines, render, trail
 from zinniatrestle.experiments import Experiment, Pattern, Size, run_experiment
+from zinniatrestle.experiments.plots import draw
 from zinniatrestle.experiments.run import POLICIES
 from zinniatrestle.operators.exits import ExitCode
 from zinniatrestle.operators.output import show_json, show_line, show_list
@@ -50,6 +51,7 @@
     stop: float = Experiment.stop,
     policy: list[str] | None = None,
     json: bool = False,
+    plot: Path | None = None,
 ) -> ExitCode:
     """Run seeded workloads under several policies, and compare.
 
@@ -69,6 +71,8 @@
         Policies to compare; without any, all.
     json
         Print JSON.
+    plot
+        Where to write a picture of the worth; needs the extra zinniatrestle[plots].
     """
     study = Experiment(
         patterns=patterns or tuple(Pattern),
@@ -82,7 +86,7 @@
     headings = [
         "pattern", "policy", "seed", "jobs", "on time", "late", "urgent on time",
         "widest on time", "completion s", "start s", "longest urgent start s",
-        "worth", "lost core-s", "broken promises",
+        "fragmentation", "reclaim s", "worth", "lost core-s", "broken promises",
     ]  # fmt: skip
     rows = []
     for result in results:
@@ -99,10 +103,14 @@
                 f"{result.mean_completion:.2f}",
                 f"{result.mean_start:.2f}",
                 f"{result.longest_urgent_start:.2f}",
+                f"{result.fragmentation:.3f}",
+                f"{result.reclaim:.2f}",
                 f"{result.worth:.3f}",
                 f"{result.lost_work:.0f}",
                 result.violations,
             ]
         )
     show_list(results, json, headings, rows)
+    if plot is not None:
+        draw(results, plot)
     return ExitCode.DONE
--- a/src/zinniatrestle/scheduling/making_room.py
+++ b/src/zinniatrestle/scheduling/making_room.py
@@ -92,6 +92,7 @@
                 run=victim.run,
                 worker=victim.worker.id,
                 reason=f"room for job {step.job.id}",
+                for_job=step.job.id,
                 lost=round(self.losses.of(victim) / MILLICORES, 1),
             )
             self.tracker.stop(victim, "preempted")
