Ask again at once when a hold gets no answer

Change: a hold waits 0.4 s beyond its time, and the next is asked at once; a worker counts as silent after two, as late as before.

--- a/src/zinniatrestle/scheduling/session.py
+++ b/src/zinniatrestle/scheduling/session.py
@@ -26,13 +26,15 @@
 LOOK_SECONDS = 0.7
 # s; the pause after a hold that failed.
 RETRY_SECONDS = 0.3
-# Holds that fail one after the other before a worker counts as silent.
-MISSES = 1
+# Holds without an answer one after the other before a worker counts as silent.
+MISSES = 2
 # s; how long the answer to each try of an order may take. An order takes a round trip
 # and some ms; one without an answer is repeated, which is harmless under the same run.
 TRY_SECONDS = (0.3, 0.3, 1.0)
-# s; the same for a hold, beyond the time for which the worker waits for an end.
-HOLD_TRY_SECONDS = 1.0
+# s; the same for holds, beyond the time for which the worker waits for an end: the
+# usual one, and the one that is asked at once after a miss.
+HOLD_TRY_SECONDS = 0.4
+SECOND_TRY_SECONDS = 0.7
 # Orders to one worker that may be under way at once, so that one without an answer
 # doesn't hold up the others.
 ORDER_LANES = 3
@@ -118,21 +120,21 @@
                     worker.seen,
                     deadline,
                     wait,
-                    HOLD_TRY_SECONDS,
+                    SECOND_TRY_SECONDS if misses else HOLD_TRY_SECONDS,
                 )
             except RefusedOrderError as error:
                 misses += 1
-                if not self._refused(error, misses):
+                if not self._refused(error):
                     return
                 await asyncio.sleep(RETRY_SECONDS)
                 wait = 0.0
                 continue
             except UnansweredOrderError:
                 misses += 1
+                wait = 0.0
                 if misses >= MISSES:
                     self.duties.silence(worker, refused=False)
-                await asyncio.sleep(RETRY_SECONDS)
-                wait = 0.0
+                    await asyncio.sleep(RETRY_SECONDS)
                 continue
             misses = 0
             worker.lease.observe(answer.clock_ms, boot_time())
@@ -157,7 +159,7 @@
             return lease.granted_until_ms or None
         return lease.deadline(asked_at, self.hold_seconds)
 
-    def _refused(self, error: RefusedOrderError, misses: int) -> bool:
+    def _refused(self, error: RefusedOrderError) -> bool:
         """Handle a refused hold; tell whether to go on."""
         if error.refusal is Refusal.STALE_GENERATION:
             self.duties.fenced_off(self.worker)
@@ -165,9 +167,8 @@
         if error.refusal is Refusal.OTHER_LIFE:
             self.duties.life_over(self.worker)
             return False
-        if misses >= MISSES:
-            refused = error.refusal is Refusal.NOT_LISTENING
-            self.duties.silence(self.worker, refused)
+        refused = error.refusal is Refusal.NOT_LISTENING
+        self.duties.silence(self.worker, refused)
         return True
 
     async def give_orders(self):
--- a/src/zinniatrestle/scheduling/tests/test_lost_orders.py
+++ b/src/zinniatrestle/scheduling/tests/test_lost_orders.py
@@ -4,7 +4,7 @@
 
 import pytest
 
-from zinniatrestle.scheduling.session import TRY_SECONDS
+from zinniatrestle.scheduling.session import LOOK_SECONDS, TRY_SECONDS
 from zinniatrestle.standins.checker import violations
 from zinniatrestle.standins.model import Model, run_virtual, step
 from zinniatrestle.standins.runs import EventKind
@@ -38,6 +38,24 @@
     assert violations(model) == []
 
 
+def test_one_hold_without_an_answer_makes_no_worker_silent():
+    async def play():
+        model = Model(1)
+        await model.start(workers=2, rack=2)
+        await model.submit("usual", (step(2, gpus=8),), 6.0)
+        await asyncio.sleep(2.0)
+        for worker in model.fleet.workers.values():
+            worker.reachable = False
+        # A look of each worker falls into this time.
+        await asyncio.sleep(LOOK_SECONDS)
+        for worker in model.fleet.workers.values():
+            worker.reachable = True
+        assert await model.settle(20.0)
+        return [line["event"] for line in model.lines]
+
+    assert "worker_silent" not in run_virtual(play())
+
+
 async def stop_that_gets_no_answer() -> tuple[Model, float]:
     model = Model(1)
     await model.start(workers=1, rack=1)
