--- a/src/zinniatrestle/platform/store.py
+++ b/src/zinniatrestle/platform/store.py
@@ -41,8 +41,6 @@
 # s; how long an answer may take that goes on coming: a large desired state takes some
 # seconds over the slowest links.
 BODY_SECONDS = 10.0
-# s; what a feed's answer may take beyond the wait asked for.
-FEED_SLACK_SECONDS = 1.0
 MILLISECONDS = 1000.0
 READ_PATH = "/-/rows-get"
 OK = 200
@@ -159,11 +157,11 @@
         )
 
     async def changes(
-        self, table: TableName, after: RowVersion, wait: float
+        self, table: TableName, after: RowVersion, wait: float, patience: float
     ) -> Changes:
         """Wait for changes of a table after a version."""
         query = {"table": table, "after": after, "waitMs": int(wait * MILLISECONDS)}
-        rows = await self._read("/-/rows-feed", query, wait + FEED_SLACK_SECONDS)
+        rows = await self._read("/-/rows-feed", query, wait + patience)
         changes = []
         for row in rows.rows:
             if row.part != part_of(table):
--- a/src/zinniatrestle/platform/tests/test_store.py
+++ b/src/zinniatrestle/platform/tests/test_store.py
@@ -108,7 +108,7 @@
         assert PARTS * PART_SECONDS > READ_SECONDS
         page = await store.page(TABLE, RowName(""), RowName(""))
         assert [row.value for row in page.rows] == [b"value"]
-        changes = await store.changes(TABLE, RowVersion(0), 0.0)
+        changes = await store.changes(TABLE, RowVersion(0), 0.0, CALL_SECONDS)
         assert len(changes.changes) == 1
 
     with_store(check)
@@ -135,9 +135,9 @@
 def test_changes_tell_writes_and_removals_in_order():
     async def check(wire, store):
         await store.transact([], write(), CALL_SECONDS)
-        first = await store.changes(TABLE, RowVersion(0), 0.0)
+        first = await store.changes(TABLE, RowVersion(0), 0.0, CALL_SECONDS)
         wire.rows.put(TABLE, NAME, None)
-        second = await store.changes(TABLE, first.version, 0.0)
+        second = await store.changes(TABLE, first.version, 0.0, CALL_SECONDS)
         assert [change.value for change in second.changes] == [None]
 
     with_store(check)
@@ -148,6 +148,6 @@
         await store.transact([], write(), CALL_SECONDS)
         wire.rows.forget()
         with pytest.raises(HistoryLostError):
-            await store.changes(TABLE, RowVersion(0), 0.0)
+            await store.changes(TABLE, RowVersion(0), 0.0, CALL_SECONDS)
 
     with_store(check)
--- a/src/zinniatrestle/rows/interfaces.py
+++ b/src/zinniatrestle/rows/interfaces.py
@@ -36,9 +36,12 @@
 
     @abstractmethod
     async def changes(
-        self, table: TableName, after: RowVersion, wait: float
+        self, table: TableName, after: RowVersion, wait: float, patience: float
     ) -> Changes:
-        """Wait up to `wait` seconds for changes of a table after a version."""
+        """Wait up to `wait` seconds for changes of a table after a version.
+
+        `patience` in seconds is what the answer may take beyond that.
+        """
 
     async def row(self, table: TableName, name: RowName) -> StoredRow | None:
         """Return one row, or None."""
--- a/src/zinniatrestle/standins/rows.py
+++ b/src/zinniatrestle/standins/rows.py
@@ -152,12 +152,12 @@
         return Page(found[:PAGE_ROWS], self.rows.version, now, more)
 
     async def changes(
-        self, table: TableName, after: RowVersion, wait: float
+        self, table: TableName, after: RowVersion, wait: float, patience: float
     ) -> Changes:
         """Wait for changes of a table after a version."""
         sent_at = boot_time()
         until = monotonic() + wait
-        await self._travel(READ_SECONDS, SILENCE_SECONDS)
+        await self._travel(READ_SECONDS, patience)
         while True:
             if after < self.rows.forgotten:
                 raise HistoryLostError("The history is gone.")
--- a/src/zinniatrestle/standins/wire.py
+++ b/src/zinniatrestle/standins/wire.py
@@ -122,7 +122,10 @@
         wait = int(query.get("waitMs", "0")) / 1000
         try:
             changes = await self.host.changes(
-                TableName(query["table"]), RowVersion(int(query["after"])), wait
+                TableName(query["table"]),
+                RowVersion(int(query["after"])),
+                wait,
+                SILENCE_SECONDS,
             )
         except HistoryLostError:
             return Response(status_code=410)
