Tell a successor which workers are left alone

Ruled out: the time to succeed (1.1 s) and the stall bound (1.0 s). Change: the lease's row tells which workers are left alone, on trial or crawling, 100 at most; a worker of the same life is judged so at once.

--- a/src/zinniatrestle/scheduling/leadership.py
+++ b/src/zinniatrestle/scheduling/leadership.py
@@ -33,7 +33,7 @@
 )
 from zinniatrestle.rows.feed import Feed, TableReader
 from zinniatrestle.rows.settled import TIMER_SECONDS, transact_settled
-from zinniatrestle.scheduling.messages import LearnedTimes, LeaseRecord
+from zinniatrestle.scheduling.messages import Learned, LeaseRecord
 
 LEASES = TableName("leases")
 LEASE_ROW = RowName("scheduler")
@@ -126,8 +126,7 @@
         self.lost.set()
         self.released = False
         self.pending: dict[QueueName, int] = {}
-        # Run times, for the successor.
-        self.learned: dict[QueueName, LearnedTimes] = {}
+        self.learned = Learned()
         # Until when (store time) the predecessor may have held workers.
         self.predecessor_until = 0.0
 
--- a/src/zinniatrestle/scheduling/ledger.py
+++ b/src/zinniatrestle/scheduling/ledger.py
@@ -41,7 +41,11 @@
         )
         self.sessions: dict[Worker, WorkerSession] = {}
         self.session_tasks: dict[Worker, list[asyncio.Task]] = {}
+        learned = context.leadership.learned
         self.durations = Durations()
+        self.durations.restore(learned.times)
+        # What the predecessor held against workers that were not seen since.
+        self.doubts = dict(learned.doubts)
         self.health = HealthJudge()
         self.pacing = PaceController()
         self.speeds = SpeedBook()
--- a/src/zinniatrestle/scheduling/messages.py
+++ b/src/zinniatrestle/scheduling/messages.py
@@ -2,7 +2,7 @@
 
 import msgspec
 
-from zinniatrestle.ids import Generation, HostId, QueueName
+from zinniatrestle.ids import Born, Generation, HostId, QueueName, WorkerId
 
 
 class LearnedTimes(msgspec.Struct, frozen=True, array_like=True):
@@ -14,6 +14,26 @@
     mean_error: float
 
 
+class WorkerDoubt(msgspec.Struct, frozen=True, array_like=True):
+    """What speaks against one life of a worker.
+
+    It is left alone for `away_seconds` more, after `quarantines` in a row; `speed` is
+    told of one that crawls.
+    """
+
+    born: Born
+    away_seconds: float
+    quarantines: int
+    speed: float | None
+
+
+class Learned(msgspec.Struct, frozen=True):
+    """What a successor is spared to find out."""
+
+    times: dict[QueueName, LearnedTimes] = {}
+    doubts: dict[WorkerId, WorkerDoubt] = {}
+
+
 class LeaseRecord(msgspec.Struct, frozen=True):
     """Who schedules, until when by the store's clock, what waits and what is known."""
 
@@ -23,4 +43,4 @@
     generation: Generation
     written_at: float
     pending: dict[QueueName, int] = {}
-    learned: dict[QueueName, LearnedTimes] = {}
+    learned: Learned = Learned()
--- a/src/zinniatrestle/scheduling/scheduler.py
+++ b/src/zinniatrestle/scheduling/scheduler.py
@@ -20,7 +20,9 @@
 from zinniatrestle.rows.feed import Feed, TableReader
 from zinniatrestle.scheduling.book import ProgressBook
 from zinniatrestle.scheduling.context import SchedulerContext
+from zinniatrestle.scheduling.doubts import export_doubts
 from zinniatrestle.scheduling.leadership import Standing
+from zinniatrestle.scheduling.messages import Learned
 from zinniatrestle.scheduling.rounds import Planner
 from zinniatrestle.scheduling.session import HOLD_SHARE
 from zinniatrestle.scheduling.state import Job, StepRun, TaskStatus, occurrence_of
@@ -89,7 +91,6 @@
         self.leadership = context.leadership
         self.book = ProgressBook(context.store, context.leadership, context.events)
         self.tracker = Tracker(context, self.book)
-        self.tracker.durations.restore(context.leadership.learned)
         self.planner = Planner(context, self.tracker)
         self.kept: dict[JobId, tuple[JobProgress, RowVersion]] = {}
         self.cancelled: dict[JobId, RowVersion] = {}
@@ -300,7 +301,11 @@
             queue = job.submission.queue
             counts[queue] = counts.get(queue, 0) + 1
         self.leadership.pending = counts
-        self.leadership.learned = self.tracker.durations.export()
+        workers = self.tracker.fleet.workers.values()
+        self.leadership.learned = Learned(
+            times=self.tracker.durations.export(),
+            doubts=export_doubts(workers, boot_time()),
+        )
 
     async def _forget(self):
         """Remove the progress of jobs that ended long ago."""
--- a/src/zinniatrestle/scheduling/tests/test_leadership.py
+++ b/src/zinniatrestle/scheduling/tests/test_leadership.py
@@ -18,6 +18,7 @@
 from zinniatrestle.standins.checker import violations
 from zinniatrestle.standins.model import FEED_SECONDS, Model, run_virtual, step
 from zinniatrestle.standins.rows import Reach
+from zinniatrestle.standins.runs import Sickness
 
 
 def with_model(check, hosts=3):
@@ -37,6 +38,10 @@
     return monotonic() - since
 
 
+def events(model, name, since=0):
+    return [line for line in model.lines[since:] if line["event"] == name]
+
+
 def lease_seconds(model) -> float:
     return model.bounds.lease * SHORTEST_LEASE_SHARE
 
@@ -104,7 +109,7 @@
         await asyncio.sleep(1.0)
         await first.kill()
         assert await model.settle(30.0)
-        ends = [line for line in model.lines if line["event"] == "run_ended"]
+        ends = events(model, "run_ended")
         assert [line["seconds"] for line in ends] == [None]
 
     with_model(check)
@@ -119,13 +124,35 @@
         await asyncio.sleep(lease_seconds(model))
         await first.kill()
         await successor(model, first)
-        (times,) = model.leader().leadership.learned.values()
+        (times,) = model.leader().leadership.learned.times.values()
         assert times.count == 6
         assert times.seconds == pytest.approx(0.5, abs=0.2)
 
     with_model(check)
 
 
+def test_a_successor_leaves_alone_the_workers_that_its_predecessor_did():
+    async def check(model):
+        first = model.leader()
+        sick = next(iter(model.fleet.workers.values()))
+        sick.sickness = Sickness.FAILS
+        await model.submit("usual", (step(8, seconds=0.3),), 0.3)
+        while not events(model, "worker_quarantined"):
+            await asyncio.sleep(0.02)
+        # The next renewal tells of it.
+        await asyncio.sleep(lease_seconds(model))
+        await first.kill()
+        await successor(model, first)
+        since = len(model.lines)
+        await model.submit("usual", (step(8, seconds=0.3),), 0.3)
+        await asyncio.sleep(0.3)
+        placed = events(model, "run_placed", since)
+        assert placed
+        assert sick.entry.worker not in {line["worker"] for line in placed}
+
+    with_model(check)
+
+
 def test_no_transaction_of_a_former_holder_applies():
     async def check(model):
         first = model.leader()
--- a/src/zinniatrestle/scheduling/tracker.py
+++ b/src/zinniatrestle/scheduling/tracker.py
@@ -7,6 +7,7 @@
 from zinniatrestle.events import Event
 from zinniatrestle.ids import BootSeconds, RunNumber
 from zinniatrestle.jobs.messages import JobState
+from zinniatrestle.scheduling.doubts import recall_doubt
 from zinniatrestle.scheduling.fleet import FleetDuties
 from zinniatrestle.scheduling.leadership import Standing
 from zinniatrestle.scheduling.ledger import Ledger
@@ -35,6 +36,9 @@
 
     def joined(self, worker: Worker):
         """Begin to hold a worker."""
+        doubt = self.doubts.pop(worker.id, None)
+        if doubt is not None:
+            recall_doubt(worker, doubt, boot_time())
         session = WorkerSession(
             worker,
             self.context.orders,
