Limit how long placement preferences delay a step

Cause: locality, the reservations of other steps, avoided and slow workers and quarantine are preferences, but placement treated each as a requirement until something else ended it: a run elsewhere, the job's last chance to be on time, the end of a quarantine of up to 60 s. No part of the scheduler owned the wait as a whole.

Ruled out: shorter waits for all. Near its data a step runs three times as fast, so waiting is right while the service is busy or the job is young.

Change: WaitLimits drops locality and reservations, then health, for a step whose job runs nothing for 0.7 of the deployment's bound `finish` while under half of its service is allocated; for long-running steps after 1.5 s; and it drops locality for a gang whose data rack can't hold it.

--- a/src/zinniatrestle/deployment.py
+++ b/src/zinniatrestle/deployment.py
@@ -57,7 +57,8 @@
     runs by a hold. `revocation` and `evacuation` bound the age of the desired state on
     a host that admits requests and that starts runs. `drain` is how long a draining
     worker keeps its runs if its entry doesn't say so, `stop` how long a run takes to
-    stop, `upkeep` how long maintenance keeps a machine down.
+    stop, `upkeep` how long maintenance keeps a machine down. `finish` is how long an
+    accepted job may wait for its first run while most of its service is idle.
     """
 
     contact: float = 4.0
@@ -72,6 +73,7 @@
     stop: float = 0.2
     gang: float = 3.0
     status_retention: float = 120.0
+    finish: float = 14.0
     far_factor: float = 3.0
     checkpoint_interval: float = 2.0
     restore: float = 0.25
--- a/src/zinniatrestle/platform/settings.py
+++ b/src/zinniatrestle/platform/settings.py
@@ -50,6 +50,8 @@
     stopTimeoutMs: float = 1000
     gangTimeoutMs: float = 3000
     status_s: float = 120
+    # Time after the end of traffic by which accepted work that can run has to run.
+    finish_s: float = 14
     farX: float = 3
     checkpointIntervalS: float = 2
     restoreMs: float = 250
@@ -169,6 +171,7 @@
         stop=wire.stopTimeoutMs / MS_PER_SECOND,
         gang=wire.gangTimeoutMs / MS_PER_SECOND,
         status_retention=wire.status_s,
+        finish=wire.finish_s,
         far_factor=wire.farX,
         checkpoint_interval=wire.checkpointIntervalS,
         restore=wire.restoreMs / MS_PER_SECOND,
--- a/src/zinniatrestle/scheduling/cluster_state.py
+++ b/src/zinniatrestle/scheduling/cluster_state.py
@@ -92,6 +92,7 @@
         if task.worker is not None:
             task.worker.remove_task(task)
         task.worker = None
+        task.unassigned_at = boot_time()
         task.start_pending = False
         task.inherited = False
         task.pace = 100
--- a/src/zinniatrestle/scheduling/placement.py
+++ b/src/zinniatrestle/scheduling/placement.py
@@ -39,6 +39,8 @@
     time_critical: bool = False
     # Running away from the data, or on several racks, is better than waiting.
     ignore_locality: bool = False
+    # Running on a worker that may be slow or unhealthy is better than waiting.
+    requirements_only: bool = False
 
 
 Assignment = dict[Task, Worker]
@@ -66,12 +68,15 @@
     """Return the workers to consider for a step, free capacity aside.
 
     Slow workers, and workers on which a task of the step failed or stalled, are left
-    out if the other workers could hold the step when empty.
+    out if the other workers could hold the step when empty. No permitted worker is left
+    out if only the requirements of the step count.
     """
     avoided: set[WorkerId] = set()
     for task in step.tasks:
         avoided |= task.avoided_workers
     usable = [worker for worker in workers if is_permitted(worker, step, constraints)]
+    if constraints.requirements_only:
+        return usable
     preferred = [
         worker
         for worker in usable
@@ -99,6 +104,16 @@
     return sum(slots_when_empty(worker, step) for worker in workers) >= step.shape.count
 
 
+def can_run_near_data(step: StepRun, workers: list[Worker]) -> bool:
+    """Return whether the workers of the data's rack could run a step when empty.
+
+    A step that is neither a gang nor bound to a rack runs there task by task.
+    """
+    if step.shape.gang or step.shape.rack_bound:
+        return fits_in_rack(step, workers)
+    return any(slots_when_empty(worker, step) for worker in workers)
+
+
 def slots_when_empty(worker: Worker, step: StepRun) -> int:
     """Return how many tasks of a step fit on a worker when it is empty."""
     shape, entry = step.shape, worker.entry
@@ -179,7 +194,7 @@
         found = self._place_in_best_group(
             step, tasks, usable, constraints, trust_canaries=False
         )
-        if found or not step.shape.gang:
+        if found or not (step.shape.gang or constraints.requirements_only):
             return found
         # A gang may use canaries rather than wait until small tasks have shown that
         # each of them is healthy.
@@ -254,7 +269,7 @@
 
 def _usable_slots(worker: Worker, step: StepRun, trust_canaries: bool) -> int:
     slots = worker.slots(step)
-    if worker.health is WorkerHealth.CANARY and not trust_canaries:
+    if worker.health is not WorkerHealth.SOUND and not trust_canaries:
         # One unhealthy worker would make the whole gang fail.
         return 0 if (step.shape.gang and step.shape.count > 1) or worker.tasks else 1
     return slots
@@ -265,7 +280,8 @@
 ) -> Assignment:
     """Assign tasks to workers, those in use and in the fullest racks first.
 
-    Canaries come last. Time-critical steps go to the fastest workers first.
+    Unhealthy workers and canaries come last. Time-critical steps go to the fastest
+    workers first.
     """
     free_gpus_by_rack: dict[RackId, int] = {}
     for worker in slots:
@@ -275,7 +291,7 @@
     ranked = sorted(
         (worker for worker, count in slots.items() if count),
         key=lambda worker: (
-            worker.health is WorkerHealth.CANARY,
+            worker.health is not WorkerHealth.SOUND,
             -_speed_class(worker, constraints) if constraints.time_critical else 0,
             not worker.tasks,
             free_gpus_by_rack[worker.rack],
--- a/src/zinniatrestle/scheduling/rounds.py
+++ b/src/zinniatrestle/scheduling/rounds.py
@@ -33,6 +33,7 @@
 from zinniatrestle.scheduling.speeds import is_slow, should_restart
 from zinniatrestle.scheduling.state import Job, StepRun, Task, TaskStatus, Worker
 from zinniatrestle.scheduling.tracker import Tracker
+from zinniatrestle.scheduling.wait_limits import WaitLimits
 
 
 class Planner:
@@ -69,10 +70,11 @@
         steps = self._waiting_steps(now)
         steps.sort(key=lambda step: self.order.key(step, now))
         reservations = BackfillReservations(forecast)
+        limits = WaitLimits(self.bounds, workers, now)
         self.preemptor.begin_round(forecast)
         placed: list[Task] = []
         for step in steps:
-            placed.extend(self._schedule_step(step, workers, reservations, now))
+            placed.extend(self._schedule_step(step, workers, reservations, limits, now))
         if placed:
             self._start(placed)
         elif tracker.unsaved_jobs:
@@ -137,6 +139,7 @@
         step: StepRun,
         workers: list[Worker],
         reservations: BackfillReservations,
+        limits: WaitLimits,
         now: BootSeconds,
     ) -> list[Task]:
         constraints = self.constraints(step, now)
@@ -148,6 +151,13 @@
         waiting = step.waiting_tasks()
         open_workers = reservations.eligible_workers(step, workers)
         assignment = self.placement.place(step, waiting, open_workers, constraints)
+        if not assignment:
+            if limits.is_overdue(step, constraints.service):
+                open_workers = workers
+            for relaxed in limits.relaxed(step, constraints):
+                assignment = self.placement.place(step, waiting, open_workers, relaxed)
+                if assignment:
+                    break
         if constraints.tickets:
             for task, worker in assignment.items():
                 task.ticket = constraints.tickets[worker.id]
--- a/src/zinniatrestle/scheduling/state.py
+++ b/src/zinniatrestle/scheduling/state.py
@@ -99,6 +99,8 @@
         self.window_percent = 0.0
         self.window_at = BootSeconds(0.0)
         self.reported_at = BootSeconds(0.0)
+        # When the task's latest run ended, or 0.
+        self.unassigned_at = BootSeconds(0.0)
         # Workers on which the task failed or made no progress.
         self.avoided_workers: set[WorkerId] = set()
         # Percentage of its full speed at which a best-effort run works.
--- /dev/null
+++ b/src/zinniatrestle/scheduling/tests/test_wait_limits.py
@@ -0,0 +1,190 @@
+"""A step waits for preferred workers only for a limited time while others are free."""
+
+import asyncio
+
+import pytest
+from common.scheduling import (
+    NOW,
+    constraints,
+    first_step,
+    job,
+    run_on,
+    worker,
+    workers_in_racks,
+)
+
+from zinniatrestle.clock import monotonic
+from zinniatrestle.deployment import Bounds
+from zinniatrestle.ids import RackId
+from zinniatrestle.jobs.messages import Step
+from zinniatrestle.scheduling.placement import BestFit
+from zinniatrestle.scheduling.state import WorkerHealth
+from zinniatrestle.scheduling.wait_limits import (
+    IDLE_SHARE,
+    MAX_WAIT_SHARE,
+    MIN_WAIT_SECONDS,
+    WaitLimits,
+)
+from zinniatrestle.standins.model import Model, run_virtual, step
+from zinniatrestle.standins.runs import EventKind
+
+BOUNDS = Bounds()
+MAX_WAIT = BOUNDS.finish * MAX_WAIT_SHARE
+# A waiting task counts as lost if it could run for this time, after the bound.
+LOST_SECONDS = 3.0
+# Time from a decision to the start at a worker.
+START_SECONDS = 0.5
+
+
+def waiting_step(shape: Step, waited: float, ready_for: float | None = None):
+    created = first_step(job("a" * 16, shape, arrived=NOW - waited))
+    created.ready_at = NOW - (waited if ready_for is None else ready_for)
+    return created
+
+
+def place_relaxed(waiting, workers, **values):
+    """Return where a step is placed by the first relaxed constraints that fit."""
+    limits = WaitLimits(BOUNDS, workers, NOW)
+    for relaxed in limits.relaxed(waiting, constraints(now=NOW, **values)):
+        found = BestFit().place(waiting, waiting.waiting_tasks(), workers, relaxed)
+        if found:
+            return found
+    return {}
+
+
+def occupy(target, gpus: int = 8, name: str = "f"):
+    run_on(first_step(job(name * 16, Step(cpu=1000, gpus=gpus))).tasks[0], target)
+
+
+# Guards against a job that waits for its data's rack beside idle workers for as long as
+# it can still be on time.
+def test_a_job_older_than_its_limit_runs_away_from_its_data():
+    workers = workers_in_racks(4, size=1)
+    occupy(workers[0])
+    shape = Step(gpus=8, data_rack=RackId("r0"))
+    assert place_relaxed(waiting_step(shape, MAX_WAIT - 0.1), workers) == {}
+    assert len(place_relaxed(waiting_step(shape, MAX_WAIT + 0.1), workers)) == 1
+
+
+# Guards against a gang that waits for a rack which has lost too many workers.
+def test_a_gang_runs_elsewhere_if_the_rack_of_its_data_can_not_hold_it():
+    workers = [worker("w0", "r0"), *workers_in_racks(2, size=2)[2:]]
+    shape = Step(count=2, gpus=8, gang=True, data_rack=RackId("r0"))
+    assert place_relaxed(waiting_step(shape, MIN_WAIT_SECONDS - 0.1), workers) == {}
+    assert len(place_relaxed(waiting_step(shape, MIN_WAIT_SECONDS), workers)) == 2
+
+
+def test_a_step_that_became_ready_just_now_waits_for_its_rack():
+    workers = workers_in_racks(4, size=1)
+    occupy(workers[0])
+    shape = Step(gpus=8, data_rack=RackId("r0"))
+    waiting = waiting_step(shape, 3 * MAX_WAIT, ready_for=MIN_WAIT_SECONDS / 2)
+    assert place_relaxed(waiting, workers) == {}
+
+
+def test_a_step_whose_run_has_just_ended_waits_for_its_rack():
+    workers = workers_in_racks(4, size=1)
+    occupy(workers[0])
+    waiting = waiting_step(Step(gpus=8, data_rack=RackId("r0")), 3 * MAX_WAIT)
+    waiting.tasks[0].unassigned_at = NOW - MIN_WAIT_SECONDS / 2
+    assert place_relaxed(waiting, workers) == {}
+
+
+def test_a_job_keeps_its_preferences_while_most_of_the_service_is_in_use():
+    workers = workers_in_racks(4, size=1)
+    for number, target in enumerate(workers):
+        occupy(target, gpus=4, name=str(number))
+    for target in workers:
+        target.free_cpu = int(IDLE_SHARE * target.entry.cpu)
+    occupy(workers[0], gpus=4, name="e")
+    shape = Step(gpus=4, data_rack=RackId("r0"))
+    assert place_relaxed(waiting_step(shape, 3 * MAX_WAIT), workers) == {}
+
+
+def test_a_job_with_a_running_task_keeps_its_preferences():
+    workers = workers_in_racks(4, size=1)
+    waiting = waiting_step(Step(count=2, gpus=8, data_rack=RackId("r0")), 3 * MAX_WAIT)
+    run_on(waiting.tasks[0], workers[0])
+    assert place_relaxed(waiting, workers) == {}
+
+
+def test_a_long_running_step_waits_for_preferred_workers_only_briefly():
+    workers = workers_in_racks(4, size=1)
+    for number, target in enumerate(workers[:3]):
+        occupy(target, name=str(number))
+        target.free_cpu = 0
+    shape = Step(gpus=8, data_rack=RackId("r0"), long_running=True)
+    assert len(place_relaxed(waiting_step(shape, MIN_WAIT_SECONDS), workers)) == 1
+
+
+# Guards against a step that waits for the quarantine of all workers with free capacity.
+@pytest.mark.parametrize("gang", [False, True])
+def test_an_overdue_step_runs_on_a_quarantined_worker_if_no_other_is_free(gang):
+    workers = workers_in_racks(4, size=1)
+    for target in workers[1:]:
+        target.health = WorkerHealth.QUARANTINED
+    occupy(workers[0])
+    shape = Step(count=2, gpus=8, gang=gang)
+    assert len(place_relaxed(waiting_step(shape, MAX_WAIT + 0.1), workers)) == 2
+
+
+def test_an_overdue_step_prefers_a_healthy_worker():
+    workers = workers_in_racks(4, size=1)
+    workers[0].health = WorkerHealth.QUARANTINED
+    found = place_relaxed(waiting_step(Step(gpus=8), MAX_WAIT + 0.1), workers)
+    assert list(found.values()) == [workers[1]]
+
+
+def first_start(model: Model, name: str) -> float | None:
+    for event in model.fleet.history:
+        if event.kind is EventKind.START and event.task.startswith(name):
+            return event.at
+    return None
+
+
+async def wait_beside_full_rack(model: Model) -> str:
+    for _ in range(4):
+        shape = step(gpus=8, seconds=60.0, data_rack="rack-0")
+        await model.submit("usual", (shape,), 60.0)
+    await asyncio.sleep(1.0)
+    shape = step(gpus=8, seconds=20.0, data_rack="rack-0")
+    return await model.submit("usual", (shape,), 20.0)
+
+
+async def wait_beside_lost_rack(model: Model) -> str:
+    for number in range(1, 4):
+        lost = model.fleet.workers[f"w{number}"]
+        model.fleet.crash(lost)
+        model.fleet.remove(lost)
+    await asyncio.sleep(BOUNDS.max_hold + 1.0)
+    shape = step(2, gpus=8, gang=True, seconds=20.0, data_rack="rack-0")
+    return await model.submit("usual", (shape,), 20.0)
+
+
+async def wait_behind_wide_gang(model: Model) -> str:
+    await model.submit("usual", (step(gpus=8, seconds=60.0),), 60.0)
+    await asyncio.sleep(1.0)
+    await model.submit("usual", (step(12, gpus=8, gang=True, seconds=5.0),), 5.0)
+    await asyncio.sleep(1.0)
+    return await model.submit("patient", (step(seconds=90.0),), 90.0)
+
+
+# Guards against accepted work that waits for over 20 s while most workers are idle: for
+# the rack of its data, or behind the reservation of a gang that waits for a long run.
+@pytest.mark.parametrize(
+    "scenario", [wait_beside_full_rack, wait_beside_lost_rack, wait_behind_wide_gang]
+)
+def test_accepted_work_starts_within_the_bound_while_workers_are_idle(scenario):
+    async def play():
+        model = Model(1)
+        await model.start(workers=12, rack=4)
+        name = await scenario(model)
+        accepted_at = monotonic()
+        await asyncio.sleep(BOUNDS.finish + LOST_SECONDS)
+        started_at = first_start(model, name)
+        await model.stop()
+        return started_at is not None and started_at - accepted_at
+
+    waited = run_virtual(play())
+    assert waited is not False
+    assert waited <= MAX_WAIT + START_SECONDS < BOUNDS.finish
--- /dev/null
+++ b/src/zinniatrestle/scheduling/wait_limits.py
@@ -0,0 +1,105 @@
+"""Limit how long a step waits for the workers it prefers while others are free."""
+
+from dataclasses import replace
+
+from zinniatrestle.deployment import Bounds
+from zinniatrestle.ids import BootSeconds, ServiceName
+from zinniatrestle.scheduling.placement import (
+    PlacementConstraints,
+    can_run_near_data,
+    candidates,
+)
+from zinniatrestle.scheduling.state import StepRun, Worker
+from zinniatrestle.workers.messages import WorkerState
+
+# Time for workers to join a new scheduler, and for a stopped run's capacity to be free.
+MIN_WAIT_SECONDS = 1.5
+# Share of the bound on accepted work for which a step waits for preferred workers. The
+# rest is for its start order and one retry.
+MAX_WAIT_SHARE = 0.7
+# A service is idle if a smaller share of its accelerators or of its cores is allocated.
+IDLE_SHARE = 0.5
+
+
+class WaitLimits:
+    """Decide in one scheduling round which steps have to wait no longer.
+
+    Locality, reservations of other steps and the health of workers are preferences: a
+    step for which they leave no worker waits, and nothing else may ever end that wait.
+    """
+
+    def __init__(self, bounds: Bounds, workers: list[Worker], now: BootSeconds):
+        self.max_wait = bounds.finish * MAX_WAIT_SHARE
+        self.workers = workers
+        self.now = now
+        self.idle_services: dict[ServiceName, bool] = {}
+
+    def is_overdue(self, step: StepRun, service: ServiceName) -> bool:
+        """Return whether a step has to start wherever its requirements allow.
+
+        A long-running step has to once it has waited for `MIN_WAIT_SECONDS`, any other
+        if its job runs nothing for most of the bound while the service is idle.
+        """
+        if self._waited(step) < MIN_WAIT_SECONDS:
+            return False
+        if step.shape.long_running:
+            return True
+        if self.now - step.job.accepted_at < self.max_wait:
+            return False
+        return self._is_idle(service) and not step.job.allocated_tasks()
+
+    def relaxed(
+        self, step: StepRun, constraints: PlacementConstraints
+    ) -> list[PlacementConstraints]:
+        """Return the weaker constraints to place a waiting step by, in this order."""
+        anywhere = replace(constraints, ignore_locality=True)
+        if self.is_overdue(step, constraints.service):
+            return [anywhere, replace(anywhere, requirements_only=True)]
+        if constraints.ignore_locality or self._waited(step) < MIN_WAIT_SECONDS:
+            return []
+        if self._waits_for_lost_rack(step, constraints):
+            return [anywhere]
+        return []
+
+    def _waited(self, step: StepRun) -> float:
+        """Return the seconds since a task of the step could have been placed."""
+        if step.ready_at is None:
+            return 0.0
+        unassigned_at = min(
+            (task.unassigned_at for task in step.waiting_tasks()), default=self.now
+        )
+        return self.now - max(step.ready_at, unassigned_at)
+
+    def _waits_for_lost_rack(
+        self, step: StepRun, constraints: PlacementConstraints
+    ) -> bool:
+        """Return whether the rack of a step's data can't hold the step any more."""
+        rack = step.shape.data_rack
+        if not rack:
+            return False
+        in_rack = []
+        for worker in candidates(step, self.workers, constraints):
+            if worker.rack == rack:
+                in_rack.append(worker)
+        return not can_run_near_data(step, in_rack)
+
+    def _is_idle(self, service: ServiceName) -> bool:
+        if service not in self.idle_services:
+            self.idle_services[service] = is_idle(self.workers, service)
+        return self.idle_services[service]
+
+
+def is_idle(workers: list[Worker], service: ServiceName) -> bool:
+    """Return whether under `IDLE_SHARE` of a service's capacity is allocated."""
+    cpu = free_cpu = gpus = free_gpus = 0
+    for worker in workers:
+        entry = worker.entry
+        if entry.service != service or entry.state is not WorkerState.READY:
+            continue
+        if worker.missing_since is not None:
+            continue
+        cpu += entry.cpu
+        gpus += entry.gpus
+        free_cpu += worker.free_cpu
+        free_gpus += worker.free_gpus
+    return free_cpu > (1 - IDLE_SHARE) * cpu or free_gpus > (1 - IDLE_SHARE) * gpus
