Ask for tickets of avoided workers when all others were denied

What callers saw: a step of a queue with advice waited beside idle workers for ever after one of its tasks had failed on an allowed worker.

Cause: advice is requested for the candidates of a step, which leave out the workers that it avoids if the others could hold it. Workers that the adviser had denied counted among the others, so no request was left to make, and the tickets of the avoided workers expired for good.

Evidence: the new test of test_advice.py did not settle before (one allowed worker, one failure, a run longer than a ticket is valid) and does now.

Ruled out: an end of denials; they are final by the contract of the adviser.

--- a/src/zinniatrestle/advice/cache.py
+++ b/src/zinniatrestle/advice/cache.py
@@ -57,15 +57,18 @@
         advice = self.advice_by_step.get(step)
         return advice.valid(now) if advice is not None else {}
 
+    def denied(self, step: str) -> set[WorkerId]:
+        """Return the workers that may not run a step; denials are final."""
+        advice = self.advice_by_step.get(step)
+        return advice.denied if advice is not None else set()
+
     def request_tickets(self, step: str, terms: AdviceTerms, workers: list[WorkerId]):
         """Queue a request for a step's tickets, preferred workers first.
 
         It replaces a pending request for the same step, and leaves out workers that
         were denied.
         """
-        denied = (
-            self.advice_by_step[step].denied if step in self.advice_by_step else set()
-        )
+        denied = self.denied(step)
         not_denied = [worker for worker in workers if worker not in denied][
             :MAX_WORKERS_PER_CALL
         ]
@@ -105,7 +108,6 @@
         for worker in workers:
             ticket = tickets.get(worker)
             if ticket is None:
-                # Denials are final, so the worker is not asked about again.
                 advice.denied.add(worker)
                 continue
             advice.tickets[worker] = (ticket, valid_until)
--- a/src/zinniatrestle/scheduling/rounds.py
+++ b/src/zinniatrestle/scheduling/rounds.py
@@ -151,11 +151,12 @@
         waiting = step.waiting_tasks()
         open_workers = reservations.eligible_workers(step, workers)
         assignment = self.placement.place(step, waiting, open_workers, constraints)
+        weakest = constraints
         if not assignment:
             if limits.is_overdue(step, constraints.service):
                 open_workers = workers
-            for relaxed in limits.relaxed(step, constraints):
-                assignment = self.placement.place(step, waiting, open_workers, relaxed)
+            for weakest in limits.relaxed(step, constraints):
+                assignment = self.placement.place(step, waiting, open_workers, weakest)
                 if assignment:
                     break
         if constraints.tickets:
@@ -166,7 +167,7 @@
         if not unplaced:
             return placed
         if constraints.tickets is not None:
-            self._request_advice(step, workers, constraints)
+            self._request_advice(step, workers, weakest)
         earliest = None
         if self.policy.reserves_workers:
             earliest = reservations.earliest_start(step, unplaced, workers, constraints)
@@ -237,10 +238,16 @@
     def _request_advice(
         self, step: StepRun, workers: list[Worker], constraints: PlacementConstraints
     ):
-        """Request advice on workers for a step that its tickets could not place."""
+        """Request advice on workers for a step that its tickets could not place.
+
+        Workers that were denied don't count as alternatives to those that the step
+        avoids.
+        """
         queue = self.context.operator.queues[step.job.submission.queue]
         without_tickets = replace(constraints, tickets=None)
-        eligible = candidates(step, workers, without_tickets)
+        denied = self.advice.denied(self._advice_key(step))
+        not_denied = [worker for worker in workers if worker.id not in denied]
+        eligible = candidates(step, not_denied, without_tickets)
         eligible.sort(key=lambda worker: (-worker.slots(step), worker.id))
         worker_ids = [
             worker.id for worker in eligible if worker.id not in constraints.tickets
--- a/src/zinniatrestle/scheduling/tests/test_advice.py
+++ b/src/zinniatrestle/scheduling/tests/test_advice.py
@@ -13,17 +13,31 @@
 TERMS = AdviceTerms(decision=0.2, per_worker=0.01, validity=3.0)
 
 
-class EvenAdviser(Adviser):
-    """Adviser that allows the workers with even numbers."""
+class SelectiveAdviser(Adviser):
+    """Adviser that allows the workers whose numbers are multiples of one number."""
+
+    def __init__(self, multiples_of: int = 2):
+        self.multiples_of = multiples_of
 
     async def advise(self, step, workers, timeout):
         await asyncio.sleep(TERMS.decision + TERMS.per_worker * len(workers))
-        return {name: f"t-{name}" for name in workers if int(name[1:]) % 2 == 0}
+        return {
+            name: f"t-{name}"
+            for name in workers
+            if int(name[1:]) % self.multiples_of == 0
+        }
 
 
-def run_model(workers: int, count: int, gang: bool = False):
+def run_model(
+    workers: int,
+    count: int,
+    gang: bool = False,
+    multiples_of: int = 2,
+    seconds: float = 1.0,
+    failures: int = 0,
+):
     async def run():
-        model = Model(1, hosts=2, adviser=EvenAdviser())
+        model = Model(1, hosts=2, adviser=SelectiveAdviser(multiples_of))
         model.operator.set_up()
         queues = []
         for queue in model.operator.queues:
@@ -32,7 +46,8 @@
         model.operator.set_up = model.operator.write
         model.operator.queues = tuple(queues)
         await model.start(workers=workers, rack=workers)
-        await model.submit("usual", (step(count, gpus=4, gang=gang),), 1.0)
+        shape = step(count, gpus=4, gang=gang, seconds=seconds)
+        await model.submit("usual", (shape,), seconds, failures=failures)
         settled = await model.wait_for_jobs(20.0)
         return model, settled
 
@@ -54,3 +69,14 @@
     assert not settled
     starts = [event for event in model.fleet.history if event.kind is EventKind.START]
     assert starts == []
+
+
+# Guards against a step that asks for no tickets of the workers it avoids, as denied
+# workers counted as alternatives, and so waits beside idle workers for ever.
+def test_a_task_that_failed_on_the_only_allowed_worker_runs_there_again():
+    model, settled = run_model(
+        workers=6, count=1, multiples_of=6, seconds=TERMS.validity + 1.0, failures=1
+    )
+    assert settled
+    starts = [event for event in model.fleet.history if event.kind is EventKind.START]
+    assert [event.worker for event in starts] == ["w0", "w0"]
