Count only workers that can come free as alternatives to avoided ones

What callers saw: a step waited beside idle workers for the end of a quarantine, up to 60 s, or for capacity that long-running tasks never return.

Cause: candidates() leaves out slow workers and those on which the step failed if the others could hold it when empty. Quarantined workers, which are removed afterwards, counted among the others, and so did the capacity of long-running tasks. A rack-bound gang waited in the same way for a rack in which a long-running task runs.

Ruled out: using avoided workers as soon as the others are busy; a worker with an ordinary run is still waited for, as an existing test asks.

--- a/src/zinniatrestle/scheduling/placement.py
+++ b/src/zinniatrestle/scheduling/placement.py
@@ -68,8 +68,8 @@
     """Return the workers to consider for a step, free capacity aside.
 
     Slow workers, and workers on which a task of the step failed or stalled, are left
-    out if the other workers could hold the step when empty. No permitted worker is left
-    out if only the requirements of the step count.
+    out if the other healthy workers could hold the step when empty. No permitted worker
+    is left out if only the requirements of the step count.
     """
     avoided: set[WorkerId] = set()
     for task in step.tasks:
@@ -77,6 +77,9 @@
     usable = [worker for worker in workers if is_permitted(worker, step, constraints)]
     if constraints.requirements_only:
         return usable
+    usable = [
+        worker for worker in usable if worker.health is not WorkerHealth.QUARANTINED
+    ]
     preferred = [
         worker
         for worker in usable
@@ -86,9 +89,7 @@
         needed = step.shape.count if step.shape.gang else 1
         if sum(slots_when_empty(worker, step) for worker in preferred) >= needed:
             usable = preferred
-    return [
-        worker for worker in usable if worker.health is not WorkerHealth.QUARANTINED
-    ]
+    return usable
 
 
 def group_by_rack(workers: Iterable[Worker]) -> dict[RackId, list[Worker]]:
@@ -115,18 +116,18 @@
 
 
 def slots_when_empty(worker: Worker, step: StepRun) -> int:
-    """Return how many tasks of a step fit on a worker when it is empty."""
-    shape, entry = step.shape, worker.entry
+    """Return how many tasks of a step fit on a worker once all runs that end have."""
+    shape = step.shape
     max_slots = shape.count
     if shape.cpu and not shape.best_effort:
-        max_slots = min(max_slots, entry.cpu // shape.cpu)
+        max_slots = min(max_slots, worker.unpinned_cpu // shape.cpu)
     if shape.memory_mb:
-        max_slots = min(max_slots, entry.memory_mb // shape.memory_mb)
+        max_slots = min(max_slots, worker.unpinned_memory // shape.memory_mb)
     if shape.gpus:
-        max_slots = min(max_slots, entry.gpus // shape.gpus)
+        max_slots = min(max_slots, worker.unpinned_gpus // shape.gpus)
     if shape.max_per_worker:
         max_slots = min(max_slots, shape.max_per_worker)
-    return max_slots
+    return max(0, max_slots)
 
 
 def is_remote(step: StepRun) -> bool:
--- a/src/zinniatrestle/scheduling/state.py
+++ b/src/zinniatrestle/scheduling/state.py
@@ -327,6 +327,10 @@
         self.free_cpu = entry.cpu
         self.free_memory = entry.memory_mb
         self.free_gpus = entry.gpus
+        # Capacity except that of long-running tasks, whose runs don't end.
+        self.unpinned_cpu = entry.cpu
+        self.unpinned_memory = entry.memory_mb
+        self.unpinned_gpus = entry.gpus
         # Tasks of runs that the scheduler doesn't know. They are being stopped, and
         # take an unknown amount of resources.
         self.unknown_runs: set[TaskId] = set()
@@ -403,6 +407,12 @@
             self.free_cpu -= sign * shape.cpu
         self.free_memory -= sign * shape.memory_mb
         self.free_gpus -= sign * shape.gpus
+        if not shape.long_running:
+            return
+        if not shape.best_effort:
+            self.unpinned_cpu -= sign * shape.cpu
+        self.unpinned_memory -= sign * shape.memory_mb
+        self.unpinned_gpus -= sign * shape.gpus
 
     def slots(self, step: StepRun) -> int:
         """Return how many more tasks of a step fit on the worker."""
--- a/src/zinniatrestle/scheduling/tests/test_placement.py
+++ b/src/zinniatrestle/scheduling/tests/test_placement.py
@@ -150,3 +150,39 @@
     occupy(target, 1)
     shape = Step(count=5, cpu=32_000, memory_mb=400, best_effort=True)
     assert len(place(shape, [target])) == 2
+
+
+# Guards against waiting for the end of a quarantine while avoided workers are free.
+@pytest.mark.parametrize("gang", [False, True])
+def test_a_step_does_not_wait_for_a_quarantined_worker_instead_of_an_avoided_one(gang):
+    avoided, quarantined = worker("avoided"), worker("quarantined")
+    quarantined.health = WorkerHealth.QUARANTINED
+    step = first_step(job("a" * 16, Step(gpus=8, gang=gang)))
+    step.tasks[0].avoided_workers.add(avoided.id)
+    assignment = BestFit().place(
+        step, step.waiting_tasks(), [avoided, quarantined], constraints()
+    )
+    assert list(assignment.values()) == [avoided]
+
+
+# Guards against waiting without end for a worker that long-running tasks fill.
+def test_a_step_does_not_wait_for_capacity_of_long_running_tasks():
+    avoided, full = worker("avoided"), worker("full")
+    serving = job("f" * 16, Step(cpu=1000, gpus=8, long_running=True))
+    run_on(first_step(serving).tasks[0], full)
+    step = first_step(job("a" * 16, Step(gpus=1)))
+    step.tasks[0].avoided_workers.add(avoided.id)
+    assignment = BestFit().place(
+        step, step.waiting_tasks(), [avoided, full], constraints()
+    )
+    assert list(assignment.values()) == [avoided]
+
+
+# Guards against a gang that waits without end for racks that long-running tasks share.
+def test_a_rack_bound_gang_does_not_wait_for_the_end_of_long_running_tasks():
+    workers = workers_in_racks(2, size=2)
+    for number, target in enumerate((workers[0], workers[2])):
+        serving = job(str(number) * 16, Step(gpus=1, long_running=True))
+        run_on(first_step(serving).tasks[0], target)
+    shape = Step(count=2, gpus=8, gang=True, rack_bound=True)
+    assert set(place(shape, workers).values()) == {workers[1], workers[3]}
