Log failures of start and save tasks

A start or save task that failed with an unexpected exception left no trace: its runs stayed placed, or their ends unacknowledged, and no line said so. Only the failures of sessions were logged, without the worker.

Log all three as task_failed, with the worker where there is one.

--- a/src/zinniatrestle/scheduling/rounds.py
+++ b/src/zinniatrestle/scheduling/rounds.py
@@ -3,6 +3,7 @@
 import asyncio
 import time
 from dataclasses import replace
+from functools import partial
 
 from zinniatrestle.advice import AdviceCache
 from zinniatrestle.clock import boot_time, wall_time
@@ -254,6 +255,7 @@
         starting = asyncio.create_task(self._save_and_start(runs))
         self.start_tasks.add(starting)
         starting.add_done_callback(self.start_tasks.discard)
+        starting.add_done_callback(partial(self.tracker.log_failure, "start", None))
 
     async def _save_and_start(self, runs: list[tuple[Task, RunNumber]]):
         """Save the placements, then send the start orders."""
--- a/src/zinniatrestle/scheduling/tracker.py
+++ b/src/zinniatrestle/scheduling/tracker.py
@@ -1,11 +1,12 @@
 """Track runs through worker reports, answers to orders, and lost workers."""
 
 import asyncio
+from functools import partial
 
 from zinniatrestle.clock import boot_time
 from zinniatrestle.errors import LeaseLostError
 from zinniatrestle.events import Event
-from zinniatrestle.ids import BootSeconds, RunNumber
+from zinniatrestle.ids import BootSeconds, RunNumber, WorkerId
 from zinniatrestle.jobs.messages import JobState
 from zinniatrestle.scheduling.cluster_state import ClusterState
 from zinniatrestle.scheduling.fleet import FleetListener
@@ -55,18 +56,19 @@
         senders = [session.send_orders() for _ in range(MAX_CONCURRENT_ORDERS)]
         running = [asyncio.create_task(task) for task in (session.hold(), *senders)]
         for task in running:
-            task.add_done_callback(self._log_failure)
+            task.add_done_callback(partial(self.log_failure, "session", worker.id))
         self.session_tasks[worker] = running
         self.wake.set()
 
-    def _log_failure(self, task: asyncio.Task):
-        """Log the exception of a session's task, if it has failed."""
+    def log_failure(self, name: str, worker: WorkerId | None, task: asyncio.Task):
+        """Log the exception of a background task, if it has failed."""
         if task.cancelled() or task.exception() is None:
             return
         error = task.exception()
         self.events.write(
             Event.TASK_FAILED,
-            task="session",
+            task=name,
+            worker=worker,
             reason=f"{type(error).__name__}: {error}",
         )
 
@@ -192,6 +194,9 @@
             )
             self.save_tasks.add(worker.save_task)
             worker.save_task.add_done_callback(self.save_tasks.discard)
+            worker.save_task.add_done_callback(
+                partial(self.log_failure, "save", worker.id)
+            )
 
     async def _save_and_acknowledge(
         self,
