Log and count what each waiting step waits for

job_waits was written for the highest priority only and always gave the reason 'no free capacity', so the logs could not tell a full service from a step held by its locality, a reservation, missing tickets or a gang member that was never released. Steps that are not placed in a round, such as a gang with an assigned member, were not logged at all.

Steps of the highest priority are logged when they were before. The metrics steps_waiting and steps_waiting_despite_room count the steps by the reason found last. No decision changes.

--- a/src/zinniatrestle/metrics.py
+++ b/src/zinniatrestle/metrics.py
@@ -36,6 +36,20 @@
         self.completion = meter.create_histogram("job_completion_time", "s")
         self.acceptance = meter.create_histogram("acceptance_time", "s")
         self.rounds = meter.create_histogram("scheduling_round_time", "s")
+        # Waiting steps by reason, and those that wait although there is ample room;
+        # counted by the scheduler while it decides.
+        self.steps_waiting: dict[str, int] = {}
+        self.steps_waiting_despite_room = 0
+        meter.create_observable_gauge("steps_waiting", [self._observe_waiting], "1")
+        self.add_gauge(
+            "steps_waiting_despite_room", "1", lambda: self.steps_waiting_despite_room
+        )
+
+    def _observe_waiting(self, options: CallbackOptions) -> list[Observation]:
+        return [
+            Observation(count, {"reason": reason})
+            for reason, count in self.steps_waiting.items()
+        ]
 
     def add_gauge(self, name: str, unit: str, read: Callable[[], float]):
         """Register a gauge whose value is read at each collection."""
--- a/src/zinniatrestle/scheduling/backfill.py
+++ b/src/zinniatrestle/scheduling/backfill.py
@@ -18,6 +18,7 @@
 class EarliestStart(NamedTuple):
     """Estimated start (boot seconds) of a step without preemption, and its workers."""
 
+    step: StepRun
     at: float
     workers: list[Worker]
 
@@ -33,6 +34,7 @@
         self.forecast = forecast
         self.now = forecast.now
         self.reserved_from: dict[Worker, float] = {}
+        self.reserved_for: dict[Worker, StepRun] = {}
         self.reserving_steps = 0
 
     def eligible_workers(self, step: StepRun, workers: list[Worker]) -> list[Worker]:
@@ -74,13 +76,14 @@
                 best = chosen
         if not best:
             return None
-        return EarliestStart(best[-1][0], [worker for _, worker in best])
+        return EarliestStart(step, best[-1][0], [worker for _, worker in best])
 
     def reserve(self, earliest: EarliestStart):
         """Reserve the workers for a step, from its earliest start on."""
         self.reserving_steps += 1
         for worker in earliest.workers:
             self.reserved_from[worker] = earliest.at
+            self.reserved_for[worker] = earliest.step
 
     def _earliest_start(
         self, step: StepRun, count: int, group: list[Worker]
--- a/src/zinniatrestle/scheduling/cluster_state.py
+++ b/src/zinniatrestle/scheduling/cluster_state.py
@@ -66,6 +66,7 @@
         if not task.is_allocated or task.status is TaskStatus.STOPPING:
             return
         task.status = TaskStatus.STOPPING
+        task.status_at = boot_time()
         self.events.write(
             Event.RUN_STOPPED,
             task=task.id,
--- a/src/zinniatrestle/scheduling/rounds.py
+++ b/src/zinniatrestle/scheduling/rounds.py
@@ -30,10 +30,21 @@
     PlacementPolicy,
     candidates,
 )
-from zinniatrestle.scheduling.preemption import HIGHEST_PRIORITY, Preemptor
+from zinniatrestle.scheduling.preemption import (
+    RESERVATION_TIMEOUT_SECONDS,
+    Preemptor,
+)
 from zinniatrestle.scheduling.speeds import is_slow, should_restart
 from zinniatrestle.scheduling.state import Job, StepRun, Task, TaskStatus, Worker
 from zinniatrestle.scheduling.tracker import Tracker
+from zinniatrestle.scheduling.wait_log import WaitLog
+from zinniatrestle.scheduling.waits import (
+    Wait,
+    assigned_wait,
+    placement_wait,
+    reservation_wait,
+    room_for,
+)
 
 
 class Planner:
@@ -53,6 +64,7 @@
         if context.adviser is not None:
             self.advice = AdviceCache(context.adviser, context.events, tracker.wake.set)
         self.start_tasks: set[asyncio.Task] = set()
+        self.wait_log = WaitLog(context.events, context.metrics)
 
     def run_round(self, now: BootSeconds):
         """Place waiting tasks, and preempt cheaper work for urgent steps."""
@@ -67,6 +79,7 @@
         forecast = Forecast(tracker.durations, now)
         self._stop_on_draining_workers(workers, forecast)
         self._stop_on_slow_workers(workers, forecast)
+        self.wait_log.begin_round(now)
         steps = self._waiting_steps(now)
         steps.sort(key=lambda step: self.order.key(step, now))
         reservations = BackfillReservations(forecast)
@@ -78,6 +91,7 @@
             self._start(placed)
         elif tracker.unsaved_jobs:
             self._start([])
+        self.wait_log.end_round()
         self.context.metrics.rounds.record(time.perf_counter() - started_at)
 
     def _waiting_steps(self, now: BootSeconds) -> list[StepRun]:
@@ -92,6 +106,8 @@
                     step.ready_at = now
                 if self._has_tasks_to_place(step):
                     waiting.append(step)
+                elif self.wait_log.is_surveying:
+                    self._log_assigned(step, now)
         return waiting
 
     def _has_tasks_to_place(self, step: StepRun) -> bool:
@@ -143,9 +159,10 @@
         constraints = self.constraints(step, now)
         reserved = [task for task in step.tasks if task.status is TaskStatus.RESERVED]
         if reserved:
-            return self._place(
-                step, self.preemptor.take_reserved(step, reserved, constraints, now)
-            )
+            assignment = self.preemptor.take_reserved(step, reserved, constraints, now)
+            if not assignment:
+                self._log_reserved(step, reserved, workers, constraints)
+            return self._place(step, assignment)
         waiting = step.waiting_tasks()
         open_workers = reservations.eligible_workers(step, workers)
         assignment = self.placement.place(step, waiting, open_workers, constraints)
@@ -161,46 +178,64 @@
         earliest = None
         if self.policy.reserves_workers:
             earliest = reservations.earliest_start(step, unplaced, workers, constraints)
+        ignored_locality = constraints.ignore_locality
         if self.preemptor.preempt_for(step, workers, constraints, earliest, now):
             return placed
-        self._log_waiting(step, unplaced, constraints, earliest, now)
+        if self.wait_log.is_due(step):
+            # The attempt to preempt may have changed it.
+            constraints.ignore_locality = ignored_locality
+            wait = placement_wait(step, workers, constraints, reservations, earliest)
+            self._log_wait(step, wait, workers, constraints, earliest)
         if earliest is not None:
             reservations.reserve(earliest)
         return placed
 
-    def _log_waiting(
+    # Reasons of waits
+
+    def _log_reserved(
         self,
         step: StepRun,
-        unplaced: int,
+        reserved: list[Task],
+        workers: list[Worker],
         constraints: PlacementConstraints,
-        earliest: EarliestStart | None,
-        now: BootSeconds,
     ):
-        """Log why a step of the highest priority waits.
-
-        Other steps are many and wait for free capacity only, so they are not logged.
-        """
-        submission = step.job.submission
-        if submission.priority != HIGHEST_PRIORITY:
+        """Log which preempted run a step with reserved workers waits for."""
+        if reserved[0].status is not TaskStatus.RESERVED:
             return
-        self.context.events.write_deduplicated(
-            Event.JOB_WAITS,
-            f"no free capacity for job {step.job.id}",
-            job=step.job.id,
-            tasks=unplaced,
-            gpus=step.shape.gpus,
-            rack=step.shape.data_rack,
-            rack_bound=step.shape.rack_bound,
+        if self.wait_log.is_due(step, is_short=True):
+            until = reserved[0].confirmed_at + RESERVATION_TIMEOUT_SECONDS
+            wait = reservation_wait(reserved, until)
+            self._log_wait(step, wait, workers, constraints)
+
+    def _log_assigned(self, step: StepRun, now: BootSeconds):
+        """Log which run a step waits for that has no tasks to place."""
+        wait = assigned_wait(step)
+        if wait is not None and self.wait_log.is_due(step, is_short=True):
+            workers = list(self.tracker.fleet.workers.values())
+            self._log_wait(step, wait, workers, self.constraints(step, now))
+
+    def _log_wait(
+        self,
+        step: StepRun,
+        wait: Wait,
+        workers: list[Worker],
+        constraints: PlacementConstraints,
+        earliest: EarliestStart | None = None,
+    ):
+        now = self.wait_log.now
+        deadlines = start_deadlines(step, self.tracker.durations)
+        self.wait_log.write(
+            step,
+            wait,
+            room_for(step, workers, constraints),
             anywhere=constraints.ignore_locality,
             guaranteed=self.preemptor.is_guaranteed(step),
             room_in=round(earliest.at - now, 2) if earliest is not None else None,
-            slack=round(
-                start_deadlines(step, self.tracker.durations).latest_on_time_start
-                - now,
-                2,
-            ),
+            slack=round(deadlines.latest_on_time_start - now, 2),
         )
 
+    # Placing
+
     def _place(self, step: StepRun, assignment: Assignment) -> list[Task]:
         if not assignment:
             return []
@@ -208,10 +243,12 @@
         if step.shape.gang:
             run = RunNumber(max(task.run for task in step.tasks) + 1)
             step.aborted_members.clear()
+        placed_at = boot_time()
         for task, worker in assignment.items():
             task.run = run or RunNumber(task.run + 1)
             task.worker = worker
             task.status = TaskStatus.PLACED
+            task.status_at = placed_at
             task.start_pending = True
             task.inherited = False
             task.resumed = bool(task.checkpoint)
--- a/src/zinniatrestle/scheduling/scheduler.py
+++ b/src/zinniatrestle/scheduling/scheduler.py
@@ -141,6 +141,7 @@
             await self._close()
 
     async def _close(self):
+        self.planner.wait_log.close()
         running = [*self.planner.start_tasks, *self.tracker.save_tasks]
         for tasks in self.tracker.session_tasks.values():
             running.extend(tasks)
@@ -247,6 +248,7 @@
                     worker_id, instance, lease_end
                 )
             task.status = TaskStatus.PLACED
+            task.status_at = boot_time()
             task.inherited = True
             task.worker = worker
             worker.add_task(task)
--- a/src/zinniatrestle/scheduling/state.py
+++ b/src/zinniatrestle/scheduling/state.py
@@ -67,6 +67,8 @@
         self.id = task_id(step.job.id, step.occurrence, step.number, index)
         self.key = task_key(self.id)
         self.status = TaskStatus.WAITING
+        # When the current run was placed, was confirmed or began to be stopped.
+        self.status_at = BootSeconds(0.0)
         self.run = RunNumber(0)
         self.worker: Worker | None = None
         self.failed_runs: set[RunNumber] = set()
--- /dev/null
+++ b/src/zinniatrestle/scheduling/tests/test_wait_log.py
@@ -0,0 +1,108 @@
+"""Lines about waits are limited in number, and the waiting steps are counted."""
+
+from common.events import EventList
+from common.scheduling import NOW, first_step, job, run_on, worker
+
+from zinniatrestle.metrics import Metrics
+from zinniatrestle.scheduling.state import TaskStatus
+from zinniatrestle.scheduling.wait_log import (
+    LOGGED_WAIT_SECONDS,
+    MAX_LINES_PER_SURVEY,
+    REPEAT_SECONDS,
+    SURVEY_SECONDS,
+    WaitLog,
+)
+from zinniatrestle.scheduling.waits import Room, Wait, WaitReason
+
+WAIT = Wait(WaitReason.CAPACITY)
+ROOM = Room(near=0, anywhere=2, idle_share=0.6)
+
+
+class Rounds:
+    """Rounds at the interval of surveys, in which the same steps wait."""
+
+    def __init__(self):
+        events = EventList()
+        self.lines = events.lines
+        self.metrics = Metrics()
+        self.log = WaitLog(events, self.metrics)
+        self.now = NOW
+
+    def run(self, steps, seconds: float, is_short: bool = False):
+        until = self.now + seconds
+        while self.now < until:
+            self.log.begin_round(self.now)
+            for step in steps:
+                if self.log.is_due(step, is_short):
+                    self.log.write(step, WAIT, ROOM)
+            self.log.end_round()
+            self.now += SURVEY_SECONDS
+
+
+def test_an_ordinary_step_is_logged_only_after_a_long_wait_and_then_seldom():
+    rounds = Rounds()
+    step = first_step(job("1" * 16))
+    rounds.run([step], LOGGED_WAIT_SECONDS - SURVEY_SECONDS)
+    assert rounds.lines == []
+    rounds.run([step], 3 * REPEAT_SECONDS)
+    assert 2 <= len(rounds.lines) <= 4
+    line = rounds.lines[0]
+    assert line["reason"] == "capacity"
+    assert line["since"] >= LOGGED_WAIT_SECONDS
+    assert line["despite_room"]
+
+
+def test_an_urgent_step_without_room_is_logged_at_once_and_each_second():
+    rounds = Rounds()
+    step = first_step(job("1" * 16, priority=0))
+    rounds.run([step], 3.0)
+    assert 3 <= len(rounds.lines) <= 4
+
+
+def test_an_urgent_step_that_waits_for_an_order_is_not_logged_at_once():
+    rounds = Rounds()
+    step = first_step(job("1" * 16, priority=0))
+    rounds.run([step], 0.8, is_short=True)
+    assert rounds.lines == []
+    rounds.run([step], 1.0, is_short=True)
+    assert len(rounds.lines) == 1
+
+
+def test_many_waiting_steps_share_a_limit_on_lines():
+    rounds = Rounds()
+    steps = [first_step(job(f"{number:016}")) for number in range(200)]
+    rounds.run(steps, LOGGED_WAIT_SECONDS + 2.0)
+    assert 0 < len(rounds.lines) <= MAX_LINES_PER_SURVEY * (2.0 / SURVEY_SECONDS + 1)
+
+
+def test_a_step_whose_job_runs_is_not_logged():
+    rounds = Rounds()
+    two_steps = job("1" * 16, *[first_step(job("2" * 16)).shape] * 2)
+    run_on(two_steps.steps["0.0"].tasks[0], worker("w"))
+    rounds.run([two_steps.steps["0.1"]], 2 * LOGGED_WAIT_SECONDS)
+    assert rounds.lines == []
+
+
+def test_a_start_that_is_refused_again_and_again_does_not_end_the_wait():
+    rounds = Rounds()
+    step = first_step(job("1" * 16))
+    for _ in range(10):
+        rounds.run([step], 0.4)
+        step.tasks[0].status = TaskStatus.PLACED
+        rounds.run([], 0.4)
+        step.tasks[0].status = TaskStatus.WAITING
+    assert rounds.lines
+    assert rounds.lines[-1]["since"] >= LOGGED_WAIT_SECONDS
+
+
+def test_waiting_steps_are_counted_by_reason_until_they_run():
+    rounds = Rounds()
+    step = first_step(job("1" * 16))
+    rounds.run([step], LOGGED_WAIT_SECONDS + 1.0)
+    assert rounds.metrics.steps_waiting["capacity"] == 1
+    assert set(rounds.metrics.steps_waiting) == {reason.value for reason in WaitReason}
+    assert rounds.metrics.steps_waiting_despite_room == 1
+    run_on(step.tasks[0], worker("w"))
+    rounds.run([], SURVEY_SECONDS)
+    assert rounds.metrics.steps_waiting["capacity"] == 0
+    assert rounds.metrics.steps_waiting_despite_room == 0
--- a/src/zinniatrestle/scheduling/tracker.py
+++ b/src/zinniatrestle/scheduling/tracker.py
@@ -404,6 +404,7 @@
         """Mark a run as running, and its job as started."""
         now = boot_time()
         task.status = TaskStatus.RUNNING
+        task.status_at = now
         task.inherited = False
         task.started_at = task.percent_changed_at = task.confirmed_at = now
         self.metrics.starts.add(1)
--- /dev/null
+++ b/src/zinniatrestle/scheduling/waits.py
@@ -0,0 +1,245 @@
+"""Reasons why steps wait, and what ends each wait."""
+
+from collections.abc import Iterable
+from dataclasses import dataclass
+from enum import Enum
+
+from zinniatrestle.ids import JobId
+from zinniatrestle.scheduling.backfill import BackfillReservations, EarliestStart
+from zinniatrestle.scheduling.placement import (
+    PlacementConstraints,
+    candidates,
+    locality_groups,
+    slots_when_empty,
+)
+from zinniatrestle.scheduling.state import (
+    ACCELERATOR_MILLICORES,
+    StepRun,
+    Task,
+    TaskStatus,
+    Worker,
+    WorkerHealth,
+)
+
+
+class WaitReason(Enum):
+    """What a waiting step lacks."""
+
+    # No worker is of the service, in the permitted regions and has the label.
+    NO_PERMITTED_WORKER = "no_permitted_worker"
+    # The permitted workers could not hold the step even when empty.
+    TOO_LARGE = "too_large"
+    # It would fit if all permitted workers were usable (see `worker_unusable`).
+    UNUSABLE_WORKERS = "unusable_workers"
+    CAPACITY = "capacity"
+    # The workers with room have no valid ticket of the advice service.
+    NO_TICKETS = "no_tickets"
+    # The workers with room are in quarantine, or canaries in use.
+    UNHEALTHY_WORKERS = "unhealthy_workers"
+    # The workers with room are slow, or a task of the step failed on them.
+    AVOIDED_WORKERS = "avoided_workers"
+    # It fits, but not near its data or not in one rack.
+    LOCALITY = "locality"
+    # The workers with room are reserved for a gang that ranks before it.
+    BACKFILL = "backfill"
+    # Its workers are reserved, and preempted runs on them have not ended yet.
+    PREEMPTION = "preemption"
+    # Members of the gang are still assigned to workers.
+    GANG_MEMBERS = "gang_members"
+    # All runs of the step are being stopped.
+    STOPPING = "stopping"
+    START_PENDING = "start_pending"
+    # A start order got no answer, and no report has shown yet whether it was obeyed.
+    START_UNANSWERED = "start_unanswered"
+    # It fits, so the next round should place it.
+    UNKNOWN = "unknown"
+
+
+@dataclass
+class Wait:
+    """Why a step waits, and what ends the wait as far as known."""
+
+    reason: WaitReason
+    # Job for which the workers with room are reserved.
+    for_job: JobId | None = None
+    # Run whose start or end the step waits for.
+    held_by: Task | None = None
+    # Expected end of the wait, in boot seconds.
+    until: float | None = None
+
+
+@dataclass
+class Room:
+    """Room for a step on the usable workers it is allowed on, whatever else holds."""
+
+    # Most free slots in one of the groups of workers on which it runs at full speed.
+    near: int
+    anywhere: int
+    # Share of the capacity of its service that is free.
+    idle_share: float
+
+    def is_ample(self, count: int) -> bool:
+        """Return whether `count` tasks fit twice and half of the capacity is free."""
+        return self.anywhere >= 2 * count and self.idle_share > 0.5
+
+
+def room_for(
+    step: StepRun, workers: list[Worker], constraints: PlacementConstraints
+) -> Room:
+    """Return the room for a step, tickets, health and reservations aside."""
+    allowed = [
+        worker
+        for worker in workers
+        if _is_allowed(worker, step, constraints) and worker.usable()
+    ]
+    capacity = free = 0
+    for worker in workers:
+        if worker.entry.service != constraints.service:
+            continue
+        capacity += _weight(worker.entry.cpu, worker.entry.gpus)
+        free += _weight(worker.free_cpu, worker.free_gpus)
+    return Room(
+        near=_slots_near(step, allowed, constraints),
+        anywhere=_slots(step, allowed),
+        idle_share=max(0.0, free / capacity) if capacity else 0.0,
+    )
+
+
+def placement_wait(
+    step: StepRun,
+    workers: list[Worker],
+    constraints: PlacementConstraints,
+    reservations: BackfillReservations,
+    earliest: EarliestStart | None,
+) -> Wait:
+    """Return why the waiting tasks of a step could not be placed."""
+    needed = len(step.waiting_tasks()) if step.shape.gang else 1
+    until = earliest.at if earliest is not None else None
+    allowed = [worker for worker in workers if _is_allowed(worker, step, constraints)]
+    if not allowed:
+        return Wait(WaitReason.NO_PERMITTED_WORKER)
+    if _slots_when_empty(step, allowed) < needed:
+        return Wait(WaitReason.TOO_LARGE)
+    usable = [worker for worker in allowed if worker.usable()]
+    if _slots(step, usable) < needed:
+        if _slots(step, allowed) >= needed or _slots_when_empty(step, usable) < needed:
+            return Wait(WaitReason.UNUSABLE_WORKERS, until=until)
+        return Wait(WaitReason.CAPACITY, until=until)
+    if constraints.tickets is not None:
+        usable = [worker for worker in usable if worker.id in constraints.tickets]
+        if _slots(step, usable) < needed:
+            return Wait(WaitReason.NO_TICKETS)
+    healthy = [worker for worker in usable if _is_healthy(worker, step)]
+    if _slots(step, healthy) < needed:
+        ends = [
+            worker.quarantined_until
+            for worker in usable
+            if worker.health is WorkerHealth.QUARANTINED
+        ]
+        return Wait(WaitReason.UNHEALTHY_WORKERS, until=min(ends, default=None))
+    preferred = [
+        worker
+        for worker in candidates(step, workers, constraints)
+        if _is_healthy(worker, step)
+    ]
+    if _slots(step, preferred) < needed:
+        return Wait(WaitReason.AVOIDED_WORKERS, until=until)
+    if _slots_near(step, preferred, constraints) < needed:
+        return Wait(WaitReason.LOCALITY, until=until)
+    eligible = set(reservations.eligible_workers(step, workers))
+    unreserved = [worker for worker in preferred if worker in eligible]
+    if _slots_near(step, unreserved, constraints) < needed:
+        blocked = [
+            worker
+            for worker in preferred
+            if worker not in eligible and worker.slots(step)
+        ]
+        blocked.sort(key=lambda worker: worker.rack != step.shape.data_rack)
+        return Wait(
+            WaitReason.BACKFILL,
+            for_job=reservations.reserved_for[blocked[0]].job.id,
+            until=reservations.reserved_from[blocked[0]],
+        )
+    return Wait(WaitReason.UNKNOWN)
+
+
+def reservation_wait(reserved: list[Task], until: float) -> Wait:
+    """Return the wait for workers that are being freed by preemption."""
+    wait = Wait(WaitReason.PREEMPTION, until=until)
+    for task in reserved:
+        worker = task.worker
+        if min(worker.free_cpu, worker.free_memory, worker.free_gpus) >= 0:
+            continue
+        for other in worker.tasks.values():
+            if other.status is TaskStatus.STOPPING:
+                wait.held_by = other
+                return wait
+    return wait
+
+
+def assigned_wait(step: StepRun) -> Wait | None:
+    """Return the wait of a step with assigned tasks, or None if it is at work."""
+    if is_at_work(step):
+        return None
+    assigned = [task for task in step.tasks if task.is_allocated]
+    if not assigned:
+        return None
+    stopping = [task for task in assigned if task.status is TaskStatus.STOPPING]
+    placed = [task for task in assigned if task.status is TaskStatus.PLACED]
+    held_by = (stopping or placed or assigned)[0]
+    if step.shape.gang and (stopping or len(assigned) < len(step.tasks)):
+        wait = Wait(WaitReason.GANG_MEMBERS, held_by=held_by)
+    elif not placed:
+        wait = Wait(WaitReason.STOPPING, held_by=held_by)
+    else:
+        unanswered = [task for task in placed if not task.start_pending]
+        held_by = (unanswered or placed)[0]
+        reason = WaitReason.START_UNANSWERED if unanswered else WaitReason.START_PENDING
+        wait = Wait(reason, held_by=held_by)
+    if held_by.worker is not None and held_by.worker.silent:
+        # The run is lost when its lease expires.
+        wait.until = held_by.worker.lease.expires_at
+    return wait
+
+
+def is_at_work(step: StepRun) -> bool:
+    """Return whether tasks of a step run, for a gang all of them."""
+    running = (task.status is TaskStatus.RUNNING for task in step.tasks)
+    return all(running) if step.shape.gang else any(running)
+
+
+def _is_allowed(
+    worker: Worker, step: StepRun, constraints: PlacementConstraints
+) -> bool:
+    """Return whether a worker would be permitted if it was usable and had a ticket."""
+    entry = worker.entry
+    if entry.service != constraints.service or entry.domain in constraints.evacuated:
+        return False
+    if constraints.regions and worker.region not in constraints.regions:
+        return False
+    return not step.shape.label or step.shape.label in entry.labels
+
+
+def _weight(cpu: int, gpus: int) -> int:
+    return cpu + gpus * ACCELERATOR_MILLICORES
+
+
+def _is_healthy(worker: Worker, step: StepRun) -> bool:
+    if worker.health is WorkerHealth.CANARY:
+        return step.shape.gang or not worker.tasks
+    return worker.health is not WorkerHealth.QUARANTINED
+
+
+def _slots(step: StepRun, workers: Iterable[Worker]) -> int:
+    return sum(worker.slots(step) for worker in workers)
+
+
+def _slots_when_empty(step: StepRun, workers: Iterable[Worker]) -> int:
+    return sum(slots_when_empty(worker, step) for worker in workers)
+
+
+def _slots_near(
+    step: StepRun, workers: list[Worker], constraints: PlacementConstraints
+) -> int:
+    groups = locality_groups(step, workers, constraints)
+    return max((_slots(step, group) for group in groups), default=0)
