Log workers that answer but stay unusable

A worker can answer every hold and still get no tasks: it has not confirmed the generation, is cordoned, misses its entry, is draining, or reports a run that is unknown and never seen to end. Its session can also have stopped while it counts as usable. None of this was visible.

Log worker_unusable once for each such reason that lasts for 3 s.

--- a/src/zinniatrestle/events/messages.py
+++ b/src/zinniatrestle/events/messages.py
@@ -39,6 +39,7 @@
     WORKER_GONE = "worker_gone"
     WORKER_QUARANTINED = "worker_quarantined"
     WORKER_RESTORED = "worker_restored"
+    WORKER_UNUSABLE = "worker_unusable"
     ADVICE = "advice"
     WAVE = "wave"
     MACHINE_EMPTIED = "machine_emptied"
--- a/src/zinniatrestle/scheduling/rounds.py
+++ b/src/zinniatrestle/scheduling/rounds.py
@@ -37,6 +37,7 @@
 from zinniatrestle.scheduling.speeds import is_slow, should_restart
 from zinniatrestle.scheduling.state import Job, StepRun, Task, TaskStatus, Worker
 from zinniatrestle.scheduling.tracker import Tracker
+from zinniatrestle.scheduling.unusable import UnusableWorkers
 from zinniatrestle.scheduling.wait_log import WaitLog
 from zinniatrestle.scheduling.waits import (
     Wait,
@@ -65,6 +66,7 @@
             self.advice = AdviceCache(context.adviser, context.events, tracker.wake.set)
         self.start_tasks: set[asyncio.Task] = set()
         self.wait_log = WaitLog(context.events, context.metrics)
+        self.unusable_workers = UnusableWorkers(context.events)
 
     def run_round(self, now: BootSeconds):
         """Place waiting tasks, and preempt cheaper work for urgent steps."""
@@ -91,6 +93,8 @@
             self._start(placed)
         elif tracker.unsaved_jobs:
             self._start([])
+        if self.wait_log.is_surveying:
+            self.unusable_workers.check(workers, now)
         self.wait_log.end_round()
         self.context.metrics.rounds.record(time.perf_counter() - started_at)
 
--- a/src/zinniatrestle/scheduling/state.py
+++ b/src/zinniatrestle/scheduling/state.py
@@ -333,6 +333,8 @@
         # The worker has accepted this scheduler's generation.
         self.generation_confirmed = False
         self.silent = False
+        # When the worker last answered a hold.
+        self.reported_at = BootSeconds(0.0)
         self.entry_seen_at = BootSeconds(0.0)
         # Since when the worker's entry has been missing from the registry.
         self.missing_since: BootSeconds | None = None
--- a/src/zinniatrestle/scheduling/tracker.py
+++ b/src/zinniatrestle/scheduling/tracker.py
@@ -147,6 +147,7 @@
         if worker.silent:
             worker.silent = False
             self.events.write(Event.WORKER_SEEN, worker=worker.id, again=True)
+        worker.reported_at = boot_time()
         changed: set[Job] = set()
         reported = set()
         for end in answer.ended:
