Explain what a job waited for

The explain command showed when the first run was placed, but not why so late. Sum up the reasons in the job's job_waits lines, with the longest wait for each, and whether over half of the capacity was free. Events of the worker that holds a gang member belong to the job's lines.

--- a/src/zinniatrestle/events/explain.py
+++ b/src/zinniatrestle/events/explain.py
@@ -13,6 +13,7 @@
         Event.WORKER_SILENT.value,
         Event.WORKER_GONE.value,
         Event.WORKER_QUARANTINED.value,
+        Event.WORKER_UNUSABLE.value,
     }
 )
 # Scheduler events that explain why no decisions were made.
@@ -57,7 +58,12 @@
     if not job_events:
         return []
     first, last = job_events[0]["at"], job_events[-1]["at"]
-    workers = {line["worker"] for line in job_events if "worker" in line}
+    workers = {
+        line[name]
+        for line in job_events
+        for name in ("worker", "held_worker")
+        if line.get(name)
+    }
     selected = []
     for line in ordered:
         if _concerns_job(line, job):
@@ -86,6 +92,7 @@
     else:
         sentences.append("It has not ended.")
     sentences.extend(_placement_delay(job_events))
+    sentences.extend(_waits(job_events))
     sentences.extend(_incomplete_runs(job_events))
     return " ".join(sentences)
 
@@ -111,6 +118,33 @@
     return [f"Its first run was placed {waited:.2f} s after it was accepted."]
 
 
+def _waits(job_events: list[Line]) -> list[str]:
+    """Return what the job waited for while nothing of it ran, and for how long."""
+    longest: dict[str, float] = {}
+    idle: list[float] = []
+    for line in job_events:
+        if line["event"] != Event.JOB_WAITS.value or "since" not in line:
+            continue
+        text = line["reason"]
+        if line.get("for_job"):
+            text += f" for job {line['for_job']}"
+        if line.get("held_by"):
+            text += f" {line['held_by']} {line['held_status']} at {line['held_worker']}"
+        longest[text] = max(longest.get(text, 0.0), line["since"])
+        if line["despite_room"]:
+            idle.append(line["idle"])
+    if not longest:
+        return []
+    summary = ", ".join(f"{text} ({since:.1f} s)" for text, since in longest.items())
+    sentences = [f"It waited for: {summary}."]
+    if idle:
+        sentences.append(
+            f"Up to {max(idle):.0%} of the capacity was free then, with room for it "
+            "twice."
+        )
+    return sentences
+
+
 def _incomplete_runs(job_events: list[Line]) -> list[str]:
     reasons: dict[str, int] = {}
     for line in job_events:
--- a/src/zinniatrestle/events/tests/test_explain.py
+++ b/src/zinniatrestle/events/tests/test_explain.py
@@ -81,6 +81,40 @@
     assert text.count("ended failed at") == 2
 
 
+def test_wait_for_a_gang_member_despite_room_is_explained():
+    lines = [
+        {"at": 1.0, "host": "h", "event": "job_accepted", "job": JOB},
+        {
+            "at": 5.0,
+            "host": "h",
+            "event": "job_waits",
+            "job": JOB,
+            "reason": "gang_members",
+            "since": 3.25,
+            "held_by": f"{JOB}.0.0.1",
+            "held_status": "stopping",
+            "held_worker": "w1",
+            "despite_room": True,
+            "idle": 0.62,
+        },
+    ]
+    assert (
+        f"It waited for: gang_members {JOB}.0.0.1 stopping at w1 (3.2 s). "
+        "Up to 62% of the capacity was free then, with room for it twice."
+    ) in cause(lines, JOB)
+
+
+def test_wait_for_capacity_is_explained():
+    async def scenario(model):
+        await model.submit("usual", (step(4, gpus=8),), 20.0)
+        await asyncio.sleep(1.0)
+        job = await model.submit("usual", (step(1, gpus=8),), 1.0)
+        assert await model.wait_for_jobs(90.0)
+        return job
+
+    assert "It waited for: capacity (" in explain(scenario)
+
+
 def test_unknown_job_has_no_lines():
     assert job_lines([], JOB) == []
 
