Log each of many waiting steps in turn

With more waiting steps than lines, those that rank first took every line, and a late step, which ranks last, was never logged. Space the lines on one step by the number of waiting steps. Whether its guarantee covers a step is found for the highest priority only.

--- a/src/zinniatrestle/scheduling/rounds.py
+++ b/src/zinniatrestle/scheduling/rounds.py
@@ -31,6 +31,7 @@
     candidates,
 )
 from zinniatrestle.scheduling.preemption import (
+    HIGHEST_PRIORITY,
     RESERVATION_TIMEOUT_SECONDS,
     Preemptor,
 )
@@ -228,12 +229,13 @@
     ):
         now = self.wait_log.now
         deadlines = start_deadlines(step, self.tracker.durations)
+        is_urgent = step.job.submission.priority == HIGHEST_PRIORITY
         self.wait_log.write(
             step,
             wait,
             room_for(step, workers, constraints),
             anywhere=constraints.ignore_locality,
-            guaranteed=self.preemptor.is_guaranteed(step),
+            guaranteed=is_urgent and self.preemptor.is_guaranteed(step),
             room_in=round(earliest.at - now, 2) if earliest is not None else None,
             slack=round(deadlines.latest_on_time_start - now, 2),
         )
--- a/src/zinniatrestle/scheduling/tests/test_wait_log.py
+++ b/src/zinniatrestle/scheduling/tests/test_wait_log.py
@@ -75,6 +75,14 @@
     assert 0 < len(rounds.lines) <= MAX_LINES_PER_SURVEY * (2.0 / SURVEY_SECONDS + 1)
 
 
+def test_each_of_many_waiting_steps_is_logged_in_turn():
+    rounds = Rounds()
+    steps = [first_step(job(f"{number:016}")) for number in range(200)]
+    turn_seconds = len(steps) / MAX_LINES_PER_SURVEY * SURVEY_SECONDS
+    rounds.run(steps, LOGGED_WAIT_SECONDS + turn_seconds + 2 * SURVEY_SECONDS)
+    assert {line["job"] for line in rounds.lines} == {step.job.id for step in steps}
+
+
 def test_a_step_whose_job_runs_is_not_logged():
     rounds = Rounds()
     two_steps = job("1" * 16, *[first_step(job("2" * 16)).shape] * 2)
--- a/src/zinniatrestle/scheduling/wait_log.py
+++ b/src/zinniatrestle/scheduling/wait_log.py
@@ -36,6 +36,7 @@
         self.is_surveying = False
         self.surveyed_at = BootSeconds(float("-inf"))
         self.lines_left = 0
+        self.repeat_seconds = REPEAT_SECONDS
         # Since when each step has waited while nothing of its job ran.
         self.idle_since: dict[StepRun, BootSeconds] = {}
         self.still_idle: dict[StepRun, BootSeconds] = {}
@@ -51,6 +52,9 @@
         if self.is_surveying:
             self.surveyed_at = now
             self.lines_left = MAX_LINES_PER_SURVEY
+            # If many steps wait, each gets its turn before any is logged again.
+            turn_seconds = len(self.idle_since) * SURVEY_SECONDS / MAX_LINES_PER_SURVEY
+            self.repeat_seconds = max(REPEAT_SECONDS, turn_seconds)
             self.still_idle = {}
             self.job_is_idle = {}
 
@@ -67,7 +71,7 @@
             if is_short and not self._has_waited(step, URGENT_WAIT_SECONDS):
                 return False
             return since_logged >= URGENT_REPEAT_SECONDS
-        if not self.lines_left or since_logged < REPEAT_SECONDS:
+        if not self.lines_left or since_logged < self.repeat_seconds:
             return False
         if not is_idle or not self._has_waited(step, LOGGED_WAIT_SECONDS):
             return False
@@ -130,7 +134,7 @@
             self.still_idle[step] = since
         self.idle_since, self.still_idle = self.still_idle, {}
         self.job_is_idle = {}
-        repeated = self.now - max(URGENT_REPEAT_SECONDS, REPEAT_SECONDS)
+        repeated = self.now - self.repeat_seconds
         for step, at in list(self.logged_at.items()):
             if step not in self.idle_since and at < repeated:
                 del self.logged_at[step]
