--- a/src/zinniatrestle/scheduling/cluster_state.py
+++ b/src/zinniatrestle/scheduling/cluster_state.py
@@ -66,6 +66,7 @@
         if not task.is_allocated or task.status is TaskStatus.STOPPING:
             return
         task.status = TaskStatus.STOPPING
+        task.status_at = boot_time()
         self.events.write(
             Event.RUN_STOPPED,
             task=task.id,
@@ -92,7 +93,7 @@
         if task.worker is not None:
             task.worker.remove_task(task)
         task.worker = None
-        task.unassigned_at = boot_time()
+        task.status_at = boot_time()
         task.start_pending = False
         task.inherited = False
         task.pace = 100
--- a/src/zinniatrestle/scheduling/state.py
+++ b/src/zinniatrestle/scheduling/state.py
@@ -67,6 +67,8 @@
         self.id = task_id(step.job.id, step.occurrence, step.number, index)
         self.key = task_key(self.id)
         self.status = TaskStatus.WAITING
+        # When the latest run was placed, was confirmed, began to be stopped or ended.
+        self.status_at = BootSeconds(0.0)
         self.run = RunNumber(0)
         self.worker: Worker | None = None
         self.failed_runs: set[RunNumber] = set()
@@ -99,8 +101,6 @@
         self.window_percent = 0.0
         self.window_at = BootSeconds(0.0)
         self.reported_at = BootSeconds(0.0)
-        # When the task's latest run ended, or 0.
-        self.unassigned_at = BootSeconds(0.0)
         # Workers on which the task failed or made no progress.
         self.avoided_workers: set[WorkerId] = set()
         # Percentage of its full speed at which a best-effort run works.
@@ -337,6 +337,8 @@
         # The worker has accepted this scheduler's generation.
         self.generation_confirmed = False
         self.silent = False
+        # When the worker last answered a hold.
+        self.reported_at = BootSeconds(0.0)
         self.entry_seen_at = BootSeconds(0.0)
         # Since when the worker's entry has been missing from the registry.
         self.missing_since: BootSeconds | None = None
--- a/src/zinniatrestle/scheduling/wait_limits.py
+++ b/src/zinniatrestle/scheduling/wait_limits.py
@@ -65,10 +65,10 @@
         """Return the seconds since a task of the step could have been placed."""
         if step.ready_at is None:
             return 0.0
-        unassigned_at = min(
-            (task.unassigned_at for task in step.waiting_tasks()), default=self.now
+        ended_at = min(
+            (task.status_at for task in step.waiting_tasks()), default=self.now
         )
-        return self.now - max(step.ready_at, unassigned_at)
+        return self.now - max(step.ready_at, ended_at)
 
     def _waits_for_lost_rack(
         self, step: StepRun, constraints: PlacementConstraints
