Take the unknown runs of a worker from its latest report

What callers saw: jobs waited although a worker was free, until the next change of the scheduler's generation or of the worker's instance.

Cause: a run that the scheduler doesn't know makes its worker unusable, and only the answer to its stop ended that. If no try of the stop was answered and the run had ended by the next report, nothing repeated the stop, and the worker stayed unusable.

A report lists all runs of the worker, so an entry that is not in the latest one has nothing to wait for.

Ruled out: remembering unanswered stops until they are answered; that would keep the worker unusable for longer, with nothing left to stop.

--- a/src/zinniatrestle/scheduling/state.py
+++ b/src/zinniatrestle/scheduling/state.py
@@ -331,8 +331,8 @@
         self.unpinned_cpu = entry.cpu
         self.unpinned_memory = entry.memory_mb
         self.unpinned_gpus = entry.gpus
-        # Tasks of runs that the scheduler doesn't know. They are being stopped, and
-        # take an unknown amount of resources.
+        # Tasks of runs in the latest report that the scheduler doesn't know. They are
+        # being stopped, and take an unknown amount of resources.
         self.unknown_runs: set[TaskId] = set()
         # The worker has accepted this scheduler's generation.
         self.generation_confirmed = False
--- a/src/zinniatrestle/scheduling/tests/test_lost_orders.py
+++ b/src/zinniatrestle/scheduling/tests/test_lost_orders.py
@@ -4,10 +4,12 @@
 
 import pytest
 
+from zinniatrestle.ids import RunNumber, TaskId
 from zinniatrestle.scheduling.session import HOLD_WAIT_SECONDS, ORDER_TIMEOUTS_SECONDS
 from zinniatrestle.standins.checker import violations
 from zinniatrestle.standins.model import Model, run_virtual, step
-from zinniatrestle.standins.runs import EventKind
+from zinniatrestle.standins.runs import EventKind, TaskScript
+from zinniatrestle.workers.messages import StartOrder
 
 # Longer than the delay after which an unanswered order may still be carried out.
 MAX_ORDER_DELAY_SECONDS = 15.0
@@ -93,3 +95,28 @@
         return violations(model)
 
     assert run_virtual(play()) == []
+
+
+# Guards against a worker that stays unusable after an unknown run on it has ended.
+def test_worker_is_used_again_after_unknown_run_whose_stop_got_no_answer():
+    async def play():
+        model = Model(1)
+        await model.start(workers=1, rack=1)
+        worker = model.fleet.workers["w0"]
+        unknown = StartOrder(
+            task=TaskId("0123456789abcdef.0.0.0"),
+            run=RunNumber(1),
+            spec=TaskScript(seconds=1.0, steps=(step(1),)).encoded(),
+            deadline_ms=worker.clock_ms() + 9000,
+            generation=worker.generation,
+        )
+        model.fleet.late_order_share = 1.0
+        await model.fleet.start(worker.entry, unknown)
+        await asyncio.sleep(sum(ORDER_TIMEOUTS_SECONDS) + HOLD_WAIT_SECONDS + 1.0)
+        assert not worker.running
+        model.fleet.late_order_share = 0.0
+        await asyncio.sleep(MAX_ORDER_DELAY_SECONDS)
+        await model.submit("usual", (step(1),), 1.0)
+        return await model.wait_for_jobs(10.0)
+
+    assert run_virtual(play())
--- a/src/zinniatrestle/scheduling/tracker.py
+++ b/src/zinniatrestle/scheduling/tracker.py
@@ -157,6 +157,7 @@
                 changed.add(job)
         loads: dict[Task, float] = {}
         answered_at = boot_time()
+        worker.unknown_runs.clear()
         for running in answer.running:
             reported.add((running.task, running.run))
             task = self._apply_running(worker, running, answered_at)
@@ -171,7 +172,6 @@
         for key, stop_answered_at in list(session.stops.items()):
             if stop_answered_at is not None and stop_answered_at < asked_at:
                 del session.stops[key]
-                worker.unknown_runs.discard(key[0])
         for task, percent in self.pacing.choose_paces(worker, loads, asked_at).items():
             self.events.write(
                 Event.RUN_PACED,
