Read the whole registry without ending the scheduler

What callers saw: all decisions paused while the scheduler restarted, and a task of a worker that had left waited for some 10 s beside free workers.

That ends a draining worker that is silent, and so changes the dictionary. The RuntimeError ended the feed, the scheduler and its generation. The successor found the run assigned to a worker that is not in the registry, and waited for the longest lease.

Ruled out: the loss of history alone, from which the feed recovers.

--- a/src/zinniatrestle/scheduling/fleet.py
+++ b/src/zinniatrestle/scheduling/fleet.py
@@ -79,7 +79,7 @@
         for row in rows:
             present.add(row.name)
             self._apply_entry(row.name, row.value)
-        for name, worker in self.workers.items():
+        for name, worker in list(self.workers.items()):
             if name not in present:
                 self._mark_missing(worker)
 
--- a/src/zinniatrestle/scheduling/tests/test_lost_workers.py
+++ b/src/zinniatrestle/scheduling/tests/test_lost_workers.py
@@ -90,3 +90,27 @@
 def test_runs_of_restarted_worker_restart_at_once():
     _, delay = run_virtual(lose_worker(restart))
     assert delay <= DETECTION_SECONDS
+
+
+# Guards against a full read of the registry that fails while it ends a worker.
+def test_departed_worker_that_a_full_read_of_the_registry_lacks_only_ends():
+    async def play():
+        model = Model(1)
+        await model.start(workers=4, rack=4)
+        worker = model.fleet.workers["w0"]
+        model.fleet.drain(worker, 1.0)
+        await asyncio.sleep(1.2)
+        worker.reachable = False
+        model.fleet.crash(worker)
+        # Long enough for holds to be missed, too short for the entry to expire.
+        await asyncio.sleep(1.5)
+        model.fleet.remove(worker)
+        model.rows.drop_history()
+        await asyncio.sleep(2.0)
+        return [
+            line["event"]
+            for line in model.lines
+            if line["event"] in ("task_failed", "lease_lost")
+        ]
+
+    assert run_virtual(play()) == []
