Release the reservations of a gang together

What callers saw: an urgent gang was started in part and its members waited for the others until they gave up (GANG); it ran seconds later.

Cause: when the worker of a reserved member restarted, only that member's reservation was released. The gang's remaining reserved tasks were then all ready, and were started without it.

Evidence: the new test of test_restarted_workers.py found the members that lacked their gang on, and finds none now.

Ruled out: a check in take_reserved alone; the released member would have been planned beside a gang that still holds workers.

--- a/src/zinniatrestle/scheduling/cluster_state.py
+++ b/src/zinniatrestle/scheduling/cluster_state.py
@@ -102,12 +102,16 @@
         self.unsaved_jobs.add(task.step.job)
 
     def release_reservation(self, task: Task):
-        """Release the reservation of a task, if it has one."""
+        """Release the reservation of a task, if it has one, or those of its gang."""
         if task.status is not TaskStatus.RESERVED:
             return
-        task.worker.release_reservation(task)
-        task.worker = None
-        task.status = TaskStatus.WAITING
+        released = task.step.tasks if task.step.shape.gang else [task]
+        for member in released:
+            if member.status is not TaskStatus.RESERVED:
+                continue
+            member.worker.release_reservation(member)
+            member.worker = None
+            member.status = TaskStatus.WAITING
 
     def record_checkpoint(self, task: Task, checkpoint: str):
         """Record a checkpoint of a task, or of its whole gang."""
--- a/src/zinniatrestle/scheduling/tests/test_restarted_workers.py
+++ b/src/zinniatrestle/scheduling/tests/test_restarted_workers.py
@@ -4,6 +4,7 @@
 
 import pytest
 
+from zinniatrestle.deployment import Bounds
 from zinniatrestle.standins.checker import violations
 from zinniatrestle.standins.model import Model, run_virtual, step
 
@@ -45,3 +46,20 @@
 @pytest.mark.parametrize("delay", [0.03, 0.05, 0.1, 0.2])
 def test_successor_finds_runs_of_new_instance(delay):
     assert run_virtual(fail_over_after_restart(delay)) == []
+
+
+# Guards against the start of a part of a gang of which one reservation was released.
+def test_reserved_gang_starts_whole_if_worker_of_member_restarts():
+    async def play():
+        model = Model(1, bounds=Bounds(stop=0.9))
+        await model.start(workers=3, rack=3)
+        await model.submit("patient", (step(3, gpus=8),), 30.0)
+        await asyncio.sleep(1.0)
+        await model.submit("urgent", (step(3, gpus=8, gang=True),), 2.0)
+        while not any(line["event"] == "run_preempted" for line in model.lines):
+            await asyncio.sleep(0.05)
+        model.fleet.restart(model.fleet.workers["w0"])
+        assert await model.wait_for_jobs(90.0)
+        return violations(model)
+
+    assert run_virtual(play()) == []
