Restart runs of a replaced worker at once, and ignore its old entries

What callers saw: a task of an accepted job was not run although most workers were free (LOST).

Cause: a worker crashed after it had got a start and before any report contained the run. Afterwards another worker answered at its address. The scheduler took that for a new instance of the same worker, which might run the task, and left the task assigned to the ended instance for the longest lease, 10.3 s from the answer. Each reading of the old registry entry, and each successor, opened a session again, was answered in the same way and began the wait anew. Nothing bounded the sum.

Why it works: orders name the worker they are for, and any other worker refuses them, so no order to the ended one can be carried out. A worker that returns under the same id is still asked for its runs first.

Ruled out: a start that is carried out late; such orders are in the memory of the ended process.

--- a/src/zinniatrestle/scheduling/fleet.py
+++ b/src/zinniatrestle/scheduling/fleet.py
@@ -124,8 +124,22 @@
             if entry.instance < worker.entry.instance:
                 return
             self.end(worker, "replaced by a new instance", replaced=True)
+        elif self._has_been_replaced(entry):
+            return
         self._join(entry)
 
+    def _has_been_replaced(self, entry: WorkerEntry) -> bool:
+        """Return whether a newer instance has answered in place of an entry's.
+
+        Each further session with the replaced one would extend the wait for its runs.
+        """
+        for former in self.unregistered:
+            if former.id != entry.worker or not former.has_ended:
+                continue
+            if entry.instance <= former.entry.instance:
+                return True
+        return False
+
     def _update_drain_deadline(self, worker: Worker):
         """Set or lower a draining worker's deadline; later entries may shorten it."""
         if worker.entry.state is not WorkerState.DRAINING:
--- a/src/zinniatrestle/scheduling/session.py
+++ b/src/zinniatrestle/scheduling/session.py
@@ -73,7 +73,14 @@
 
     @abstractmethod
     def instance_replaced(self, worker: Worker):
-        """Record that another instance answers at the worker's address."""
+        """Record that another instance of the worker answers, which may run tasks."""
+
+    @abstractmethod
+    def worker_replaced(self, worker: Worker):
+        """Record that another worker answers at the address, which refuses its orders.
+
+        No run of the instance goes on, and no order to it can be carried out any more.
+        """
 
     @abstractmethod
     def may_order(self) -> bool:
@@ -175,7 +182,7 @@
             self.listener.generation_superseded(self.worker)
             return False
         if error.refusal is Refusal.OTHER_INSTANCE:
-            self.listener.instance_replaced(self.worker)
+            self.listener.worker_replaced(self.worker)
             return False
         refused = error.refusal is Refusal.NOT_LISTENING
         self.listener.mark_silent(self.worker, refused)
--- /dev/null
+++ b/src/zinniatrestle/scheduling/tests/test_replaced_workers.py
@@ -0,0 +1,85 @@
+"""A start that a worker received but never reported is repeated once it can't run."""
+
+import asyncio
+
+import msgspec
+
+from zinniatrestle.clock import monotonic
+from zinniatrestle.deployment import Bounds
+from zinniatrestle.scheduling.fleet import MIN_EXPIRY_HEARTBEATS
+from zinniatrestle.standins.checker import violations
+from zinniatrestle.standins.model import Model, run_virtual, step
+from zinniatrestle.standins.runs import EventKind
+from zinniatrestle.workers.lease import MIN_CLOCK_RATE
+
+BOUNDS = Bounds()
+# Time for a hold, a round and the start order.
+DETECTION_SECONDS = 2.0
+BUSY_SECONDS = 4.0
+
+
+async def place_on_unreachable_worker(model: Model) -> str:
+    """Submit a task that is placed on w0, which gets the start and reports nothing."""
+    await model.start(workers=2, rack=2)
+    await model.submit("usual", (step(gpus=8),), BUSY_SECONDS)
+    await asyncio.sleep(0.5)
+    (busy,) = {event.worker for event in model.fleet.history}
+    for name, worker in model.fleet.workers.items():
+        worker.reachable = name == busy
+    return await model.submit("usual", (step(gpus=8),), 1.0)
+
+
+def first_start(model: Model, job: str) -> float:
+    for event in model.fleet.history:
+        if event.kind is EventKind.START and event.task.startswith(job):
+            return event.at
+    raise AssertionError(f"job {job} was never started")
+
+
+# Guards against a task that stays assigned to a replaced worker for the longest lease.
+def test_run_is_repeated_at_once_if_another_worker_answers_at_the_address():
+    async def play():
+        model = Model(1)
+        job = await place_on_unreachable_worker(model)
+        await asyncio.sleep(BUSY_SECONDS)
+        (lost,) = [
+            worker for worker in model.fleet.workers.values() if not worker.reachable
+        ]
+        replaced_at = monotonic()
+        model.fleet.replace(lost, "w9")
+        lost.reachable = True
+        assert await model.wait_for_jobs(30.0)
+        assert violations(model) == []
+        return first_start(model, job) - replaced_at
+
+    assert run_virtual(play()) <= DETECTION_SECONDS
+
+
+# Guards against a wait that begins anew with each reading of an old registry entry.
+def test_stale_registry_entries_do_not_extend_the_wait_for_a_replaced_instance():
+    async def play():
+        model = Model(1)
+        job = await place_on_unreachable_worker(model)
+        await asyncio.sleep(BUSY_SECONDS)
+        (lost,) = [
+            worker for worker in model.fleet.workers.values() if not worker.reachable
+        ]
+        old_entry = lost.entry
+        model.fleet.restart(lost)
+        replaced_at = monotonic()
+        model.fleet.remove(lost)
+        lost.reachable = True
+        new_entry = lost.entry
+        while monotonic() < replaced_at + 2 * BOUNDS.max_hold:
+            # The registry still has the entry of the old instance.
+            sequence = old_entry.sequence + 1
+            old_entry = msgspec.structs.replace(old_entry, sequence=sequence)
+            lost.entry = old_entry
+            model.fleet.write(lost)
+            lost.entry = new_entry
+            await asyncio.sleep(1.0)
+        assert violations(model) == []
+        return first_start(model, job) - replaced_at
+
+    limit = BOUNDS.max_hold / MIN_CLOCK_RATE + DETECTION_SECONDS
+    assert run_virtual(play()) <= limit + MIN_EXPIRY_HEARTBEATS * BOUNDS.heartbeat
--- a/src/zinniatrestle/scheduling/tracker.py
+++ b/src/zinniatrestle/scheduling/tracker.py
@@ -124,6 +124,10 @@
         """End an instance, since another one answers in its place."""
         self.fleet.end(worker, "another instance answers", replaced=True)
 
+    def worker_replaced(self, worker: Worker):
+        """End an instance and its runs, since another worker answers at its address."""
+        self.fleet.end(worker, "another worker answers at its address")
+
     def generation_superseded(self, worker: Worker):
         """Step down, since a worker has accepted a newer generation."""
         self.context.leadership.step_down(
--- a/src/zinniatrestle/standins/fleet.py
+++ b/src/zinniatrestle/standins/fleet.py
@@ -149,6 +149,19 @@
         worker.started_at = monotonic()
         self.write(worker)
 
+    def replace(self, worker: SimulatedWorker, name: str) -> SimulatedWorker:
+        """End a worker and add another one that answers at its address."""
+        self.crash(worker)
+        entry = worker.entry
+        replacement = self.add(
+            name, entry.rack, entry.domain, entry.cpu, entry.memory_mb, entry.gpus
+        )
+        replacement.entry = msgspec.structs.replace(
+            replacement.entry, address=entry.address
+        )
+        self.write(replacement)
+        return replacement
+
     def drain(self, worker: SimulatedWorker, remaining: float):
         """Announce that a worker leaves in `remaining` seconds."""
         worker.entry = msgspec.structs.replace(
@@ -278,9 +291,12 @@
     def find_worker(self, entry: WorkerEntry) -> SimulatedWorker:
         """Return the worker of an entry; raises RefusedOrderError if it is down."""
         worker = self.workers.get(entry.worker)
-        if worker is None or not worker.alive:
-            raise RefusedOrderError(Refusal.NOT_LISTENING)
-        return worker
+        if worker is not None and worker.alive:
+            return worker
+        for other in self.workers.values():
+            if other.alive and other.entry.address == entry.address:
+                raise RefusedOrderError(Refusal.OTHER_INSTANCE)
+        raise RefusedOrderError(Refusal.NOT_LISTENING)
 
     def _check_generation(self, worker: SimulatedWorker, generation: Generation):
         if generation < worker.generation:
