Acknowledge the ends of a gang only after its end is stored

Cause: the end of one member marks the whole gang as done. The ends of the others, in reports of other workers, then changed nothing more, and were acknowledged at once, while the first one was still being stored. If the holder lost its lease in between, a successor found neither the stored end nor an end at the other workers.

Evidence: with the store unreachable, ends were acknowledged in both cases of test_acknowledgement.py on; now none is.

Change: an end of a job with changes that are not stored waits for them. Changes count as unstored from the report on that brought them, so the write is requested there and not in the task that waits for it. The test of failed save tasks fails the request in place of the call that contained it.

Ruled out: saving each job again for each end; most ends find all stored.

--- a/src/zinniatrestle/jobs/messages.py
+++ b/src/zinniatrestle/jobs/messages.py
@@ -165,6 +165,11 @@
     return TaskId(f"{job}.{occurrence}.{step}.{index}")
 
 
+def job_of_task(task: TaskId) -> JobId:
+    """Return the id of the job that a task belongs to."""
+    return JobId(task.split(".", 1)[0])
+
+
 def task_key(task: TaskId) -> str:
     """Return the key of a task within its job: its id without the job's."""
     return task.split(".", 1)[1]
--- a/src/zinniatrestle/scheduling/progress_writer.py
+++ b/src/zinniatrestle/scheduling/progress_writer.py
@@ -44,24 +44,38 @@
         self.leadership = leadership
         self.events = events
         self.dirty: dict[JobId, Job] = {}
+        # Jobs of the write that is under way.
+        self.writing: dict[JobId, Job] = {}
         self.waiters: list[tuple[set[JobId], asyncio.Future]] = []
         self.dirty_added = asyncio.Event()
         # Jobs that turned out to have ended in the store when a write did not apply.
         self.ended: list[Job] = []
         self.writes = 0
 
+    def is_saving(self, job: JobId) -> bool:
+        """Return whether changes of a job are not stored yet."""
+        return job in self.dirty or job in self.writing
+
     async def save(self, jobs: Iterable[Job]):
         """Store the current state of jobs and wait for it; raises LeaseLostError."""
+        await self.request(jobs)
+
+    def request(self, jobs: Iterable[Job]) -> asyncio.Future:
+        """Request to store the current state of jobs, and return a future of it.
+
+        The future fails with LeaseLostError if the lease is lost first.
+        """
+        done = asyncio.get_running_loop().create_future()
         job_ids = set()
         for job in jobs:
             self.dirty[job.id] = job
             job_ids.add(job.id)
         if not job_ids:
-            return
-        done = asyncio.get_running_loop().create_future()
+            done.set_result(None)
+            return done
         self.waiters.append((job_ids, done))
         self.dirty_added.set()
-        await done
+        return done
 
     async def run(self):
         """Write the jobs that have changed, until the lease is lost."""
@@ -85,6 +99,7 @@
         # A job that changes during the write is marked dirty again.
         for name in batch:
             del self.dirty[name]
+        self.writing = batch
         while batch:
             expects, writes = self._transaction(batch)
             try:
@@ -103,6 +118,7 @@
                 self._mark_written(batch, result.version)
                 break
             self._handle_mismatch(batch, result)
+        self.writing = {}
         self._complete_waiters()
 
     def _transaction(self, batch: dict[JobId, Job]):
--- /dev/null
+++ b/src/zinniatrestle/scheduling/tests/test_acknowledgement.py
@@ -0,0 +1,37 @@
+"""Ends of runs are acknowledged only after what they changed is stored."""
+
+import asyncio
+
+import pytest
+
+from zinniatrestle.standins.model import Model, run_virtual, step
+from zinniatrestle.standins.rows import Reachability
+from zinniatrestle.standins.runs import EventKind
+
+RUN_SECONDS = 2.0
+
+
+# Guards against a gang that a successor runs again, as the end of a member was
+# acknowledged while the end of the gang, known from another member, was not stored.
+@pytest.mark.parametrize("more_steps", [False, True])
+def test_no_end_of_a_gang_is_acknowledged_while_the_store_is_unreachable(more_steps):
+    async def play():
+        model = Model(1)
+        await model.start(workers=3, rack=3)
+        shapes = [step(3, gpus=8, gang=True, seconds=RUN_SECONDS)]
+        if more_steps:
+            shapes.append(step(after=(0,), seconds=RUN_SECONDS))
+        await model.submit("usual", tuple(shapes), RUN_SECONDS)
+        await asyncio.sleep(RUN_SECONDS / 2)
+        for host in model.hosts:
+            host.store.reachability = Reachability.SILENT
+        await asyncio.sleep(RUN_SECONDS)
+        kinds = [event.kind for event in model.fleet.history]
+        for host in model.hosts:
+            host.store.reachability = Reachability.SERVED
+        assert await model.wait_for_jobs(30.0)
+        return kinds
+
+    kinds = run_virtual(play())
+    assert kinds.count(EventKind.END) == 3
+    assert EventKind.ACKNOWLEDGED not in kinds
--- a/src/zinniatrestle/scheduling/tests/test_failed_tasks.py
+++ b/src/zinniatrestle/scheduling/tests/test_failed_tasks.py
@@ -6,8 +6,10 @@
 from zinniatrestle.standins.model import Model, run_virtual, step
 
 
-async def fail(writer, jobs):
-    raise KeyError("unexpected")
+def fail(writer, jobs):
+    failed = asyncio.get_running_loop().create_future()
+    failed.set_exception(KeyError("unexpected"))
+    return failed
 
 
 def failures_while_saving(monkeypatch, seconds: float):
@@ -18,7 +20,7 @@
         await model.start(workers=1, rack=1)
         await model.submit("usual", (step(1),), 2.0)
         await asyncio.sleep(seconds)
-        monkeypatch.setattr(ProgressWriter, "save", fail)
+        monkeypatch.setattr(ProgressWriter, "request", fail)
         await asyncio.sleep(4.0)
         return [line for line in model.lines if line["event"] == "task_failed"]
 
--- a/src/zinniatrestle/scheduling/tracker.py
+++ b/src/zinniatrestle/scheduling/tracker.py
@@ -6,8 +6,8 @@
 from zinniatrestle.clock import boot_time
 from zinniatrestle.errors import LeaseLostError
 from zinniatrestle.events import Event
-from zinniatrestle.ids import BootSeconds, RunNumber, WorkerId
-from zinniatrestle.jobs.messages import JobState
+from zinniatrestle.ids import BootSeconds, RunNumber, TaskId, WorkerId
+from zinniatrestle.jobs.messages import JobState, job_of_task
 from zinniatrestle.scheduling.cluster_state import ClusterState
 from zinniatrestle.scheduling.fleet import FleetListener
 from zinniatrestle.scheduling.health_records import restore_health
@@ -193,8 +193,11 @@
             self.wake.set()
             worker.save_requested_end = answer.ended[-1].number
             worker.save_task = asyncio.create_task(
-                self._save_and_acknowledge(
-                    worker, worker.save_task, changed, worker.save_requested_end
+                self._acknowledge_saved(
+                    worker,
+                    worker.save_task,
+                    self.progress_writer.request(changed),
+                    worker.save_requested_end,
                 )
             )
             self.save_tasks.add(worker.save_task)
@@ -203,18 +206,18 @@
                 partial(self.log_failure, "save", worker.id)
             )
 
-    async def _save_and_acknowledge(
+    async def _acknowledge_saved(
         self,
         worker: Worker,
         previous: asyncio.Task | None,
-        changed: set[Job],
+        saved: asyncio.Future,
         number: int,
     ):
-        """Save the jobs that ends have changed, then acknowledge the ends."""
+        """Acknowledge ends once the jobs changed by them and earlier ones are saved."""
         if previous is not None:
             await asyncio.wait({previous})
         try:
-            await self.progress_writer.save(changed)
+            await saved
         except LeaseLostError as error:
             # Unacknowledged ends are reported again, to the successor.
             self.events.write_deduplicated(Event.LEASE_LOST, error.detail)
@@ -293,7 +296,7 @@
     def _apply_end(self, worker: Worker, end: EndedRun) -> Job | None:
         task = self.find_task(end.task)
         if task is None:
-            return None
+            return self._unsaved_job_of(end.task)
         now = boot_time()
         job = task.step.job
         is_current = task.run == end.run and task.worker is worker and task.is_allocated
@@ -307,7 +310,7 @@
                 task.failed_runs.add(end.run)
                 self.fail_if_out_of_attempts(task)
                 return job
-            return None
+            return self._unsaved_job_of(end.task)
         self.metrics.ends.add(1, {"how": end.outcome.value})
         self.events.write(
             Event.RUN_ENDED,
@@ -335,6 +338,19 @@
         self._infer_unreachable_end(task.step)
         return job
 
+    def _unsaved_job_of(self, task: TaskId) -> Job | None:
+        """Return the job of a task if changes of it are not stored yet, else None.
+
+        The end of one gang member stands for all, so the ends of the others may be
+        acknowledged only after it is stored.
+        """
+        job = self.jobs.get(job_of_task(task))
+        if job is None:
+            return None
+        if job in self.unsaved_jobs or self.progress_writer.is_saving(job.id):
+            return job
+        return None
+
     def _infer_unreachable_end(self, step: StepRun):
         """Mark the last member of a gang as lost if all others were aborted by its end.
 
