Give a canary no task that doesn't fit

What callers saw: an urgent step's reservation on a canary that was too small or reserved already could not be used for 3 s; on a service that doesn't guard its capacity a worker was overloaded (LIMIT).

Cause: an idle canary was offered one slot, whatever its free capacity.

Ruled out: no canaries for large tasks; a canary has to be tried by something.

--- a/src/zinniatrestle/scheduling/placement.py
+++ b/src/zinniatrestle/scheduling/placement.py
@@ -272,7 +272,8 @@
     slots = worker.slots(step)
     if worker.health is not WorkerHealth.SOUND and not trust_canaries:
         # One unhealthy worker would make the whole gang fail.
-        return 0 if (step.shape.gang and step.shape.count > 1) or worker.tasks else 1
+        is_unfit = (step.shape.gang and step.shape.count > 1) or worker.tasks
+        return 0 if is_unfit else min(slots, 1)
     return slots
 
 
--- a/src/zinniatrestle/scheduling/tests/test_lost_orders.py
+++ b/src/zinniatrestle/scheduling/tests/test_lost_orders.py
@@ -4,9 +4,11 @@
 
 import pytest
 
+from zinniatrestle.deployment import Bounds
 from zinniatrestle.ids import RunNumber, TaskId
+from zinniatrestle.jobs import Step
 from zinniatrestle.scheduling.session import HOLD_WAIT_SECONDS, ORDER_TIMEOUTS_SECONDS
-from zinniatrestle.standins.checker import violations
+from zinniatrestle.standins.checker import check_capacity, violations
 from zinniatrestle.standins.model import Model, run_virtual, step
 from zinniatrestle.standins.runs import EventKind, TaskScript
 from zinniatrestle.workers.messages import StartOrder
@@ -97,26 +99,50 @@
     assert run_virtual(play()) == []
 
 
+async def start_unknown_run(model: Model, shape: Step, seconds: float):
+    """Start a run on the first worker of which the scheduler has no record."""
+    worker = model.fleet.workers["w0"]
+    order = StartOrder(
+        task=TaskId("0123456789abcdef.0.0.0"),
+        run=RunNumber(1),
+        spec=TaskScript(seconds=seconds, steps=(shape,)).encoded(),
+        deadline_ms=worker.clock_ms() + 9000,
+        generation=worker.generation,
+    )
+    await model.fleet.start(worker.entry, order)
+
+
 # Guards against a worker that stays unusable after an unknown run on it has ended.
 def test_worker_is_used_again_after_unknown_run_whose_stop_got_no_answer():
     async def play():
         model = Model(1)
         await model.start(workers=1, rack=1)
-        worker = model.fleet.workers["w0"]
-        unknown = StartOrder(
-            task=TaskId("0123456789abcdef.0.0.0"),
-            run=RunNumber(1),
-            spec=TaskScript(seconds=1.0, steps=(step(1),)).encoded(),
-            deadline_ms=worker.clock_ms() + 9000,
-            generation=worker.generation,
-        )
         model.fleet.late_order_share = 1.0
-        await model.fleet.start(worker.entry, unknown)
+        await start_unknown_run(model, step(1), seconds=1.0)
         await asyncio.sleep(sum(ORDER_TIMEOUTS_SECONDS) + HOLD_WAIT_SECONDS + 1.0)
-        assert not worker.running
+        assert not model.fleet.workers["w0"].running
         model.fleet.late_order_share = 0.0
         await asyncio.sleep(MAX_ORDER_DELAY_SECONDS)
         await model.submit("usual", (step(1),), 1.0)
         return await model.wait_for_jobs(10.0)
 
     assert run_virtual(play())
+
+
+# Guards against the use of capacity that an unknown run keeps until its stop is over.
+@pytest.mark.parametrize("seconds", [0.5, 1.3])
+def test_unknown_run_keeps_its_capacity_until_it_has_ended(seconds):
+    async def play():
+        model = Model(1, bounds=Bounds(stop=0.9))
+        await model.start(workers=1, rack=1)
+        await model.submit("usual", (step(1),), seconds)
+        await asyncio.sleep(0.2)
+        await start_unknown_run(model, step(1, gpus=7), seconds=60.0)
+        await model.submit("usual", (step(1, gpus=8),), 1.0)
+        found: list[str] = []
+        while not all(model.has_ended(job) for job in model.jobs):
+            check_capacity(model.fleet, found)
+            await asyncio.sleep(0.05)
+        return found
+
+    assert run_virtual(play()) == []
