Drop the tickets of a worker's ended instance and refused tickets

What callers saw: a step of a queue with advice didn't run for as long as its ticket was valid, beside a free worker that had restarted.

Cause: tickets are for one instance of a worker, but the cache kept them by the worker's id, and a refused ticket stayed in it. The start was refused and repeated with the same ticket in every round.

Change: the cache of advice belongs to the cluster's state, which learns of ended instances and refused starts.

Ruled out: dropping denials too; the answer for a worker doesn't change.

--- a/src/zinniatrestle/advice/cache.py
+++ b/src/zinniatrestle/advice/cache.py
@@ -76,6 +76,16 @@
             self.pending[step] = (terms, not_denied)
             self.requested.set()
 
+    def drop_ticket(self, step: str, worker: WorkerId):
+        """Drop the ticket of a step that a worker has refused."""
+        if step in self.advice_by_step:
+            self.advice_by_step[step].tickets.pop(worker, None)
+
+    def drop_worker(self, worker: WorkerId):
+        """Drop the tickets of a worker's instance that has ended."""
+        for step in self.advice_by_step:
+            self.drop_ticket(step, worker)
+
     def forget(self, step: str):
         """Drop the tickets and the pending request of a step that has ended."""
         self.advice_by_step.pop(step, None)
--- a/src/zinniatrestle/scheduling/cluster_state.py
+++ b/src/zinniatrestle/scheduling/cluster_state.py
@@ -4,6 +4,7 @@
 from abc import ABC
 from collections.abc import Iterable
 
+from zinniatrestle.advice import AdviceCache
 from zinniatrestle.clock import boot_time
 from zinniatrestle.events import Event
 from zinniatrestle.ids import BootSeconds, JobId, TaskId
@@ -50,6 +51,10 @@
         self.pacing = PaceController()
         self.speeds = SpeedEstimator()
         self.wake = asyncio.Event()
+        # None if there is no advice service.
+        self.advice: AdviceCache | None = None
+        if context.adviser is not None:
+            self.advice = AdviceCache(context.adviser, context.events, self.wake.set)
         self.unsaved_jobs: set[Job] = set()
         self.save_tasks: set[asyncio.Task] = set()
 
@@ -160,6 +165,13 @@
                 self.release_reservation(task)
                 self.stop(task, reason)
 
+    def drop_advice(self, job: Job):
+        """Drop the cached advice for a job that has ended."""
+        if self.advice is None:
+            return
+        for step in job.steps.values():
+            self.advice.forget(step.id)
+
     def waiting_jobs(self) -> Iterable[Job]:
         """Return the untimed jobs of which no task has started."""
         for job in self.jobs.values():
--- a/src/zinniatrestle/scheduling/rounds.py
+++ b/src/zinniatrestle/scheduling/rounds.py
@@ -5,7 +5,6 @@
 from dataclasses import replace
 from functools import partial
 
-from zinniatrestle.advice import AdviceCache
 from zinniatrestle.clock import boot_time, wall_time
 from zinniatrestle.deployment import Bounds
 from zinniatrestle.errors import LeaseLostError
@@ -63,9 +62,6 @@
             tracker.durations
         )
         self.preemptor = Preemptor(context, tracker, self.policy)
-        self.advice: AdviceCache | None = None
-        if context.adviser is not None:
-            self.advice = AdviceCache(context.adviser, context.events, tracker.wake.set)
         self.start_tasks: set[asyncio.Task] = set()
         self.wait_log = WaitLog(context.events, context.metrics)
         self.unusable_workers = UnusableWorkers(context.events)
@@ -142,8 +138,12 @@
         deadlines = start_deadlines(step, durations)
         slack = deadlines.latest_on_time_start - now
         tickets = None
-        if queue is not None and queue.advice is not None and self.advice is not None:
-            tickets = self.advice.tickets(self._advice_key(step), now)
+        if (
+            queue is not None
+            and queue.advice is not None
+            and self.tracker.advice is not None
+        ):
+            tickets = self.tracker.advice.tickets(step.id, now)
         return PlacementConstraints(
             service=queue.service if queue else submission.service,
             regions=regions,
@@ -289,24 +289,14 @@
         """
         queue = self.context.operator.queues[step.job.submission.queue]
         without_tickets = replace(constraints, tickets=None)
-        denied = self.advice.denied(self._advice_key(step))
+        denied = self.tracker.advice.denied(step.id)
         not_denied = [worker for worker in workers if worker.id not in denied]
         eligible = candidates(step, not_denied, without_tickets)
         eligible.sort(key=lambda worker: (-worker.slots(step), worker.id))
         worker_ids = [
             worker.id for worker in eligible if worker.id not in constraints.tickets
         ]
-        self.advice.request_tickets(self._advice_key(step), queue.advice, worker_ids)
-
-    def _advice_key(self, step: StepRun) -> str:
-        return f"{step.job.id}.{step.key}"
-
-    def drop_advice(self, job: Job):
-        """Drop the cached advice for a job that has ended."""
-        if self.advice is None:
-            return
-        for step in job.steps.values():
-            self.advice.forget(self._advice_key(step))
+        self.tracker.advice.request_tickets(step.id, queue.advice, worker_ids)
 
     # Starting
 
--- a/src/zinniatrestle/scheduling/scheduler.py
+++ b/src/zinniatrestle/scheduling/scheduler.py
@@ -135,8 +135,8 @@
                 group.create_task(self._purge_ended_jobs())
                 for leader_task in self.context.leader_tasks:
                     group.create_task(leader_task.run(self.tracker))
-                if self.planner.advice is not None:
-                    group.create_task(self.planner.advice.run())
+                if self.tracker.advice is not None:
+                    group.create_task(self.tracker.advice.run())
         finally:
             await self._close()
 
@@ -306,7 +306,7 @@
     def _drop_ended(self):
         for job in list(self.tracker.jobs.values()):
             if job.submission_deleted and job.id not in self.progress_writer.dirty:
-                self.planner.drop_advice(job)
+                self.tracker.drop_advice(job)
                 del self.tracker.jobs[job.id]
                 now = self.context.store.clock.earliest(boot_time())
                 self._record_ended(now, job.id, job.version)
--- a/src/zinniatrestle/scheduling/state.py
+++ b/src/zinniatrestle/scheduling/state.py
@@ -177,6 +177,11 @@
         # Gang members whose latest run ended because another member had ended.
         self.aborted_members: set[Task] = set()
 
+    @property
+    def id(self) -> str:
+        """Return the id of the step, with which the ids of its tasks begin."""
+        return f"{self.job.id}.{self.key}"
+
     @property
     def task_weight(self) -> float:
         """Return the weight of one task in thousandths of a core."""
--- a/src/zinniatrestle/scheduling/tests/test_advice.py
+++ b/src/zinniatrestle/scheduling/tests/test_advice.py
@@ -9,6 +9,7 @@
 from zinniatrestle.standins.checker import violations
 from zinniatrestle.standins.model import Model, run_virtual, step
 from zinniatrestle.standins.runs import EventKind
+from zinniatrestle.workers.messages import Refusal, RefusedOrderError
 
 TERMS = AdviceTerms(decision=0.2, per_worker=0.01, validity=3.0)
 
@@ -28,6 +29,19 @@
         }
 
 
+def advised_model(adviser: Adviser, terms: AdviceTerms) -> Model:
+    """Return a model that asks an adviser about the steps of all queues."""
+    model = Model(1, hosts=2, adviser=adviser)
+    model.operator.set_up()
+    queues = []
+    for queue in model.operator.queues:
+        queues.append(msgspec.structs.replace(queue, advice=terms))
+    # start() calls set_up(), which would replace these queues by the usual ones.
+    model.operator.set_up = model.operator.write
+    model.operator.queues = tuple(queues)
+    return model
+
+
 def run_model(
     workers: int,
     count: int,
@@ -37,14 +51,7 @@
     failures: int = 0,
 ):
     async def run():
-        model = Model(1, hosts=2, adviser=SelectiveAdviser(multiples_of))
-        model.operator.set_up()
-        queues = []
-        for queue in model.operator.queues:
-            queues.append(msgspec.structs.replace(queue, advice=TERMS))
-        # start() calls set_up(), which would replace these queues by the usual ones.
-        model.operator.set_up = model.operator.write
-        model.operator.queues = tuple(queues)
+        model = advised_model(SelectiveAdviser(multiples_of), TERMS)
         await model.start(workers=workers, rack=workers)
         shape = step(count, gpus=4, gang=gang, seconds=seconds)
         await model.submit("usual", (shape,), seconds, failures=failures)
@@ -80,3 +87,54 @@
     assert settled
     starts = [event for event in model.fleet.history if event.kind is EventKind.START]
     assert [event.worker for event in starts] == ["w0", "w0"]
+
+
+class TicketOffice(Adviser):
+    """Adviser whose tickets are for one instance of a worker, as at the platform.
+
+    `check_starts` makes the workers of a model refuse starts with other tickets.
+    """
+
+    def __init__(self):
+        self.model: Model | None = None
+        self.refused_starts = 0
+
+    async def advise(self, step, workers, timeout):
+        await asyncio.sleep(TERMS.decision + TERMS.per_worker * len(workers))
+        return {name: self.ticket(name) for name in workers}
+
+    def ticket(self, name) -> str:
+        """Return the only valid ticket of a worker."""
+        return f"{name}-{self.model.fleet.workers[name].entry.instance}"
+
+    def check_starts(self, model: Model):
+        """Let the workers of a model refuse starts without a valid ticket."""
+        self.model = model
+        start = model.fleet.start
+
+        async def start_with_ticket(worker, order):
+            if order.ticket != self.ticket(worker.worker):
+                self.refused_starts += 1
+                raise RefusedOrderError(Refusal.BAD_TICKET)
+            return await start(worker, order)
+
+        model.fleet.start = start_with_ticket
+
+
+# Guards against starts with the ticket of an earlier instance until that has expired.
+def test_a_ticket_of_an_earlier_instance_of_a_worker_is_replaced():
+    terms = AdviceTerms(decision=0.2, per_worker=0.01, validity=30.0)
+    office = TicketOffice()
+
+    async def run():
+        model = advised_model(office, terms)
+        await model.start(workers=1, rack=1)
+        office.check_starts(model)
+        await model.submit("usual", (step(1, gpus=8),), 20.0)
+        await asyncio.sleep(2.0)
+        model.fleet.restart(model.fleet.workers["w0"])
+        await asyncio.sleep(5.0)
+        return len(model.fleet.workers["w0"].running)
+
+    running = run_virtual(run())
+    assert (running, office.refused_starts <= 1) == (1, True)
--- a/src/zinniatrestle/scheduling/tracker.py
+++ b/src/zinniatrestle/scheduling/tracker.py
@@ -83,6 +83,8 @@
         start order may have reached the new instance.
         """
         self.sessions.pop(worker, None)
+        if self.advice is not None:
+            self.advice.drop_worker(worker.id)
         for running in self.session_tasks.pop(worker, ()):
             if running is not asyncio.current_task():
                 running.cancel()
@@ -451,6 +453,8 @@
         if refusal is Refusal.UNHEALTHY:
             task.avoided_workers.add(worker.id)
             self.quarantine(worker, "it rejects starts as unhealthy", boot_time())
+        if refusal is Refusal.BAD_TICKET and self.advice is not None:
+            self.advice.drop_ticket(task.step.id, worker.id)
         if refusal in (Refusal.NOT_LISTENING, Refusal.NOT_REACHED):
             self.mark_silent(worker, refusal is Refusal.NOT_LISTENING)
         self.unassign(task)
