Use a worker again that restarts with an earlier instance number

Cause: instances are numbered by the time of their start. An entry with an earlier number was taken for a late write and dropped, and when a hold showed that the known instance had ended, nothing remembered the entry.

Only an entry of the very instance that has ended is ignored now.

Ruled out: trusting the order of entries alone; a late write of the earlier instance would then end the session with the living one.

--- a/src/zinniatrestle/scheduling/fleet.py
+++ b/src/zinniatrestle/scheduling/fleet.py
@@ -122,21 +122,23 @@
             return
         if worker is not None:
             if entry.instance < worker.entry.instance:
+                # A late write of an earlier instance, or the first one of a new
+                # instance whose clock was set back: a hold shows which one answers.
+                worker.earlier_entry = entry
                 return
+            worker.earlier_entry = None
             self.end(worker, "replaced by a new instance", replaced=True)
         elif self._has_been_replaced(entry):
             return
         self._join(entry)
 
     def _has_been_replaced(self, entry: WorkerEntry) -> bool:
-        """Return whether a newer instance has answered in place of an entry's.
+        """Return whether another instance has answered in place of an entry's.
 
         Each further session with the replaced one would extend the wait for its runs.
         """
         for former in self.unregistered:
-            if former.id != entry.worker or not former.has_ended:
-                continue
-            if entry.instance <= former.entry.instance:
+            if former.has_ended and _same_instance(former.entry, entry):
                 return True
         return False
 
@@ -250,8 +252,13 @@
             del self.workers[worker.id]
         self.events.write(Event.WORKER_GONE, worker=worker.id, reason=reason)
         self.listener.ended(worker, reason, replaced)
-        if not worker.tasks:
-            return
+        if worker.tasks:
+            self._keep_unregistered(worker)
+        if replaced and worker.earlier_entry is not None:
+            self._join(worker.earlier_entry)
+
+    def _keep_unregistered(self, worker: Worker):
+        """Keep an ended instance whose tasks may run in the one that replaced it."""
         # A new instance has another clock, on which the deadlines of orders may be far
         # ahead: assume the longest lease.
         worker.lease.assume_granted(boot_time(), self.max_hold)
@@ -285,6 +292,8 @@
 
 
 def _same_instance(known: WorkerEntry, entry: WorkerEntry) -> bool:
+    if known.worker != entry.worker:
+        return False
     if not known.address:
         # An instance that is known only from a job's progress has no address.
         return known.instance == entry.instance
--- a/src/zinniatrestle/scheduling/state.py
+++ b/src/zinniatrestle/scheduling/state.py
@@ -345,6 +345,8 @@
         # When the worker last answered a hold.
         self.reported_at = BootSeconds(0.0)
         self.entry_seen_at = BootSeconds(0.0)
+        # The latest entry with an earlier instance than this one.
+        self.earlier_entry: WorkerEntry | None = None
         # Since when the worker's entry has been missing from the registry.
         self.missing_since: BootSeconds | None = None
         # Earliest time at which a draining worker may shut down.
--- a/src/zinniatrestle/scheduling/tests/test_restarted_workers.py
+++ b/src/zinniatrestle/scheduling/tests/test_restarted_workers.py
@@ -1,10 +1,12 @@
 """A worker that restarts under the same id does not cause a task to run twice."""
 
 import asyncio
+from unittest import mock
 
 import pytest
 
 from zinniatrestle.deployment import Bounds
+from zinniatrestle.ids import InstanceId
 from zinniatrestle.standins.checker import violations
 from zinniatrestle.standins.model import Model, run_virtual, step
 
@@ -63,3 +65,21 @@
         return violations(model)
 
     assert run_virtual(play()) == []
+
+
+# Guards against a worker that is never used again if its clock was set back.
+def test_worker_that_restarts_with_an_earlier_instance_number_is_used_again():
+    async def play():
+        model = Model(1)
+        await model.start(workers=1, rack=1)
+        worker = model.fleet.workers["w0"]
+        earlier = InstanceId(worker.entry.instance - 1000)
+        with mock.patch(
+            "zinniatrestle.standins.fleet.wall_time", lambda: earlier / 1000
+        ):
+            model.fleet.restart(worker)
+        await asyncio.sleep(5.0)
+        await model.submit("usual", (step(1),), 1.0)
+        return await model.wait_for_jobs(15.0)
+
+    assert run_virtual(play())
