Count inherited leases of runs from the end of the predecessor's lease

What callers saw: after an outage of all hosts a task whose worker had been lost meanwhile waited for some 7 s more, beside free workers, and each further succession began the wait anew.

Cause: a successor took the earliest end of its predecessor's holds to be the time of its own start. Holds end with the predecessor's lease and its extension, which may be long ago.

Why it is safe: may_hold ends by the same clock of the store, and a hold's deadline is fixed when it is sent. For a released lease, whose row has no end, the holds end at the latest when the successor acquires it.

--- a/src/zinniatrestle/scheduling/leadership.py
+++ b/src/zinniatrestle/scheduling/leadership.py
@@ -321,6 +321,9 @@
             self.predecessor_hold_until = (
                 self.record.until + self.hold_extension * MS_PER_SECOND
             )
+            if not self.record.holder:
+                # A holder that released the lease held workers until then at most.
+                self.predecessor_hold_until = self.store.clock.latest(boot_time())
             self.handover = self.record.handover
         self.record = record
         self.version = self.fence = self.own_fence = result.version
--- a/src/zinniatrestle/scheduling/scheduler.py
+++ b/src/zinniatrestle/scheduling/scheduler.py
@@ -232,9 +232,8 @@
         store_now = self.context.store.clock.earliest(now)
         left = (self.leadership.predecessor_hold_until - store_now) / MS_PER_SECOND
         held = self.context.deployment.bounds.max_hold * HOLD_SHARE
-        return BootSeconds(
-            now + max(0.0, left) + held / MIN_CLOCK_RATE + TIMER_SLACK_SECONDS
-        )
+        expires_at = now + left + held / MIN_CLOCK_RATE + TIMER_SLACK_SECONDS
+        return BootSeconds(max(now, expires_at))
 
     def _restore_step(self, step: StepRun, lease_end: BootSeconds):
         for task in step.tasks:
--- a/src/zinniatrestle/scheduling/tests/test_lost_workers.py
+++ b/src/zinniatrestle/scheduling/tests/test_lost_workers.py
@@ -5,6 +5,7 @@
 import pytest
 
 from zinniatrestle.clock import monotonic
+from zinniatrestle.scheduling.leadership import HOLD_EXTENSION_SHARE, MAX_LEASE_SHARE
 from zinniatrestle.scheduling.session import HOLD_SHARE
 from zinniatrestle.standins.checker import violations
 from zinniatrestle.standins.model import Model, run_virtual, step
@@ -114,3 +115,30 @@
         ]
 
     assert run_virtual(play()) == []
+
+
+# Guards against a successor that waits for leases which ended before it took over.
+def test_successor_after_long_outage_of_all_hosts_does_not_wait_for_ended_leases():
+    outage_seconds = 12.0
+
+    async def play():
+        model = Model(1)
+        await model.start(workers=4, rack=4)
+        await model.submit("usual", (step(1),), 4.0)
+        worker = await wait_for_running_worker(model)
+        for host in model.hosts:
+            await host.kill()
+        await crash_and_deregister(model, worker)
+        await asyncio.sleep(outage_seconds)
+        hosts_back_at = monotonic()
+        for host in model.hosts:
+            host.start()
+        assert await model.wait_for_jobs(60.0)
+        assert violations(model) == []
+        starts = [e.at for e in model.fleet.history if e.kind is EventKind.START]
+        lease = model.bounds.lease * MAX_LEASE_SHARE
+        hold = model.bounds.max_hold * (HOLD_EXTENSION_SHARE + HOLD_SHARE)
+        assert outage_seconds > lease + hold / 0.98
+        return starts[-1] - hosts_back_at
+
+    assert run_virtual(play()) < DETECTION_SECONDS
