Leave a machine out of a wave for good once the platform refuses it

What callers saw: runs on the worker of such a machine were stopped again and again, three times within 20 s, and its capacity was cordoned most of the time.

Cause: exclude() marked the machine as missing from the lists, and the next list, in which it stood, took the mark back.

Evidence: the new test of test_waves.py counts one emptying instead of three.

Ruled out: a limit on repeats; the refusal holds for the whole wave.

--- a/src/zinniatrestle/upkeep/state.py
+++ b/src/zinniatrestle/upkeep/state.py
@@ -23,6 +23,8 @@
         self.uncertain: set[MachineId] = set()
         # Number of lists in a row, up to the latest, without a machine of the wave.
         self.missed: dict[MachineId, int] = {}
+        # Machines whose maintenance the platform refuses in this wave.
+        self.excluded: set[MachineId] = set()
         self.completed = False
 
     def observe(self, listed: list[Machine]):
@@ -39,11 +41,13 @@
 
     def exclude(self, machine: MachineId):
         """Exclude a machine whose maintenance the platform refuses in this wave."""
-        self.missed[machine] = MAX_MISSED_LISTS
+        self.excluded.add(machine)
         self.draining.pop(machine, None)
         self.uncertain.discard(machine)
 
     def _is_gone(self, machine: MachineId) -> bool:
+        if machine in self.excluded:
+            return True
         return self.missed.get(machine, 0) >= MAX_MISSED_LISTS
 
     def down(self, now: BootSeconds, upkeep_seconds: float) -> set[MachineId]:
--- a/src/zinniatrestle/upkeep/tests/test_waves.py
+++ b/src/zinniatrestle/upkeep/tests/test_waves.py
@@ -162,3 +162,22 @@
         await scenario.wait_until_completed(30.0)
 
     run_with_scenario(check)
+
+
+# Guards against a machine that the platform refuses and that is emptied at each update.
+def test_a_refused_machine_is_not_emptied_again_and_again():
+    async def check(scenario):
+        model = scenario.model
+        scenario.request_wave(count=3, max_concurrent=1, duration=60.0)
+        model.machines.waves[1] = model.machines.waves[1][1:]
+        for _ in range(6):
+            await model.submit("patient", (step(1, gpus=8, checkpointing=True),), 30.0)
+        await asyncio.sleep(20.0)
+        emptied = [
+            line["machine"]
+            for line in model.lines
+            if line["event"] == "machine_emptied"
+        ]
+        assert emptied.count("m-w0") == 1
+
+    run_with_scenario(check)
