Restore the health of all workers of a gang that ended well

What callers saw: workers stayed canaries, and took one small task at a time, although a gang had just run well on them.

Cause: the end of one member stands for the gang, but only the worker that reported it was restored.

Evidence: the new test of test_canaries.py restored one of two workers, and restores both now.

Ruled out: waiting for the other members' own ends; their step is gone by then.

--- a/src/zinniatrestle/scheduling/tests/test_canaries.py
+++ b/src/zinniatrestle/scheduling/tests/test_canaries.py
@@ -78,3 +78,24 @@
 # Guards against a wait for the end of a long quarantine if no other worker may be used.
 def test_a_step_that_only_quarantined_workers_may_run_does_not_wait_for_long():
     assert run_virtual(seconds_until_done_after_faults_ended()) <= RECOVERY_SECONDS
+
+
+# Guards against canaries that stay canaries, as another member's end stood for theirs.
+def test_a_gang_that_ends_well_restores_all_its_canaries():
+    async def play():
+        model = Model(1)
+        await model.start(workers=8, rack=8)
+        faulty = [model.fleet.workers[name] for name in ("w0", "w1")]
+        for found in faulty:
+            found.fault_mode = FaultMode.FAILS
+        await model.submit("usual", (step(8, gpus=8),), 1.0)
+        assert await model.wait_for_jobs(10.0)
+        for found in faulty:
+            found.fault_mode = FaultMode.NONE
+        await model.submit("usual", (step(8, gpus=8, gang=True),), 1.0)
+        assert await model.wait_for_jobs(RECOVERY_SECONDS)
+        return {
+            line["worker"] for line in model.lines if line["event"] == "worker_restored"
+        }
+
+    assert run_virtual(play()) == {"w0", "w1"}
--- a/src/zinniatrestle/scheduling/tracker.py
+++ b/src/zinniatrestle/scheduling/tracker.py
@@ -379,9 +379,12 @@
         )
 
     def _record_success(self, worker: Worker, task: Task, now: BootSeconds):
-        if self.health.record_success(worker, now):
-            self.events.write(Event.WORKER_RESTORED, worker=worker.id)
         step = task.step
+        finished = step.tasks if step.shape.gang else [task]
+        self._restore_health(worker, now)
+        for member in finished:
+            if member.worker is not None:
+                self._restore_health(member.worker, now)
         if task.start_time_known and not task.resumed and not is_remote(step):
             self.durations.learn(task, now - task.started_at)
         if step.shape.long_running:
@@ -389,7 +392,6 @@
             # The next run starts from scratch, not from the end of this one.
             task.checkpoint = ""
             return
-        finished = step.tasks if step.shape.gang else [task]
         for member in finished:
             self.unassign(member)
             member.status = TaskStatus.DONE
@@ -403,6 +405,11 @@
         if job.all_done() and not job.ended:
             self.end_job(job, JobState.COMPLETED, "all tasks done")
 
+    def _restore_health(self, worker: Worker, now: BootSeconds):
+        """Record a success of a worker, which ends its quarantine or canary run."""
+        if self.health.record_success(worker, now):
+            self.events.write(Event.WORKER_RESTORED, worker=worker.id)
+
     def _record_failure(self, worker: Worker, task: Task, now: BootSeconds):
         task.failed_runs.add(task.run)
         if self.health.record_failure(worker, task, now):
