Keep a worker's session going after an unexpected error

Cause: each session has one task that holds and three that send orders. A task that failed was logged and not replaced: without holds no report arrives, and without an answer a start stays pending and a stop is not repeated.

Change: a failed start counts as unanswered, a failed stop is repeated with the next report, and after a failed hold the worker is silent until the next report, so that its lease expires.

Ruled out: a new generation after each such error; one worker with a bad report would stop the scheduling of all.

--- a/src/zinniatrestle/scheduling/session.py
+++ b/src/zinniatrestle/scheduling/session.py
@@ -115,6 +115,17 @@
 
     async def hold(self):
         """Extend the leases at the worker until its instance has ended."""
+        while not self.worker.has_ended:
+            try:
+                await self._extend_leases()
+                return
+            except Exception as error:
+                self._log_failure("hold", error)
+            # Without reports the state of its runs is unknown: let their lease expire.
+            self.listener.mark_silent(self.worker, refused=False)
+            await asyncio.sleep(RETRY_SECONDS)
+
+    async def _extend_leases(self):
         worker = self.worker
         wait = 0.0
         misses = 0
@@ -192,7 +203,10 @@
         """Send orders from the outbox, one at a time."""
         while not self.worker.has_ended:
             order = await self.outbox.get()
-            await order()
+            try:
+                await order()
+            except Exception as error:
+                self._log_failure("order", error)
 
     def start(self, task: Task, run: RunNumber):
         """Queue the start of a run that is already stored."""
@@ -210,6 +224,14 @@
         self.outbox.put_nowait(lambda: self._pace(task, run, percent))
 
     async def _start(self, task: Task, run: RunNumber):
+        try:
+            await self._send_start(task, run)
+        except Exception:
+            # The order may have been carried out.
+            self.listener.unanswered(task, run)
+            raise
+
+    async def _send_start(self, task: Task, run: RunNumber):
         if not self.listener.may_order():
             self.listener.not_started(task, run, Refusal.NOT_ORDERED)
             return
@@ -249,12 +271,30 @@
             return
         self.listener.unanswered(task, run)
 
+    def _log_failure(self, part: str, error: Exception):
+        """Log an unexpected error; the session goes on without its effect."""
+        self.events.write(
+            Event.TASK_FAILED,
+            task="session",
+            worker=self.worker.id,
+            part=part,
+            reason=f"{type(error).__name__}: {error}",
+        )
+
     def _is_still_wanted(self, task: Task, run: RunNumber) -> bool:
         """Return whether the run is still to be started at this worker."""
         wanted = task.run == run and task.status is TaskStatus.PLACED
         return wanted and self.listener.may_order()
 
     async def _stop(self, task_id: TaskId, run: RunNumber):
+        try:
+            await self._send_stop(task_id, run)
+        finally:
+            if self.stops.get((task_id, run)) is None:
+                # If the next report still has the run, the scheduler stops it again.
+                self.stops.pop((task_id, run), None)
+
+    async def _send_stop(self, task_id: TaskId, run: RunNumber):
         for timeout in ORDER_TIMEOUTS_SECONDS:
             if not self.listener.may_order():
                 break
@@ -272,8 +312,6 @@
                 continue
             self.stops[(task_id, run)] = boot_time()
             return
-        # If the next report still has the run, the scheduler stops it again.
-        self.stops.pop((task_id, run), None)
 
     async def _pace(self, task: Task, run: RunNumber, percent: int):
         if not self.listener.may_order() or task.run != run:
