Show runs that are repeated within their lease after a transfer (TWICE)

Fleet._transfer_tasks moves the tasks of a former instance to the session of an entry that is new or back, without the former's lease. The new lease counts as expired, so the first refused or missed holds mark the runs as lost at once.

--- a/src/zinniatrestle/scheduling/tests/test_lost_workers.py
+++ b/src/zinniatrestle/scheduling/tests/test_lost_workers.py
@@ -1,6 +1,7 @@
 """Runs of a lost worker are restarted elsewhere, but not before they have ended."""
 
 import asyncio
+from unittest import mock
 
 import pytest
 
@@ -8,8 +9,10 @@
 from zinniatrestle.scheduling.leadership import HOLD_EXTENSION_SHARE, MAX_LEASE_SHARE
 from zinniatrestle.scheduling.session import HOLD_SHARE
 from zinniatrestle.standins.checker import violations
+from zinniatrestle.standins.host_orders import HostOrders
 from zinniatrestle.standins.model import Model, run_virtual, step
 from zinniatrestle.standins.runs import EventKind
+from zinniatrestle.workers.messages import Refusal, RefusedOrderError
 
 # Time to detect the loss and to run a round.
 DETECTION_SECONDS = 3.0
@@ -142,3 +145,31 @@
         return starts[-1] - hosts_back_at
 
     assert run_virtual(play()) < DETECTION_SECONDS
+
+
+# Guards against runs that count as lost before their leases at the worker have expired.
+@pytest.mark.parametrize("refused_seconds", [0.5, 2.5])
+def test_run_of_worker_whose_entry_returns_is_not_repeated_within_its_lease(
+    refused_seconds,
+):
+    async def refuse(self, worker, *args):
+        raise RefusedOrderError(Refusal.UNHEALTHY)
+
+    async def play():
+        model = Model(1)
+        await model.start(workers=2, rack=2)
+        await model.submit("usual", (step(1, gpus=8),), 8.0)
+        worker = await wait_for_running_worker(model)
+        await asyncio.sleep(1.0)
+        await model.leader().kill()
+        model.fleet.remove(worker)
+        while model.leader() is None:
+            await asyncio.sleep(0.05)
+        await asyncio.sleep(0.5)
+        with mock.patch.object(HostOrders, "hold", refuse):
+            model.fleet.write(worker)
+            await asyncio.sleep(refused_seconds)
+        assert await model.wait_for_jobs(40.0)
+        return violations(model)
+
+    assert run_virtual(play()) == []
--- a/src/zinniatrestle/scheduling/tests/test_restarted_workers.py
+++ b/src/zinniatrestle/scheduling/tests/test_restarted_workers.py
@@ -83,3 +83,27 @@
         return await model.wait_for_jobs(15.0)
 
     assert run_virtual(play())
+
+
+# Guards against runs that count as lost before their leases at the worker have expired.
+def test_run_at_new_instance_that_is_cut_off_is_not_repeated_within_its_lease():
+    async def play():
+        model = Model(1)
+        await model.start(workers=2, rack=2)
+        await model.submit("usual", (step(1, gpus=8),), 20.0)
+        await asyncio.sleep(1.0)
+        (idle,) = [
+            worker for worker in model.fleet.workers.values() if not worker.running
+        ]
+        model.fleet.restart(idle)
+        await model.submit("usual", (step(1, gpus=8),), 8.0)
+        while not idle.running:
+            await asyncio.sleep(0.01)
+        idle.reachable = False
+        model.fleet.add("w9", "rack-0", "a")
+        await asyncio.sleep(2.5)
+        idle.reachable = True
+        assert await model.wait_for_jobs(40.0)
+        return violations(model)
+
+    assert run_virtual(play()) == []
