--- a/src/zinniatrestle/scheduling/tests/test_lost_orders.py
+++ b/src/zinniatrestle/scheduling/tests/test_lost_orders.py
@@ -1,17 +1,20 @@
 """Unanswered orders are retried without running a task twice."""
 
 import asyncio
+from unittest import mock
 
 import pytest
 
+from zinniatrestle.clock import monotonic
 from zinniatrestle.deployment import Bounds
 from zinniatrestle.ids import RunNumber, TaskId
 from zinniatrestle.jobs import Step
 from zinniatrestle.scheduling.session import HOLD_WAIT_SECONDS, ORDER_TIMEOUTS_SECONDS
 from zinniatrestle.standins.checker import check_capacity, violations
+from zinniatrestle.standins.host_orders import HostOrders
 from zinniatrestle.standins.model import Model, run_virtual, step
 from zinniatrestle.standins.runs import EventKind, TaskScript
-from zinniatrestle.workers.messages import StartOrder
+from zinniatrestle.workers.messages import StartOrder, UnansweredOrderError
 
 # Longer than the delay after which an unanswered order may still be carried out.
 MAX_ORDER_DELAY_SECONDS = 15.0
@@ -146,3 +149,36 @@
         return found
 
     assert run_virtual(play()) == []
+
+
+async def first_start_beside_worker_without_answers(lost_orders: set[str]) -> float:
+    """Return when a task starts if orders to w0, which ranks first, are lost."""
+    answered = {name: getattr(HostOrders, name) for name in ("start", "stop")}
+
+    def lose(name: str):
+        async def send(self, worker, *args):
+            if worker.worker != "w0" or name not in lost_orders:
+                return await answered[name](self, worker, *args)
+            await asyncio.sleep(args[-1])
+            raise UnansweredOrderError("The order timed out.")
+
+        return send
+
+    model = Model(1)
+    await model.start(workers=4, rack=4)
+    with (
+        mock.patch.object(HostOrders, "start", lose("start")),
+        mock.patch.object(HostOrders, "stop", lose("stop")),
+    ):
+        sent_at = monotonic()
+        await model.submit("usual", (step(1),), 1.0)
+        await model.wait_for_jobs(3 * model.bounds.finish)
+    assert violations(model) == []
+    starts = [event.at for event in start_events(model)]
+    return min(starts, default=monotonic()) - sent_at
+
+
+# Guards against a task that is placed again and again where its starts get no answer.
+def test_task_whose_starts_get_no_answer_is_placed_on_another_worker():
+    waited = run_virtual(first_start_beside_worker_without_answers({"start"}))
+    assert waited <= Bounds().finish
