Show a task that waits without a limit for the answer to a stop (LOST)

A start without an answer that no report contains is stopped, and only an answered stop ends the wait. The start's own deadline, after which the worker refuses it, does not.

--- a/src/zinniatrestle/scheduling/tests/test_lost_orders.py
+++ b/src/zinniatrestle/scheduling/tests/test_lost_orders.py
@@ -182,3 +182,10 @@
 def test_task_whose_starts_get_no_answer_is_placed_on_another_worker():
     waited = run_virtual(first_start_beside_worker_without_answers({"start"}))
     assert waited <= Bounds().finish
+
+
+# Guards against a task that stays assigned until a stop is answered, without a limit.
+def test_task_whose_start_and_stops_get_no_answer_is_placed_after_its_lease():
+    orders = {"start", "stop"}
+    waited = run_virtual(first_start_beside_worker_without_answers(orders))
+    assert waited <= Bounds().finish
