Show a wait for a lost worker that begins anew with each successor (LOST)

Each successor takes its predecessor to have held every worker until the end of its lease, also one that was not in the registry and had no session.

--- a/src/zinniatrestle/scheduling/tests/test_lost_workers.py
+++ b/src/zinniatrestle/scheduling/tests/test_lost_workers.py
@@ -6,6 +6,7 @@
 import pytest
 
 from zinniatrestle.clock import monotonic
+from zinniatrestle.deployment import Bounds
 from zinniatrestle.scheduling.leadership import HOLD_EXTENSION_SHARE, MAX_LEASE_SHARE
 from zinniatrestle.scheduling.session import HOLD_SHARE
 from zinniatrestle.standins.checker import violations
@@ -173,3 +174,25 @@
         return violations(model)
 
     assert run_virtual(play()) == []
+
+
+# Guards against a wait for a lost worker that begins anew with each successor.
+def test_successions_do_not_extend_the_wait_for_a_deregistered_worker():
+    async def play():
+        model = Model(1)
+        await model.start(workers=4, rack=4)
+        await model.submit("usual", (step(1),), 4.0)
+        worker = await wait_for_running_worker(model)
+        lost_at = monotonic()
+        await crash_and_deregister(model, worker)
+        for _ in range(3):
+            leader = model.leader()
+            await leader.kill()
+            leader.start()
+            await asyncio.sleep(5.0)
+        assert await model.wait_for_jobs(40.0)
+        assert violations(model) == []
+        starts = [e.at for e in model.fleet.history if e.kind is EventKind.START]
+        return starts[-1] - lost_at
+
+    assert run_virtual(play()) <= Bounds().finish
