--- a/src/zinniatrestle/scheduling/tests/test_wait_limits.py
+++ b/src/zinniatrestle/scheduling/tests/test_wait_limits.py
@@ -18,7 +18,7 @@
 from zinniatrestle.ids import RackId
 from zinniatrestle.jobs.messages import Step
 from zinniatrestle.scheduling.placement import BestFit
-from zinniatrestle.scheduling.state import WorkerHealth
+from zinniatrestle.scheduling.state import TaskStatus, WorkerHealth
 from zinniatrestle.scheduling.wait_limits import (
     IDLE_SHARE,
     MAX_WAIT_SHARE,
@@ -188,3 +188,14 @@
     waited = run_virtual(play())
     assert waited is not False
     assert waited <= MAX_WAIT + START_SECONDS < BOUNDS.finish
+
+
+# Guards against a job that waits for its rack because a run of it doesn't end or start.
+@pytest.mark.parametrize("status", [TaskStatus.PLACED, TaskStatus.STOPPING])
+def test_a_job_of_which_no_assigned_task_runs_is_overdue(status):
+    workers = workers_in_racks(4, size=1)
+    waiting = waiting_step(Step(count=2, gpus=8, data_rack=RackId("r0")), 3 * MAX_WAIT)
+    assigned = run_on(waiting.tasks[0], workers[0])
+    assigned.status = status
+    assigned.status_at = NOW - MAX_WAIT
+    assert len(place_relaxed(waiting, workers)) == 1
