--- a/src/zinniatrestle/scheduling/tests/test_progress_writer.py
+++ b/src/zinniatrestle/scheduling/tests/test_progress_writer.py
@@ -8,6 +8,7 @@
 from zinniatrestle.events import EventLog
 from zinniatrestle.jobs.messages import (
     PROGRESS,
+    SUBMISSIONS,
     JobProgress,
     encode_progress,
     row_name,
@@ -15,7 +16,7 @@
 from zinniatrestle.rows import Write
 from zinniatrestle.scheduling.progress_writer import ProgressWriter
 from zinniatrestle.scheduling.state import Job
-from zinniatrestle.standins.model import Model, run_virtual
+from zinniatrestle.standins.model import Model, run_virtual, step
 from zinniatrestle.standins.rows import TRANSACTION_SECONDS
 
 # A write that is under way when a change comes, and the one with the change.
@@ -60,3 +61,21 @@
     seconds = run_virtual(seconds_to_save_beside_a_job_that_keeps_changing())
     write_seconds = TRANSACTION_SECONDS * SLOW_STORE_FACTOR
     assert seconds <= (WRITES_PER_SAVE + 0.5) * write_seconds
+
+
+# Guards against the submission of an ended job that is never deleted.
+def test_the_submission_of_a_job_that_ends_during_a_write_is_deleted():
+    async def play():
+        model = Model(1)
+        await model.start(workers=3, rack=3)
+        for host in model.hosts:
+            host.store.latency_factor = SLOW_STORE_FACTOR
+        # Its tasks end one after the other, within the time of a write.
+        for number, worker in enumerate(model.fleet.workers.values()):
+            worker.speed = 1.0 + 0.03 * number
+        name = await model.submit("usual", (step(3, gpus=8),), 2.0)
+        assert await model.wait_for_jobs(10.0)
+        await asyncio.sleep(BUSY_SECONDS)
+        return model.rows.row(SUBMISSIONS, row_name(name))
+
+    assert run_virtual(play()) is None
