Show a preemption plan beyond a step's limit of tasks at one worker (ROUTE)

FreeCapacity.slots counts neither running nor reserved tasks of the step. The plan reserves a worker that already runs one, and the task starts there at once.

--- a/src/zinniatrestle/scheduling/tests/test_reclaim.py
+++ b/src/zinniatrestle/scheduling/tests/test_reclaim.py
@@ -159,3 +159,16 @@
     found = plan(8, workers, gpus=1)
     assert found.victims == [whole]
     assert set(found.assignment.values()) == {workers[0]}
+
+
+# Guards against a plan that exceeds the limit on tasks of a step at one worker (ROUTE).
+def test_a_plan_counts_the_tasks_of_the_step_that_already_run_on_a_worker():
+    workers = workers_in_racks(1, size=2)
+    run_task("1", workers[0], 2, NOW - 1)
+    spread = first_step(
+        job("a" * 16, Step(count=2, gpus=1, max_per_worker=1), priority=0)
+    )
+    run_on(spread.tasks[0], workers[1])
+    costs = PreemptionCosts(Forecast(Durations(), NOW), CHECKPOINT_SECONDS)
+    found = PLANNER.plan(spread, spread.waiting_tasks(), workers, constraints(), costs)
+    assert list(found.assignment.values()) == [workers[0]]
