Repeat a run elsewhere once its unanswered start has expired

Cause: a run whose start got no answer is stopped, and stays assigned until the stop is answered, since a delayed start could still be carried out. A worker that answers holds but no other orders never ends that wait. Holds extend its lease, so the lease doesn't either.

Why it works: a start carries a deadline on the worker's clock, after which the worker refuses it. A report made later that lacks the run proves that it neither runs nor can start. The worker is avoided and quarantined, as it is for a refused start, or the next round would choose it again.

--- a/src/zinniatrestle/scheduling/fleet.py
+++ b/src/zinniatrestle/scheduling/fleet.py
@@ -183,6 +183,7 @@
         for task in list(former.tasks.values()):
             former.remove_task(task)
             task.worker = worker
+            task.start_deadline_ms = None
             worker.add_task(task)
 
     def get_or_add_unregistered(
--- a/src/zinniatrestle/scheduling/session.py
+++ b/src/zinniatrestle/scheduling/session.py
@@ -249,6 +249,8 @@
             checkpoint=task.checkpoint,
             ticket=task.ticket,
         )
+        if task.run == run:
+            task.start_deadline_ms = deadline
         unanswered = False
         for timeout in ORDER_TIMEOUTS_SECONDS:
             if unanswered and not self._is_still_wanted(task, run):
--- a/src/zinniatrestle/scheduling/state.py
+++ b/src/zinniatrestle/scheduling/state.py
@@ -78,6 +78,9 @@
         # The start order has no final answer yet, so the absence of the run from a
         # report proves nothing.
         self.start_pending = False
+        # Deadline of the start order on the clock of the worker's instance, which
+        # refuses the order from then on; None if it is unknown.
+        self.start_deadline_ms: int | None = None
         # Placed by a scheduler of an earlier generation.
         self.inherited = False
         self.confirmed_at = BootSeconds(0.0)
@@ -128,11 +131,12 @@
             self.window_at = at
 
     def reset_progress(self):
-        """Clear the progress and start time of the previous run."""
+        """Clear the progress and start of the previous run."""
         self.percent = self.baseline_percent = self.window_percent = 0.0
         self.progress_rate = None
         self.started_at = self.baseline_at = self.window_at = BootSeconds(0.0)
         self.start_time_known = self.reported = False
+        self.start_deadline_ms = None
 
     @property
     def is_allocated(self) -> bool:
--- a/src/zinniatrestle/scheduling/tests/test_lost_orders.py
+++ b/src/zinniatrestle/scheduling/tests/test_lost_orders.py
@@ -4,15 +4,24 @@
 
 import pytest
 
+from zinniatrestle.clock import monotonic
 from zinniatrestle.deployment import Bounds
 from zinniatrestle.ids import RunNumber, TaskId
 from zinniatrestle.jobs import Step
-from zinniatrestle.scheduling.session import HOLD_WAIT_SECONDS, ORDER_TIMEOUTS_SECONDS
+from zinniatrestle.scheduling.session import (
+    HOLD_SHARE,
+    HOLD_WAIT_SECONDS,
+    ORDER_TIMEOUTS_SECONDS,
+)
 from zinniatrestle.standins.checker import check_capacity, violations
 from zinniatrestle.standins.model import Model, run_virtual, step
 from zinniatrestle.standins.runs import EventKind, TaskScript
+from zinniatrestle.workers.lease import MIN_CLOCK_RATE
 from zinniatrestle.workers.messages import StartOrder
 
+BOUNDS = Bounds()
+# Time for a report, a round and the next start.
+DETECTION_SECONDS = 3.0
 # Longer than the delay after which an unanswered order may still be carried out.
 MAX_ORDER_DELAY_SECONDS = 15.0
 
@@ -99,6 +108,44 @@
     assert run_virtual(play()) == []
 
 
+# Guards against a task that waits for the answer to a stop for as long as its worker
+# answers none.
+@pytest.mark.parametrize("gang", [False, True])
+def test_run_is_repeated_elsewhere_if_its_worker_answers_holds_but_no_orders(gang):
+    async def play():
+        model = Model(1)
+        await model.start(workers=4, rack=4)
+        model.fleet.workers["w0"].obeys = False
+        shape = step(2 if gang else 1, gpus=8, gang=gang)
+        await model.submit("usual", (shape,), 1.0)
+        sent_at = monotonic()
+        assert await model.wait_for_jobs(60.0)
+        assert violations(model) == []
+        assert any(line.get("worker") == "w0" for line in model.lines)
+        return max(event.at for event in start_events(model)) - sent_at
+
+    lease = BOUNDS.max_hold * HOLD_SHARE / MIN_CLOCK_RATE
+    assert run_virtual(play()) <= lease + DETECTION_SECONDS < BOUNDS.finish
+
+
+# Guards against a run that counts as lost although its start may still be carried out.
+@pytest.mark.parametrize("seed", range(6))
+def test_no_run_is_repeated_while_its_late_start_may_be_carried_out(seed):
+    async def play():
+        model = Model(seed)
+        await model.start(workers=4, rack=4)
+        model.fleet.late_order_share = 1.0
+        for _ in range(4):
+            await model.submit("usual", (step(gpus=8),), 15.0)
+        await asyncio.sleep(BOUNDS.max_hold)
+        model.fleet.late_order_share = 0.0
+        assert await model.wait_for_jobs(120.0)
+        await asyncio.sleep(MAX_ORDER_DELAY_SECONDS)
+        return violations(model)
+
+    assert run_virtual(play()) == []
+
+
 async def start_unknown_run(model: Model, shape: Step, seconds: float):
     """Start a run on the first worker of which the scheduler has no record."""
     worker = model.fleet.workers["w0"]
--- a/src/zinniatrestle/scheduling/tracker.py
+++ b/src/zinniatrestle/scheduling/tracker.py
@@ -33,6 +33,9 @@
     RunOutcome,
 )
 
+# A worker may read its clock up to this time before it lists its runs.
+START_SLACK_MS = 100
+
 
 class Tracker(ClusterState, SessionListener, FleetListener):
     """Update jobs, tasks and workers from what workers report."""
@@ -171,7 +174,7 @@
                 loads[task] = running.load
         for step in {task.step for task in loads}:
             self.speeds.compare(step, answered_at)
-        self._handle_unreported_runs(worker, reported, asked_at)
+        self._handle_unreported_runs(worker, reported, answer.clock_ms, asked_at)
         session = self.sessions.get(worker)
         if session is None:
             return
@@ -256,7 +259,7 @@
         return task
 
     def _handle_unreported_runs(
-        self, worker: Worker, reported: set, asked_at: BootSeconds
+        self, worker: Worker, reported: set, clock_ms: int, asked_at: BootSeconds
     ):
         """Stop or mark as lost the runs that are missing from a report."""
         session = self.sessions.get(worker)
@@ -280,6 +283,11 @@
                 self.stop(task, "not reported by its worker")
                 self.stop_gang(task.step)
                 continue
+            if _start_has_expired(task, clock_ms):
+                task.avoided_workers.add(worker.id)
+                self.quarantine(worker, "its orders get no answer", boot_time())
+                self._mark_lost(worker, task, "its start order has expired")
+                continue
             session.stop(task.id, task.run)
 
     def _mark_lost(self, worker: Worker, task: Task, reason: str):
@@ -479,3 +487,10 @@
         # The next report shows whether the run exists. If it doesn't, a stop makes sure
         # that a delayed start order is refused.
         self.wake.set()
+
+
+def _start_has_expired(task: Task, clock_ms: int) -> bool:
+    """Return whether a worker whose clock reads `clock_ms` would refuse the start."""
+    if task.start_deadline_ms is None:
+        return False
+    return clock_ms > task.start_deadline_ms + START_SLACK_MS
--- a/src/zinniatrestle/standins/host_orders.py
+++ b/src/zinniatrestle/standins/host_orders.py
@@ -89,6 +89,10 @@
 
     async def _send_order(self, worker: WorkerEntry, timeout: float, execute):
         await self._cross_network(worker, timeout)
+        target = self.fleet.workers.get(worker.worker)
+        if target is not None and not target.obeys:
+            await asyncio.sleep(timeout)
+            raise UnansweredOrderError("The worker drops the order.")
         if self.fleet.random.random() < self.fleet.late_order_share:
             self._execute_later(worker, execute)
             await asyncio.sleep(timeout)
--- a/src/zinniatrestle/standins/runs.py
+++ b/src/zinniatrestle/standins/runs.py
@@ -111,6 +111,8 @@
     alive: bool = True
     reachable: bool = True
     heartbeats: bool = True
+    # Whether it carries out orders; it answers holds in any case.
+    obeys: bool = True
     fault_mode: FaultMode = FaultMode.NONE
     # The speed relative to the nominal one, faults aside.
     speed: float = 1.0
