Keep the lease of a former instance for the tasks that are moved from it

Cause: tasks that are assigned to an instance which isn't registered, or was replaced, move to the instance that registers under the same id. Its lease counted as expired until the first hold was answered. If the first two holds were missed, the tasks were repeated elsewhere at once, although their runs may have gone on: in the same instance, whose entry had lapsed while a successor took over, or in the new one, which a start order had reached.

Evidence: the new test of test_lost_workers.py and the second one of test_replaced_workers.py found 'TWICE: ... at w1 and w0' before and find none now.

Why it works: the lease that bounded the tasks before the move bounds them after it. For an instance that never answered no further lease is assumed when it is replaced in turn: nothing was sent to it. Without that condition the first new test of test_replaced_workers.py, a worker that restarts every 3 s and is never reached, doesn't start its task elsewhere within 20 s.

Ruled out: a wait without a bound before; a silent new instance ended it too early, not too late.

--- a/src/zinniatrestle/scheduling/fleet.py
+++ b/src/zinniatrestle/scheduling/fleet.py
@@ -180,6 +180,8 @@
         Its first report shows which of the tasks it runs.
         """
         self.unregistered.remove(former)
+        if former.tasks:
+            worker.lease.inherit(former.lease)
         for task in list(former.tasks.values()):
             former.remove_task(task)
             task.worker = worker
@@ -261,8 +263,10 @@
     def _keep_unregistered(self, worker: Worker):
         """Keep an ended instance whose tasks may run in the one that replaced it."""
         # A new instance has another clock, on which the deadlines of orders may be far
-        # ahead: assume the longest lease.
-        worker.lease.assume_granted(boot_time(), self.max_hold)
+        # ahead: assume the longest lease. It is assumed already for the tasks of an
+        # instance that never answered.
+        if worker.generation_confirmed or not worker.lease.is_assumed:
+            worker.lease.assume_granted(boot_time(), self.max_hold)
         worker.missing_since = worker.missing_since or boot_time()
         self.unregistered.append(worker)
 
--- a/src/zinniatrestle/scheduling/tests/test_lost_workers.py
+++ b/src/zinniatrestle/scheduling/tests/test_lost_workers.py
@@ -142,3 +142,27 @@
         return starts[-1] - hosts_back_at
 
     assert run_virtual(play()) < DETECTION_SECONDS
+
+
+# Guards against a second run of a task whose worker was not registered when the
+# successor started, and registers again while it can't be reached.
+def test_run_on_worker_that_registers_again_is_not_repeated_before_its_lease_ends():
+    async def play():
+        model = Model(1)
+        await model.start(workers=2, rack=2)
+        await model.submit("usual", (step(gpus=8, seconds=20.0),), 20.0)
+        worker = await wait_for_running_worker(model)
+        model.fleet.remove(worker)
+        worker.reachable = False
+        first_holder = model.leader()
+        await first_holder.kill()
+        while model.leader() in (None, first_holder):
+            await asyncio.sleep(0.02)
+        await asyncio.sleep(0.3)
+        model.fleet.write(worker)
+        await asyncio.sleep(model.bounds.finish)
+        starts = [e for e in model.fleet.history if e.kind is EventKind.START]
+        assert len(starts) > 1
+        return violations(model)
+
+    assert run_virtual(play()) == []
--- a/src/zinniatrestle/scheduling/tests/test_replaced_workers.py
+++ b/src/zinniatrestle/scheduling/tests/test_replaced_workers.py
@@ -6,11 +6,13 @@
 
 from zinniatrestle.clock import monotonic
 from zinniatrestle.deployment import Bounds
+from zinniatrestle.ids import RunNumber, TaskId
 from zinniatrestle.scheduling.fleet import MIN_EXPIRY_HEARTBEATS
 from zinniatrestle.standins.checker import violations
 from zinniatrestle.standins.model import Model, run_virtual, step
-from zinniatrestle.standins.runs import EventKind
+from zinniatrestle.standins.runs import EventKind, TaskScript
 from zinniatrestle.workers.lease import MIN_CLOCK_RATE
+from zinniatrestle.workers.messages import StartOrder
 
 BOUNDS = Bounds()
 # Time for a hold, a round and the start order.
@@ -29,11 +31,18 @@
     return await model.submit("usual", (step(gpus=8),), 1.0)
 
 
-def first_start(model: Model, job: str) -> float:
+def starts_of(model: Model, job: str) -> list[float]:
+    found = []
     for event in model.fleet.history:
         if event.kind is EventKind.START and event.task.startswith(job):
-            return event.at
-    raise AssertionError(f"job {job} was never started")
+            found.append(event.at)
+    return found
+
+
+def first_start(model: Model, job: str) -> float:
+    found = starts_of(model, job)
+    assert found, f"job {job} was never started"
+    return found[0]
 
 
 # Guards against a task that stays assigned to a replaced worker for the longest lease.
@@ -83,3 +92,49 @@
 
     limit = BOUNDS.max_hold / MIN_CLOCK_RATE + DETECTION_SECONDS
     assert run_virtual(play()) <= limit + MIN_EXPIRY_HEARTBEATS * BOUNDS.heartbeat
+
+
+# Guards against a wait that begins anew with each instance that can't be reached.
+def test_unreachable_instances_of_one_worker_do_not_extend_the_wait_for_its_run():
+    async def play():
+        model = Model(1)
+        job = await place_on_unreachable_worker(model)
+        await asyncio.sleep(BUSY_SECONDS)
+        (lost,) = [
+            worker for worker in model.fleet.workers.values() if not worker.reachable
+        ]
+        replaced_at = monotonic()
+        while monotonic() < replaced_at + 2 * BOUNDS.max_hold:
+            model.fleet.restart(lost)
+            await asyncio.sleep(3.0)
+        assert violations(model) == []
+        return first_start(model, job) - replaced_at
+
+    limit = BOUNDS.max_hold / MIN_CLOCK_RATE + DETECTION_SECONDS
+    assert run_virtual(play()) <= limit < BOUNDS.finish
+
+
+# Guards against a second run of a task beside the one that a start order, carried out
+# by a new instance, has begun there.
+def test_run_in_an_unreachable_new_instance_is_not_repeated_before_its_lease_ends():
+    async def play():
+        model = Model(1)
+        job = await place_on_unreachable_worker(model)
+        await asyncio.sleep(BUSY_SECONDS)
+        (lost,) = [
+            worker for worker in model.fleet.workers.values() if not worker.reachable
+        ]
+        model.fleet.restart(lost)
+        order = StartOrder(
+            task=TaskId(f"{job}.0.0.0"),
+            run=RunNumber(1),
+            spec=TaskScript(seconds=30.0).encoded(),
+            deadline_ms=lost.clock_ms() + int(BOUNDS.max_hold * 1000),
+            generation=model.leader().leadership.generation,
+        )
+        await model.fleet.start(lost.entry, order)
+        await asyncio.sleep(2 * BOUNDS.max_hold)
+        assert len(starts_of(model, job)) > 1
+        return violations(model)
+
+    assert run_virtual(play()) == []
--- a/src/zinniatrestle/workers/lease.py
+++ b/src/zinniatrestle/workers/lease.py
@@ -20,6 +20,8 @@
         self.read_at = BootSeconds(0.0)
         self.granted_until_ms = 0
         self.expires_at = BootSeconds(0.0)
+        # The expiry allows for leases that another host may have granted.
+        self.is_assumed = False
 
     def observe(self, clock_ms: int, answered_at: BootSeconds):
         """Record a reading of the worker's clock that arrived at `answered_at`.
@@ -48,11 +50,17 @@
 
     def assume_granted(self, now: BootSeconds, seconds: float):
         """Allow for leases of `seconds` that another host may have granted by now."""
+        self.is_assumed = True
         self.expires_at = max(
             self.expires_at,
             BootSeconds(now + seconds / MIN_CLOCK_RATE + TIMER_SLACK_SECONDS),
         )
 
+    def inherit(self, former: "WorkerLease"):
+        """Allow for the leases at an instance whose runs may go on in this one."""
+        self.expires_at = max(self.expires_at, former.expires_at)
+        self.is_assumed = former.is_assumed
+
     def expired(self, now: BootSeconds) -> bool:
         """Return whether all leases at the worker have certainly expired."""
         return now > self.expires_at
