Forget the end of a drain once the worker is ready again

Cause: the time until which a draining worker keeps its runs stayed set when its entry was ready again. The worker was used, since its entry is ready, and each run on it counted as one that it would interrupt, and was moved: to the same worker, as the fullest one that fits.

Evidence: the new test of test_draining.py doesn't end within the bound on accepted work before; with the change the job is started once.

Why it works: the time follows from the entry, and so does its absence.

Ruled out: other entries by which a worker stays unusable; usable() reads the state of the latest entry.

--- a/src/zinniatrestle/scheduling/fleet.py
+++ b/src/zinniatrestle/scheduling/fleet.py
@@ -143,8 +143,12 @@
         return False
 
     def _update_drain_deadline(self, worker: Worker):
-        """Set or lower a draining worker's deadline; later entries may shorten it."""
+        """Set or lower a draining worker's deadline; later entries may shorten it.
+
+        A worker that is ready again has none.
+        """
         if worker.entry.state is not WorkerState.DRAINING:
+            worker.drain_deadline = None
             return
         remaining = worker.entry.remaining
         if remaining is None:
--- a/src/zinniatrestle/scheduling/tests/test_draining.py
+++ b/src/zinniatrestle/scheduling/tests/test_draining.py
@@ -106,3 +106,21 @@
 
     # Time for the notice, a stop and a round, well before the worker's lease expires.
     assert run_virtual(play()) < 2.0
+
+
+# Guards against runs that are stopped again and again on a worker that was to leave.
+def test_worker_that_is_ready_again_after_it_was_draining_keeps_its_runs():
+    async def play():
+        model = Model(1)
+        await model.start(workers=1, rack=1)
+        worker = model.fleet.workers["w0"]
+        ready = worker.entry
+        model.fleet.drain(worker, 1.0)
+        await asyncio.sleep(BOUNDS.drain)
+        worker.entry = ready
+        model.fleet.write(worker)
+        await model.submit("usual", (step(gpus=8),), 3.0)
+        assert await model.wait_for_jobs(BOUNDS.finish)
+        return sum(e.kind is EventKind.START for e in model.fleet.history)
+
+    assert run_virtual(play()) == 1
