Name the reservation of a worker without room as the cause of a wait

A scheduler that meets the case ends in each survey of the waiting steps, several times a second, and all accepted work waits for its successors.

Cause: the log of waits looked for the reserved worker with room that a step may not use, and took the first of them. A step bound to a rack can also lack a reserved worker without room: the rack is too small for the step without it, so that its other workers don't count either. The list was then empty, and the IndexError ended the round.

Evidence: the new test of test_waits.py raised 'IndexError: list index out of range' before and passes now.

Why it works: the slots can only differ if a preferred worker is not eligible, so the list of those is never empty.

--- a/src/zinniatrestle/scheduling/tests/test_waits.py
+++ b/src/zinniatrestle/scheduling/tests/test_waits.py
@@ -13,7 +13,7 @@
 
 from zinniatrestle.ids import RackId, RegionId
 from zinniatrestle.jobs.messages import Step
-from zinniatrestle.scheduling.backfill import BackfillReservations
+from zinniatrestle.scheduling.backfill import BackfillReservations, EarliestStart
 from zinniatrestle.scheduling.durations import Durations
 from zinniatrestle.scheduling.forecast import Forecast
 from zinniatrestle.scheduling.placement import BestFit
@@ -135,6 +135,21 @@
     assert wait.until == NOW + 4.0
 
 
+# Guards against an error in a round, and so the end of the scheduler, if the reserved
+# worker has no room itself.
+def test_wait_for_a_rack_that_is_too_small_without_a_reserved_worker():
+    workers = workers_in_racks(2, size=2)
+    for number, gpus in enumerate((8, 4, 8, 8)):
+        occupy(workers[number], gpus, str(number) * 16)
+    reservations = new_reservations()
+    gang = first_step(job("9" * 16, GANG))
+    reservations.reserve(EarliestStart(gang, NOW + 4.0, workers[:1]))
+    shape = Step(count=4, gpus=4, rack_bound=True, estimated_ms=8000)
+    wait = wait_of(shape, workers, reservations)
+    assert wait.reason is WaitReason.BACKFILL
+    assert wait.for_job == gang.job.id
+
+
 def test_wait_for_a_preempted_run_names_it():
     target = worker("w")
     victim = occupy(target)
--- a/src/zinniatrestle/scheduling/waits.py
+++ b/src/zinniatrestle/scheduling/waits.py
@@ -149,12 +149,14 @@
     eligible = set(reservations.eligible_workers(step, workers))
     unreserved = [worker for worker in preferred if worker in eligible]
     if _slots_near(step, unreserved, constraints) < needed:
-        blocked = [
-            worker
-            for worker in preferred
-            if worker not in eligible and worker.slots(step)
-        ]
-        blocked.sort(key=lambda worker: worker.rack != step.shape.data_rack)
+        # A reserved worker without room may still be what makes its rack large enough.
+        blocked = [worker for worker in preferred if worker not in eligible]
+        blocked.sort(
+            key=lambda worker: (
+                not worker.slots(step),
+                worker.rack != step.shape.data_rack,
+            )
+        )
         return Wait(
             WaitReason.BACKFILL,
             for_job=reservations.reserved_for[blocked[0]].job.id,
