Send no start of a run that was stopped or moved while the order was queued

Cause: a worker gets three orders at a time. Starts behind ones without an answer stay queued for seconds, and only repeated tries checked whether the run was still wanted. If the worker was lost meanwhile, its lease ended and its tasks were placed elsewhere, the first tries of their old starts were still sent once the worker answered a hold again, with a new deadline.

Evidence: the new test of test_lost_orders.py found 'TWICE: ... at w0 and w1' for eight tasks before and none now.

Why it works: the check comes before each try, with no await in between. A run whose start was never sent doesn't exist, so its task is free at once.

Ruled out: the deadline alone; the worker is no longer silent by then.

--- a/src/zinniatrestle/scheduling/session.py
+++ b/src/zinniatrestle/scheduling/session.py
@@ -232,7 +232,8 @@
             raise
 
     async def _send_start(self, task: Task, run: RunNumber):
-        if not self.listener.may_order():
+        # The task may have been stopped or moved while the order was queued.
+        if not self._is_still_wanted(task, run):
             self.listener.not_started(task, run, Refusal.NOT_ORDERED)
             return
         worker = self.worker
@@ -249,8 +250,7 @@
             checkpoint=task.checkpoint,
             ticket=task.ticket,
         )
-        if task.run == run:
-            task.start_deadline_ms = deadline
+        task.start_deadline_ms = deadline
         unanswered = False
         for timeout in ORDER_TIMEOUTS_SECONDS:
             if unanswered and not self._is_still_wanted(task, run):
--- a/src/zinniatrestle/scheduling/tests/test_lost_orders.py
+++ b/src/zinniatrestle/scheduling/tests/test_lost_orders.py
@@ -193,3 +193,26 @@
         return found
 
     assert run_virtual(play()) == []
+
+
+# Guards against a start that is sent after its task was placed on another worker.
+def test_start_that_waits_behind_unanswered_ones_is_not_sent_once_its_lease_is_over():
+    async def play():
+        model = Model(1)
+        await model.start(workers=1, rack=1)
+        lost = model.fleet.workers["w0"]
+        await model.submit("usual", (step(32, gpus=0),), 12.0)
+        while not any(line["event"] == "run_placed" for line in model.lines):
+            await asyncio.sleep(0.001)
+        lost.reachable = False
+        model.fleet.add("w1")
+        while not any(event.worker == "w1" for event in model.fleet.history):
+            await asyncio.sleep(0.05)
+        lost.reachable, lost.obeys = True, False
+        while not any(line.get("again") for line in model.lines):
+            await asyncio.sleep(0.05)
+        lost.obeys = True
+        await asyncio.sleep(BOUNDS.max_hold)
+        return violations(model)
+
+    assert run_virtual(play()) == []
