Remove the submission of a job that ends while its progress is written

Successors load and write such jobs again; one that loads after the progress rows were purged, twice the time for which states are kept, would run the job again.

Cause: the writer looked at a job after the write to tell whether the write had removed its submission. A job that had ended only during the write counted as removed, so the write of its end left the submission in the store.

Evidence: the new test of test_progress_writer.py found the submission of a job that completed during a write, and finds none now.

Why it works: the jobs whose submissions a transaction removes are noted when it is made. A job that ends later is marked as changed by its end, and the next write removes its submission.

Ruled out: a lost end; the next write stores the end in either case.

--- a/src/zinniatrestle/scheduling/progress_writer.py
+++ b/src/zinniatrestle/scheduling/progress_writer.py
@@ -107,7 +107,7 @@
         names = set(batch)
         covered = list(self.waiters)
         while batch:
-            expects, writes = self._transaction(batch)
+            expects, writes, final = self._transaction(batch)
             try:
                 result = await transact_with_retries(
                     self.store, expects, writes, monotonic() + WRITE_TIMEOUT_SECONDS
@@ -121,31 +121,39 @@
                 )
                 continue
             if result.applied:
-                self._mark_written(batch, result.version)
+                self._mark_written(batch, result.version, final)
                 break
             self._handle_mismatch(batch, result)
         self.writing = {}
         self._complete_waiters(covered, names)
 
-    def _transaction(self, batch: dict[JobId, Job]):
+    def _transaction(
+        self, batch: dict[JobId, Job]
+    ) -> tuple[list[Expect], list[Write], set[Job]]:
+        """Return the expectations and writes for a batch, and the jobs that it ends."""
         expects = [self.leadership.fence_expectation()]
         writes = []
+        final = set()
         for job in batch.values():
             name = row_name(job.id)
             expects.append(Expect(PROGRESS, name, job.version))
             record = job.to_progress(self._now())
             writes.append(Write(PROGRESS, name, encode_progress(record)))
             if job.ended and not job.allocated_tasks() and not job.submission_deleted:
+                final.add(job)
                 writes.append(Write(SUBMISSIONS, name, None))
                 if job.state is JobState.CANCELLED:
                     writes.append(Write(CANCELLATIONS, name, None))
-        return expects, writes
+        return expects, writes, final
 
-    def _mark_written(self, batch: dict[JobId, Job], version: RowVersion):
+    def _mark_written(
+        self, batch: dict[JobId, Job], version: RowVersion, final: set[Job]
+    ):
+        """Record a write; a job that ended only meanwhile is written again."""
         self.writes += 1
         for job in batch.values():
             job.version = version
-            if job.ended and not job.allocated_tasks():
+            if job in final:
                 job.submission_deleted = True
 
     def _handle_mismatch(self, batch: dict[JobId, Job], result: TransactionResult):
--- a/src/zinniatrestle/scheduling/tests/test_progress_writer.py
+++ b/src/zinniatrestle/scheduling/tests/test_progress_writer.py
@@ -8,7 +8,9 @@
 from zinniatrestle.events import EventLog
 from zinniatrestle.jobs.messages import (
     PROGRESS,
+    SUBMISSIONS,
     JobProgress,
+    JobState,
     encode_progress,
     row_name,
 )
@@ -29,8 +31,9 @@
     """Return a job of which the store has a progress row."""
     created = job(name)
     value = encode_progress(JobProgress())
-    write = Write(PROGRESS, row_name(created.id), value)
-    created.version = model.rows.apply([], [write]).version
+    row = row_name(created.id)
+    writes = [Write(PROGRESS, row, value), Write(SUBMISSIONS, row, b"")]
+    created.version = model.rows.apply([], writes).version
     return created
 
 
@@ -60,3 +63,22 @@
     seconds = run_virtual(seconds_to_save_beside_a_job_that_keeps_changing())
     write_seconds = TRANSACTION_SECONDS * SLOW_STORE_FACTOR
     assert seconds <= (WRITES_PER_SAVE + 0.5) * write_seconds
+
+
+# Guards against a submission that outlives its job's progress, and then runs again.
+def test_the_submission_of_a_job_that_ends_during_a_write_is_removed():
+    async def play():
+        model = Model(1, hosts=1)
+        await model.start(workers=1, rack=1)
+        host = model.leader()
+        writer = ProgressWriter(host.store, host.leadership, EventLog())
+        running = asyncio.create_task(writer.run())
+        created = stored_job(model, "a" * 16)
+        saving = asyncio.create_task(writer.save([created]))
+        await asyncio.sleep(TRANSACTION_SECONDS / 2)
+        created.state = JobState.COMPLETED
+        await writer.save([created])
+        assert saving.done() and not running.done()
+        return model.rows.row(SUBMISSIONS, row_name(created.id))
+
+    assert run_virtual(play()) is None
