--- a/src/zinniatrestle/scheduling/tests/test_progress_writer.py
+++ b/src/zinniatrestle/scheduling/tests/test_progress_writer.py
@@ -10,6 +10,7 @@
     PROGRESS,
     SUBMISSIONS,
     JobProgress,
+    JobState,
     encode_progress,
     row_name,
 )
@@ -30,8 +31,9 @@
     """Return a job of which the store has a progress row."""
     created = job(name)
     value = encode_progress(JobProgress())
-    write = Write(PROGRESS, row_name(created.id), value)
-    created.version = model.rows.apply([], [write]).version
+    row = row_name(created.id)
+    writes = [Write(PROGRESS, row, value), Write(SUBMISSIONS, row, b"")]
+    created.version = model.rows.apply([], writes).version
     return created
 
 
@@ -79,3 +81,22 @@
         return model.rows.row(SUBMISSIONS, row_name(name))
 
     assert run_virtual(play()) is None
+
+
+# Guards against a submission that outlives its job's progress, and then runs again.
+def test_the_submission_of_a_job_that_ends_during_a_write_is_removed():
+    async def play():
+        model = Model(1, hosts=1)
+        await model.start(workers=1, rack=1)
+        host = model.leader()
+        writer = ProgressWriter(host.store, host.leadership, EventLog())
+        running = asyncio.create_task(writer.run())
+        created = stored_job(model, "a" * 16)
+        saving = asyncio.create_task(writer.save([created]))
+        await asyncio.sleep(TRANSACTION_SECONDS / 2)
+        created.state = JobState.COMPLETED
+        await writer.save([created])
+        assert saving.done() and not running.done()
+        return model.rows.row(SUBMISSIONS, row_name(created.id))
+
+    assert run_virtual(play()) is None
