Count the running tasks of a step in the plans for its preemptions

An urgent step with a limit per worker could get one task too many on a worker (ROUTE).

Cause: a plan took the limit of each worker to be unused, although tasks of the step may run there. Reserved tasks start as soon as their capacity is free; nothing checks the limit again.

Evidence: the new test of test_reclaim.py chose the worker that had its one task, since its other run is the cheaper one to stop, and chooses the other worker now.

Why it works: tasks on the worker count until they have ended, those that are being stopped too, as in placement.

--- a/src/zinniatrestle/scheduling/preemption_plan.py
+++ b/src/zinniatrestle/scheduling/preemption_plan.py
@@ -46,6 +46,10 @@
         for task in worker.tasks.values():
             if task.status is TaskStatus.STOPPING:
                 self.add(task)
+        # Tasks of the step that the worker may still take, if the step limits them.
+        self.allowed = step.shape.max_per_worker
+        for task in worker.tasks.values():
+            self.allowed -= task.step is step
         # Incremented by each change, so that options computed before it count as stale.
         self.version = 0
 
@@ -67,7 +71,7 @@
         if shape.gpus:
             max_slots = min(max_slots, self.gpus // shape.gpus)
         if shape.max_per_worker:
-            max_slots = min(max_slots, shape.max_per_worker)
+            max_slots = min(max_slots, self.allowed)
         return max(0, max_slots)
 
 
--- a/src/zinniatrestle/scheduling/tests/test_reclaim.py
+++ b/src/zinniatrestle/scheduling/tests/test_reclaim.py
@@ -47,6 +47,20 @@
     assert list(found.assignment.values()) == [workers[1]]
 
 
+# Guards against a plan that puts more tasks of a step on a worker than are permitted.
+def test_no_room_is_made_on_a_worker_that_has_all_it_may_have_of_the_step():
+    workers = workers_in_racks(1, size=2)
+    shape = Step(count=2, gpus=4, max_per_worker=1)
+    step = first_step(job("a" * 16, shape, priority=0))
+    run_on(step.tasks[0], workers[0])
+    run_task("1", workers[0], 2, NOW - 1, gpus=4)
+    costly = run_task("2", workers[1], 2, NOW - 9)
+    costs = PreemptionCosts(Forecast(Durations(), NOW), CHECKPOINT_SECONDS)
+    found = PLANNER.plan(step, step.waiting_tasks(), workers, constraints(), costs)
+    assert found.victims == [costly]
+    assert list(found.assignment.values()) == [workers[1]]
+
+
 def test_a_run_with_checkpoints_is_preempted_before_one_without():
     workers = workers_in_racks(1, size=2)
     run_task("1", workers[0], 2, NOW - 3)
