Reserve as many workers for a gang as its limit per worker asks for

A gang with such a limit got a reservation of too few workers, and its start was expected too early: steps that rank later took the others, and nothing was preempted for it until its guarantee was nearly due.

Cause: the limit was applied to the slots that are free now, but not to those that come free.

Evidence: the new test of test_backfill.py expected two members on the worker that is free first, and expects one on each now.

Why it works: no member of a gang that waits runs, so the limit is the number of slots that a worker can have.

Ruled out as a cause of the incident: other steps hold the workers as long as the gang waits, and once they have ended placement doesn't use reservations.

--- a/src/zinniatrestle/scheduling/backfill.py
+++ b/src/zinniatrestle/scheduling/backfill.py
@@ -139,6 +139,8 @@
                 fits = min(fits, memory // shape.memory_mb)
             if shape.gpus:
                 fits = min(fits, gpus // shape.gpus)
+            if shape.max_per_worker:
+                fits = min(fits, shape.max_per_worker)
             if fits > slots:
                 slots = fits
                 slot_times.append((at, slots))
--- a/src/zinniatrestle/scheduling/tests/test_backfill.py
+++ b/src/zinniatrestle/scheduling/tests/test_backfill.py
@@ -47,6 +47,20 @@
     assert earliest.at == NOW + 7.0
 
 
+# Guards against a reservation of fewer workers than a limit per worker asks for.
+def test_a_gang_with_a_limit_per_worker_reserves_as_many_workers_as_it_needs():
+    workers = workers_in_racks(1, size=2)
+    for number, seconds in enumerate((4, 20)):
+        shape = Step(gpus=8, estimated_ms=seconds * 1000)
+        run_on(first_step(job(f"{number}" * 16, shape)).tasks[0], workers[number])
+    apart = Step(count=2, gpus=4, gang=True, max_per_worker=1)
+    earliest = BackfillReservations(Forecast(Durations(), NOW)).earliest_start(
+        first_step(job("3" * 16, apart)), 2, workers, constraints()
+    )
+    assert earliest.at == NOW + 20.0
+    assert earliest.workers == workers
+
+
 def test_a_step_that_ends_after_the_reservation_starts_may_not_use_its_workers():
     workers, reservations = reserve_for_gang()
     small = first_step(job("4" * 16, Step(gpus=1, estimated_ms=8000)))
