Don't take a job for running because of a task that doesn't start or end

What callers saw: accepted work that didn't run although most workers were free (LOST), as long as another task of its job was assigned to a worker without running there.

Cause: the limit on waits for preferred workers applied only to jobs without any assigned task. A start or a stop without an answer, and a run on a worker that can't be reached, keep a task assigned for as long as a lease lasts, and the rest of the job went on waiting for its rack or behind a reservation.

--- a/src/zinniatrestle/scheduling/tests/test_wait_limits.py
+++ b/src/zinniatrestle/scheduling/tests/test_wait_limits.py
@@ -199,3 +199,24 @@
     assigned.status = status
     assigned.status_at = NOW - MAX_WAIT
     assert len(place_relaxed(waiting, workers)) == 1
+
+
+# Guards against a job that waits for its rack until an unreachable worker's lease ends.
+def test_a_job_whose_only_running_task_is_on_a_silent_worker_is_overdue():
+    workers = workers_in_racks(3, size=2)
+    other = waiting_step(Step(count=1, gpus=8), 3 * MAX_WAIT)
+    run_on(other.tasks[0], workers[1])
+    waiting = waiting_step(Step(count=2, gpus=8, data_rack=RackId("r0")), 3 * MAX_WAIT)
+    run_on(waiting.tasks[0], workers[0])
+    assert place_relaxed(waiting, workers) == {}
+    workers[0].silent = True
+    assert len(place_relaxed(waiting, workers)) == 1
+
+
+def test_a_job_of_which_a_task_was_placed_just_now_is_not_overdue():
+    workers = workers_in_racks(4, size=1)
+    waiting = waiting_step(Step(count=2, gpus=8, data_rack=RackId("r0")), 3 * MAX_WAIT)
+    assigned = run_on(waiting.tasks[0], workers[0])
+    assigned.status = TaskStatus.PLACED
+    assigned.status_at = NOW
+    assert place_relaxed(waiting, workers) == {}
--- a/src/zinniatrestle/scheduling/wait_limits.py
+++ b/src/zinniatrestle/scheduling/wait_limits.py
@@ -9,7 +9,7 @@
     can_run_near_data,
     candidates,
 )
-from zinniatrestle.scheduling.state import StepRun, Worker
+from zinniatrestle.scheduling.state import Job, StepRun, TaskStatus, Worker
 from zinniatrestle.workers.messages import WorkerState
 
 # Time for workers to join a new scheduler, and for a stopped run's capacity to be free.
@@ -46,7 +46,18 @@
             return True
         if self.now - step.job.accepted_at < self.max_wait:
             return False
-        return self._is_idle(service) and not step.job.allocated_tasks()
+        return self._is_idle(service) and not self._is_at_work(step.job)
+
+    def _is_at_work(self, job: Job) -> bool:
+        """Return whether tasks of a job run, or are about to start or to move."""
+        for task in job.allocated_tasks():
+            if task.worker.silent:
+                continue
+            if task.status is TaskStatus.RUNNING:
+                return True
+            if self.now - task.status_at < MIN_WAIT_SECONDS:
+                return True
+        return False
 
     def relaxed(
         self, step: StepRun, constraints: PlacementConstraints
