Treat a failure of the table service as a write of unknown outcome

A request could be refused as not run after its write had taken effect, and run later.

Cause: the client of the project's own table service took every status from 400 on as 'no effect', 500, 502 and 504 as well.

Evidence: the new tests of store/tests/test_http.py raised StoreUnavailableError for 500, 502 and 504 and raise StoreUncertainError now. Its callers read an uncertain write back.

Ruled out as a cause of the incident: the client of the platform's store, the only one that the daemon on the platform uses, took these as uncertain already. The same tests pin that, and passed before.

--- a/src/zinniatrestle/store/http.py
+++ b/src/zinniatrestle/store/http.py
@@ -40,6 +40,8 @@
 CONNECT_TIMEOUT_SECONDS = 1.0
 ADDRESS_REFRESH_SECONDS = 5.0
 UNAVAILABLE_STATUS = 503
+# A service that failed may have done a part of its work.
+FIRST_SERVER_ERROR_STATUS = 500
 
 
 class ReadCall(msgspec.Struct, frozen=True):
@@ -101,6 +103,10 @@
                     raise StoreUnavailableError(
                         "The service is unavailable (status 503)."
                     )
+                if response.status >= FIRST_SERVER_ERROR_STATUS:
+                    raise StoreUncertainError(
+                        f"The service failed (status {response.status})."
+                    )
                 if response.status >= 400:
                     raise StoreUnavailableError(answer.decode(errors="replace"))
                 return answer
