Place tasks on the workers that their step avoids last

Cause: a step that has waited for too long may use the workers on which it failed as well, and so may one that the others can't hold. Among these placement ranked by free capacity alone, so a task could spend its attempts on a worker on which it had failed, beside others with room.

Evidence: test_an_overdue_gang_prefers_workers_that_it_does_not_avoid fails without the change and passes.

Ruled out: ranking them behind workers in quarantine; those are taken to fail any task, while a sound worker on which one task failed has run others well since.

--- a/src/zinniatrestle/scheduling/placement.py
+++ b/src/zinniatrestle/scheduling/placement.py
@@ -71,9 +71,7 @@
     out if the other healthy workers could hold the step when empty. No permitted worker
     is left out if only the requirements of the step count.
     """
-    avoided: set[WorkerId] = set()
-    for task in step.tasks:
-        avoided |= task.avoided_workers
+    avoided = step.avoided_workers()
     usable = [worker for worker in workers if is_permitted(worker, step, constraints)]
     if constraints.requirements_only:
         return usable
@@ -282,9 +280,10 @@
 ) -> Assignment:
     """Assign tasks to workers, those in use and in the fullest racks first.
 
-    Unhealthy workers and canaries come last. Time-critical steps go to the fastest
-    workers first.
+    Workers that the step avoids come after the others, and unhealthy ones and canaries
+    last. Time-critical steps go to the fastest workers first.
     """
+    avoided = tasks[0].step.avoided_workers()
     free_gpus_by_rack: dict[RackId, int] = {}
     for worker in slots:
         free_gpus_by_rack[worker.rack] = (
@@ -294,6 +293,7 @@
         (worker for worker, count in slots.items() if count),
         key=lambda worker: (
             worker.health is not WorkerHealth.SOUND,
+            worker.id in avoided,
             -_speed_class(worker, constraints) if constraints.time_critical else 0,
             not worker.tasks,
             free_gpus_by_rack[worker.rack],
--- a/src/zinniatrestle/scheduling/state.py
+++ b/src/zinniatrestle/scheduling/state.py
@@ -203,6 +203,13 @@
             failed |= member.failed_runs
         return len(failed)
 
+    def avoided_workers(self) -> set[WorkerId]:
+        """Return the workers that one of its tasks avoids."""
+        avoided: set[WorkerId] = set()
+        for task in self.tasks:
+            avoided |= task.avoided_workers
+        return avoided
+
     def waiting_tasks(self) -> list[Task]:
         """Return the tasks that are neither assigned nor done."""
         return [task for task in self.tasks if task.status is TaskStatus.WAITING]
--- a/src/zinniatrestle/scheduling/tests/test_placement.py
+++ b/src/zinniatrestle/scheduling/tests/test_placement.py
@@ -152,6 +152,17 @@
     assert len(place(shape, [target])) == 2
 
 
+# Guards against an overdue gang that spends its attempts on workers that it failed on.
+def test_an_overdue_gang_prefers_workers_that_it_does_not_avoid():
+    workers = workers_in_racks(1, size=3)
+    step = first_step(job("a" * 16, Step(count=2, gpus=8, gang=True)))
+    step.tasks[0].avoided_workers.add(workers[0].id)
+    assignment = BestFit().place(
+        step, step.waiting_tasks(), workers, constraints(requirements_only=True)
+    )
+    assert set(assignment.values()) == set(workers[1:])
+
+
 # Guards against waiting for the end of a quarantine while avoided workers are free.
 @pytest.mark.parametrize("gang", [False, True])
 def test_a_step_does_not_wait_for_a_quarantined_worker_instead_of_an_avoided_one(gang):
