Treat the runs of a failed start task as unanswered

Cause: the failure of the task that saves placements and sends their starts was logged, but its runs stayed assigned with a start pending, which no report ends.

Evidence: test_a_task_whose_start_task_failed_is_placed_again fails without the change and passes.

Why it works: a run whose start may not have been sent is handled like one without an answer: it is stopped once a report lacks it, and free once that is answered.

Ruled out: freeing the tasks at once; some of the starts may have been sent. An end of the scheduler's generation; one job with an error would stop all others.

--- a/src/zinniatrestle/scheduling/rounds.py
+++ b/src/zinniatrestle/scheduling/rounds.py
@@ -305,7 +305,16 @@
         starting = asyncio.create_task(self._save_and_start(runs))
         self.start_tasks.add(starting)
         starting.add_done_callback(self.start_tasks.discard)
-        starting.add_done_callback(partial(self.tracker.log_failure, "start", None))
+        starting.add_done_callback(partial(self._end_start, runs))
+
+    def _end_start(self, runs: list[tuple[Task, RunNumber]], starting: asyncio.Task):
+        """Treat runs as unanswered if starting them has failed."""
+        self.tracker.log_failure("start", None, starting)
+        if starting.cancelled() or starting.exception() is None:
+            return
+        for task, run in runs:
+            if task.start_pending:
+                self.tracker.unanswered(task, run)
 
     async def _save_and_start(self, runs: list[tuple[Task, RunNumber]]):
         """Save the placements, then send the start orders."""
--- a/src/zinniatrestle/scheduling/tests/test_failed_tasks.py
+++ b/src/zinniatrestle/scheduling/tests/test_failed_tasks.py
@@ -1,4 +1,4 @@
-"""The failure of a background task of the scheduler is logged."""
+"""The failure of a background task of the scheduler is logged, and its runs go on."""
 
 import asyncio
 
@@ -37,3 +37,17 @@
     lines = failures_while_saving(monkeypatch, 1.0)
     assert lines[0]["task"] == "save"
     assert lines[0]["worker"] == "w0"
+
+
+# Guards against tasks that stay assigned after the task that was to start them failed.
+def test_a_task_whose_start_task_failed_is_placed_again(monkeypatch):
+    async def play():
+        model = Model(1)
+        await model.start(workers=2, rack=2)
+        with monkeypatch.context() as patch:
+            patch.setattr(ProgressWriter, "request", fail)
+            await model.submit("usual", (step(1),), 2.0)
+            await asyncio.sleep(0.5)
+        return await model.wait_for_jobs(model.bounds.finish)
+
+    assert run_virtual(play())
