--- a/src/zinniatrestle/scheduling/state.py
+++ b/src/zinniatrestle/scheduling/state.py
@@ -1,7 +1,6 @@
 """In-memory state of jobs, steps, tasks and workers in the scheduler."""
 
 import asyncio
-from collections import Counter
 from enum import Enum
 
 from zinniatrestle.ids import (
@@ -105,10 +104,8 @@
         self.window_percent = 0.0
         self.window_at = BootSeconds(0.0)
         self.reported_at = BootSeconds(0.0)
-        # Workers on which the task failed or made no progress, or that repeatedly left
-        # its starts without an answer.
+        # Workers on which the task failed or made no progress.
         self.avoided_workers: set[WorkerId] = set()
-        self.unanswered_starts: Counter[WorkerId] = Counter()
         # Percentage of its full speed at which a best-effort run works.
         self.pace = 100
 
--- a/src/zinniatrestle/scheduling/tracker.py
+++ b/src/zinniatrestle/scheduling/tracker.py
@@ -33,9 +33,6 @@
     RunOutcome,
 )
 
-# Unanswered starts of a task on one worker from which on the task avoids the worker. A
-# single one may be due to the network.
-MAX_UNANSWERED_STARTS = 2
 # A worker may read its clock up to this time before it lists its runs.
 START_SLACK_MS = 100
 
@@ -484,11 +481,9 @@
         if task.run != run or not task.is_allocated:
             return
         task.start_pending = False
-        worker = task.worker
-        task.unanswered_starts[worker.id] += 1
-        if task.unanswered_starts[worker.id] == MAX_UNANSWERED_STARTS:
-            task.avoided_workers.add(worker.id)
-        self.events.write(Event.RUN_UNANSWERED, task=task.id, run=run, worker=worker.id)
+        self.events.write(
+            Event.RUN_UNANSWERED, task=task.id, run=run, worker=task.worker.id
+        )
         # The next report shows whether the run exists. If it doesn't, a stop makes sure
         # that a delayed start order is refused.
         self.wake.set()
