Avoid a worker that answers holds but left a start without an answer

What callers saw: accepted work didn't run beside idle workers. In virtual time, with one of six workers that carries its orders out 2 to 12 s late and answers none, a gang of 6 s was completed after up to 85 s, and a single task after 33 s.

Cause: the run was stopped, carried out late, and ended by the late stop or for want of its gang. Placement then chose the same worker again: it fills the workers in use first, and nothing had been learned from the lost order. Each round of that took some 8 s.

Evidence: four of six cases of the first new test of test_lost_orders.py placed the step on that worker 3 to 9 times, with its last start after the bound on accepted work; now each places it there once and starts it within the bound.

Why it works: a worker that answers holds but none of three tries of a start is treated as one that refuses a start: the step avoids it while others could hold it, and it is quarantined for 4 s.

Ruled out: blame after a restart, where the lost order was one to the former instance; the second new test fails without that condition. An order lost once is repeated, and blames no worker.

--- a/src/zinniatrestle/scheduling/tests/test_lost_orders.py
+++ b/src/zinniatrestle/scheduling/tests/test_lost_orders.py
@@ -15,7 +15,7 @@
 )
 from zinniatrestle.standins.checker import check_capacity, violations
 from zinniatrestle.standins.model import Model, run_virtual, step
-from zinniatrestle.standins.runs import EventKind, TaskScript
+from zinniatrestle.standins.runs import EventKind, OrderMode, TaskScript
 from zinniatrestle.workers.lease import MIN_CLOCK_RATE
 from zinniatrestle.workers.messages import StartOrder
 
@@ -115,7 +115,7 @@
     async def play():
         model = Model(1)
         await model.start(workers=4, rack=4)
-        model.fleet.workers["w0"].obeys = False
+        model.fleet.workers["w0"].order_mode = OrderMode.DROPPED
         shape = step(2 if gang else 1, gpus=8, gang=gang)
         await model.submit("usual", (shape,), 1.0)
         sent_at = monotonic()
@@ -128,6 +128,45 @@
     assert run_virtual(play()) <= lease + DETECTION_SECONDS < BOUNDS.finish
 
 
+# Guards against a step that is placed again and again on a worker which leaves each
+# order without an answer and carries it out seconds later.
+@pytest.mark.parametrize("gang", [False, True])
+@pytest.mark.parametrize("seed", range(3))
+def test_step_is_placed_once_on_a_worker_that_answers_no_orders(gang, seed):
+    async def play():
+        model = Model(seed)
+        await model.start(workers=6, rack=6)
+        model.fleet.workers["w0"].order_mode = OrderMode.LATE
+        shape = step(3 if gang else 1, gpus=8, gang=gang, seconds=6.0)
+        await model.submit("usual", (shape,), 6.0)
+        sent_at = monotonic()
+        assert await model.wait_for_jobs(120.0)
+        placed = [line for line in model.lines if line["event"] == "run_placed"]
+        times = sum(line["worker"] == "w0" for line in placed)
+        return times, start_events(model)[-1].at - sent_at
+
+    times, seconds = run_virtual(play())
+    assert times == 1
+    assert seconds <= BOUNDS.finish
+
+
+# Guards against a worker that is quarantined for an order to its former instance.
+def test_restarted_worker_is_not_quarantined_for_a_start_that_it_never_got():
+    async def play():
+        model = Model(1)
+        await model.start(workers=4, rack=4)
+        worker = model.fleet.workers["w0"]
+        worker.order_mode = OrderMode.DROPPED
+        await model.submit("usual", (step(gpus=8),), 1.0)
+        await asyncio.sleep(ORDER_TIMEOUTS_SECONDS[0] / 2)
+        worker.order_mode = OrderMode.ANSWERED
+        model.fleet.restart(worker)
+        assert await model.wait_for_jobs(30.0)
+        return [line["event"] for line in model.lines]
+
+    assert "worker_quarantined" not in run_virtual(play())
+
+
 # Guards against a run that counts as lost although its start may still be carried out.
 @pytest.mark.parametrize("seed", range(6))
 def test_no_run_is_repeated_while_its_late_start_may_be_carried_out(seed):
@@ -208,10 +247,10 @@
         model.fleet.add("w1")
         while not any(event.worker == "w1" for event in model.fleet.history):
             await asyncio.sleep(0.05)
-        lost.reachable, lost.obeys = True, False
+        lost.reachable, lost.order_mode = True, OrderMode.DROPPED
         while not any(line.get("again") for line in model.lines):
             await asyncio.sleep(0.05)
-        lost.obeys = True
+        lost.order_mode = OrderMode.ANSWERED
         await asyncio.sleep(BOUNDS.max_hold)
         return violations(model)
 
--- a/src/zinniatrestle/scheduling/tracker.py
+++ b/src/zinniatrestle/scheduling/tracker.py
@@ -279,17 +279,25 @@
             if answered_at is not None and answered_at < asked_at:
                 self._mark_lost(worker, task, "not running after a stop")
                 continue
+            # After a restart the unanswered order was one to the former instance.
+            if task.status is TaskStatus.PLACED and task.start_deadline_ms is not None:
+                self._avoid_unresponsive(worker, task)
             if task.status is not TaskStatus.STOPPING:
                 self.stop(task, "not reported by its worker")
                 self.stop_gang(task.step)
                 continue
             if _start_has_expired(task, clock_ms):
-                task.avoided_workers.add(worker.id)
-                self.quarantine(worker, "its orders get no answer", boot_time())
+                self._avoid_unresponsive(worker, task)
                 self._mark_lost(worker, task, "its start order has expired")
                 continue
             session.stop(task.id, task.run)
 
+    def _avoid_unresponsive(self, worker: Worker, task: Task):
+        """Avoid a worker that answers holds and left a start without an answer."""
+        task.avoided_workers.add(worker.id)
+        reason = f"the start of task {task.id} got no answer"
+        self.quarantine(worker, reason, boot_time())
+
     def _mark_lost(self, worker: Worker, task: Task, reason: str):
         self.events.write(
             Event.RUN_LOST,
--- a/src/zinniatrestle/standins/host_orders.py
+++ b/src/zinniatrestle/standins/host_orders.py
@@ -4,6 +4,7 @@
 
 from zinniatrestle.ids import Generation, RunNumber, TaskId
 from zinniatrestle.standins.fleet import SimulatedFleet
+from zinniatrestle.standins.runs import OrderMode
 from zinniatrestle.workers.interfaces import WorkerOrders
 from zinniatrestle.workers.messages import (
     HoldAnswer,
@@ -90,10 +91,12 @@
     async def _send_order(self, worker: WorkerEntry, timeout: float, execute):
         await self._cross_network(worker, timeout)
         target = self.fleet.workers.get(worker.worker)
-        if target is not None and not target.obeys:
+        mode = target.order_mode if target is not None else OrderMode.ANSWERED
+        if mode is OrderMode.DROPPED:
             await asyncio.sleep(timeout)
             raise UnansweredOrderError("The worker drops the order.")
-        if self.fleet.random.random() < self.fleet.late_order_share:
+        is_late = self.fleet.random.random() < self.fleet.late_order_share
+        if is_late or mode is OrderMode.LATE:
             self._execute_later(worker, execute)
             await asyncio.sleep(timeout)
             raise UnansweredOrderError("The order timed out.")
--- a/src/zinniatrestle/standins/runs.py
+++ b/src/zinniatrestle/standins/runs.py
@@ -48,6 +48,15 @@
     SLOW = "slow"
 
 
+class OrderMode(Enum):
+    """How a worker treats orders."""
+
+    ANSWERED = "answered"
+    DROPPED = "dropped"
+    # They get no answer and are carried out seconds later.
+    LATE = "late"
+
+
 class EventKind(Enum):
     """What an event of the history records."""
 
@@ -111,8 +120,8 @@
     alive: bool = True
     reachable: bool = True
     heartbeats: bool = True
-    # Whether it carries out orders; it answers holds in any case.
-    obeys: bool = True
+    # How it treats orders; it answers holds in any case.
+    order_mode: OrderMode = OrderMode.ANSWERED
     fault_mode: FaultMode = FaultMode.NONE
     # The speed relative to the nominal one, faults aside.
     speed: float = 1.0
