Reserve the ports of a test's processes while they are in use

Cause: free_port bound a socket, closed it and returned its port, so two of the six ports of a cluster could be equal, or the port could go to another process or an outgoing connection before the daemon listened on it.

Change: a reserved port keeps a bound socket with SO_REUSEADDR that doesn't listen, until the processes of the test have ended. The system assigns such a port to no bind, listen or connect that leaves the choice to it, in any process, while a server that sets SO_REUSEADDR (asyncio does) may listen on it and be restarted.

A server that doesn't choose its port by itself and sets SO_REUSEADDR could still take a reserved port if told to; no test does.

--- a/benchmarks/hosts.py
+++ b/benchmarks/hosts.py
@@ -18,7 +18,8 @@
 sys.path.insert(0, str(Path(__file__).parents[1] / "tests"))
 
 import aiohttp
-from common.processes import ADDRESS, SERVICE, ChildProcess, ProcessCluster, free_ports
+from common.ports import ADDRESS
+from common.processes import SERVICE, ChildProcess, ProcessCluster
 from common.templates import apply_account, example_plan
 
 from zinniatrestle.configuration.messages import DomainState, SetDomain
@@ -77,7 +78,7 @@
         plan = example_plan(["lima"], queue_limit=1000)
         token = await apply_account(cluster, "norte", plan)
         minions = ",".join(host.address for host in cluster.listed if host.service)
-        (port,) = free_ports(1)
+        port = cluster.ports.reserve()
         script = Path(__file__).with_name("passthrough.py")
         passthrough = ChildProcess.__new__(ChildProcess)
         passthrough.popen = await asyncio.to_thread(start_script, script, port, minions)
--- a/src/zinniatrestle/store/tests/test_contract.py
+++ b/src/zinniatrestle/store/tests/test_contract.py
@@ -4,7 +4,8 @@
 from contextlib import asynccontextmanager
 
 import pytest
-from common.processes import ADDRESS, ProcessCluster, free_ports
+from common.ports import ADDRESS, PortReservations
+from common.processes import ProcessCluster
 
 from zinniatrestle.clock import LoopClock, SystemClock
 from zinniatrestle.errors import (
@@ -248,10 +249,11 @@
 
 def test_unreachable_platform_is_unavailable():
     async def scenario():
-        (port,) = free_ports(1)
-        platform = HttpPlatform(f"http://{ADDRESS}:{port}", HostId("lima-1"))
-        with pytest.raises(StoreUnavailableError):
-            await platform.table.commit(Transaction(puts=[Put(A, b"1")]))
-        await platform.close()
+        with PortReservations() as ports:
+            port = ports.reserve()
+            platform = HttpPlatform(f"http://{ADDRESS}:{port}", HostId("lima-1"))
+            with pytest.raises(StoreUnavailableError):
+                await platform.table.commit(Transaction(puts=[Put(A, b"1")]))
+            await platform.close()
 
     asyncio.run(scenario())
--- a/tests/common/platform_cluster.py
+++ b/tests/common/platform_cluster.py
@@ -3,13 +3,13 @@
 import asyncio
 import contextlib
 import os
-import socket
 import sys
 from pathlib import Path
 
 import aiohttp
 import msgspec
 
+from common.ports import PortReservations
 from zinniatrestle.events.explain import read_lines
 from zinniatrestle.ids import RowName, TableName
 from zinniatrestle.jobs.messages import Step
@@ -48,19 +48,14 @@
 }
 
 
-def free_port() -> int:
-    with socket.socket() as probe:
-        probe.bind(("127.0.0.1", 0))
-        return probe.getsockname()[1]
-
-
 class Host:
     """An entry host that runs as a process of its own."""
 
-    def __init__(self, number: int, store: str, folder: Path):
+    def __init__(self, number: int, store: str, folder: Path, ports: PortReservations):
         self.name = f"host-{number}"
-        self.frontend_port, self.readiness_port = free_port(), free_port()
-        self.metrics_port = free_port()
+        self.frontend_port = ports.reserve()
+        self.readiness_port = ports.reserve()
+        self.metrics_port = ports.reserve()
         self.settings = folder / f"{self.name}.toml"
         self.log = folder / f"{self.name}.log"
         self.settings.write_text(
@@ -198,6 +193,7 @@
     async def run():
         cluster = PlatformCluster(folder)
         async with contextlib.AsyncExitStack() as stack:
+            ports = stack.enter_context(PortReservations())
             stack.push_async_callback(cluster.session.close)
             store = await stack.enter_async_context(serve_app(cluster.wire.app()))
             config = msgspec.json.encode(CONFIG)
@@ -214,7 +210,7 @@
                     relay, address = None, store
                     if relayed:
                         relay, address = await start_store_relay(stack, store)
-                    host = Host(number, address, folder)
+                    host = Host(number, address, folder, ports)
                     host.relay = relay
                     cluster.hosts.append(host)
                     await host.start()
--- a/tests/common/processes.py
+++ b/tests/common/processes.py
@@ -1,9 +1,8 @@
-"""Clusters of real processes on the loopback interface, with free ports."""
+"""Clusters of real processes on the loopback interface, with reserved ports."""
 
 import asyncio
 import os
 import signal
-import socket
 import subprocess
 import sys
 from collections.abc import Awaitable, Callable
@@ -12,6 +11,7 @@
 import aiohttp
 import msgspec
 
+from common.ports import ADDRESS, PortReservations
 from zinniatrestle.configuration.messages import Change
 from zinniatrestle.errors import ZinniatrestleError
 from zinniatrestle.ids import FailureDomainId, Revision, new_operation_token
@@ -29,7 +29,6 @@
 from zinniatrestle.standins.site import minion_list, worker_list
 from zinniatrestle.store.messages import ListedHost, WorkerReport
 
-ADDRESS = "127.0.0.1"
 SERVICE = "enrolment"
 OPERATOR_TOKEN = "operator-token-of-the-test"
 CLUSTER_KEY = "cluster-key-of-the-test"
@@ -38,17 +37,6 @@
 POLL_SECONDS = 0.1
 
 
-def free_ports(count: int) -> list[int]:
-    """Return ports that no process listens on."""
-    sockets = [socket.socket() for _ in range(count)]
-    for probe in sockets:
-        probe.bind((ADDRESS, 0))
-    ports = [probe.getsockname()[1] for probe in sockets]
-    for probe in sockets:
-        probe.close()
-    return ports
-
-
 async def eventually(check: Callable[[], Awaitable[Any]], condition: str) -> Any:
     """Poll a check until its result is true, and return that result.
 
@@ -135,6 +123,7 @@
         self.worker_count = workers
         self.hosts: dict[str, HostProcess] = {}
         self.processes: list[ChildProcess] = []
+        self.ports = PortReservations()
         self.platform_url = ""
         self.listed: list[ListedHost] = []
         self.minion_processes: dict[str, ChildProcess] = {}
@@ -153,10 +142,11 @@
     async def __aexit__(self, *details):
         for process in self.processes:
             process.kill()
+        self.ports.release()
         await self.session.close()
 
     async def _start(self):
-        (port,) = free_ports(1)
+        port = self.ports.reserve()
         self.platform_url = f"http://{ADDRESS}:{port}"
         self._run(["zinniatrestle.standins", "platform", "--port", str(port)])
         for domain in self.domains:
@@ -168,17 +158,16 @@
         await eventually(self._all_ready, "all processes to be ready")
 
     def _start_domain(self, domain: str):
-        ports = free_ports(self.minion_count + 1 + 2 * self.host_count)
         addresses = []
         for number in range(self.minion_count):
-            port = ports.pop()
+            port = self.ports.reserve()
             addresses.append(f"{ADDRESS}:{port}")
             name = f"{domain}-{SERVICE}-{number}"
             arguments = ["minion", "--name", name, "--port", str(port)]
             process = self._run(["zinniatrestle.standins", *arguments])
             self.minion_processes[name] = process
         self.listed += minion_list(FailureDomainId(domain), SERVICE, addresses)
-        port = ports.pop()
+        port = self.ports.reserve()
         count = str(self.worker_count)
         arguments = ["workers", "--domain", domain, "--count", count]
         self._run(["zinniatrestle.standins", *arguments, "--port", str(port)])
@@ -188,7 +177,9 @@
         )
         for number in range(self.host_count):
             name = f"{domain}-{number + 1}"
-            self.hosts[name] = HostProcess(name, domain, ports.pop(), ports.pop())
+            self.hosts[name] = HostProcess(
+                name, domain, self.ports.reserve(), self.ports.reserve()
+            )
 
     def start_host(self, host: HostProcess):
         """Start an entry host, or restart it."""
