Check in the soak that accepted jobs run once faults have ended

An end counts once it was acknowledged. Jobs whose cancellation was sent don't count. The wait for the faults' end is no longer a fixed pause but lasts until each of them has ended, restarts included. Also new: a job that is shown as failed, though no run failed, or as cancelled, though nobody cancelled it, is lost; a host that has ended by itself is reported (before, it was started again silently); workers crash and return, registered meanwhile or not; faults are more frequent in the last 3 s of traffic; a third of the jobs have a second step.

--- a/tests/common/platform_cluster.py
+++ b/tests/common/platform_cluster.py
@@ -11,12 +11,12 @@
 
 from common.ports import PortReservations
 from zinniatrestle.events.explain import read_lines
-from zinniatrestle.ids import RowName, TableName
+from zinniatrestle.ids import RowName, TableName, WorkerId
 from zinniatrestle.jobs.messages import Step
 from zinniatrestle.standins.fleet import SimulatedFleet
 from zinniatrestle.standins.relay import Relay
 from zinniatrestle.standins.rows import MemoryRows
-from zinniatrestle.standins.runs import EventKind, TaskScript
+from zinniatrestle.standins.runs import EventKind, SimulatedWorker, TaskScript
 from zinniatrestle.standins.wire import (
     WireFleetWorker,
     WireStore,
@@ -26,6 +26,7 @@
 
 HOSTS = 2
 WORKERS = 2
+SERVERS = TableName("servers")
 # Waits may take this long on a machine that is busy with other work.
 WAIT_TIMEOUT_SECONDS = 60.0
 CONFIG = {
@@ -111,8 +112,19 @@
         self.fleet = SimulatedFleet(self.rows)
         self.folder = folder
         self.hosts: list[Host] = []
+        self.worker_addresses: dict[WorkerId, str] = {}
         self.session = aiohttp.ClientSession()
 
+    def list_worker(self, worker: SimulatedWorker):
+        """Write a worker's entry to the platform's table of workers."""
+        name = worker.entry.worker
+        row = encode_server_row(worker.entry, self.worker_addresses[name])
+        self.rows.put(SERVERS, RowName(name), row)
+
+    def unlist_worker(self, worker: SimulatedWorker):
+        """Remove a worker's entry."""
+        self.rows.put(SERVERS, RowName(worker.entry.worker), None)
+
     async def wait_until_ready(self, host: Host):
         async with asyncio.timeout(WAIT_TIMEOUT_SECONDS):
             while await self.http_status(host.readiness_port, "/-/ready") != 200:
@@ -145,7 +157,11 @@
     async def submit(self, host: Host, job: str, seconds=0.3, steps=None) -> int:
         step_bodies = steps or [{"count": 2, "gpus": 1, "cpu": 100, "gang": True}]
         script_steps = [
-            Step(count=step_body["count"], gang=step_body.get("gang", False))
+            Step(
+                count=step_body["count"],
+                gpus=step_body.get("gpus", 0),
+                gang=step_body.get("gang", False),
+            )
             for step_body in step_bodies
         ]
         script = TaskScript(seconds=seconds, steps=tuple(script_steps))
@@ -202,8 +218,8 @@
                 worker = cluster.fleet.add(f"i-{number}", "r1", "zone-a")
                 app = WireFleetWorker(cluster.fleet, worker.entry).app()
                 address = await stack.enter_async_context(serve_app(app))
-                row = encode_server_row(worker.entry, address)
-                cluster.rows.put(TableName("servers"), RowName(f"i-{number}"), row)
+                cluster.worker_addresses[worker.entry.worker] = address
+                cluster.list_worker(worker)
             fleet_task = asyncio.create_task(cluster.fleet.run())
             try:
                 for number in range(hosts):
--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -11,9 +11,11 @@
 from pathlib import Path
 
 import aiohttp
+from common.idle_jobs import IdleJobs
 from common.platform_cluster import PlatformCluster, run_with_cluster
 
 from zinniatrestle.clock import monotonic
+from zinniatrestle.jobs.messages import Step
 from zinniatrestle.standins.relay import LinkState, Relay
 from zinniatrestle.standins.runs import EventKind, FaultMode
 from zinniatrestle.standins.wire import WireFault
@@ -22,9 +24,12 @@
 # Faults are injected in the first phase; afterwards all jobs must end within the
 # time-out, which covers the longest lease, a takeover and the longest job.
 FAULT_PHASE_SECONDS = 12.0
+# Faults are more frequent in the last part of that phase.
+LAST_FAULTS_SECONDS = 3.0
 JOB_END_TIMEOUT_SECONDS = 60.0
 JOBS_PER_SECOND = 2.0
 NOT_FOUND_STATUS = "410"
+ENDED_STATES = frozenset({"completed", "failed", "cancelled"})
 
 
 class Soak:
@@ -34,10 +39,15 @@
         self.cluster = cluster
         self.relays = relays
         self.rng = random.Random(seed)
+        # Draws of later additions, which leave those of a kept seed as they are.
+        self.further_rng = random.Random(f"{seed}-further")
         self.accepted: set[str] = set()
         self.refused: set[str] = set()
         self.unknown: set[str] = set()
         self.cancelled: dict[str, float] = {}
+        # Jobs whose cancellation was sent, whether it was confirmed or not.
+        self.cancelling: set[str] = set()
+        self.idle_jobs = IdleJobs(cluster.fleet)
         self.violations: list[str] = []
         self.restarting: set[str] = set()
         self.background_tasks: list[asyncio.Task] = []
@@ -45,20 +55,33 @@
     async def run(self) -> list[str]:
         """Run the test and return a description of each violation."""
         deadline = monotonic() + FAULT_PHASE_SECONDS
-        injecting = asyncio.create_task(self._inject_faults(deadline))
+        injecting = asyncio.gather(
+            self._inject_faults(deadline),
+            self._inject_last_faults(deadline),
+            self._restart_workers(deadline),
+        )
         while monotonic() < deadline:
             await asyncio.sleep(self.rng.expovariate(JOBS_PER_SECOND))
             self.background_tasks.append(asyncio.create_task(self._submit_job()))
         await injecting
-        await self._clear_faults()
+        self._clear_faults()
         await asyncio.gather(*self.background_tasks)
+        quiet_from = monotonic()
+        await self._check_hosts()
+        watching = asyncio.create_task(self.idle_jobs.watch(quiet_from))
         await self._wait_for_job_ends()
+        watching.cancel()
+        for job in self.idle_jobs.lost:
+            self.violations.append(f"LOST: {job} runs nothing despite ample room")
         self._check_history()
         return self.violations
 
     async def _submit_job(self):
         job = f"{self.rng.getrandbits(64):016x}"
         steps = [{"count": self.rng.choice([1, 2, 4]), "gpus": 1, "gang": True}]
+        if self.further_rng.random() < 0.3:
+            count = self.further_rng.randint(1, 4)
+            steps.append({"count": count, "gpus": 2, "after": [0]})
         attempts = refusals = 0
         for _ in range(6):
             host = self.rng.choice(self.cluster.hosts)
@@ -78,10 +101,16 @@
         if job not in self.accepted:
             (self.refused if refusals == attempts else self.unknown).add(job)
             return
+        self.idle_jobs.unfinished[job] = [
+            Step(count=step["count"], gpus=step["gpus"], gang="gang" in step)
+            for step in steps
+        ]
         if self.rng.random() < 0.15:
             await self._cancel_job(job)
 
     async def _cancel_job(self, job: str):
+        self.cancelling.add(job)
+        self.idle_jobs.unfinished.pop(job)
         for _ in range(6):
             try:
                 status, _ = await self.cluster.call(
@@ -108,6 +137,39 @@
             fault = self.rng.choice(faults)
             self.background_tasks.append(asyncio.create_task(fault()))
 
+    async def _inject_last_faults(self, deadline: float):
+        faults = [
+            self._kill_host,
+            self._freeze_host,
+            self._set_link_fault,
+            self._set_store_fault,
+            self._set_worker_fault,
+            self._restart_worker,
+        ]
+        await asyncio.sleep(FAULT_PHASE_SECONDS - LAST_FAULTS_SECONDS)
+        while monotonic() < deadline:
+            await asyncio.sleep(self.further_rng.uniform(0.1, 1.0))
+            fault = self.further_rng.choice(faults)
+            self.background_tasks.append(asyncio.create_task(fault()))
+
+    async def _restart_workers(self, deadline: float):
+        while monotonic() < deadline:
+            await asyncio.sleep(self.further_rng.uniform(2.0, 6.0))
+            self.background_tasks.append(asyncio.create_task(self._restart_worker()))
+
+    async def _restart_worker(self):
+        """Crash a worker and start it again, registered meanwhile or not."""
+        fleet = self.cluster.fleet
+        worker = self.further_rng.choice(list(fleet.workers.values()))
+        if not worker.alive:
+            return
+        fleet.crash(worker)
+        if self.further_rng.random() < 0.5:
+            self.cluster.unlist_worker(worker)
+        await asyncio.sleep(self.further_rng.uniform(0.1, 4.0))
+        fleet.restart(worker)
+        self.cluster.list_worker(worker)
+
     async def _kill_host(self):
         host = self.rng.choice(self.cluster.hosts)
         await self._restart_host(host, signal.SIGKILL, self.rng.uniform(0.1, 2.0))
@@ -156,13 +218,16 @@
     async def _drop_change_history(self):
         self.cluster.rows.drop_history()
 
-    async def _clear_faults(self):
+    def _clear_faults(self):
         for relay in self.relays:
             relay.set_link(LinkState.HEALTHY)
         self.cluster.wire.fault = WireFault.NONE
-        await asyncio.sleep(6.0)
+
+    async def _check_hosts(self):
+        """Check that no host has ended by itself, and that all become ready."""
         for host in self.cluster.hosts:
             if host.process.returncode is not None:
+                self.violations.append(f"EXIT: {host.name} ended by itself")
                 await host.start()
             await self.cluster.wait_until_ready(host)
 
@@ -175,8 +240,13 @@
                     state = await self.cluster.state(self.cluster.hosts[0], job)
                 except aiohttp.ClientError:
                     continue
-                if state in ("completed", "failed", "cancelled"):
+                if state in ENDED_STATES:
                     waiting.discard(job)
+                    self.idle_jobs.unfinished.pop(job, None)
+                if state == "failed":
+                    self.violations.append(f"LOST: {job} failed though no run did")
+                if state == "cancelled" and job not in self.cancelling:
+                    self.violations.append(f"LOST: {job} was cancelled by nobody")
                 if state == NOT_FOUND_STATUS:
                     self.violations.append(f"LOST: {job} is unknown")
                     waiting.discard(job)
