State in the logs until when runs without reports are waited for

Change: a run counts as work only if its worker can report; otherwise the reason is `unreachable_runs`, with the run, its worker, the age of the last report and of the missing entry, and the end of the lease as `until`. `worker_silent` has the number of runs and the same time. Waits for members, starts and stops name the run that may last longest. `unusable_workers` names up to five workers and their condition. Lines come after 2 s, and urgent steps share a limit of 20 lines a second. Decisions don't use any of this.

--- a/src/zinniatrestle/scheduling/fleet.py
+++ b/src/zinniatrestle/scheduling/fleet.py
@@ -269,7 +269,14 @@
         """Mark a worker as silent; end it if the registry confirms that it is gone."""
         if not worker.silent:
             worker.silent = True
-            self.events.write(Event.WORKER_SILENT, worker=worker.id, refused=refused)
+            self.events.write(
+                Event.WORKER_SILENT,
+                worker=worker.id,
+                refused=refused,
+                tasks=len(worker.tasks),
+                # Its runs are lost at the latest then.
+                until=round(max(0.0, worker.lease.expires_at - boot_time()), 2),
+            )
         # A network partition may look like a refused connection, so the instance ends
         # only if its entry is gone as well.
         if refused and worker.missing_since is not None:
--- a/src/zinniatrestle/scheduling/state.py
+++ b/src/zinniatrestle/scheduling/state.py
@@ -390,6 +390,14 @@
             and not self.unknown_runs
         )
 
+    def can_report(self) -> bool:
+        """Return whether this instance may still report its runs.
+
+        Otherwise their end is known at the latest when its lease has expired.
+        """
+        # An instance that is known only from a job's progress has no address.
+        return not self.silent and not self.has_ended and bool(self.entry.address)
+
     def add_task(self, task: Task):
         """Assign a task to the worker and deduct its resources."""
         self.tasks[task.id] = task
--- a/src/zinniatrestle/scheduling/tests/test_lost_workers.py
+++ b/src/zinniatrestle/scheduling/tests/test_lost_workers.py
@@ -142,3 +142,17 @@
         return starts[-1] - hosts_back_at
 
     assert run_virtual(play()) < DETECTION_SECONDS
+
+
+def test_the_lines_say_until_when_a_lost_run_is_waited_for_at_most():
+    model, _ = run_virtual(lose_worker(partition))
+    (silent,) = [line for line in model.lines if line["event"] == "worker_silent"]
+    (lost,) = [line for line in model.lines if line["event"] == "run_lost"]
+    assert silent["tasks"] == 1
+    assert lost["at"] == pytest.approx(silent["at"] + silent["until"], abs=0.3)
+    waits = [line for line in model.lines if line["event"] == "job_waits"]
+    assert waits
+    for line in waits:
+        assert (line["reason"], line["tasks"]) == ("unreachable_runs", 1)
+        assert line["held_worker"] == silent["worker"]
+        assert lost["at"] == pytest.approx(line["at"] + line["until"], abs=0.3)
--- a/src/zinniatrestle/scheduling/tests/test_wait_log.py
+++ b/src/zinniatrestle/scheduling/tests/test_wait_log.py
@@ -8,8 +8,10 @@
 from zinniatrestle.scheduling.wait_log import (
     LOGGED_WAIT_SECONDS,
     MAX_LINES_PER_SURVEY,
+    MAX_NAMED_WORKERS,
     REPEAT_SECONDS,
     SURVEY_SECONDS,
+    URGENT_REPEAT_SECONDS,
     WaitLog,
 )
 from zinniatrestle.scheduling.waits import Room, Wait, WaitReason
@@ -83,6 +85,54 @@
     assert {line["job"] for line in rounds.lines} == {step.job.id for step in steps}
 
 
+def test_urgent_steps_share_a_limit_on_lines_and_are_logged_in_turn():
+    rounds = Rounds()
+    steps = [first_step(job(f"{number:016}", priority=0)) for number in range(200)]
+    rounds.run(steps, URGENT_REPEAT_SECONDS)
+    surveys = URGENT_REPEAT_SECONDS / SURVEY_SECONDS + 1
+    assert 0 < len(rounds.lines) <= MAX_LINES_PER_SURVEY * surveys
+    turn_seconds = len(steps) / MAX_LINES_PER_SURVEY * SURVEY_SECONDS
+    rounds.run(steps, turn_seconds)
+    assert {line["job"] for line in rounds.lines} == {step.job.id for step in steps}
+
+
+def logged_line(wait: Wait) -> dict:
+    events = EventList()
+    log = WaitLog(events, Metrics())
+    log.begin_round(NOW)
+    log.write(first_step(job("1" * 16)), wait, ROOM)
+    return events.lines[0]
+
+
+def test_a_line_states_which_run_is_waited_for_and_until_when_at_most():
+    target = worker("w")
+    target.reported_at, target.missing_since = NOW - 4.0, NOW - 3.0
+    target.silent = True
+    held_by = run_on(first_step(job("2" * 16)).tasks[0], target)
+    held_by.status_at = NOW - 5.0
+    line = logged_line(
+        Wait(WaitReason.UNREACHABLE_RUNS, None, held_by, until=NOW + 2.5)
+    )
+    assert (line["held_by"], line["held_worker"]) == (held_by.id, "w")
+    assert (line["held_status"], line["held_silent"]) == ("running", True)
+    assert (line["held_s"], line["held_reported"], line["held_missing"]) == (5, 4, 3)
+    assert line["until"] == 2.5
+
+
+def test_a_line_names_some_unusable_workers_with_the_reason():
+    workers = [worker(f"w{number}") for number in range(10)]
+    for unusable in workers:
+        unusable.reported_at = NOW
+    workers[0].silent = True
+    workers[1].cordoned = True
+    workers[2].unknown_runs.add("t")
+    line = logged_line(Wait(WaitReason.UNUSABLE_WORKERS, unusable=workers))
+    assert line["unusable_count"] == 10
+    assert len(line["unusable"]) == MAX_NAMED_WORKERS
+    reasons = [line["unusable"][f"w{number}"] for number in range(3)]
+    assert reasons == ["silent", "cordoned", "unknown_runs"]
+
+
 def test_a_step_whose_job_runs_is_not_logged():
     rounds = Rounds()
     two_steps = job("1" * 16, *[first_step(job("2" * 16)).shape] * 2)
--- a/src/zinniatrestle/scheduling/tests/test_waits.py
+++ b/src/zinniatrestle/scheduling/tests/test_waits.py
@@ -1,5 +1,6 @@
 """Reasons of waits: each step that waits states what for, and what ends the wait."""
 
+import msgspec
 import pytest
 from common.scheduling import (
     NOW,
@@ -62,10 +63,12 @@
     assert wait_of(Step(gpus=9), workers_in_racks(1)).reason is WaitReason.TOO_LARGE
 
 
-def test_wait_for_workers_that_are_not_usable():
+def test_wait_for_workers_that_are_not_usable_names_them():
     workers = workers_in_racks(1, size=2)
     workers[0].unknown_runs.add("t")
-    assert wait_of(GANG, workers).reason is WaitReason.UNUSABLE_WORKERS
+    wait = wait_of(GANG, workers)
+    assert wait.reason is WaitReason.UNUSABLE_WORKERS
+    assert wait.unusable == workers[:1]
 
 
 def test_wait_for_capacity_ends_when_the_forecast_says():
@@ -148,8 +151,9 @@
 
 
 def place_gang(*statuses):
-    workers = workers_in_racks(1, size=2)
-    step = first_step(job("a" * 16, GANG))
+    workers = workers_in_racks(1, size=len(statuses))
+    shape = msgspec.structs.replace(GANG, count=len(statuses))
+    step = first_step(job("a" * 16, shape))
     for task, target, status in zip(step.tasks, workers, statuses, strict=True):
         if status is TaskStatus.WAITING:
             continue
@@ -173,13 +177,95 @@
     assert wait.until is None
 
 
-def test_wait_for_a_member_on_a_silent_worker_ends_with_its_lease():
+def become_silent(target):
+    target.silent = True
+
+
+def become_ended(target):
+    target.has_ended = True
+
+
+def become_known_from_progress_only(target):
+    target.entry = msgspec.structs.replace(target.entry, address="")
+
+
+@pytest.fixture(params=[become_silent, become_ended, become_known_from_progress_only])
+def lose_contact(request):
+    """Return a function after which a worker sends no more reports."""
+
+    def lose(target, lease_seconds: float):
+        request.param(target)
+        target.lease.expires_at = NOW + lease_seconds
+
+    return lose
+
+
+def test_wait_for_a_member_without_reports_ends_with_its_lease(lose_contact):
     step = place_gang(TaskStatus.WAITING, TaskStatus.STOPPING)
-    step.tasks[1].worker.silent = True
-    step.tasks[1].worker.lease.expires_at = NOW + 6.0
+    lose_contact(step.tasks[1].worker, 6.0)
     assert assigned_wait(step).until == NOW + 6.0
 
 
+@pytest.mark.parametrize(
+    "statuses",
+    [
+        (TaskStatus.STOPPING, TaskStatus.PLACED),
+        (TaskStatus.STOPPING, TaskStatus.RUNNING),
+        (TaskStatus.PLACED, TaskStatus.RUNNING),
+        (TaskStatus.RUNNING, TaskStatus.STOPPING),
+    ],
+)
+def test_a_gang_waits_for_the_member_whose_end_is_known_last(statuses, lose_contact):
+    step = place_gang(TaskStatus.STOPPING, *statuses)
+    lose_contact(step.tasks[1].worker, 5.0)
+    lose_contact(step.tasks[2].worker, 6.0)
+    wait = assigned_wait(step)
+    assert wait.reason is WaitReason.GANG_MEMBERS
+    assert wait.held_by is step.tasks[2]
+    assert wait.until == NOW + 6.0
+
+
+# Such runs counted as work, so a job that had lost all of its runs wrote no line.
+@pytest.mark.parametrize(
+    "shape", [Step(gpus=1), GANG, Step(count=2, gpus=1, long_running=True)]
+)
+def test_runs_on_workers_without_reports_are_waited_for(shape, lose_contact):
+    step = first_step(job("a" * 16, shape))
+    for task, target in zip(step.tasks, workers_in_racks(1), strict=False):
+        run_on(task, target)
+    assert assigned_wait(step) is None
+    lose_contact(step.tasks[-1].worker, 6.0)
+    wait = assigned_wait(step)
+    assert wait.reason is WaitReason.UNREACHABLE_RUNS
+    assert wait.held_by is step.tasks[-1]
+    assert wait.until == NOW + 6.0
+
+
+def test_a_step_of_single_tasks_does_not_wait_while_one_of_them_runs(lose_contact):
+    step = first_step(job("a" * 16, Step(count=2, gpus=1)))
+    for task, target in zip(step.tasks, workers_in_racks(1, size=2), strict=True):
+        run_on(task, target)
+    lose_contact(step.tasks[0].worker, 6.0)
+    assert assigned_wait(step) is None
+
+
+@pytest.mark.parametrize(
+    "status, reason",
+    [
+        (TaskStatus.STOPPING, WaitReason.STOPPING),
+        (TaskStatus.PLACED, WaitReason.START_UNANSWERED),
+    ],
+)
+def test_each_long_running_task_waits_whether_others_run_or_not(status, reason):
+    step = first_step(job("a" * 16, Step(count=2, gpus=1, long_running=True)))
+    for task, target in zip(step.tasks, workers_in_racks(1, size=2), strict=True):
+        run_on(task, target)
+    step.tasks[1].status = status
+    wait = assigned_wait(step)
+    assert (wait.reason, wait.held_by) == (reason, step.tasks[1])
+    assert wait.until is None
+
+
 def test_wait_for_a_start_order():
     step = place_gang(TaskStatus.RUNNING, TaskStatus.PLACED)
     step.tasks[1].start_pending = True
--- a/src/zinniatrestle/scheduling/wait_log.py
+++ b/src/zinniatrestle/scheduling/wait_log.py
@@ -6,12 +6,19 @@
 from zinniatrestle.ids import BootSeconds
 from zinniatrestle.metrics import Metrics
 from zinniatrestle.scheduling.preemption import HIGHEST_PRIORITY
-from zinniatrestle.scheduling.state import Job, StepRun, TaskStatus
-from zinniatrestle.scheduling.waits import Room, Wait, WaitReason, is_at_work
+from zinniatrestle.scheduling.state import Job, StepRun, Task, TaskStatus, Worker
+from zinniatrestle.scheduling.unusable import unusable_reason
+from zinniatrestle.scheduling.waits import (
+    Room,
+    Wait,
+    WaitReason,
+    is_at_work,
+    is_known_to_run,
+)
 
 # Time in seconds for which nothing of a job runs before its steps are logged: short
-# waits for capacity are normal.
-LOGGED_WAIT_SECONDS = 3.0
+# waits for capacity are normal, but 3 s of them can break the promise to callers.
+LOGGED_WAIT_SECONDS = 2.0
 # The same for a step of the highest priority that waits for an order or for a run to
 # end. One that waits for room is logged at once.
 URGENT_WAIT_SECONDS = 1.0
@@ -22,8 +29,11 @@
 # Interval in seconds at which all waiting steps are looked at; rounds may follow each
 # other much faster.
 SURVEY_SECONDS = 0.2
-# Limit on the lines per survey, urgent steps aside, to bound their processor time.
+# Limit on the lines per survey, for urgent and for other steps, to bound their
+# processor time.
 MAX_LINES_PER_SURVEY = 4
+# Limit on the unusable workers that a line names.
+MAX_NAMED_WORKERS = 5
 
 
 class WaitLog:
@@ -35,8 +45,9 @@
         self.now = BootSeconds(0.0)
         self.is_surveying = False
         self.surveyed_at = BootSeconds(float("-inf"))
-        self.lines_left = 0
+        self.lines_left = self.urgent_lines_left = 0
         self.repeat_seconds = REPEAT_SECONDS
+        self.urgent_repeat_seconds = URGENT_REPEAT_SECONDS
         # Since when each step has waited while nothing of its job ran.
         self.idle_since: dict[StepRun, BootSeconds] = {}
         self.still_idle: dict[StepRun, BootSeconds] = {}
@@ -51,10 +62,13 @@
         self.is_surveying = now - self.surveyed_at >= SURVEY_SECONDS
         if self.is_surveying:
             self.surveyed_at = now
-            self.lines_left = MAX_LINES_PER_SURVEY
-            # If many steps wait, each gets its turn before any is logged again.
-            turn_seconds = len(self.idle_since) * SURVEY_SECONDS / MAX_LINES_PER_SURVEY
-            self.repeat_seconds = max(REPEAT_SECONDS, turn_seconds)
+            self.lines_left = self.urgent_lines_left = MAX_LINES_PER_SURVEY
+            urgent = sum(_is_urgent(step) for step in self.idle_since)
+            others = len(self.idle_since) - urgent
+            self.urgent_repeat_seconds = max(
+                URGENT_REPEAT_SECONDS, _turn_seconds(urgent)
+            )
+            self.repeat_seconds = max(REPEAT_SECONDS, _turn_seconds(others))
             self.still_idle = {}
             self.job_is_idle = {}
 
@@ -67,10 +81,13 @@
         if is_idle:
             self.still_idle[step] = self.idle_since.get(step, self.now)
         since_logged = self.now - self.logged_at.get(step, float("-inf"))
-        if step.job.submission.priority == HIGHEST_PRIORITY:
+        if _is_urgent(step):
             if is_short and not self._has_waited(step, URGENT_WAIT_SECONDS):
                 return False
-            return since_logged >= URGENT_REPEAT_SECONDS
+            if not self.urgent_lines_left or since_logged < self.urgent_repeat_seconds:
+                return False
+            self.urgent_lines_left -= 1
+            return True
         if not self.lines_left or since_logged < self.repeat_seconds:
             return False
         if not is_idle or not self._has_waited(step, LOGGED_WAIT_SECONDS):
@@ -86,20 +103,21 @@
         """Log why a step waits, with further fields."""
         now, shape = self.now, step.shape
         waiting = sum(
-            task.status is not TaskStatus.RUNNING and task.status is not TaskStatus.DONE
+            task.status is not TaskStatus.DONE and not is_known_to_run(task)
             for task in step.tasks
         )
         has_ample_room = room.is_ample(waiting if shape.gang else 1)
         self.logged_at[step] = now
         self.found[step] = (wait.reason, has_ample_room)
         idle_since = self.idle_since.get(step, now)
-        held_by = wait.held_by
-        if held_by is not None:
-            fields["held_by"] = held_by.id
-            fields["held_status"] = held_by.status.value
-            fields["held_worker"] = held_by.worker.id if held_by.worker else None
-            fields["held_silent"] = bool(held_by.worker and held_by.worker.silent)
-            fields["held_s"] = round(now - held_by.status_at, 2)
+        if wait.held_by is not None:
+            fields.update(_held_fields(wait.held_by, now))
+        if wait.unusable:
+            fields["unusable_count"] = len(wait.unusable)
+            fields["unusable"] = {
+                worker.id: _unusable_text(worker, now)
+                for worker in wait.unusable[:MAX_NAMED_WORKERS]
+            }
         self.events.write(
             Event.JOB_WAITS,
             job=step.job.id,
@@ -160,10 +178,45 @@
         A long-running task is to run whether others of its job run or not.
         """
         if step.shape.long_running:
-            return any(task.status is not TaskStatus.RUNNING for task in step.tasks)
+            return any(not is_known_to_run(task) for task in step.tasks)
         job = step.job
         if job not in self.job_is_idle:
             self.job_is_idle[job] = not any(
                 is_at_work(other) for other in job.steps.values() if not other.done
             )
         return self.job_is_idle[job]
+
+
+def _is_urgent(step: StepRun) -> bool:
+    return step.job.submission.priority == HIGHEST_PRIORITY
+
+
+def _turn_seconds(steps: int) -> float:
+    """Return the time after which each of many waiting steps has had a line."""
+    return steps * SURVEY_SECONDS / MAX_LINES_PER_SURVEY
+
+
+def _held_fields(held_by: Task, now: BootSeconds) -> dict[str, Any]:
+    """Return the fields on a run that a step waits for, and on its worker."""
+    fields: dict[str, Any] = {
+        "held_by": held_by.id,
+        "held_status": held_by.status.value,
+        "held_s": round(now - held_by.status_at, 2),
+    }
+    worker = held_by.worker
+    if worker is None:
+        return fields
+    fields["held_worker"] = worker.id
+    fields["held_silent"] = worker.silent
+    if worker.reported_at:
+        fields["held_reported"] = round(now - worker.reported_at, 2)
+    if worker.missing_since is not None:
+        fields["held_missing"] = round(now - worker.missing_since, 2)
+    return fields
+
+
+def _unusable_text(worker: Worker, now: BootSeconds) -> str:
+    if worker.silent:
+        return "silent"
+    reason = unusable_reason(worker, now)
+    return reason.value if reason is not None else "usable"
--- a/src/zinniatrestle/scheduling/waits.py
+++ b/src/zinniatrestle/scheduling/waits.py
@@ -1,7 +1,7 @@
 """Reasons why steps wait, and what ends each wait."""
 
 from collections.abc import Iterable
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 from enum import Enum
 
 from zinniatrestle.ids import JobId
@@ -48,6 +48,8 @@
     GANG_MEMBERS = "gang_members"
     # All runs of the step are being stopped.
     STOPPING = "stopping"
+    # Runs of the step are on workers that can't be reached, so they may have ended.
+    UNREACHABLE_RUNS = "unreachable_runs"
     START_PENDING = "start_pending"
     # A start order got no answer, and no report has shown yet whether it was obeyed.
     START_UNANSWERED = "start_unanswered"
@@ -64,6 +66,8 @@
     for_job: JobId | None = None
     # Run whose start or end the step waits for.
     held_by: Task | None = None
+    # Permitted workers that would have room if they were usable.
+    unusable: list[Worker] = field(default_factory=list)
     # Expected end of the wait, in boot seconds.
     until: float | None = None
 
@@ -123,7 +127,12 @@
     usable = [worker for worker in allowed if worker.usable()]
     if _slots(step, usable) < needed:
         if _slots(step, allowed) >= needed or _slots_when_empty(step, usable) < needed:
-            return Wait(WaitReason.UNUSABLE_WORKERS, until=until)
+            unusable = [
+                worker
+                for worker in allowed
+                if not worker.usable() and slots_when_empty(worker, step)
+            ]
+            return Wait(WaitReason.UNUSABLE_WORKERS, unusable=unusable, until=until)
         return Wait(WaitReason.CAPACITY, until=until)
     if constraints.tickets is not None:
         usable = [worker for worker in usable if worker.id in constraints.tickets]
@@ -179,35 +188,65 @@
 
 def assigned_wait(step: StepRun) -> Wait | None:
     """Return the wait of a step with assigned tasks, or None if it is at work."""
-    if is_at_work(step):
+    if step.shape.long_running:
+        unfinished = [task for task in step.tasks if task.status is not TaskStatus.DONE]
+        if all(is_known_to_run(task) for task in unfinished):
+            return None
+    elif is_at_work(step):
         return None
     assigned = [task for task in step.tasks if task.is_allocated]
     if not assigned:
         return None
     stopping = [task for task in assigned if task.status is TaskStatus.STOPPING]
     placed = [task for task in assigned if task.status is TaskStatus.PLACED]
-    held_by = (stopping or placed or assigned)[0]
+    running = [task for task in assigned if task.status is TaskStatus.RUNNING]
+    unreachable = [task for task in running if not is_known_to_run(task)]
     if step.shape.gang and (stopping or len(assigned) < len(step.tasks)):
+        held_by = _last_known([*stopping, *placed, *assigned])
         wait = Wait(WaitReason.GANG_MEMBERS, held_by=held_by)
-    elif not placed:
-        wait = Wait(WaitReason.STOPPING, held_by=held_by)
-    else:
+    elif placed:
         unanswered = [task for task in placed if not task.start_pending]
-        held_by = (unanswered or placed)[0]
+        held_by = _last_known(unanswered or placed)
         reason = WaitReason.START_UNANSWERED if unanswered else WaitReason.START_PENDING
         wait = Wait(reason, held_by=held_by)
-    if held_by.worker is not None and held_by.worker.silent:
+    elif unreachable:
+        wait = Wait(WaitReason.UNREACHABLE_RUNS, held_by=_last_known(unreachable))
+    elif stopping:
+        wait = Wait(WaitReason.STOPPING, held_by=_last_known(stopping))
+    else:
+        return None
+    worker = wait.held_by.worker
+    if worker is not None and not worker.can_report():
         # The run is lost when its lease expires.
-        wait.until = held_by.worker.lease.expires_at
+        wait.until = worker.lease.expires_at
     return wait
 
 
 def is_at_work(step: StepRun) -> bool:
     """Return whether tasks of a step run, for a gang all of them."""
-    running = (task.status is TaskStatus.RUNNING for task in step.tasks)
+    running = (is_known_to_run(task) for task in step.tasks)
     return all(running) if step.shape.gang else any(running)
 
 
+def is_known_to_run(task: Task) -> bool:
+    """Return whether a task runs on a worker that would report its end."""
+    if task.status is not TaskStatus.RUNNING:
+        return False
+    return task.worker is None or task.worker.can_report()
+
+
+def _last_known(tasks: list[Task]) -> Task:
+    """Return the run whose end may become known last, by default the first."""
+    unreachable = [
+        task
+        for task in tasks
+        if task.worker is not None and not task.worker.can_report()
+    ]
+    return max(
+        unreachable, key=lambda task: task.worker.lease.expires_at, default=tasks[0]
+    )
+
+
 def _is_allowed(
     worker: Worker, step: StepRun, constraints: PlacementConstraints
 ) -> bool:
