--- a/tests/common/platform_cluster.py
+++ b/tests/common/platform_cluster.py
@@ -3,20 +3,20 @@
 import asyncio
 import contextlib
 import os
-import socket
 import sys
 from pathlib import Path
 
 import aiohttp
 import msgspec
 
+from common.ports import PortReservations
 from zinniatrestle.events.explain import read_lines
-from zinniatrestle.ids import RowName, TableName
+from zinniatrestle.ids import RowName, TableName, WorkerId
 from zinniatrestle.jobs.messages import Step
 from zinniatrestle.standins.fleet import SimulatedFleet
 from zinniatrestle.standins.relay import Relay
 from zinniatrestle.standins.rows import MemoryRows
-from zinniatrestle.standins.runs import EventKind, TaskScript
+from zinniatrestle.standins.runs import EventKind, SimulatedWorker, TaskScript
 from zinniatrestle.standins.wire import (
     WireFleetWorker,
     WireStore,
@@ -26,6 +26,7 @@
 
 HOSTS = 2
 WORKERS = 2
+SERVERS = TableName("servers")
 # Waits may take this long on a machine that is busy with other work.
 WAIT_TIMEOUT_SECONDS = 60.0
 CONFIG = {
@@ -48,19 +49,14 @@
 }
 
 
-def free_port() -> int:
-    with socket.socket() as probe:
-        probe.bind(("127.0.0.1", 0))
-        return probe.getsockname()[1]
-
-
 class Host:
     """An entry host that runs as a process of its own."""
 
-    def __init__(self, number: int, store: str, folder: Path):
+    def __init__(self, number: int, store: str, folder: Path, ports: PortReservations):
         self.name = f"host-{number}"
-        self.frontend_port, self.readiness_port = free_port(), free_port()
-        self.metrics_port = free_port()
+        self.frontend_port = ports.reserve()
+        self.readiness_port = ports.reserve()
+        self.metrics_port = ports.reserve()
         self.settings = folder / f"{self.name}.toml"
         self.log = folder / f"{self.name}.log"
         self.settings.write_text(
@@ -116,8 +112,19 @@
         self.fleet = SimulatedFleet(self.rows)
         self.folder = folder
         self.hosts: list[Host] = []
+        self.worker_addresses: dict[WorkerId, str] = {}
         self.session = aiohttp.ClientSession()
 
+    def list_worker(self, worker: SimulatedWorker):
+        """Write a worker's entry to the platform's table of workers."""
+        name = worker.entry.worker
+        row = encode_server_row(worker.entry, self.worker_addresses[name])
+        self.rows.put(SERVERS, RowName(name), row)
+
+    def unlist_worker(self, worker: SimulatedWorker):
+        """Remove a worker's entry."""
+        self.rows.put(SERVERS, RowName(worker.entry.worker), None)
+
     async def wait_until_ready(self, host: Host):
         async with asyncio.timeout(WAIT_TIMEOUT_SECONDS):
             while await self.http_status(host.readiness_port, "/-/ready") != 200:
@@ -150,7 +157,11 @@
     async def submit(self, host: Host, job: str, seconds=0.3, steps=None) -> int:
         step_bodies = steps or [{"count": 2, "gpus": 1, "cpu": 100, "gang": True}]
         script_steps = [
-            Step(count=step_body["count"], gang=step_body.get("gang", False))
+            Step(
+                count=step_body["count"],
+                gpus=step_body.get("gpus", 0),
+                gang=step_body.get("gang", False),
+            )
             for step_body in step_bodies
         ]
         script = TaskScript(seconds=seconds, steps=tuple(script_steps))
@@ -198,6 +209,7 @@
     async def run():
         cluster = PlatformCluster(folder)
         async with contextlib.AsyncExitStack() as stack:
+            ports = stack.enter_context(PortReservations())
             stack.push_async_callback(cluster.session.close)
             store = await stack.enter_async_context(serve_app(cluster.wire.app()))
             config = msgspec.json.encode(CONFIG)
@@ -206,15 +218,15 @@
                 worker = cluster.fleet.add(f"i-{number}", "r1", "zone-a")
                 app = WireFleetWorker(cluster.fleet, worker.entry).app()
                 address = await stack.enter_async_context(serve_app(app))
-                row = encode_server_row(worker.entry, address)
-                cluster.rows.put(TableName("servers"), RowName(f"i-{number}"), row)
+                cluster.worker_addresses[worker.entry.worker] = address
+                cluster.list_worker(worker)
             fleet_task = asyncio.create_task(cluster.fleet.run())
             try:
                 for number in range(hosts):
                     relay, address = None, store
                     if relayed:
                         relay, address = await start_store_relay(stack, store)
-                    host = Host(number, address, folder)
+                    host = Host(number, address, folder, ports)
                     host.relay = relay
                     cluster.hosts.append(host)
                     await host.start()
