--- a/src/zinniatrestle/standins/fleet.py
+++ b/src/zinniatrestle/standins/fleet.py
@@ -134,11 +134,15 @@
         worker.running.clear()
         worker.ended.clear()
 
-    def restart(self, worker: SimulatedWorker):
-        """Start a new instance of a worker under the same id."""
+    def restart(self, worker: SimulatedWorker, clock_lag: float = 0.0):
+        """Start a new instance of a worker under the same id.
+
+        Its clock has been set back by `clock_lag` seconds, and with it the number of
+        the instance.
+        """
         if worker.alive:
             self.crash(worker)
-        instance = InstanceId(int(wall_time() * 1000))
+        instance = InstanceId(int((wall_time() - clock_lag) * 1000))
         worker.entry = msgspec.structs.replace(worker.entry, instance=instance)
         worker.alive = True
         worker.generation = Generation(0)
@@ -173,6 +177,11 @@
         """Remove a worker's table entry."""
         self.rows.put(WORKER_TABLE, RowName(worker.entry.worker), None)
 
+    def retire(self, worker: SimulatedWorker):
+        """End a worker that never comes back; its table entry stays for now."""
+        self.crash(worker)
+        self.workers.pop(worker.entry.worker, None)
+
     async def run(self):
         """Advance all runs at each tick until cancelled."""
         last = monotonic()
--- a/src/zinniatrestle/standins/model.py
+++ b/src/zinniatrestle/standins/model.py
@@ -180,7 +180,8 @@
     """A submitted job and the answers its caller got; times are monotonic seconds.
 
     `seconds` is the run time of its tasks at nominal speed. `accepted` and `refused`
-    are both false while the outcome of the submission is unknown.
+    are both false while the outcome of the submission is unknown. `cancelled_at` is
+    when its cancellation was acknowledged, `cancel_sent` whether one was attempted.
     """
 
     queue: QueueName
@@ -189,6 +190,7 @@
     steps: tuple[Step, ...] = (Step(),)
     accepted: bool = False
     refused: bool = False
+    cancel_sent: bool = False
     cancelled_at: float | None = None
     completed_at: float | None = None
 
@@ -237,12 +239,15 @@
         # Times at which a fault was injected or removed.
         self.disturbance_times: list[float] = []
 
-    async def start(self, workers: int = 16, rack: int = 8):
-        """Start the workers, `rack` to a rack, and the hosts."""
+    async def start(self, workers: int = 16, rack: int = 8, **capacity: int):
+        """Start the hosts and the workers, `rack` to a rack.
+
+        `capacity` overrides the default `cpu`, `memory_mb` and `gpus` of a worker.
+        """
         self.operator.set_up()
         for number in range(workers):
             domain = "abc"[number // rack % 3]
-            self.fleet.add(f"w{number}", f"rack-{number // rack}", domain)
+            self.fleet.add(f"w{number}", f"rack-{number // rack}", domain, **capacity)
         if self.upkeep:
             self.machines = SimulatedMachines(self.fleet, self.bounds.upkeep)
         self.fleet_task = asyncio.create_task(self.fleet.run())
@@ -266,7 +271,12 @@
         return None
 
     async def submit(
-        self, queue: str, steps: tuple[Step, ...], seconds: float, **script
+        self,
+        queue: str,
+        steps: tuple[Step, ...],
+        seconds: float,
+        account: str = "first",
+        **script,
     ) -> JobId:
         """Submit a job through any host, with up to five tries until it is accepted.
 
@@ -285,7 +295,7 @@
             tries += 1
             try:
                 admission = host.frontend.admit(
-                    "queues.example", f"/{queue}/", "key-first"
+                    "queues.example", f"/{queue}/", f"key-{account}"
                 )
                 await host.frontend.accept(
                     admission, job, JobRequest(spec, steps), monotonic() + CALL_SECONDS
@@ -303,6 +313,7 @@
 
     async def cancel(self, job: JobId):
         """Cancel a job through any live host, with up to five tries."""
+        self.jobs[job].cancel_sent = True
         for _ in range(5):
             host = self.random.choice(self.hosts)
             if not host.alive:
