--- a/tests/model/test_seeds.py
+++ b/tests/model/test_seeds.py
@@ -4,8 +4,23 @@
 import random
 
 import pytest
+from common.faults import (
+    delay_orders,
+    drain_and_restart_worker,
+    drop_change_history,
+    inject_faults,
+    kill_any_host,
+    kill_leader,
+    lose_answers_to_leader,
+    lose_store_answers,
+    partition_leader_from_store,
+    partition_worker,
+    partition_worker_from_leader,
+    restart_worker,
+    set_worker_fault,
+    store_outage,
+)
 
-from zinniatrestle.clock import monotonic
 from zinniatrestle.standins.checker import check_capacity, violations
 from zinniatrestle.standins.model import Model, run_virtual, step
 from zinniatrestle.standins.rows import Reachability
@@ -70,132 +85,6 @@
         await model.cancel(job)
 
 
-async def inject_faults(model: Model, rng: random.Random, faults: list):
-    while True:
-        await asyncio.sleep(rng.uniform(0.5, 3.0))
-        fault = rng.choice(faults)
-        model.callers.add(asyncio.create_task(inject_fault(fault, model, rng)))
-
-
-async def inject_fault(fault, model: Model, rng: random.Random):
-    fault_task = asyncio.create_task(fault(model, rng))
-    while not fault_task.done():
-        model.disturbance_times.append(monotonic())
-        await asyncio.sleep(0.5)
-    model.disturbance_times.append(monotonic())
-    await fault_task
-
-
-async def kill_leader(model, rng):
-    host = model.leader()
-    if host is None:
-        return
-    await host.kill()
-    await asyncio.sleep(rng.uniform(0.3, 4.0))
-    host.start()
-
-
-async def kill_any_host(model, rng):
-    host = rng.choice(model.hosts)
-    if not host.alive:
-        return
-    await host.kill()
-    await asyncio.sleep(rng.uniform(0.3, 2.0))
-    host.start()
-
-
-async def partition_leader_from_store(model, rng):
-    host = model.leader()
-    if host is None:
-        return
-    host.store.reachability = rng.choice([Reachability.SILENT, Reachability.REFUSED])
-    await asyncio.sleep(rng.uniform(1.0, 6.0))
-    host.store.reachability = Reachability.SERVED
-
-
-async def store_outage(model, rng):
-    reachability = rng.choice([Reachability.SILENT, Reachability.REFUSED])
-    for host in model.hosts:
-        host.store.reachability = reachability
-    await asyncio.sleep(rng.uniform(1.0, 6.0))
-    for host in model.hosts:
-        host.store.reachability = Reachability.SERVED
-
-
-async def lose_answers_to_leader(model, rng):
-    """Lose the answers to the leader's writes while its reads are served."""
-    host = model.leader()
-    if host is None:
-        return
-    host.store.lost_answer_share, host.store.late_commit_share = (
-        1.0,
-        rng.choice([0.0, 0.5, 1.0]),
-    )
-    await asyncio.sleep(rng.uniform(0.5, 4.0))
-    host.store.lost_answer_share = 0.0
-
-
-async def lose_store_answers(model, rng):
-    for host in model.hosts:
-        host.store.lost_answer_share, host.store.late_commit_share = 0.3, 0.5
-    await asyncio.sleep(3.0)
-    for host in model.hosts:
-        host.store.lost_answer_share = 0.0
-
-
-async def drop_change_history(model, rng):
-    model.rows.drop_history()
-
-
-async def delay_orders(model, rng):
-    model.fleet.late_order_share = 0.1
-    await asyncio.sleep(4.0)
-    model.fleet.late_order_share = 0.0
-
-
-async def partition_worker(model, rng):
-    worker = rng.choice(list(model.fleet.workers.values()))
-    worker.reachable = False
-    await asyncio.sleep(rng.uniform(1.0, 9.0))
-    worker.reachable = True
-
-
-async def partition_worker_from_leader(model, rng):
-    host = model.leader()
-    worker = rng.choice(list(model.fleet.workers))
-    if host is None:
-        return
-    model.fleet.partitions.add((host.name, worker))
-    await asyncio.sleep(rng.uniform(1.0, 9.0))
-    model.fleet.partitions.discard((host.name, worker))
-
-
-async def restart_worker(model, rng):
-    worker = rng.choice(list(model.fleet.workers.values()))
-    model.fleet.crash(worker)
-    await asyncio.sleep(rng.uniform(0.1, 3.0))
-    model.fleet.restart(worker)
-
-
-async def set_worker_fault(model, rng):
-    worker = rng.choice(list(model.fleet.workers.values()))
-    worker.fault_mode = rng.choice(
-        [FaultMode.FAILS, FaultMode.HANGS, FaultMode.SHEDS, FaultMode.SLOW]
-    )
-    await asyncio.sleep(5.0)
-    worker.fault_mode = FaultMode.NONE
-
-
-async def drain_and_restart_worker(model, rng):
-    worker = rng.choice(list(model.fleet.workers.values()))
-    model.fleet.drain(worker, 2.0)
-    await asyncio.sleep(2.5)
-    model.fleet.crash(worker)
-    model.fleet.remove(worker)
-    await asyncio.sleep(1.0)
-    model.fleet.restart(worker)
-
-
 async def watch_workers(model: Model, violations_found: list[str]):
     while True:
         await asyncio.sleep(0.1)
