Let stand-in workers send heartbeats, and none answer once it has crashed

A hold that was waiting when its worker crashed was answered without runs, as if the dead process had reported, so a scheduler heard of the loss at once. It gets no answer now, as over a broken connection.

With `send_heartbeats` the entries of live workers are written at each interval, and that of a worker that misses three is removed, as the platform's registry does. Workers without it behave as before.

--- a/src/zinniatrestle/standins/fleet.py
+++ b/src/zinniatrestle/standins/fleet.py
@@ -37,6 +37,7 @@
     RunningTask,
     RunOutcome,
     StartOrder,
+    UnansweredOrderError,
     WorkerEntry,
     WorkerState,
 )
@@ -46,6 +47,8 @@
 # A wait counts as over when less than this remains.
 TIMER_TOLERANCE_SECONDS = 0.001
 CHECKPOINT_SECONDS = 2.0
+# The registry removes an entry after this many missed heartbeats.
+EXPIRY_HEARTBEATS = 3
 # The run time of a task at a worker in fault mode SLOW, relative to a healthy one.
 SLOW_WORKER_FACTOR = 6.0
 
@@ -182,6 +185,27 @@
         self.crash(worker)
         self.workers.pop(worker.entry.worker, None)
 
+    async def send_heartbeats(self, interval: float):
+        """Write the entries of live workers again and again, until cancelled.
+
+        An entry is removed once its worker has missed `EXPIRY_HEARTBEATS` of them.
+        """
+        missed: dict[WorkerId, int] = {}
+        while True:
+            await asyncio.sleep(interval)
+            for worker in list(self.workers.values()):
+                entry = worker.entry
+                if worker.alive and worker.heartbeats:
+                    missed.pop(entry.worker, None)
+                    worker.entry = msgspec.structs.replace(
+                        entry, sequence=entry.sequence + 1
+                    )
+                    self.write(worker)
+                    continue
+                missed[entry.worker] = missed.get(entry.worker, 0) + 1
+                if missed[entry.worker] == EXPIRY_HEARTBEATS:
+                    self.remove(worker)
+
     async def run(self):
         """Advance all runs at each tick until cancelled."""
         last = monotonic()
@@ -375,6 +399,7 @@
     ) -> HoldAnswer:
         """Extend the lease of all runs; wait up to `wait` seconds for one to end."""
         target = self.find_worker(worker)
+        instance = target.entry.instance
         self._check_generation(target, generation)
         if deadline_ms is not None:
             limit = target.clock_ms() + target.max_lease_seconds * 1000
@@ -396,6 +421,8 @@
                     await changed.wait()
             except TimeoutError:
                 break
+        if not target.alive or target.entry.instance != instance:
+            raise UnansweredOrderError("The worker ended during the hold.")
         running = []
         for run in target.running.values():
             running.append(
