Leave the ends of the leases at unreachable workers to a successor

Cause: a successor assumed that its predecessor had extended the leases at every worker until its own lease ended. For a worker that couldn't be reached, or wasn't registered, the predecessor had extended none, but left no word of it, so each successor began the wait anew.

While a record that is stored, or may be, names a worker, its writer takes the worker to be silent: it extends no lease there and starts nothing, although the worker may answer again.

Why it is safe: an end that a successor reads can't have been passed since.

Ruled out: a shorter wait for all workers; those that are reached may hold leases for that long.

--- a/src/zinniatrestle/scheduling/tests/test_lost_workers.py
+++ b/src/zinniatrestle/scheduling/tests/test_lost_workers.py
@@ -220,3 +220,45 @@
         return violations(model)
 
     assert run_virtual(play()) == []
+
+
+# Guards against a successor that takes the leases of a worker to end before those that
+# its predecessor has extended once it reached the worker again.
+@pytest.mark.parametrize("tenths", range(0, 20, 2))
+def test_a_worker_that_answers_again_keeps_its_lease_after_a_succession(tenths):
+    async def play():
+        model = Model(1)
+        await model.start(workers=2, rack=2)
+        await model.submit("usual", (step(gpus=8, seconds=30.0),), 30.0)
+        worker = await wait_for_running_worker(model)
+        worker.reachable = False
+        await asyncio.sleep(4.0)
+        worker.reachable = True
+        await asyncio.sleep(tenths / 10)
+        await model.leader().kill()
+        worker.reachable = False
+        await asyncio.sleep(2 * model.bounds.max_hold)
+        starts = [e for e in model.fleet.history if e.kind is EventKind.START]
+        assert len(starts) > 1
+        return violations(model)
+
+    assert run_virtual(play()) == []
+
+
+def test_a_worker_that_answers_again_gets_tasks():
+    async def play():
+        model = Model(1)
+        await model.start(workers=1, rack=1)
+        await model.submit("usual", (step(gpus=4, seconds=9.0),), 9.0)
+        worker = await wait_for_running_worker(model)
+        worker.reachable = False
+        await asyncio.sleep(4.0)
+        worker.reachable = True
+        back_at = monotonic()
+        await model.submit("usual", (step(gpus=4),), 1.0)
+        while len(model.fleet.history) < 2:
+            await asyncio.sleep(0.05)
+        assert model.fleet.history[-1].kind is EventKind.START
+        return monotonic() - back_at
+
+    assert run_virtual(play()) < DETECTION_SECONDS
--- a/src/zinniatrestle/scheduling/tracker.py
+++ b/src/zinniatrestle/scheduling/tracker.py
@@ -56,6 +56,8 @@
             self.events,
         )
         self.sessions[worker] = session
+        if self.context.leadership.has_published_lease_end(worker.id):
+            worker.silent = True
         senders = [session.send_orders() for _ in range(MAX_CONCURRENT_ORDERS)]
         running = [asyncio.create_task(task) for task in (session.hold(), *senders)]
         for task in running:
@@ -154,8 +156,8 @@
         if worker.has_ended:
             return
         if worker.silent:
-            worker.silent = False
-            self.events.write(Event.WORKER_SEEN, worker=worker.id, again=True)
+            worker.answers_again = True
+            self._end_silence(worker)
         worker.reported_at = boot_time()
         changed: set[Job] = set()
         reported = set()
@@ -211,6 +213,16 @@
                 partial(self.log_failure, "save", worker.id)
             )
 
+    def _end_silence(self, worker: Worker):
+        """Use a worker that answers again, and extend its leases.
+
+        This waits while a successor may rely on the end of the leases.
+        """
+        if self.context.leadership.has_published_lease_end(worker.id):
+            return
+        worker.silent = False
+        self.events.write(Event.WORKER_SEEN, worker=worker.id, again=True)
+
     async def _acknowledge_saved(
         self,
         worker: Worker,
