Check in the model that urgent jobs get what their account is guaranteed

RECLAIM could not be seen by the model. An urgent job whose account asks for no more than it is guaranteed has to begin all tasks of its first step within `bounds.reclaim` of its confirmation, with no disturbance near.

Evidence: test_reclaim_check.py finds the job if the scheduler may not preempt, and finds none if it may, beyond the guarantee, or near a disturbance.

--- a/src/zinniatrestle/standins/checker.py
+++ b/src/zinniatrestle/standins/checker.py
@@ -3,6 +3,7 @@
 import msgspec
 
 from zinniatrestle.ids import JobId, TaskId, WorkerId
+from zinniatrestle.jobs.messages import task_id
 from zinniatrestle.standins.fleet import SimulatedFleet
 from zinniatrestle.standins.model import Model
 from zinniatrestle.standins.runs import EventKind, TaskScript, WorkerEvent
@@ -12,14 +13,15 @@
 def violations(model: Model) -> list[str]:
     """Return a line for each violation of an invariant in the history.
 
-    Each line starts with the name of the invariant: TWICE, GANG, UNASKED, REFUSED
-    or BUDGET.
+    Each line starts with the name of the invariant: TWICE, GANG, UNASKED, REFUSED,
+    BUDGET or RECLAIM.
     """
     found = []
     found.extend(_duplicate_runs(model))
     found.extend(_incomplete_gangs(model))
     found.extend(_unrequested_starts(model))
     found.extend(_starts_beyond_attempts(model))
+    found.extend(_late_guaranteed_jobs(model))
     return found
 
 
@@ -117,6 +119,54 @@
     return found
 
 
+def _late_guaranteed_jobs(model: Model) -> list[str]:
+    """Find urgent jobs within their account's guarantee that began late.
+
+    Jobs with a disturbance nearby are left out, as are those whose account asks for
+    more than it is guaranteed.
+    """
+    found = []
+    guaranteed = {entry.name: entry.guaranteed for entry in model.operator.accounts}
+    urgent_queues = {
+        entry.name for entry in model.operator.queues if not entry.priority
+    }
+    urgent = {
+        job: outcome
+        for job, outcome in model.jobs.items()
+        if outcome.queue in urgent_queues and not outcome.refused
+    }
+    first_starts: dict[TaskId, float] = {}
+    last_ends: dict[JobId, float] = {}
+    for event in model.fleet.history:
+        if event.kind is EventKind.START:
+            first_starts.setdefault(event.task, event.at)
+        elif event.kind is EventKind.END:
+            last_ends[job_of(event.task)] = event.at
+    for job, outcome in urgent.items():
+        if outcome.accepted_at is None or outcome.cancel_sent:
+            continue
+        due_at = outcome.accepted_at + model.bounds.reclaim
+        since = outcome.accepted_at - model.bounds.contact
+        if any(since <= at <= due_at for at in model.disturbance_times):
+            continue
+        needed = 0
+        for other, theirs in urgent.items():
+            if theirs.account != outcome.account or theirs.sent_at > due_at:
+                continue
+            ended_at = last_ends.get(other, 0.0)
+            if model.has_ended(other) and ended_at < outcome.accepted_at:
+                continue
+            needed += max(shape.count * shape.gpus for shape in theirs.steps)
+        if needed > guaranteed[outcome.account]:
+            continue
+        for index in range(outcome.steps[0].count):
+            task = task_id(job, 0, 0, index)
+            if first_starts.get(task, due_at + 1.0) > due_at:
+                found.append(f"RECLAIM: {task} has not begun by {due_at:.1f}")
+                break
+    return found
+
+
 def job_of(task: TaskId) -> JobId:
     """Return the id of the job that a task belongs to."""
     return JobId(task.split(".")[0])
--- a/src/zinniatrestle/standins/model.py
+++ b/src/zinniatrestle/standins/model.py
@@ -14,6 +14,7 @@
 from zinniatrestle.errors import NotRunError, UnknownOutcomeError
 from zinniatrestle.events import Event, EventLog
 from zinniatrestle.ids import (
+    ClientAccountId,
     FailureDomainId,
     HostId,
     JobId,
@@ -180,15 +181,18 @@
     """A submitted job and the answers its caller got; times are monotonic seconds.
 
     `seconds` is the run time of its tasks at nominal speed. `accepted` and `refused`
-    are both false while the outcome of the submission is unknown. `cancelled_at` is
-    when its cancellation was acknowledged, `cancel_sent` whether one was attempted.
+    are both false while the outcome of the submission is unknown, and `accepted_at` is
+    when it was confirmed. `cancelled_at` is when its cancellation was acknowledged,
+    `cancel_sent` whether one was attempted.
     """
 
     queue: QueueName
     sent_at: float
     seconds: float
     steps: tuple[Step, ...] = (Step(),)
+    account: ClientAccountId = ClientAccountId("")
     accepted: bool = False
+    accepted_at: float | None = None
     refused: bool = False
     cancel_sent: bool = False
     cancelled_at: float | None = None
@@ -284,7 +288,9 @@
         """
         job = JobId(f"{self.random.getrandbits(64):016x}")
         spec = TaskScript(seconds=seconds, steps=steps, **script).encoded()
-        outcome = JobOutcome(QueueName(queue), monotonic(), seconds, steps)
+        outcome = JobOutcome(
+            QueueName(queue), monotonic(), seconds, steps, ClientAccountId(account)
+        )
         self.jobs[job] = outcome
         refusals = tries = 0
         for _ in range(5):
@@ -307,6 +313,7 @@
             except UnknownOutcomeError:
                 continue
             outcome.accepted = True
+            outcome.accepted_at = monotonic()
             return job
         outcome.refused = tries > 0 and refusals == tries
         return job
