Deliver changes of the shared tables in the stand-in of the store

The new instance of the worker was never seen although its entry was written.

Cause: the stand-in labels every row of a feed with the part of the scheduler's tables. The store's client drops rows of another part than the table's, so no host under test ever saw a change of the registry or the configuration; it only saw full reads. On the platform these tables have an empty part. A fault of the stand-in, not of the product.

Change: rows have the part of their table. Without it two cases of the new test of the client and the end-to-end test of a restarted worker fail.

--- a/src/zinniatrestle/platform/tests/test_store.py
+++ b/src/zinniatrestle/platform/tests/test_store.py
@@ -40,6 +40,23 @@
     asyncio.run(run())
 
 
+# The stand-in gave all rows the part of the scheduler's tables, so no host saw a change
+# of the registry or the configuration.
+@pytest.mark.parametrize("table", ["table", "op", "servers"])
+def test_changes_of_each_part_of_the_store_arrive(table):
+    async def check(wire, store):
+        wire.rows.put(TableName(table), NAME, b"value")
+        wire.rows.put(TableName(table), NAME, None)
+        wire.rows.put(TableName(table), RowName("other"), b"other")
+        changes = await store.changes(
+            TableName(table), RowVersion(0), 0.0, CALL_TIMEOUT_SECONDS
+        )
+        values = [(change.name, change.value) for change in changes.changes]
+        assert values == [(NAME, None), ("other", b"other")]
+
+    run_with_store(check)
+
+
 def write(value: bytes = b"value") -> list[Write]:
     return [Write(TABLE, NAME, value)]
 
--- a/src/zinniatrestle/standins/wire.py
+++ b/src/zinniatrestle/standins/wire.py
@@ -28,6 +28,8 @@
     WorkerEntry,
 )
 
+# The tables of operators and workers, whose rows have an empty part.
+SHARED_TABLES = frozenset({"op", "servers", "status"})
 # Longer than any client's timeout.
 SILENCE_SECONDS = 30.0
 # The number of parts of a TRICKLED answer, and the pause after each.
@@ -136,7 +138,7 @@
         rows = []
         for change in changes.changes:
             row = {"table": query["table"], "key": change.name, "ver": change.version}
-            row["part"] = "jobs"
+            row["part"] = _part_of(query["table"])
             if change.value is None:
                 row["deleted"] = True
             else:
@@ -222,11 +224,15 @@
         await serving
 
 
+def _part_of(table: str) -> str:
+    return "" if table in SHARED_TABLES else "jobs"
+
+
 def _encode_row(row) -> dict:
     return {
         "table": row.table,
         "key": row.name,
-        "part": "jobs",
+        "part": _part_of(row.table),
         "value": base64.b64encode(row.value).decode(),
         "ver": row.version,
     }
--- a/tests/end_to_end/test_platform.py
+++ b/tests/end_to_end/test_platform.py
@@ -83,6 +83,25 @@
     run_with_cluster(tmp_path, check)
 
 
+def test_a_restarted_worker_is_used_again(tmp_path):
+    async def check(cluster):
+        host = await scheduling_host(cluster)
+        assert await cluster.submit(host, "00000000000000a8") == 200
+        await cluster.wait_for_state(host, "00000000000000a8", "completed")
+        worker, *others = cluster.fleet.workers.values()
+        cluster.fleet.restart(worker)
+        cluster.list_worker(worker)
+        for other in others:
+            cluster.fleet.crash(other)
+            cluster.unlist_worker(other)
+        job = "00000000000000a7"
+        assert await cluster.submit(host, job) == 200
+        await cluster.wait_for_state(host, job, "completed")
+        assert {event.worker for event in cluster.starts(job)} == {worker.entry.worker}
+
+    run_with_cluster(tmp_path, check)
+
+
 def test_a_planned_stop_answers_open_calls_and_exits_with_zero(tmp_path):
     async def check(cluster):
         host = cluster.hosts[0]
