--- a/src/zinniatrestle/scheduling/placement.py
+++ b/src/zinniatrestle/scheduling/placement.py
@@ -46,20 +46,25 @@
 Assignment = dict[Task, Worker]
 
 
-def is_permitted(
+def is_allowed(
     worker: Worker, step: StepRun, constraints: PlacementConstraints
 ) -> bool:
-    """Return whether a step may run on a worker, free capacity and health aside."""
+    """Return whether a step may run on a worker once it is usable and has a ticket."""
     entry = worker.entry
     if entry.service != constraints.service or entry.domain in constraints.evacuated:
         return False
     if constraints.regions and worker.region not in constraints.regions:
         return False
-    if step.shape.label and step.shape.label not in entry.labels:
-        return False
+    return not step.shape.label or step.shape.label in entry.labels
+
+
+def is_permitted(
+    worker: Worker, step: StepRun, constraints: PlacementConstraints
+) -> bool:
+    """Return whether a step may run on a worker, free capacity and health aside."""
     if constraints.tickets is not None and worker.id not in constraints.tickets:
         return False
-    return worker.usable()
+    return is_allowed(worker, step, constraints) and worker.usable()
 
 
 def candidates(
--- a/src/zinniatrestle/scheduling/preemption.py
+++ b/src/zinniatrestle/scheduling/preemption.py
@@ -1,6 +1,7 @@
 """Preempt cheaper work for urgent steps, and reserve the freed capacity for them."""
 
 import math
+from dataclasses import replace
 
 from zinniatrestle.events import Event
 from zinniatrestle.ids import BootSeconds, ClientAccountId
@@ -81,8 +82,8 @@
             step, waiting, workers, constraints, self.costs, loss_limit
         )
         if plan is None and loss_limit == math.inf and not constraints.ignore_locality:
-            constraints.ignore_locality = True
-            plan = self.planner.plan(step, waiting, workers, constraints, self.costs)
+            anywhere = replace(constraints, ignore_locality=True)
+            plan = self.planner.plan(step, waiting, workers, anywhere, self.costs)
         if plan is None:
             return False
         for task, worker in plan.assignment.items():
--- a/src/zinniatrestle/scheduling/rounds.py
+++ b/src/zinniatrestle/scheduling/rounds.py
@@ -172,16 +172,9 @@
                 self._log_reserved(step, reserved, workers, constraints)
             return self._place(step, assignment)
         waiting = step.waiting_tasks()
-        open_workers = reservations.eligible_workers(step, workers)
-        assignment = self.placement.place(step, waiting, open_workers, constraints)
-        weakest = constraints
-        if not assignment:
-            if limits.is_overdue(step, constraints.service):
-                open_workers = workers
-            for weakest in limits.relaxed(step, constraints):
-                assignment = self.placement.place(step, waiting, open_workers, weakest)
-                if assignment:
-                    break
+        assignment, applied = self._find_workers(
+            step, workers, reservations, limits, constraints
+        )
         if constraints.tickets:
             for task, worker in assignment.items():
                 task.ticket = constraints.tickets[worker.id]
@@ -190,22 +183,46 @@
         if not unplaced:
             return placed
         if constraints.tickets is not None:
-            self._request_advice(step, workers, weakest)
+            self._request_advice(step, workers, applied)
         earliest = None
         if self.policy.reserves_workers:
             earliest = reservations.earliest_start(step, unplaced, workers, constraints)
-        ignored_locality = constraints.ignore_locality
         if self.preemptor.preempt_for(step, workers, constraints, earliest, now):
             return placed
         if self.wait_log.is_due(step):
-            # The attempt to preempt may have changed it.
-            constraints.ignore_locality = ignored_locality
             wait = placement_wait(step, workers, constraints, reservations, earliest)
             self._log_wait(step, wait, workers, constraints, earliest)
         if earliest is not None:
             reservations.reserve(earliest)
         return placed
 
+    def _find_workers(
+        self,
+        step: StepRun,
+        workers: list[Worker],
+        reservations: BackfillReservations,
+        limits: WaitLimits,
+        constraints: PlacementConstraints,
+    ) -> tuple[Assignment, PlacementConstraints]:
+        """Return workers for the waiting tasks, and the constraints applied last.
+
+        If the constraints leave none, those that the limits on waits allow are tried.
+        """
+        waiting = step.waiting_tasks()
+        open_workers = reservations.eligible_workers(step, workers)
+        assignment = self.placement.place(step, waiting, open_workers, constraints)
+        if assignment:
+            return assignment, constraints
+        if limits.is_overdue(step, constraints.service):
+            open_workers = workers
+        applied = constraints
+        for weaker in limits.relaxed(step, constraints):
+            applied = weaker
+            assignment = self.placement.place(step, waiting, open_workers, weaker)
+            if assignment:
+                break
+        return assignment, applied
+
     # Reasons of waits
 
     def _log_reserved(
--- a/src/zinniatrestle/scheduling/waits.py
+++ b/src/zinniatrestle/scheduling/waits.py
@@ -9,6 +9,7 @@
 from zinniatrestle.scheduling.placement import (
     PlacementConstraints,
     candidates,
+    is_allowed,
     locality_groups,
     slots_when_empty,
 )
@@ -94,7 +95,7 @@
     allowed = [
         worker
         for worker in workers
-        if _is_allowed(worker, step, constraints) and worker.usable()
+        if is_allowed(worker, step, constraints) and worker.usable()
     ]
     capacity = free = 0
     for worker in workers:
@@ -119,7 +120,7 @@
     """Return why the waiting tasks of a step could not be placed."""
     needed = len(step.waiting_tasks()) if step.shape.gang else 1
     until = earliest.at if earliest is not None else None
-    allowed = [worker for worker in workers if _is_allowed(worker, step, constraints)]
+    allowed = [worker for worker in workers if is_allowed(worker, step, constraints)]
     if not allowed:
         return Wait(WaitReason.NO_PERMITTED_WORKER)
     if _slots_when_empty(step, allowed) < needed:
@@ -249,18 +250,6 @@
     )
 
 
-def _is_allowed(
-    worker: Worker, step: StepRun, constraints: PlacementConstraints
-) -> bool:
-    """Return whether a worker would be permitted if it was usable and had a ticket."""
-    entry = worker.entry
-    if entry.service != constraints.service or entry.domain in constraints.evacuated:
-        return False
-    if constraints.regions and worker.region not in constraints.regions:
-        return False
-    return not step.shape.label or step.shape.label in entry.labels
-
-
 def _weight(cpu: int, gpus: int) -> int:
     return cpu + gpus * ACCELERATOR_MILLICORES
 
