Repeat the runs of a worker that answers with an earlier instance at once

Cause: a successor assigns a task to the listed instance of its worker, unless that has an earlier number than the recorded one; then it waits until every lease that its predecessor could have extended has ended.

Change: with each report, tasks of former instances under the same id go to the instance that answers, as they did when it joined. Its report shows which of them it runs. An answer of another instance than the listed one is no report.

Ruled out: assigning to an earlier instance on loading; the registry may be older than the record, and the answer decides between the two.

--- a/src/zinniatrestle/scheduling/fleet.py
+++ b/src/zinniatrestle/scheduling/fleet.py
@@ -161,9 +161,7 @@
         worker = Worker(entry, region)
         worker.entry_seen_at = boot_time()
         self._update_drain_deadline(worker)
-        for former in list(self.unregistered):
-            if former.id == entry.worker:
-                self._transfer_tasks(former, worker)
+        self.transfer_tasks(worker)
         self.workers[entry.worker] = worker
         self.events.write(
             Event.WORKER_SEEN,
@@ -173,17 +171,20 @@
         )
         self.listener.joined(worker)
 
-    def _transfer_tasks(self, former: Worker, worker: Worker):
-        """Transfer the tasks of a former instance to the one that answers now.
+    def transfer_tasks(self, worker: Worker):
+        """Transfer the tasks of its former instances to the one that answers now.
 
         Orders carry only the worker's id, so they may have reached the new instance.
-        Its first report shows which of the tasks it runs.
+        Its next report shows which of the tasks it runs.
         """
-        self.unregistered.remove(former)
-        for task in list(former.tasks.values()):
-            former.remove_task(task)
-            task.worker = worker
-            worker.add_task(task)
+        for former in list(self.unregistered):
+            if former.id != worker.id:
+                continue
+            self.unregistered.remove(former)
+            for task in list(former.tasks.values()):
+                former.remove_task(task)
+                task.worker = worker
+                worker.add_task(task)
 
     def get_or_add_unregistered(
         self, worker_id: WorkerId, instance: InstanceId, until: BootSeconds
--- a/src/zinniatrestle/scheduling/tests/test_restarted_workers.py
+++ b/src/zinniatrestle/scheduling/tests/test_restarted_workers.py
@@ -5,10 +5,16 @@
 
 import pytest
 
+from zinniatrestle.clock import monotonic
 from zinniatrestle.deployment import Bounds
 from zinniatrestle.ids import InstanceId
 from zinniatrestle.standins.checker import violations
 from zinniatrestle.standins.model import Model, run_virtual, step
+from zinniatrestle.standins.runs import EventKind
+
+BOUNDS = Bounds()
+# Time for a hold, a round and the start order.
+DETECTION_SECONDS = 2.0
 
 
 async def submit_after_restart(
@@ -83,3 +89,27 @@
         return await model.wait_for_jobs(15.0)
 
     assert run_virtual(play())
+
+
+# Guards against a task that waits for the longest lease after each succession, although
+# the worker that it ran on answers and runs nothing.
+@pytest.mark.parametrize("clock_lag", [-30.0, 0.0, 30.0])
+def test_successor_repeats_the_runs_of_an_instance_that_was_restarted(clock_lag):
+    async def play():
+        model = Model(1)
+        await model.start(workers=2, rack=2)
+        await model.submit("usual", (step(2, gpus=8, gang=True),), 8.0)
+        await asyncio.sleep(1.0)
+        await model.leader().kill()
+        killed_at = monotonic()
+        model.fleet.restart(model.fleet.workers["w0"], clock_lag)
+        assert await model.wait_for_jobs(40.0)
+        assert violations(model) == []
+        starts = [
+            event.at
+            for event in model.fleet.history
+            if event.kind is EventKind.START and event.at > killed_at
+        ]
+        return starts[0] - killed_at
+
+    assert run_virtual(play()) <= BOUNDS.lease + DETECTION_SECONDS
--- a/src/zinniatrestle/scheduling/tracker.py
+++ b/src/zinniatrestle/scheduling/tracker.py
@@ -153,6 +153,9 @@
         if worker.silent:
             worker.silent = False
             self.events.write(Event.WORKER_SEEN, worker=worker.id, again=True)
+        # The registry may list an instance with an earlier number than the one that a
+        # predecessor assigned tasks to: its clock was set back.
+        self.fleet.transfer_tasks(worker)
         worker.reported_at = boot_time()
         changed: set[Job] = set()
         reported = set()
