--- a/src/zinniatrestle/standins/model.py
+++ b/src/zinniatrestle/standins/model.py
@@ -356,7 +356,8 @@
         """Return whether a job has ended or was not accepted."""
         state = self.state(job)
         if state is None:
-            return not self.jobs[job].accepted
+            # The row of a job that ended long ago has been purged.
+            return not self.jobs[job].accepted or bool(self.jobs[job].completed_at)
         if state.ended and self.jobs[job].completed_at is None:
             self.jobs[job].completed_at = monotonic()
         return state.ended
