--- a/src/zinniatrestle/scheduling/tracker.py
+++ b/src/zinniatrestle/scheduling/tracker.py
@@ -158,6 +158,9 @@
         if worker.silent:
             worker.answers_again = True
             self._end_silence(worker)
+        # The registry may list an instance with an earlier number than the one that a
+        # predecessor assigned tasks to: its clock was set back.
+        self.fleet.transfer_tasks(worker)
         worker.reported_at = boot_time()
         changed: set[Job] = set()
         reported = set()
