Log tasks that wait while others of their job run, and what frees capacity

For single tasks `until` is the next end of a run that makes room; a gang that can reserve no workers names in `for_job` the job that reserves first. `explain` ignores lines with job_runs=true, since it sums up the time without a run.

--- a/src/zinniatrestle/events/explain.py
+++ b/src/zinniatrestle/events/explain.py
@@ -125,6 +125,8 @@
     for line in job_events:
         if line["event"] != Event.JOB_WAITS.value or "since" not in line:
             continue
+        if line.get("job_runs"):
+            continue
         text = line["reason"]
         if line.get("for_job"):
             text += f" for job {line['for_job']}"
--- a/src/zinniatrestle/events/tests/test_explain.py
+++ b/src/zinniatrestle/events/tests/test_explain.py
@@ -104,6 +104,24 @@
     ) in cause(lines, JOB)
 
 
+def test_waits_of_tasks_while_others_of_their_job_run_do_not_count():
+    line = {"host": "h", "job": JOB}
+    lines = [
+        {**line, "at": 1.0, "event": "job_accepted"},
+        {
+            **line,
+            "at": 5.0,
+            "event": "job_waits",
+            "reason": "capacity",
+            "since": 0.0,
+            "job_runs": True,
+            "despite_room": True,
+            "idle": 0.62,
+        },
+    ]
+    assert "It waited for" not in cause(lines, JOB)
+
+
 def test_wait_for_capacity_is_explained():
     async def scenario(model):
         await model.submit("usual", (step(4, gpus=8),), 20.0)
--- a/src/zinniatrestle/scheduling/backfill.py
+++ b/src/zinniatrestle/scheduling/backfill.py
@@ -78,6 +78,17 @@
             return None
         return EarliestStart(step, best[-1][0], [worker for _, worker in best])
 
+    def next_slot(self, step: StepRun, workers: list[Worker]) -> float | None:
+        """Return when a task of a step fits next on one of the workers, if known."""
+        times = [at for worker in workers for at, _ in self._slot_times(step, worker)]
+        return min(times, default=None)
+
+    def first_reserving(self) -> StepRun | None:
+        """Return the step whose reservation starts first."""
+        if not self.reserved_from:
+            return None
+        return self.reserved_for[min(self.reserved_from, key=self.reserved_from.get)]
+
     def reserve(self, earliest: EarliestStart):
         """Reserve the workers for a step, from its earliest start on."""
         self.reserving_steps += 1
--- a/src/zinniatrestle/scheduling/tests/test_waits.py
+++ b/src/zinniatrestle/scheduling/tests/test_waits.py
@@ -79,6 +79,26 @@
     assert wait.until == NOW + 4.0
 
 
+def test_wait_of_a_single_task_ends_when_a_run_is_forecast_to_end():
+    workers = workers_in_racks(1, size=2)
+    for number, target in enumerate(workers):
+        occupy(target, name=f"{number:016}")
+    wait = wait_of(Step(gpus=1), workers)
+    assert wait.reason is WaitReason.CAPACITY
+    assert wait.until == NOW + 4.0
+
+
+def test_wait_of_a_gang_behind_a_reservation_names_its_job():
+    workers = workers_in_racks(1, size=2)
+    occupy(workers[0])
+    reservations = new_reservations()
+    wide = first_step(job("3" * 16, GANG))
+    reservations.reserve(reservations.earliest_start(wide, 2, workers, constraints()))
+    wait = wait_of(GANG, workers, reservations)
+    assert wait.reason is WaitReason.CAPACITY
+    assert (wait.for_job, wait.until) == (wide.job.id, None)
+
+
 def test_wait_for_tickets():
     workers = workers_in_racks(1)
     assert wait_of(Step(gpus=1), workers, tickets={}).reason is WaitReason.NO_TICKETS
--- a/src/zinniatrestle/scheduling/wait_log.py
+++ b/src/zinniatrestle/scheduling/wait_log.py
@@ -32,6 +32,11 @@
 # Limit on the lines per survey, for urgent and for other steps, to bound their
 # processor time.
 MAX_LINES_PER_SURVEY = 4
+# The same for a step of which tasks wait while others of its job run: time before its
+# first line, minimum time between two lines, and limit on the lines per survey.
+PARTIAL_WAIT_SECONDS = 3.0
+PARTIAL_REPEAT_SECONDS = 10.0
+MAX_PARTIAL_LINES_PER_SURVEY = 1
 # Limit on the unusable workers that a line names.
 MAX_NAMED_WORKERS = 5
 
@@ -45,7 +50,7 @@
         self.now = BootSeconds(0.0)
         self.is_surveying = False
         self.surveyed_at = BootSeconds(float("-inf"))
-        self.lines_left = self.urgent_lines_left = 0
+        self.lines_left = self.urgent_lines_left = self.partial_lines_left = 0
         self.repeat_seconds = REPEAT_SECONDS
         self.urgent_repeat_seconds = URGENT_REPEAT_SECONDS
         # Since when each step has waited while nothing of its job ran.
@@ -63,6 +68,7 @@
         if self.is_surveying:
             self.surveyed_at = now
             self.lines_left = self.urgent_lines_left = MAX_LINES_PER_SURVEY
+            self.partial_lines_left = MAX_PARTIAL_LINES_PER_SURVEY
             urgent = sum(_is_urgent(step) for step in self.idle_since)
             others = len(self.idle_since) - urgent
             self.urgent_repeat_seconds = max(
@@ -88,13 +94,33 @@
                 return False
             self.urgent_lines_left -= 1
             return True
+        if not is_idle:
+            return self._is_partial_wait_due(step, since_logged)
         if not self.lines_left or since_logged < self.repeat_seconds:
             return False
-        if not is_idle or not self._has_waited(step, LOGGED_WAIT_SECONDS):
+        if not self._has_waited(step, LOGGED_WAIT_SECONDS):
             return False
         self.lines_left -= 1
         return True
 
+    def _is_partial_wait_due(self, step: StepRun, since_logged: float) -> bool:
+        """Return whether to log a step of which tasks wait while its job runs."""
+        if not self.is_surveying or not self.partial_lines_left:
+            return False
+        if since_logged < PARTIAL_REPEAT_SECONDS:
+            return False
+        if self._longest_wait(step) < PARTIAL_WAIT_SECONDS:
+            return False
+        self.partial_lines_left -= 1
+        return True
+
+    def _longest_wait(self, step: StepRun) -> float:
+        """Return the seconds since a waiting task was ready or its run had ended."""
+        ended_at = min((task.status_at for task in step.waiting_tasks()), default=None)
+        if step.ready_at is None or ended_at is None:
+            return 0.0
+        return self.now - max(step.ready_at, ended_at)
+
     def _has_waited(self, step: StepRun, seconds: float) -> bool:
         idle_since = self.idle_since.get(step)
         return idle_since is not None and self.now - idle_since >= seconds
@@ -125,6 +151,8 @@
             reason=wait.reason.value,
             since=round(now - idle_since, 2),
             ready=round(now - (step.ready_at or now), 2),
+            job_runs=not self._is_idle(step),
+            longest=round(self._longest_wait(step), 2),
             for_job=wait.for_job,
             until=round(wait.until - now, 2) if wait.until is not None else None,
             priority=step.job.submission.priority,
@@ -152,7 +180,7 @@
             self.still_idle[step] = since
         self.idle_since, self.still_idle = self.still_idle, {}
         self.job_is_idle = {}
-        repeated = self.now - self.repeat_seconds
+        repeated = self.now - max(self.repeat_seconds, PARTIAL_REPEAT_SECONDS)
         for step, at in list(self.logged_at.items()):
             if step not in self.idle_since and at < repeated:
                 del self.logged_at[step]
--- a/src/zinniatrestle/scheduling/waits.py
+++ b/src/zinniatrestle/scheduling/waits.py
@@ -62,7 +62,7 @@
     """Why a step waits, and what ends the wait as far as known."""
 
     reason: WaitReason
-    # Job for which the workers with room are reserved.
+    # Job for which the workers with room, or those that come free, are reserved.
     for_job: JobId | None = None
     # Run whose start or end the step waits for.
     held_by: Task | None = None
@@ -133,7 +133,12 @@
                 if not worker.usable() and slots_when_empty(worker, step)
             ]
             return Wait(WaitReason.UNUSABLE_WORKERS, unusable=unusable, until=until)
-        return Wait(WaitReason.CAPACITY, until=until)
+        if not step.shape.gang:
+            until = reservations.next_slot(step, usable)
+            return Wait(WaitReason.CAPACITY, until=until)
+        ahead = reservations.first_reserving() if earliest is None else None
+        for_job = ahead.job.id if ahead is not None else None
+        return Wait(WaitReason.CAPACITY, for_job, until=until)
     if constraints.tickets is not None:
         usable = [worker for worker in usable if worker.id in constraints.tickets]
         if _slots(step, usable) < needed:
