Place a task elsewhere while a worker that refused it can't have changed

Cause: a refused task was free again for the next round, which ranks the same worker first. Only a refusal as unhealthy, or one by a worker that can't be reached, changed that; want of room, an old run, a deadline that has passed and a malformed order did not.

Why it works: the step avoids the worker until a run that is being stopped there would have ended and been reported. Others are used meanwhile if they could hold the step; if they couldn't, it is tried again at once, as before.

Ruled out: avoiding it for good, since most refusals for want of room end with the next stop; a refused ticket, which the cache of tickets handles.

--- a/src/zinniatrestle/scheduling/placement.py
+++ b/src/zinniatrestle/scheduling/placement.py
@@ -72,11 +72,11 @@
 ) -> list[Worker]:
     """Return the workers to consider for a step, free capacity aside.
 
-    Slow workers, and workers on which a task of the step failed or stalled, are left
-    out if the other healthy workers could hold the step when empty. No permitted worker
-    is left out if only the requirements of the step count.
+    Slow workers, and workers on which a task of the step failed or stalled or was just
+    refused, are left out if the other healthy workers could hold the step when empty.
+    No permitted worker is left out if only the requirements of the step count.
     """
-    avoided = step.avoided_workers()
+    avoided = step.avoided_workers(constraints.now)
     usable = [worker for worker in workers if is_permitted(worker, step, constraints)]
     if constraints.requirements_only:
         return usable
@@ -288,7 +288,7 @@
     Workers that the step avoids come after the others, and unhealthy ones and canaries
     last. Time-critical steps go to the fastest workers first.
     """
-    avoided = tasks[0].step.avoided_workers()
+    avoided = tasks[0].step.avoided_workers(constraints.now)
     free_gpus_by_rack: dict[RackId, int] = {}
     for worker in slots:
         free_gpus_by_rack[worker.rack] = (
--- a/src/zinniatrestle/scheduling/state.py
+++ b/src/zinniatrestle/scheduling/state.py
@@ -106,6 +106,8 @@
         self.reported_at = BootSeconds(0.0)
         # Workers on which the task failed or made no progress.
         self.avoided_workers: set[WorkerId] = set()
+        # Workers that refused to start the task, and until when it avoids them.
+        self.refused_until: dict[WorkerId, BootSeconds] = {}
         # Percentage of its full speed at which a best-effort run works.
         self.pace = 100
 
@@ -200,11 +202,14 @@
             failed |= member.failed_runs
         return len(failed)
 
-    def avoided_workers(self) -> set[WorkerId]:
-        """Return the workers that one of its tasks avoids."""
+    def avoided_workers(self, now: float) -> set[WorkerId]:
+        """Return the workers that one of its tasks avoids at `now`, in boot seconds."""
         avoided: set[WorkerId] = set()
         for task in self.tasks:
             avoided |= task.avoided_workers
+            for worker, until in task.refused_until.items():
+                if now < until:
+                    avoided.add(worker)
         return avoided
 
     def waiting_tasks(self) -> list[Task]:
--- a/src/zinniatrestle/scheduling/tests/test_lost_orders.py
+++ b/src/zinniatrestle/scheduling/tests/test_lost_orders.py
@@ -19,7 +19,12 @@
 from zinniatrestle.standins.model import Model, run_virtual, step
 from zinniatrestle.standins.runs import EventKind, OrderMode, TaskScript
 from zinniatrestle.workers.lease import MIN_CLOCK_RATE
-from zinniatrestle.workers.messages import StartOrder, UnansweredOrderError
+from zinniatrestle.workers.messages import (
+    Refusal,
+    RefusedOrderError,
+    StartOrder,
+    UnansweredOrderError,
+)
 
 BOUNDS = Bounds()
 # Time for a report, a round and the next start.
@@ -297,3 +302,30 @@
         return violations(model)
 
     assert run_virtual(play()) == []
+
+
+# Guards against a step that is placed again and again on a worker which refuses it.
+@pytest.mark.parametrize("gang", [False, True])
+@pytest.mark.parametrize(
+    "refusal", [Refusal.NO_ROOM, Refusal.STALE_RUN, Refusal.TOO_LATE, Refusal.MALFORMED]
+)
+def test_step_is_placed_elsewhere_if_a_worker_refuses_it(gang, refusal):
+    start = HostOrders.start
+
+    async def start_or_refuse(self, worker, order, timeout):
+        if worker.worker == "w0":
+            raise RefusedOrderError(refusal)
+        return await start(self, worker, order, timeout)
+
+    async def play():
+        model = Model(1)
+        await model.start(workers=6, rack=6)
+        shape = step(3 if gang else 1, gpus=8, gang=gang)
+        await model.submit("usual", (shape,), 1.0)
+        sent_at = monotonic()
+        assert await model.wait_for_jobs(BOUNDS.finish)
+        assert any(line["event"] == "run_refused" for line in model.lines)
+        return start_events(model)[-1].at - sent_at
+
+    with mock.patch.object(HostOrders, "start", start_or_refuse):
+        assert run_virtual(play()) <= DETECTION_SECONDS
--- a/src/zinniatrestle/scheduling/tracker.py
+++ b/src/zinniatrestle/scheduling/tracker.py
@@ -14,6 +14,7 @@
 from zinniatrestle.scheduling.leadership import LeadershipStatus
 from zinniatrestle.scheduling.placement import is_remote
 from zinniatrestle.scheduling.session import (
+    HOLD_WAIT_SECONDS,
     MAX_CONCURRENT_ORDERS,
     SessionListener,
     WorkerSession,
@@ -488,6 +489,10 @@
             worker=worker.id,
             reason=refusal.value,
         )
+        if refusal not in (Refusal.NOT_ORDERED, Refusal.BAD_TICKET):
+            # By then runs that the worker is stopping have ended and are reported.
+            seconds = self.context.deployment.bounds.stop + HOLD_WAIT_SECONDS
+            task.refused_until[worker.id] = BootSeconds(boot_time() + seconds)
         if refusal is Refusal.UNHEALTHY:
             task.avoided_workers.add(worker.id)
             self.quarantine(worker, "it rejects starts as unhealthy", boot_time())
