Keep a lease that the host acquired again while its scheduler was closed

Scheduling began twice after a lost lease that the same host acquired again, and the second time the leases at workers counted from the first.

Cause: the host steps down once its scheduler has ended, so that scheduling restarts under a new generation after a failure. Closing takes some time with many sessions, and the same host may have acquired the lease again by then.

Evidence: the new test of test_leadership.py, with a scheduler that takes 0.1 s to close, used two generations before and uses one now.

Why it works: the host steps down only if its generation is still that of the scheduler that ended.

Ruled out as a cause of the incident: each loss of the lease costs one more generation, and no more.

--- a/src/zinniatrestle/scheduling/leader_loop.py
+++ b/src/zinniatrestle/scheduling/leader_loop.py
@@ -16,6 +16,7 @@
     leadership = context.leadership
     while True:
         await leadership.acquired.wait()
+        generation = leadership.generation
         running = asyncio.create_task(Scheduler(context).run())
         lost = asyncio.create_task(leadership.lost.wait())
         try:
@@ -25,8 +26,10 @@
             running.cancel()
             results = await asyncio.gather(running, return_exceptions=True)
             _log_failure(results[0], context.events)
-        # After a failure, scheduling restarts under a new generation.
-        leadership.step_down("the scheduler ended")
+        # After a failure, scheduling restarts under a new generation, unless this host
+        # has acquired the lease anew while the scheduler was closed.
+        if leadership.generation == generation:
+            leadership.step_down("the scheduler ended")
 
 
 def _log_failure(error: BaseException | None, events: EventLog):
--- a/src/zinniatrestle/scheduling/tests/test_leadership.py
+++ b/src/zinniatrestle/scheduling/tests/test_leadership.py
@@ -1,6 +1,7 @@
 """Leader election: one host schedules at a time, and a successor replaces it."""
 
 import asyncio
+from unittest import mock
 
 import msgspec
 import pytest
@@ -15,6 +16,7 @@
     MIN_LEASE_SHARE,
     LeadershipStatus,
 )
+from zinniatrestle.scheduling.scheduler import Scheduler
 from zinniatrestle.standins.checker import violations
 from zinniatrestle.standins.model import FEED_SECONDS, Model, run_virtual, step
 from zinniatrestle.standins.rows import Reachability
@@ -249,3 +251,23 @@
         assert violations(model) == []
 
     with_model(check)
+
+
+# Guards against a host that gives up the lease which it has just acquired again.
+def test_a_holder_that_lost_its_lease_takes_one_generation_to_schedule_again():
+    close = Scheduler._close
+
+    async def close_slowly(scheduler):
+        await asyncio.sleep(0.1)
+        await close(scheduler)
+
+    async def check(model):
+        leadership = model.leader().leadership
+        generation = leadership.generation
+        with mock.patch.object(Scheduler, "_close", close_slowly):
+            leadership.step_down("a worker has accepted a newer generation")
+            await model.submit("usual", (step(1),), 0.5)
+            assert await model.wait_for_jobs(10.0)
+        assert leadership.generation == generation + 1
+
+    with_model(check)
