Store the progress of a job without checkpoints if its row is too large

At the size to design for, 1000 tasks with checkpoints on as many workers, the store refuses the row; the writer repeats the write for as long as the host leads, and nothing of any job is started or acknowledged.

Cause: accepted jobs are limited to 1000 tasks, since their progress is one row. That held for 400 workers. Each further worker adds its id and instance.

Evidence: the row of the new test of test_progress_writer.py has 49,272 bytes, 65,696 in base64, beside a limit of 65,536, in the first run of each task; it fits without the checkpoints.

Why it works: a checkpoint only saves work if the scheduler is lost. Workers report it again while the run goes on.

A lower limit on tasks would refuse jobs that run today; a row with many failed runs besides can still be too large.

--- a/src/zinniatrestle/scheduling/progress_writer.py
+++ b/src/zinniatrestle/scheduling/progress_writer.py
@@ -4,6 +4,7 @@
 from collections.abc import Iterable
 
 from zinniatrestle.clock import boot_time, monotonic
+from zinniatrestle.deployment import StoreLimits
 from zinniatrestle.errors import (
     LeaseLostError,
     StoreUnavailableError,
@@ -11,6 +12,7 @@
 )
 from zinniatrestle.events import Event, EventLog
 from zinniatrestle.ids import JobId, RowVersion
+from zinniatrestle.jobs.intake import BASE64_FACTOR
 from zinniatrestle.jobs.messages import (
     CANCELLATIONS,
     PROGRESS,
@@ -42,8 +44,15 @@
     No run starts, and no end of a run is acknowledged, before `save` returns.
     """
 
-    def __init__(self, store: RowStore, leadership: Leadership, events: EventLog):
+    def __init__(
+        self,
+        store: RowStore,
+        leadership: Leadership,
+        events: EventLog,
+        limits: StoreLimits,
+    ):
         self.store = store
+        self.limits = limits
         self.leadership = leadership
         self.events = events
         self.dirty: dict[JobId, Job] = {}
@@ -92,7 +101,7 @@
         batch: dict[JobId, Job] = {}
         size = 0
         for name, job in list(self.dirty.items()):
-            value = encode_progress(job.to_progress(self._now()))
+            value = self._encoded(job)
             if batch and size + len(value) > MAX_TRANSACTION_BYTES:
                 break
             size += len(value)
@@ -137,8 +146,7 @@
         for job in batch.values():
             name = row_name(job.id)
             expects.append(Expect(PROGRESS, name, job.version))
-            record = job.to_progress(self._now())
-            writes.append(Write(PROGRESS, name, encode_progress(record)))
+            writes.append(Write(PROGRESS, name, self._encoded(job)))
             if job.ended and not job.allocated_tasks() and not job.submission_deleted:
                 final.add(job)
                 writes.append(Write(SUBMISSIONS, name, None))
@@ -146,6 +154,19 @@
                     writes.append(Write(CANCELLATIONS, name, None))
         return expects, writes, final
 
+    def _encoded(self, job: Job) -> bytes:
+        """Return the encoded state of a job, without checkpoints if it is too large.
+
+        The store would refuse the row for ever, and with it those of all other jobs.
+        """
+        progress = job.to_progress(self._now())
+        value = encode_progress(progress)
+        if len(value) * BASE64_FACTOR <= self.limits.row_bytes:
+            return value
+        for task in progress.tasks.values():
+            task.checkpoint = ""
+        return encode_progress(progress)
+
     def _mark_written(
         self, batch: dict[JobId, Job], version: RowVersion, final: set[Job]
     ):
--- a/src/zinniatrestle/scheduling/scheduler.py
+++ b/src/zinniatrestle/scheduling/scheduler.py
@@ -95,7 +95,10 @@
         self.events = context.events
         self.leadership = context.leadership
         self.progress_writer = ProgressWriter(
-            context.store, context.leadership, context.events
+            context.store,
+            context.leadership,
+            context.events,
+            context.deployment.store,
         )
         self.tracker = Tracker(context, self.progress_writer)
         self.planner = Planner(context, self.tracker)
--- a/src/zinniatrestle/scheduling/tests/test_progress_writer.py
+++ b/src/zinniatrestle/scheduling/tests/test_progress_writer.py
@@ -2,22 +2,26 @@
 
 import asyncio
 
-from common.scheduling import job
+from common.scheduling import first_step, job, run_on
+from common.scheduling import worker as new_worker
 
 from zinniatrestle.clock import monotonic
 from zinniatrestle.events import EventLog
+from zinniatrestle.jobs.intake import BASE64_FACTOR, MAX_TASKS
 from zinniatrestle.jobs.messages import (
     PROGRESS,
     SUBMISSIONS,
     JobProgress,
     JobState,
+    Step,
+    decode_progress,
     encode_progress,
     row_name,
 )
 from zinniatrestle.rows import Write
 from zinniatrestle.scheduling.progress_writer import ProgressWriter
 from zinniatrestle.scheduling.state import Job
-from zinniatrestle.standins.model import Model, run_virtual, step
+from zinniatrestle.standins.model import Model, ModelHost, run_virtual, step
 from zinniatrestle.standins.rows import TRANSACTION_SECONDS
 
 # A write that is under way when a change comes, and the one with the change.
@@ -27,9 +31,9 @@
 BUSY_SECONDS = 5.0
 
 
-def stored_job(model: Model, name: str) -> Job:
+def stored_job(model: Model, name: str, *steps: Step) -> Job:
     """Return a job of which the store has a progress row."""
-    created = job(name)
+    created = job(name, *steps)
     value = encode_progress(JobProgress())
     row = row_name(created.id)
     writes = [Write(PROGRESS, row, value), Write(SUBMISSIONS, row, b"")]
@@ -37,11 +41,17 @@
     return created
 
 
+def new_writer(host: ModelHost) -> ProgressWriter:
+    return ProgressWriter(
+        host.store, host.leadership, EventLog(), host.deployment.store
+    )
+
+
 async def seconds_to_save_beside_a_job_that_keeps_changing() -> float:
     model = Model(1, hosts=1)
     await model.start(workers=1, rack=1)
     host = model.leader()
-    writer = ProgressWriter(host.store, host.leadership, EventLog())
+    writer = new_writer(host)
     host.store.latency_factor = SLOW_STORE_FACTOR
     quiet, changing = stored_job(model, "a" * 16), stored_job(model, "b" * 16)
     tasks = [asyncio.create_task(writer.run())]
@@ -89,7 +99,7 @@
         model = Model(1, hosts=1)
         await model.start(workers=1, rack=1)
         host = model.leader()
-        writer = ProgressWriter(host.store, host.leadership, EventLog())
+        writer = new_writer(host)
         running = asyncio.create_task(writer.run())
         created = stored_job(model, "a" * 16)
         saving = asyncio.create_task(writer.save([created]))
@@ -100,3 +110,26 @@
         return model.rows.row(SUBMISSIONS, row_name(created.id))
 
     assert run_virtual(play()) is None
+
+
+# Guards against a row that the store refuses for ever, and with it all other jobs.
+def test_the_progress_of_the_largest_job_on_many_workers_fits_into_a_row():
+    async def play():
+        model = Model(1, hosts=1)
+        await model.start(workers=1, rack=1)
+        host = model.leader()
+        writer = new_writer(host)
+        writing = asyncio.create_task(writer.run())
+        created = stored_job(model, "a" * 16, Step(count=MAX_TASKS, cpu=1000))
+        for number, task in enumerate(first_step(created).tasks):
+            instance = 1_800_000_000_000 + number
+            run_on(task, new_worker(f"i-{number:010x}", instance=instance))
+            task.checkpoint = f"{number:016x}"
+        await writer.save([created])
+        assert not writing.done()
+        value = model.rows.row(PROGRESS, row_name(created.id)).value
+        assert len(value) * BASE64_FACTOR <= host.deployment.store.row_bytes
+        tasks = decode_progress(value).tasks.values()
+        return {stored.worker for stored in tasks}
+
+    assert len(run_virtual(play())) == MAX_TASKS
