Place a reserved step on other workers that come free first

What callers saw: an urgent job ran nothing for as long as the stop of the run that it had preempted was carried out late, although four of six workers came free at once; less urgent jobs took them.

Cause: a step with reserved workers is only looked at for these. Its reservation ends after 3 s and is then planned anew, by which time the steps that rank behind it have taken what came free, so it is reserved beside the same run again.

Change: while reserved workers aren't free, the reserved tasks are placed as if they waited; those that fit elsewhere give their reservations up.

Ruled out: a shorter reservation; a stop may take `bounds.stop` and longer, and the victims of the plan would be stopped in vain more often.

--- a/src/zinniatrestle/scheduling/rounds.py
+++ b/src/zinniatrestle/scheduling/rounds.py
@@ -168,6 +168,10 @@
         reserved = [task for task in step.tasks if task.status is TaskStatus.RESERVED]
         if reserved:
             assignment = self.preemptor.take_reserved(step, reserved, constraints, now)
+            if not assignment:
+                assignment = self._place_elsewhere(
+                    step, reserved, workers, reservations, constraints
+                )
             if not assignment:
                 self._log_reserved(step, reserved, workers, constraints)
             return self._place(step, assignment)
@@ -182,9 +186,7 @@
                 assignment = self.placement.place(step, waiting, open_workers, weakest)
                 if assignment:
                     break
-        if constraints.tickets:
-            for task, worker in assignment.items():
-                task.ticket = constraints.tickets[worker.id]
+        self._assign_tickets(assignment, constraints)
         placed = self._place(step, assignment)
         unplaced = len(waiting) - len(placed)
         if not unplaced:
@@ -206,6 +208,33 @@
             reservations.reserve(earliest)
         return placed
 
+    def _place_elsewhere(
+        self,
+        step: StepRun,
+        reserved: list[Task],
+        workers: list[Worker],
+        reservations: BackfillReservations,
+        constraints: PlacementConstraints,
+    ) -> Assignment:
+        """Return an assignment of reserved tasks to workers that came free before.
+
+        The reservations of these tasks are released.
+        """
+        open_workers = reservations.eligible_workers(step, workers)
+        assignment = self.placement.place(step, reserved, open_workers, constraints)
+        for task in assignment:
+            self.tracker.release_reservation(task)
+        self._assign_tickets(assignment, constraints)
+        return assignment
+
+    def _assign_tickets(
+        self, assignment: Assignment, constraints: PlacementConstraints
+    ):
+        if not constraints.tickets:
+            return
+        for task, worker in assignment.items():
+            task.ticket = constraints.tickets[worker.id]
+
     # Reasons of waits
 
     def _log_reserved(
--- /dev/null
+++ b/src/zinniatrestle/scheduling/tests/test_reserved_steps.py
@@ -0,0 +1,50 @@
+"""A step with reserved workers uses others that come free before them."""
+
+import asyncio
+
+import pytest
+
+from zinniatrestle.clock import monotonic
+from zinniatrestle.standins.checker import violations
+from zinniatrestle.standins.model import Model, run_virtual, step
+from zinniatrestle.standins.runs import EventKind
+
+# Longer than reservations last.
+STOP_SECONDS = 10.0
+# Time for a new instance to join, a round and the start order.
+DETECTION_SECONDS = 1.0
+
+
+def preempted_workers(model: Model) -> set[str]:
+    return {line["worker"] for line in model.lines if line["event"] == "run_preempted"}
+
+
+# Guards against an urgent step that waits for a run whose stop is carried out late
+# while other workers are idle.
+@pytest.mark.parametrize("gang", [False, True])
+def test_a_step_does_not_wait_for_its_reserved_workers_while_others_are_free(gang):
+    async def play():
+        model = Model(1)
+        await model.start(workers=6, rack=6)
+        for _ in model.fleet.workers:
+            await model.submit("patient", (step(gpus=8),), 60.0)
+        await asyncio.sleep(1.0)
+        model.fleet.stop_seconds = STOP_SECONDS
+        urgent = await model.submit("urgent", (step(2, gpus=8, gang=gang),), 1.0)
+        while not preempted_workers(model):
+            await asyncio.sleep(0.05)
+        freed_at = monotonic()
+        for name, worker in model.fleet.workers.items():
+            if name not in preempted_workers(model):
+                model.fleet.restart(worker)
+        await asyncio.sleep(STOP_SECONDS)
+        assert violations(model) == []
+        starts = [
+            event.at
+            for event in model.fleet.history
+            if event.kind is EventKind.START and event.task.startswith(urgent)
+        ]
+        assert len(starts) == 2
+        return max(starts) - freed_at
+
+    assert run_virtual(play()) <= DETECTION_SECONDS
