Use the workers of a wave again although their machines aren't listed

A worker stayed without tasks until the next succession.

Cause: workers get no tasks while their machines are emptied. The end of that was applied to the machines of the latest list only. A worker whose machine was missing from it when the wave ended, or was withdrawn, or was left out of the wave after three lists without it, was never used again.

Evidence: both cases of the new test of test_waves.py don't start their second job within 30 s before and do now.

Why it works: a wave keeps which workers it has withheld and for which machines. At each update, those are used again whose machines are no longer emptied and not down; all are at the end of the wave.

Ruled out: the state of another wave or of a former scheduler; a successor's workers start without the mark, and are marked for the waves that go on.

--- a/src/zinniatrestle/standins/operator.py
+++ b/src/zinniatrestle/standins/operator.py
@@ -104,6 +104,10 @@
         name = RowName(f"{WAVE_PREFIX}{wave.number}")
         self.rows.put(OPERATOR_TABLE, name, msgspec.msgpack.encode(wave))
 
+    def withdraw_wave(self, number: int):
+        """Withdraw the request of a wave."""
+        self.rows.put(OPERATOR_TABLE, RowName(f"{WAVE_PREFIX}{number}"), None)
+
     def evacuate(self, domain: str):
         """Evacuate a failure domain."""
         self.rows.put(OPERATOR_TABLE, RowName(EVACUATION_PREFIX + domain), b"")
--- a/src/zinniatrestle/upkeep/runner.py
+++ b/src/zinniatrestle/upkeep/runner.py
@@ -97,7 +97,7 @@
     def _drop_withdrawn_waves(self):
         for number in list(self.waves):
             if number not in self.operator.waves:
-                self._uncordon_workers(self.waves.pop(number))
+                self._uncordon_workers(self.waves.pop(number), is_over=True)
                 self.versions.pop(number, None)
 
     async def _advance(self, wave: Wave):
@@ -109,6 +109,7 @@
                 return
         progress.wave = wave
         progress.observe(await self.calls.machines(CALL_TIMEOUT_SECONDS))
+        self._uncordon_workers(progress)
         workers = self._workers(progress)
         now = boot_time()
         forecast = Forecast(self.cluster.durations, now)
@@ -121,7 +122,7 @@
         if not progress.remaining():
             await self._publish_state(progress, WaveState.COMPLETED)
             progress.completed = True
-            self._uncordon_workers(progress)
+            self._uncordon_workers(progress, is_over=True)
 
     async def _load_or_start(self, wave: Wave) -> WaveProgress:
         """Load the progress that an earlier leader has stored, or start a new wave."""
@@ -154,6 +155,7 @@
         now = boot_time()
         if worker is not None:
             worker.cordoned = True
+            progress.cordoned[worker.id] = machine
             waited = now - progress.draining[machine]
             for task in tasks_to_stop(
                 worker, waited, drain_timeout(progress, self.bounds, now)
@@ -196,9 +198,7 @@
         if refusal in (MachineRefusal.OTHER_WAVE, MachineRefusal.UNKNOWN_MACHINE):
             # The machine is being removed or is not part of this wave.
             progress.exclude(machine)
-            worker = self._workers(progress).get(machine)
-            if worker is not None:
-                worker.cordoned = False
+            self._uncordon_workers(progress)
 
     async def _save_progress(self, progress: WaveProgress):
         """Store the progress for a new leader; raises store errors."""
@@ -249,11 +249,22 @@
                 workers[machine] = worker
         return workers
 
-    def _uncordon_workers(self, progress: WaveProgress):
-        """Uncordon the workers of a wave that was completed or withdrawn."""
-        for worker in self._workers(progress).values():
-            worker.cordoned = False
-        progress.draining.clear()
+    def _uncordon_workers(self, progress: WaveProgress, is_over: bool = False):
+        """Uncordon the workers whose machines are drained no longer.
+
+        That is all of them if the wave is over. A machine may be missing from the
+        latest list while its worker lives.
+        """
+        now = boot_time()
+        for worker_id, machine in list(progress.cordoned.items()):
+            begun_at = progress.begun.get(machine)
+            is_down = begun_at is not None and now - begun_at < self.bounds.upkeep
+            if not is_over and (machine in progress.draining or is_down):
+                continue
+            del progress.cordoned[worker_id]
+            worker = self.cluster.fleet.workers.get(worker_id)
+            if worker is not None:
+                worker.cordoned = False
 
     def _row_name(self, wave: Wave) -> RowName:
         return RowName(str(wave.number))
--- a/src/zinniatrestle/upkeep/state.py
+++ b/src/zinniatrestle/upkeep/state.py
@@ -1,6 +1,6 @@
 """Progress of a wave."""
 
-from zinniatrestle.ids import BootSeconds, MachineId
+from zinniatrestle.ids import BootSeconds, MachineId, WorkerId
 from zinniatrestle.queues import Wave
 from zinniatrestle.upkeep.messages import Machine, MachineState
 
@@ -19,6 +19,8 @@
         self.begun: dict[MachineId, BootSeconds] = {}
         # Machines that are cordoned and being drained, with the time of the start.
         self.draining: dict[MachineId, BootSeconds] = {}
+        # Workers that get no tasks because their machines are drained.
+        self.cordoned: dict[WorkerId, MachineId] = {}
         # Machines whose call was not answered; it may still be carried out at any time.
         self.uncertain: set[MachineId] = set()
         # Number of lists in a row, up to the latest, without a machine of the wave.
--- a/src/zinniatrestle/upkeep/tests/test_waves.py
+++ b/src/zinniatrestle/upkeep/tests/test_waves.py
@@ -181,3 +181,24 @@
         assert emptied.count("m-w0") == 1
 
     run_with_scenario(check)
+
+
+# Guards against a worker that gets no tasks after the end of a wave whose latest list
+# lacks its machine.
+@pytest.mark.parametrize("is_withdrawn", [False, True])
+def test_a_worker_is_used_again_if_its_machine_is_missing_from_the_lists(is_withdrawn):
+    async def check(scenario):
+        model = scenario.model
+        await model.submit("usual", (step(1, gpus=1),), 20.0)
+        scenario.request_wave(count=1, max_concurrent=1, duration=60.0)
+        while not any(line["event"] == "machine_emptied" for line in model.lines):
+            await asyncio.sleep(0.1)
+        del model.machines.by_id[MachineId("m-w0")]
+        await asyncio.sleep(1.5)
+        if is_withdrawn:
+            model.operator.withdraw_wave(1)
+        await asyncio.sleep(5.0)
+        await model.submit("usual", (step(1, gpus=8),), 1.0)
+        assert await model.wait_for_jobs(30.0)
+
+    run_with_scenario(check, workers=1)
