--- a/src/zinniatrestle/scheduling/fleet.py
+++ b/src/zinniatrestle/scheduling/fleet.py
@@ -277,7 +277,6 @@
 
     def mark_silent(self, worker: Worker, refused: bool):
         """Mark a worker as silent; end it if the registry confirms that it is gone."""
-        worker.answers_again = False
         if not worker.silent:
             worker.silent = True
             self.events.write(
--- a/src/zinniatrestle/scheduling/leadership.py
+++ b/src/zinniatrestle/scheduling/leadership.py
@@ -21,7 +21,6 @@
     RowName,
     RowVersion,
     TableName,
-    WorkerId,
 )
 from zinniatrestle.rows import (
     ABSENT,
@@ -133,8 +132,6 @@
         self.released = False
         self.pending: dict[QueueName, int] = {}
         self.handover = Handover()
-        # Workers whose lease ends are in a record that is, or may be, stored.
-        self.published_workers: set[WorkerId] = set()
         # Store time in ms until which the predecessor may still hold workers.
         self.predecessor_hold_until = 0.0
 
@@ -165,10 +162,6 @@
         latest = self.store.clock.latest(boot_time())
         return latest < self.record.until + self.hold_extension * MS_PER_SECOND
 
-    def has_published_lease_end(self, worker: WorkerId) -> bool:
-        """Return whether a successor may rely on the end of a worker's leases."""
-        return worker in self.handover.lease_ends or worker in self.published_workers
-
     def fence_expectation(self) -> Expect:
         """Return the fence check that each of the holder's transactions carries."""
         return Expect(FENCES, FENCE_ROW, self.own_fence)
@@ -312,7 +305,6 @@
         generation = Generation(1)
         if self.record is not None:
             generation = Generation(self.record.generation + 1)
-            self.handover = self.record.handover
         requested_at = self.store.clock.earliest(boot_time())
         record = self._extended_record(requested_at, generation)
         expects = [
@@ -332,7 +324,8 @@
             if not self.record.holder:
                 # A holder that released the lease held workers until then at most.
                 self.predecessor_hold_until = self.store.clock.latest(boot_time())
-        self._set_stored(record)
+            self.handover = self.record.handover
+        self.record = record
         self.version = self.fence = self.own_fence = result.version
         self.fence_changed.clear()
         self.generation = generation
@@ -349,7 +342,7 @@
         if not self.is_holder:
             return
         if result.applied:
-            self._set_stored(record)
+            self.record = record
             self.version = result.version
             return
         # An earlier renewal whose answer was lost may have applied.
@@ -359,14 +352,9 @@
         current = msgspec.msgpack.decode(row.value, type=LeaseRecord)
         if not self._is_own_record(current) or current.generation != self.generation:
             raise LeaseLostError("Another host has acquired the lease.")
-        self._set_stored(current)
+        self.record = current
         self.version = row.version
 
-    def _set_stored(self, record: LeaseRecord):
-        """Record what this host has stored; no earlier write can apply any more."""
-        self.record = record
-        self.published_workers = set(record.handover.lease_ends)
-
     def _extended_record(
         self, requested_at: float, generation: Generation
     ) -> LeaseRecord:
@@ -388,7 +376,6 @@
     ) -> TransactionResult:
         # The lease in the record starts now. An answer within its duration is useful,
         # however slow the store; a later one is not.
-        self.published_workers.update(record.handover.lease_ends)
         give_up_at = monotonic() + self.lease_seconds
         lease = Write(LEASES, LEASE_ROW, msgspec.msgpack.encode(record))
         started_at = boot_time()
--- a/src/zinniatrestle/scheduling/messages.py
+++ b/src/zinniatrestle/scheduling/messages.py
@@ -30,25 +30,13 @@
     speed: float | None
 
 
-class WorkerLeaseEnd(msgspec.Struct, frozen=True, array_like=True):
-    """End of all leases at one instance of a worker, in ms of the store's clock."""
-
-    instance: InstanceId
-    until: float
-
-
 class Handover(msgspec.Struct, frozen=True):
-    """What a leader has learned and leaves to its successor.
-
-    `lease_ends` are those of workers that can't be reached. While a record that is, or
-    may be, stored has a worker in it, its writer extends no lease there.
-    """
+    """What a leader has learned and leaves to its successor."""
 
     times: dict[QueueName, RunTimeStatistics] = {}
     health_records: dict[WorkerId, WorkerHealthRecord] = msgspec.field(
         name="doubts", default_factory=dict
     )
-    lease_ends: dict[WorkerId, WorkerLeaseEnd] = {}
 
 
 class LeaseRecord(msgspec.Struct, frozen=True):
--- a/src/zinniatrestle/scheduling/scheduler.py
+++ b/src/zinniatrestle/scheduling/scheduler.py
@@ -5,7 +5,7 @@
 from zinniatrestle.clock import boot_time, wait_for_event
 from zinniatrestle.errors import PlatformError, StoreUnavailableError
 from zinniatrestle.events import Event
-from zinniatrestle.ids import BootSeconds, InstanceId, JobId, RowVersion, WorkerId
+from zinniatrestle.ids import BootSeconds, JobId, RowVersion, WorkerId
 from zinniatrestle.jobs.messages import (
     CANCELLATIONS,
     PROGRESS,
@@ -21,7 +21,7 @@
 from zinniatrestle.scheduling.context import SchedulerContext
 from zinniatrestle.scheduling.health_records import export_health_records
 from zinniatrestle.scheduling.leadership import LeadershipStatus
-from zinniatrestle.scheduling.messages import Handover, WorkerLeaseEnd
+from zinniatrestle.scheduling.messages import Handover
 from zinniatrestle.scheduling.progress_writer import ProgressWriter
 from zinniatrestle.scheduling.rounds import Planner
 from zinniatrestle.scheduling.session import HOLD_SHARE
@@ -44,9 +44,6 @@
 # share of the time allowed for draining or for evacuations.
 MAX_STALENESS_SHARE = 0.5
 MS_PER_SECOND = 1000.0
-# The ends of leases are part of the lease's row, which is written several times a
-# second.
-MAX_LEASE_ENDS = 100
 
 
 class SubmissionReader(TableReader):
@@ -241,31 +238,12 @@
         expires_at = now + left + held / MIN_CLOCK_RATE + TIMER_SLACK_SECONDS
         return BootSeconds(max(now, expires_at))
 
-    def _lease_end_at(
-        self, worker_id: WorkerId, instance: InstanceId, lease_end: BootSeconds
-    ) -> BootSeconds:
-        """Return the end of the leases at an instance, `lease_end` at the latest.
-
-        It is earlier if the predecessor could not reach the instance.
-        """
-        known = self.leadership.handover.lease_ends.get(worker_id)
-        if known is None or known.instance != instance:
-            return lease_end
-        worker = self.tracker.fleet.workers.get(worker_id)
-        if worker is not None and worker.entry.instance > instance:
-            # A start order may have reached the new instance.
-            return lease_end
-        now = boot_time()
-        left = known.until - self.context.store.clock.earliest(now)
-        return min(lease_end, BootSeconds(now + left / MS_PER_SECOND))
-
-    def _restore_step(self, step: StepRun, latest_end: BootSeconds):
+    def _restore_step(self, step: StepRun, lease_end: BootSeconds):
         for task in step.tasks:
             worker_id, instance = task.previous_assignment
             task.previous_assignment = (WorkerId(""), 0)
             if not worker_id:
                 continue
-            lease_end = self._lease_end_at(worker_id, instance, latest_end)
             worker = self.tracker.fleet.workers.get(worker_id)
             if worker is None or worker.entry.instance < instance:
                 worker = self.tracker.fleet.get_or_add_unregistered(
@@ -350,25 +328,8 @@
         self.leadership.handover = Handover(
             times=self.tracker.durations.export(),
             health_records=export_health_records(workers, boot_time()),
-            lease_ends=self._lease_ends(),
         )
 
-    def _lease_ends(self) -> dict[WorkerId, WorkerLeaseEnd]:
-        """Return the ends of the leases at workers with tasks that can't be reached."""
-        now = boot_time()
-        store_now = self.context.store.clock.latest(now)
-        fleet = self.tracker.fleet
-        found: dict[WorkerId, WorkerLeaseEnd] = {}
-        for worker in [*fleet.workers.values(), *fleet.unregistered]:
-            is_lost = worker.silent and not worker.answers_again
-            if not worker.tasks or not (is_lost or worker in fleet.unregistered):
-                continue
-            if len(found) == MAX_LEASE_ENDS:
-                break
-            left = (worker.lease.expires_at - now) * MS_PER_SECOND
-            found[worker.id] = WorkerLeaseEnd(worker.entry.instance, store_now + left)
-        return found
-
     async def _purge_ended_jobs(self):
         """Delete the progress rows of jobs that ended over twice the retention ago."""
         retention_seconds = 2 * self.context.deployment.bounds.status_retention
--- a/src/zinniatrestle/scheduling/state.py
+++ b/src/zinniatrestle/scheduling/state.py
@@ -358,8 +358,6 @@
         # The worker has accepted this scheduler's generation.
         self.generation_confirmed = False
         self.silent = False
-        # The worker has answered since it was last marked as silent.
-        self.answers_again = False
         # When the worker last answered a hold.
         self.reported_at = BootSeconds(0.0)
         self.entry_seen_at = BootSeconds(0.0)
--- a/src/zinniatrestle/scheduling/tracker.py
+++ b/src/zinniatrestle/scheduling/tracker.py
@@ -57,8 +57,6 @@
             self.events,
         )
         self.sessions[worker] = session
-        if self.context.leadership.has_published_lease_end(worker.id):
-            worker.silent = True
         senders = [session.send_orders() for _ in range(MAX_CONCURRENT_ORDERS)]
         running = [asyncio.create_task(task) for task in (session.hold(), *senders)]
         for task in running:
@@ -157,8 +155,8 @@
         if worker.has_ended:
             return
         if worker.silent:
-            worker.answers_again = True
-            self._end_silence(worker)
+            worker.silent = False
+            self.events.write(Event.WORKER_SEEN, worker=worker.id, again=True)
         # The registry may list an instance with an earlier number than the one that a
         # predecessor assigned tasks to: its clock was set back.
         self.fleet.transfer_tasks(worker)
@@ -217,16 +215,6 @@
                 partial(self.log_failure, "save", worker.id)
             )
 
-    def _end_silence(self, worker: Worker):
-        """Use a worker that answers again, and extend its leases.
-
-        This waits while a successor may rely on the end of the leases.
-        """
-        if self.context.leadership.has_published_lease_end(worker.id):
-            return
-        worker.silent = False
-        self.events.write(Event.WORKER_SEEN, worker=worker.id, again=True)
-
     async def _acknowledge_saved(
         self,
         worker: Worker,
