Hand lease expiries of lost workers on, so that the wait for them is bounded

What callers saw: an accepted task could run, most of its service was idle, and it didn't: its worker was lost and the scheduling host changed several times.

Cause: a successor assumes that its predecessor extended the leases at every worker until the end of its own lease, also at one with which it had no session. Each succession therefore began the wait for the worker's runs anew, and nothing bounded the sum. A registered worker that doesn't answer had the same wait.

Why it is safe: a record is valid as long as nobody extends the worker's lease after it was computed. From its publication in memory, before any write has it, until a write of the lease without it is confirmed, the leader gives the worker no later deadline and places nothing there. Workers in a write whose answer was lost count as recorded until a later write is confirmed or the stored row is read, after which no earlier write can apply. An acquisition expects the row that was read and writes the handover found in it, no longer that of an earlier term of the same host, so a lost answer to it loses no record and revives none. A released row has the last confirmed handover, under which the same workers were barred. Expiries are rounded to the late side in both conversions. A record is used for its own instance only: another one gets the former, longer bound, also if it registers later. No record is written while any instance of the worker answers. Rows of earlier builds decode without records, and earlier builds ignore the field and drop it with their first write.

The price: a worker that answers again gets its next extension after a round, a renewal and a hold instead of at once, and none while the store confirms nothing.

check_recorded_expiries compares the lease at each worker with the stored record; the model does so every 0.1 s, also under a new set of faults in which workers are missing during successions.

Ruled out: to convert the record anew in each term (the uncertainty of the clock adds up with each long poll); to record all inherited workers at once (each succession would delay the first extension of sound workers); to key the record by the worker alone (a late start may have begun in a new instance).

--- a/src/zinniatrestle/scheduling/fleet.py
+++ b/src/zinniatrestle/scheduling/fleet.py
@@ -72,6 +72,8 @@
         self.workers: dict[WorkerId, Worker] = {}
         # Instances that are not in the registry but on which tasks may still run.
         self.unregistered: list[Worker] = []
+        # When leases that only the predecessor could extend have expired.
+        self.inherited_lease_end = BootSeconds(0.0)
 
     def snapshot(self, rows: list[StoredRow]):
         """Replace the known entries by those of a full read."""
@@ -186,6 +188,11 @@
         self.unregistered.remove(former)
         if former.tasks:
             worker.lease.inherit(former.lease)
+            if former.entry.instance != worker.entry.instance:
+                # A recorded expiry holds for one instance only.
+                worker.lease.expires_at = max(
+                    worker.lease.expires_at, self.inherited_lease_end
+                )
         for task in list(former.tasks.values()):
             former.remove_task(task)
             task.worker = worker
@@ -193,12 +200,9 @@
             worker.add_task(task)
 
     def get_or_add_unregistered(
-        self, worker_id: WorkerId, instance: InstanceId, until: BootSeconds
+        self, worker_id: WorkerId, instance: InstanceId
     ) -> Worker:
-        """Return an instance that is not in the registry, adding it if it is unknown.
-
-        `until` is the latest expiry of the leases on it.
-        """
+        """Return an instance that is not in the registry, adding an unknown one."""
         for former in self.unregistered:
             if former.id == worker_id and former.entry.instance == instance:
                 return former
@@ -218,7 +222,6 @@
         )
         worker = Worker(entry, RegionId(""))
         worker.missing_since = boot_time()
-        worker.lease.expires_at = until
         self.unregistered.append(worker)
         return worker
 
--- a/src/zinniatrestle/scheduling/leadership.py
+++ b/src/zinniatrestle/scheduling/leadership.py
@@ -21,6 +21,7 @@
     RowName,
     RowVersion,
     TableName,
+    WorkerId,
 )
 from zinniatrestle.rows import (
     ABSENT,
@@ -132,6 +133,8 @@
         self.released = False
         self.pending: dict[QueueName, int] = {}
         self.handover = Handover()
+        # Workers with lease expiries in a handover that is stored or may be stored yet.
+        self.recorded_workers: set[WorkerId] = set()
         # Store time in ms until which the predecessor may still hold workers.
         self.predecessor_hold_until = 0.0
 
@@ -162,6 +165,16 @@
         latest = self.store.clock.latest(boot_time())
         return latest < self.record.until + self.hold_extension * MS_PER_SECOND
 
+    def may_extend(self, worker: WorkerId) -> bool:
+        """Return whether the leases at a worker may be extended.
+
+        They may not while a successor could find the time of their expiry in a
+        handover, and restart the worker's runs from then on.
+        """
+        if worker in self.handover.lease_expiries:
+            return False
+        return worker not in self.recorded_workers
+
     def fence_expectation(self) -> Expect:
         """Return the fence check that each of the holder's transactions carries."""
         return Expect(FENCES, FENCE_ROW, self.own_fence)
@@ -305,8 +318,10 @@
         generation = Generation(1)
         if self.record is not None:
             generation = Generation(self.record.generation + 1)
+        # Lease expiries that this host published when it led before may have passed.
+        handover = self.record.handover if self.record is not None else Handover()
         requested_at = self.store.clock.earliest(boot_time())
-        record = self._extended_record(requested_at, generation)
+        record = self._extended_record(requested_at, generation, handover)
         expects = [
             Expect(LEASES, LEASE_ROW, self.version),
             Expect(FENCES, FENCE_ROW, self.fence),
@@ -324,9 +339,9 @@
             if not self.record.holder:
                 # A holder that released the lease held workers until then at most.
                 self.predecessor_hold_until = self.store.clock.latest(boot_time())
-            self.handover = self.record.handover
-        self.record = record
-        self.version = self.fence = self.own_fence = result.version
+        self.handover = handover
+        self._set_stored(record, result.version)
+        self.fence = self.own_fence = result.version
         self.fence_changed.clear()
         self.generation = generation
         self.is_holder = True
@@ -336,14 +351,14 @@
 
     async def _renew(self):
         requested_at = self.store.clock.earliest(boot_time())
-        record = self._extended_record(requested_at, self.generation)
+        record = self._extended_record(requested_at, self.generation, self.handover)
+        self.recorded_workers |= record.handover.lease_expiries.keys()
         expects = [Expect(LEASES, LEASE_ROW, self.version), self.fence_expectation()]
         result = await self._write(record, expects, [])
         if not self.is_holder:
             return
         if result.applied:
-            self.record = record
-            self.version = result.version
+            self._set_stored(record, result.version)
             return
         # An earlier renewal whose answer was lost may have applied.
         row = result.current.get((LEASES, LEASE_ROW))
@@ -352,11 +367,16 @@
         current = msgspec.msgpack.decode(row.value, type=LeaseRecord)
         if not self._is_own_record(current) or current.generation != self.generation:
             raise LeaseLostError("Another host has acquired the lease.")
-        self.record = current
-        self.version = row.version
+        self._set_stored(current, row.version)
+
+    def _set_stored(self, record: LeaseRecord, version: RowVersion):
+        """Set this holder's stored record, which no earlier write can replace."""
+        self.record = record
+        self.version = version
+        self.recorded_workers = set(record.handover.lease_expiries)
 
     def _extended_record(
-        self, requested_at: float, generation: Generation
+        self, requested_at: float, generation: Generation, handover: Handover
     ) -> LeaseRecord:
         return LeaseRecord(
             holder=self.identity.host,
@@ -365,7 +385,7 @@
             generation=generation,
             written_at=requested_at,
             pending=self.pending,
-            handover=self.handover,
+            handover=handover,
         )
 
     def _fence_write(self, generation: Generation) -> Write:
--- a/src/zinniatrestle/scheduling/messages.py
+++ b/src/zinniatrestle/scheduling/messages.py
@@ -2,7 +2,14 @@
 
 import msgspec
 
-from zinniatrestle.ids import Generation, HostId, InstanceId, QueueName, WorkerId
+from zinniatrestle.ids import (
+    Generation,
+    HostId,
+    InstanceId,
+    QueueName,
+    StoreMilliseconds,
+    WorkerId,
+)
 
 
 class RunTimeStatistics(msgspec.Struct, frozen=True, array_like=True):
@@ -31,12 +38,17 @@
 
 
 class Handover(msgspec.Struct, frozen=True):
-    """What a leader has learned and leaves to its successor."""
+    """What a leader has learned and leaves to its successor.
+
+    `lease_expiries` has, for instances of workers that don't answer, the store's time
+    after which no lease there is valid.
+    """
 
     times: dict[QueueName, RunTimeStatistics] = {}
     health_records: dict[WorkerId, WorkerHealthRecord] = msgspec.field(
         name="doubts", default_factory=dict
     )
+    lease_expiries: dict[WorkerId, dict[InstanceId, StoreMilliseconds]] = {}
 
 
 class LeaseRecord(msgspec.Struct, frozen=True):
--- a/src/zinniatrestle/scheduling/scheduler.py
+++ b/src/zinniatrestle/scheduling/scheduler.py
@@ -21,6 +21,7 @@
 from zinniatrestle.scheduling.context import SchedulerContext
 from zinniatrestle.scheduling.health_records import export_health_records
 from zinniatrestle.scheduling.leadership import LeadershipStatus
+from zinniatrestle.scheduling.lease_expiries import LeaseExpiries
 from zinniatrestle.scheduling.messages import Handover
 from zinniatrestle.scheduling.progress_writer import ProgressWriter
 from zinniatrestle.scheduling.rounds import Planner
@@ -96,6 +97,7 @@
         )
         self.tracker = Tracker(context, self.progress_writer)
         self.planner = Planner(context, self.tracker)
+        self.lease_expiries = LeaseExpiries(context.store.clock)
         self.stored_progress: dict[JobId, tuple[JobProgress, RowVersion]] = {}
         # Cancellations of jobs whose submissions have not been read yet.
         self.early_cancellations: dict[JobId, RowVersion] = {}
@@ -219,12 +221,13 @@
 
     def _restore_assignments(self):
         """Assign the predecessor's tasks to the workers on which they may run."""
-        lease_end = self._inherited_lease_end()
+        self.tracker.fleet.inherited_lease_end = self._inherited_lease_end()
+        self.lease_expiries.restore(self.leadership.handover.lease_expiries)
         for job in self.tracker.jobs.values():
             if job.ended:
                 self.tracker.unsaved_jobs.add(job)
             for step in job.steps.values():
-                self._restore_step(step, lease_end)
+                self._restore_step(step)
 
     def _inherited_lease_end(self) -> BootSeconds:
         """Return when leases that only the predecessor could extend have expired."""
@@ -235,23 +238,25 @@
         expires_at = now + left + held / MIN_CLOCK_RATE + TIMER_SLACK_SECONDS
         return BootSeconds(max(now, expires_at))
 
-    def _restore_step(self, step: StepRun, lease_end: BootSeconds):
+    def _restore_step(self, step: StepRun):
         for task in step.tasks:
             worker_id, instance = task.previous_assignment
             task.previous_assignment = (WorkerId(""), 0)
             if not worker_id:
                 continue
-            worker = self.tracker.fleet.workers.get(worker_id)
+            fleet = self.tracker.fleet
+            worker = fleet.workers.get(worker_id)
             if worker is None or worker.entry.instance < instance:
-                worker = self.tracker.fleet.get_or_add_unregistered(
-                    worker_id, instance, lease_end
-                )
+                worker = fleet.get_or_add_unregistered(worker_id, instance)
+            expires_at = self.lease_expiries.recorded_expiry(worker)
+            if expires_at is None:
+                expires_at = fleet.inherited_lease_end
             task.status = TaskStatus.PLACED
             task.status_at = boot_time()
             task.inherited = True
             task.worker = worker
             worker.add_task(task)
-            worker.lease.expires_at = max(worker.lease.expires_at, lease_end)
+            worker.lease.expires_at = max(worker.lease.expires_at, expires_at)
 
     def apply_cancellation(self, job_id: JobId, version: RowVersion):
         """Cancel a job and stop its tasks."""
@@ -325,7 +330,10 @@
         self.leadership.handover = Handover(
             times=self.tracker.durations.export(),
             health_records=export_health_records(workers, boot_time()),
+            lease_expiries=self.lease_expiries.export(self.tracker.fleet),
         )
+        for worker in workers:
+            worker.expiry_recorded = not self.leadership.may_extend(worker.id)
 
     async def _purge_ended_jobs(self):
         """Delete the progress rows of jobs that ended over twice the retention ago."""
--- a/src/zinniatrestle/scheduling/session.py
+++ b/src/zinniatrestle/scheduling/session.py
@@ -90,6 +90,13 @@
     def may_hold(self) -> bool:
         """Return whether this host may extend the leases at workers now."""
 
+    @abstractmethod
+    def may_extend(self, worker: Worker) -> bool:
+        """Return whether the leases at one worker may be extended.
+
+        They may not while their expiry is recorded for a successor.
+        """
+
 
 class WorkerSession:
     """Extend the leases at one worker and send it orders, until either side ends."""
@@ -172,6 +179,10 @@
                 # Until the ends are stored and acknowledged, the worker would answer
                 # the next hold with them at once.
                 await asyncio.wait({worker.save_task}, timeout=HOLD_WAIT_SECONDS)
+            if not self.listener.may_extend(worker):
+                # Soon after its lease may be extended again, it is.
+                wait = RETRY_SECONDS
+                continue
             # The first answer carries the worker's clock, without which no deadline
             # can be set: the next hold follows at once.
             wait = HOLD_WAIT_SECONDS if deadline is not None else 0.0
@@ -180,10 +191,11 @@
         """Return the deadline of a hold or a start, in ms of the worker's clock.
 
         Return None while that clock is unknown. A silent worker gets no later deadline,
-        so that its lease expires although holds may still reach it.
+        so that its lease expires although holds may still reach it. Neither does one
+        whose expiry is recorded, on which a successor may rely.
         """
         lease = self.worker.lease
-        if self.worker.silent:
+        if self.worker.silent or not self.listener.may_extend(self.worker):
             return lease.granted_until_ms or None
         return lease.deadline(asked_at, self.hold_seconds)
 
--- a/src/zinniatrestle/scheduling/state.py
+++ b/src/zinniatrestle/scheduling/state.py
@@ -346,6 +346,9 @@
         # The worker has accepted this scheduler's generation.
         self.generation_confirmed = False
         self.silent = False
+        # The expiry of its leases is recorded for a successor: until the record is
+        # withdrawn they can't be extended, and nothing can be started.
+        self.expiry_recorded = False
         # When the worker last answered a hold.
         self.reported_at = BootSeconds(0.0)
         self.entry_seen_at = BootSeconds(0.0)
@@ -389,6 +392,7 @@
             and not self.silent
             and not self.has_ended
             and not self.cordoned
+            and not self.expiry_recorded
             and self.missing_since is None
             and self.entry.state is WorkerState.READY
             and not self.unknown_runs
--- a/src/zinniatrestle/scheduling/tests/test_unusable.py
+++ b/src/zinniatrestle/scheduling/tests/test_unusable.py
@@ -25,6 +25,7 @@
     [
         ("generation_confirmed", False, UnusableReason.NOT_CONFIRMED),
         ("cordoned", True, UnusableReason.CORDONED),
+        ("expiry_recorded", True, UnusableReason.EXPIRY_RECORDED),
         ("missing_since", NOW, UnusableReason.ENTRY_MISSING),
         ("unknown_runs", {"t"}, UnusableReason.UNKNOWN_RUNS),
     ],
--- a/src/zinniatrestle/scheduling/tracker.py
+++ b/src/zinniatrestle/scheduling/tracker.py
@@ -147,6 +147,10 @@
         """Return whether leases of workers may be extended now."""
         return self.context.leadership.may_hold()
 
+    def may_extend(self, worker: Worker) -> bool:
+        """Return whether the leases at one worker may be extended."""
+        return self.context.leadership.may_extend(worker.id)
+
     # Reports
 
     def report(self, worker: Worker, answer: HoldAnswer, asked_at: BootSeconds):
--- a/src/zinniatrestle/scheduling/unusable.py
+++ b/src/zinniatrestle/scheduling/unusable.py
@@ -23,6 +23,7 @@
 
     NOT_CONFIRMED = "not_confirmed"
     CORDONED = "cordoned"
+    EXPIRY_RECORDED = "expiry_recorded"
     ENTRY_MISSING = "entry_missing"
     NOT_READY = "not_ready"
     UNKNOWN_RUNS = "unknown_runs"
@@ -40,6 +41,8 @@
         return UnusableReason.NO_REPORT
     if worker.cordoned:
         return UnusableReason.CORDONED
+    if worker.expiry_recorded:
+        return UnusableReason.EXPIRY_RECORDED
     if worker.missing_since is not None:
         return UnusableReason.ENTRY_MISSING
     if worker.entry.state is not WorkerState.READY:
--- a/src/zinniatrestle/standins/checker.py
+++ b/src/zinniatrestle/standins/checker.py
@@ -2,7 +2,10 @@
 
 import msgspec
 
+from zinniatrestle.clock import boot_time
 from zinniatrestle.ids import JobId, TaskId, WorkerId
+from zinniatrestle.scheduling.leadership import LEASE_ROW, LEASES
+from zinniatrestle.scheduling.messages import LeaseRecord
 from zinniatrestle.standins.fleet import SimulatedFleet
 from zinniatrestle.standins.model import Model
 from zinniatrestle.standins.runs import EventKind, TaskScript, WorkerEvent
@@ -35,6 +38,28 @@
             )
 
 
+def check_recorded_expiries(model: Model, found: list[str]):
+    """Append a line to `found` for each lease that lasts longer than is recorded now.
+
+    A successor that can't reach the worker would repeat its runs before their end.
+    """
+    row = model.rows.row(LEASES, LEASE_ROW)
+    if row is None:
+        return
+    record = msgspec.msgpack.decode(row.value, type=LeaseRecord)
+    for name, instances in record.handover.lease_expiries.items():
+        worker = model.fleet.workers[name]
+        until_ms = instances.get(worker.entry.instance)
+        if until_ms is None or not worker.running:
+            continue
+        expires_ms = boot_time() * 1000 + worker.remaining_lease_seconds() * 1000
+        if expires_ms > until_ms:
+            found.append(
+                f"LEASE: {name} may run for {(expires_ms - until_ms) / 1000:.2f} s "
+                "after the recorded expiry"
+            )
+
+
 def _duplicate_runs(model: Model) -> list[str]:
     found = []
     long_running = {job for job, outcome in model.jobs.items() if outcome.long_running}
--- a/src/zinniatrestle/standins/runs.py
+++ b/src/zinniatrestle/standins/runs.py
@@ -15,6 +15,8 @@
 NO_STEP = Step()
 # The time in which a long-running task becomes ready.
 STARTUP_SECONDS = 0.5
+# The rate of a worker's own clock, which runs 1% slow.
+CLOCK_MS_PER_SECOND = 990
 
 
 class TaskScript(msgspec.Struct, frozen=True):
@@ -131,7 +133,11 @@
 
     def clock_ms(self) -> int:
         """Return the worker's own clock, which runs 1% slow."""
-        return int((monotonic() - self.started_at) * 990)
+        return int((monotonic() - self.started_at) * CLOCK_MS_PER_SECOND)
+
+    def remaining_lease_seconds(self) -> float:
+        """Return for how long the lease of all runs remains valid."""
+        return (self.deadline - self.clock_ms()) / CLOCK_MS_PER_SECOND
 
 
 def step_of(task: TaskId) -> str:
--- a/tests/model/test_seeds.py
+++ b/tests/model/test_seeds.py
@@ -6,7 +6,11 @@
 import pytest
 
 from zinniatrestle.clock import monotonic
-from zinniatrestle.standins.checker import check_capacity, violations
+from zinniatrestle.standins.checker import (
+    check_capacity,
+    check_recorded_expiries,
+    violations,
+)
 from zinniatrestle.standins.model import Model, run_virtual, step
 from zinniatrestle.standins.rows import Reachability
 from zinniatrestle.standins.runs import FaultMode
@@ -18,6 +22,7 @@
 SETTLE_SECONDS = 90.0
 CI_SEEDS = range(12)
 FAILOVER_SEEDS = range(8)
+UNREGISTERED_SEEDS = range(8)
 FAILOVER_REGRESSIONS: dict[int, str] = {
     14: "a former holder wrote with the fencing number that its successor had raised",
     17: "capacity that one plan had freed was freed again for another; neither got it",
@@ -177,6 +182,19 @@
     model.fleet.restart(worker)
 
 
+async def deregister_worker(model, rng):
+    """Cut a worker off and remove its entry, which returns before its runs end."""
+    worker = rng.choice(list(model.fleet.workers.values()))
+    worker.reachable = False
+    model.fleet.remove(worker)
+    await asyncio.sleep(rng.uniform(1.0, 6.0))
+    if rng.random() < 0.5:
+        model.fleet.write(worker)
+        await asyncio.sleep(rng.uniform(0.0, 3.0))
+    worker.reachable = True
+    model.fleet.write(worker)
+
+
 async def set_worker_fault(model, rng):
     worker = rng.choice(list(model.fleet.workers.values()))
     worker.fault_mode = rng.choice(
@@ -200,6 +218,7 @@
     while True:
         await asyncio.sleep(0.1)
         check_capacity(model.fleet, violations_found)
+        check_recorded_expiries(model, violations_found)
 
 
 async def clear_faults(model: Model):
@@ -238,6 +257,17 @@
     kill_any_host,
     delay_orders,
 ]
+# Faults by which a successor takes over while workers are missing or out of reach.
+UNREGISTERED_FAULTS = [
+    deregister_worker,
+    deregister_worker,
+    partition_worker,
+    partition_worker_from_leader,
+    kill_leader,
+    kill_any_host,
+    lose_answers_to_leader,
+    lose_store_answers,
+]
 
 
 async def run_seed(seed: int, faults: list) -> list[str]:
@@ -274,3 +304,8 @@
 @pytest.mark.parametrize("seed", [*FAILOVER_SEEDS, *FAILOVER_REGRESSIONS])
 def test_no_violations_while_the_lease_changes_its_holder(seed):
     assert run_virtual(run_seed(seed, FAILOVER_FAULTS)) == []
+
+
+@pytest.mark.parametrize("seed", UNREGISTERED_SEEDS)
+def test_no_violations_while_workers_are_missing_during_successions(seed):
+    assert run_virtual(run_seed(seed, UNREGISTERED_FAULTS)) == []
