--- a/tests/common/faults.py
+++ b/tests/common/faults.py
@@ -134,6 +134,19 @@
     worker.fault_mode = FaultMode.NONE
 
 
+async def deregister_worker(model, rng):
+    """Cut a worker off and remove its entry, which returns before its runs end."""
+    worker = rng.choice(list(model.fleet.workers.values()))
+    worker.reachable = False
+    model.fleet.remove(worker)
+    await asyncio.sleep(rng.uniform(1.0, 6.0))
+    if rng.random() < 0.5:
+        model.fleet.write(worker)
+        await asyncio.sleep(rng.uniform(0.0, 3.0))
+    worker.reachable = True
+    model.fleet.write(worker)
+
+
 async def drain_and_restart_worker(model, rng):
     worker = rng.choice(list(model.fleet.workers.values()))
     model.fleet.drain(worker, 2.0)
--- a/tests/model/test_seeds.py
+++ b/tests/model/test_seeds.py
@@ -6,6 +6,7 @@
 import pytest
 from common.faults import (
     delay_orders,
+    deregister_worker,
     drain_and_restart_worker,
     drop_change_history,
     inject_faults,
@@ -21,7 +22,11 @@
     store_outage,
 )
 
-from zinniatrestle.standins.checker import check_capacity, violations
+from zinniatrestle.standins.checker import (
+    check_capacity,
+    check_recorded_expiries,
+    violations,
+)
 from zinniatrestle.standins.model import Model, run_virtual, step
 from zinniatrestle.standins.rows import Reachability
 from zinniatrestle.standins.runs import FaultMode
@@ -33,6 +38,7 @@
 SETTLE_SECONDS = 90.0
 CI_SEEDS = range(12)
 FAILOVER_SEEDS = range(8)
+UNREGISTERED_SEEDS = range(8)
 FAILOVER_REGRESSIONS: dict[int, str] = {
     14: "a former holder wrote with the fencing number that its successor had raised",
     17: "capacity that one plan had freed was freed again for another; neither got it",
@@ -89,6 +95,7 @@
     while True:
         await asyncio.sleep(0.1)
         check_capacity(model.fleet, violations_found)
+        check_recorded_expiries(model, violations_found)
 
 
 async def clear_faults(model: Model):
@@ -127,6 +134,17 @@
     kill_any_host,
     delay_orders,
 ]
+# Faults by which a successor takes over while workers are missing or out of reach.
+UNREGISTERED_FAULTS = [
+    deregister_worker,
+    deregister_worker,
+    partition_worker,
+    partition_worker_from_leader,
+    kill_leader,
+    kill_any_host,
+    lose_answers_to_leader,
+    lose_store_answers,
+]
 
 
 async def run_seed(seed: int, faults: list) -> list[str]:
@@ -163,3 +181,8 @@
 @pytest.mark.parametrize("seed", [*FAILOVER_SEEDS, *FAILOVER_REGRESSIONS])
 def test_no_violations_while_the_lease_changes_its_holder(seed):
     assert run_virtual(run_seed(seed, FAILOVER_FAULTS)) == []
+
+
+@pytest.mark.parametrize("seed", UNREGISTERED_SEEDS)
+def test_no_violations_while_workers_are_missing_during_successions(seed):
+    assert run_virtual(run_seed(seed, UNREGISTERED_FAULTS)) == []
