Open a session with the new instance of a worker before its entry is known

Cause: when a hold was answered by a new instance of the worker, the runs that no report had contained waited for its registry entry, or for the longest lease, 10.3 s. A worker that restarts while it can't reach the registry answers hosts all the while.

Why it works: the answer names the new instance. A session with it raises its generation, and its reports and answered stops show what it runs, as for an instance that has registered. Until its entry is read it counts as missing from the registry, so it gets no tasks; a refused connection doesn't end it, since its entry was never there.

Ruled out: taking its runs from the answer to the old session's hold; a start that it has received may still be carried out, which only an answered stop rules out.

--- a/src/zinniatrestle/scheduling/fleet.py
+++ b/src/zinniatrestle/scheduling/fleet.py
@@ -2,6 +2,8 @@
 
 from abc import ABC, abstractmethod
 
+import msgspec
+
 from zinniatrestle.clock import boot_time
 from zinniatrestle.deployment import Deployment
 from zinniatrestle.events import Event, EventLog
@@ -107,7 +109,8 @@
                 entry.state is WorkerState.DRAINING
                 and worker.entry.state is not WorkerState.DRAINING
             )
-            worker.entry = entry
+            worker.update_entry(entry)
+            worker.replaced_entry = None
             worker.entry_seen_at = boot_time()
             self._update_drain_deadline(worker)
             if worker.missing_since is not None:
@@ -123,6 +126,9 @@
                 self.listener.drain_started(worker)
             return
         if worker is not None:
+            replaced = worker.replaced_entry
+            if replaced is not None and _same_instance(replaced, entry):
+                return
             if entry.instance < worker.entry.instance:
                 # A late write of an earlier instance, or the first one of a new
                 # instance whose clock was set back: a hold shows which one answers.
@@ -162,10 +168,27 @@
             else min(worker.drain_deadline, deadline)
         )
 
-    def _join(self, entry: WorkerEntry):
+    def replace(self, worker: Worker, instance: InstanceId):
+        """End an instance, and open a session with the one that answers in its place.
+
+        The new one's entry may come much later, if the worker can't reach the registry.
+        It gets no tasks before, but its reports show what it runs.
+        """
+        self.end(worker, "another instance answers", replaced=True)
+        if worker.id in self.workers:
+            return
+        entry = msgspec.structs.replace(
+            worker.entry, instance=instance, state=WorkerState.READY
+        )
+        self._join(entry, replaced=worker.entry)
+
+    def _join(self, entry: WorkerEntry, replaced: WorkerEntry | None = None):
         region = self.regions.get(entry.domain, RegionId(""))
         worker = Worker(entry, region)
         worker.entry_seen_at = boot_time()
+        if replaced is not None:
+            worker.replaced_entry = replaced
+            worker.missing_since = boot_time()
         self._update_drain_deadline(worker)
         self.transfer_tasks(worker)
         self.workers[entry.worker] = worker
@@ -295,7 +318,8 @@
             )
         # A network partition may look like a refused connection, so the instance ends
         # only if its entry is gone as well.
-        if refused and worker.missing_since is not None:
+        is_gone = worker.missing_since is not None and worker.replaced_entry is None
+        if refused and is_gone:
             self.end(worker, "nothing listens and its entry is gone")
             return
         self._end_if_deregistered(worker)
--- a/src/zinniatrestle/scheduling/session.py
+++ b/src/zinniatrestle/scheduling/session.py
@@ -8,7 +8,13 @@
 from zinniatrestle.deployment import Bounds
 from zinniatrestle.errors import WorkerError
 from zinniatrestle.events import Event, EventLog
-from zinniatrestle.ids import BootSeconds, Generation, RunNumber, TaskId
+from zinniatrestle.ids import (
+    BootSeconds,
+    Generation,
+    InstanceId,
+    RunNumber,
+    TaskId,
+)
 from zinniatrestle.scheduling.state import Task, TaskStatus, Worker
 from zinniatrestle.workers.interfaces import WorkerOrders
 from zinniatrestle.workers.messages import (
@@ -72,7 +78,7 @@
         """Mark a worker as silent; `refused` means that nothing listens there."""
 
     @abstractmethod
-    def instance_replaced(self, worker: Worker):
+    def instance_replaced(self, worker: Worker, instance: InstanceId):
         """Record that another instance of the worker answers, which may run tasks."""
 
     @abstractmethod
@@ -172,7 +178,7 @@
                 and answer.instance
                 and answer.instance != worker.entry.instance
             ):
-                self.listener.instance_replaced(worker)
+                self.listener.instance_replaced(worker, answer.instance)
                 return
             self.listener.report(worker, answer, asked_at)
             if worker.save_task is not None:
--- a/src/zinniatrestle/scheduling/state.py
+++ b/src/zinniatrestle/scheduling/state.py
@@ -366,6 +366,8 @@
         self.entry_seen_at = BootSeconds(0.0)
         # The latest entry with an earlier instance than this one.
         self.earlier_entry: WorkerEntry | None = None
+        # Entry of the instance that this one replaced, until its own has been read.
+        self.replaced_entry: WorkerEntry | None = None
         # Since when the worker's entry has been missing from the registry.
         self.missing_since: BootSeconds | None = None
         # Earliest time at which a draining worker may shut down.
@@ -418,6 +420,19 @@
         # An instance that is known only from a job's progress has no address.
         return not self.silent and not self.has_ended and bool(self.entry.address)
 
+    def update_entry(self, entry: WorkerEntry):
+        """Take over an entry of this instance, of which the capacity may differ."""
+        cpu = entry.cpu - self.entry.cpu
+        memory = entry.memory_mb - self.entry.memory_mb
+        gpus = entry.gpus - self.entry.gpus
+        self.free_cpu += cpu
+        self.unpinned_cpu += cpu
+        self.free_memory += memory
+        self.unpinned_memory += memory
+        self.free_gpus += gpus
+        self.unpinned_gpus += gpus
+        self.entry = entry
+
     def add_task(self, task: Task):
         """Assign a task to the worker and deduct its resources."""
         self.tasks[task.id] = task
--- a/src/zinniatrestle/scheduling/tests/test_replaced_workers.py
+++ b/src/zinniatrestle/scheduling/tests/test_replaced_workers.py
@@ -1,6 +1,7 @@
 """A start that a worker received but never reported is repeated once it can't run."""
 
 import asyncio
+from unittest import mock
 
 import msgspec
 
@@ -64,6 +65,57 @@
     assert run_virtual(play()) <= DETECTION_SECONDS
 
 
+async def restart_behind_partition(model: Model, cpu: int | None = None) -> str:
+    """Restart the worker of a lost start, which can't write its entry meanwhile."""
+    job = await place_on_unreachable_worker(model)
+    await asyncio.sleep(BUSY_SECONDS)
+    (lost,) = [
+        worker for worker in model.fleet.workers.values() if not worker.reachable
+    ]
+    with mock.patch.object(model.fleet, "write"):
+        model.fleet.restart(lost)
+    if cpu is not None:
+        lost.entry = msgspec.structs.replace(lost.entry, cpu=cpu)
+    lost.reachable = True
+    return job
+
+
+# Guards against a wait for the longest lease while the new instance of a worker answers.
+def test_run_is_repeated_once_a_new_instance_without_a_registry_entry_answers():
+    async def play():
+        model = Model(1)
+        job = await restart_behind_partition(model)
+        replaced_at = monotonic()
+        assert await model.wait_for_jobs(30.0)
+        assert violations(model) == []
+        return first_start(model, job) - replaced_at
+
+    assert run_virtual(play()) <= 2 * DETECTION_SECONDS
+
+
+# Guards against tasks on an instance of which only the former one's entry is known.
+def test_new_instance_gets_tasks_by_its_own_entry_only():
+    async def play():
+        model = Model(1)
+        await restart_behind_partition(model, cpu=4_000)
+        (changed,) = [
+            worker
+            for worker in model.fleet.workers.values()
+            if worker.entry.cpu < 32_000
+        ]
+        await asyncio.sleep(2 * DETECTION_SECONDS)
+        # The other worker holds one of them.
+        await model.submit("usual", (step(2, cpu=20_000, gpus=0),), 30.0)
+        await asyncio.sleep(DETECTION_SECONDS)
+        assert not changed.running
+        model.fleet.write(changed)
+        await model.submit("usual", (step(4, cpu=2_000, gpus=4),), 30.0)
+        await asyncio.sleep(DETECTION_SECONDS)
+        return len(changed.running)
+
+    assert run_virtual(play()) == 2
+
+
 # Guards against a wait that begins anew with each reading of an old registry entry.
 def test_stale_registry_entries_do_not_extend_the_wait_for_a_replaced_instance():
     async def play():
--- a/src/zinniatrestle/scheduling/tracker.py
+++ b/src/zinniatrestle/scheduling/tracker.py
@@ -6,7 +6,7 @@
 from zinniatrestle.clock import boot_time
 from zinniatrestle.errors import LeaseLostError
 from zinniatrestle.events import Event
-from zinniatrestle.ids import BootSeconds, RunNumber, TaskId, WorkerId
+from zinniatrestle.ids import BootSeconds, InstanceId, RunNumber, TaskId, WorkerId
 from zinniatrestle.jobs.messages import JobState, job_of_task
 from zinniatrestle.scheduling.cluster_state import ClusterState
 from zinniatrestle.scheduling.fleet import FleetListener
@@ -126,9 +126,9 @@
             self._infer_unreachable_end(task.step)
         self.wake.set()
 
-    def instance_replaced(self, worker: Worker):
-        """End an instance, since another one answers in its place."""
-        self.fleet.end(worker, "another instance answers", replaced=True)
+    def instance_replaced(self, worker: Worker, instance: InstanceId):
+        """End an instance, and open a session with the one that answers."""
+        self.fleet.replace(worker, instance)
 
     def worker_replaced(self, worker: Worker):
         """End an instance and its runs, since another worker answers at its address."""
