--- a/src/zinniatrestle/scheduling/tests/test_replaced_workers.py
+++ b/src/zinniatrestle/scheduling/tests/test_replaced_workers.py
@@ -80,7 +80,7 @@
     return job
 
 
-# Guards against a wait for the longest lease while the new instance of a worker answers.
+# Guards against a wait for the longest lease while a new instance of a worker answers.
 def test_run_is_repeated_once_a_new_instance_without_a_registry_entry_answers():
     async def play():
         model = Model(1)
@@ -98,11 +98,8 @@
     async def play():
         model = Model(1)
         await restart_behind_partition(model, cpu=4_000)
-        (changed,) = [
-            worker
-            for worker in model.fleet.workers.values()
-            if worker.entry.cpu < 32_000
-        ]
+        workers = model.fleet.workers.values()
+        (changed,) = [worker for worker in workers if worker.entry.cpu == 4_000]
         await asyncio.sleep(2 * DETECTION_SECONDS)
         # The other worker holds one of them.
         await model.submit("usual", (step(2, cpu=20_000, gpus=0),), 30.0)
