State in job_waits when the limit on a wait ends it

The lines of a step that waits for its rack, for a reservation or for healthy workers gave the end of a run as the end of the wait, which may lie far beyond the limit after which the step runs on any permitted worker. limit_in is the time until then; it is null while no limit applies, since the service is busy or the job runs.

The wait since a step's task could have been placed is computed in one place.

--- a/src/zinniatrestle/scheduling/rounds.py
+++ b/src/zinniatrestle/scheduling/rounds.py
@@ -115,15 +115,11 @@
 
     def _has_tasks_to_place(self, step: StepRun) -> bool:
         """Return whether a step has tasks to place; a gang is placed as a whole."""
-        if not step.shape.gang:
-            return any(
-                task.status in (TaskStatus.WAITING, TaskStatus.RESERVED)
-                for task in step.tasks
-            )
-        return all(
+        to_place = [
             task.status in (TaskStatus.WAITING, TaskStatus.RESERVED)
             for task in step.tasks
-        )
+        ]
+        return all(to_place) if step.shape.gang else any(to_place)
 
     def constraints(self, step: StepRun, now: BootSeconds) -> PlacementConstraints:
         """Return the placement constraints of a step at this time."""
@@ -193,7 +189,8 @@
             return placed
         if self.wait_log.is_due(step):
             wait = placement_wait(step, workers, constraints, reservations, earliest)
-            self._log_wait(step, wait, workers, constraints, earliest)
+            limit = limits.remaining(step, constraints.service)
+            self._log_wait(step, wait, workers, constraints, earliest, limit)
         if earliest is not None:
             reservations.reserve(earliest)
         return placed
@@ -283,6 +280,7 @@
         workers: list[Worker],
         constraints: PlacementConstraints,
         earliest: EarliestStart | None = None,
+        limit: float | None = None,
     ):
         now = self.wait_log.now
         deadlines = start_deadlines(step, self.tracker.durations)
@@ -294,6 +292,7 @@
             anywhere=constraints.ignore_locality,
             guaranteed=is_urgent and self.preemptor.is_guaranteed(step),
             room_in=round(earliest.at - now, 2) if earliest is not None else None,
+            limit_in=round(limit, 2) if limit is not None else None,
             slack=round(deadlines.latest_on_time_start - now, 2),
         )
 
--- a/src/zinniatrestle/scheduling/state.py
+++ b/src/zinniatrestle/scheduling/state.py
@@ -216,6 +216,13 @@
         """Return the tasks that are neither assigned nor done."""
         return [task for task in self.tasks if task.status is TaskStatus.WAITING]
 
+    def waited(self, now: BootSeconds) -> float:
+        """Return for how many seconds the longest waiting task could have started."""
+        waiting = self.waiting_tasks()
+        if self.ready_at is None or not waiting:
+            return 0.0
+        return now - max(self.ready_at, min(task.status_at for task in waiting))
+
     def finish(self):
         """Mark the step as done and drop its tasks."""
         self.done = True
--- a/src/zinniatrestle/scheduling/tests/test_wait_limits.py
+++ b/src/zinniatrestle/scheduling/tests/test_wait_limits.py
@@ -5,6 +5,7 @@
 import pytest
 from common.scheduling import (
     NOW,
+    SERVICE,
     constraints,
     first_step,
     job,
@@ -135,6 +136,31 @@
     assert list(found.values()) == [workers[1]]
 
 
+def remaining(waiting, workers) -> float | None:
+    return WaitLimits(BOUNDS, workers, NOW).remaining(waiting, SERVICE)
+
+
+def test_the_time_that_remains_of_a_wait_ends_once_the_step_is_overdue():
+    workers = workers_in_racks(4, size=1)
+    shape = Step(gpus=8, data_rack=RackId("r0"))
+    assert remaining(waiting_step(shape, 2.0), workers) == pytest.approx(MAX_WAIT - 2.0)
+    assert remaining(waiting_step(shape, MAX_WAIT + 1.0), workers) == 0.0
+    assert remaining(waiting_step(shape, MAX_WAIT, 0.5), workers) == pytest.approx(
+        MIN_WAIT_SECONDS - 0.5
+    )
+
+
+def test_no_time_remains_known_while_the_service_is_busy_or_the_job_runs():
+    workers = workers_in_racks(4, size=1)
+    waiting = waiting_step(Step(count=2, gpus=8), 2.0)
+    run_on(waiting.tasks[0], workers[0])
+    assert remaining(waiting, workers) is None
+    for number, target in enumerate(workers[1:]):
+        occupy(target, name=str(number))
+        target.free_cpu = 0
+    assert remaining(waiting_step(Step(gpus=8), 2.0), workers) is None
+
+
 def first_start(model: Model, name: str) -> float | None:
     for event in model.fleet.history:
         if event.kind is EventKind.START and event.task.startswith(name):
--- a/src/zinniatrestle/scheduling/wait_limits.py
+++ b/src/zinniatrestle/scheduling/wait_limits.py
@@ -40,24 +40,15 @@
         A long-running step has to once it has waited for `MIN_WAIT_SECONDS`, any other
         if its job runs nothing for most of the bound while the service is idle.
         """
-        if self._waited(step) < MIN_WAIT_SECONDS:
+        if self._seconds_left(step) > 0:
             return False
-        if step.shape.long_running:
-            return True
-        if self.now - step.job.accepted_at < self.max_wait:
-            return False
-        return self._is_idle(service) and not self._is_at_work(step.job)
+        return self._is_limited(step, service)
 
-    def _is_at_work(self, job: Job) -> bool:
-        """Return whether tasks of a job run, or are about to start or to move."""
-        for task in job.allocated_tasks():
-            if task.worker.silent:
-                continue
-            if task.status is TaskStatus.RUNNING:
-                return True
-            if self.now - task.status_at < MIN_WAIT_SECONDS:
-                return True
-        return False
+    def remaining(self, step: StepRun, service: ServiceName) -> float | None:
+        """Return the seconds until a step is overdue if nothing changes, else None."""
+        if not self._is_limited(step, service):
+            return None
+        return max(0.0, self._seconds_left(step))
 
     def relaxed(
         self, step: StepRun, constraints: PlacementConstraints
@@ -66,20 +57,35 @@
         anywhere = replace(constraints, ignore_locality=True)
         if self.is_overdue(step, constraints.service):
             return [anywhere, replace(anywhere, requirements_only=True)]
-        if constraints.ignore_locality or self._waited(step) < MIN_WAIT_SECONDS:
+        if constraints.ignore_locality or step.waited(self.now) < MIN_WAIT_SECONDS:
             return []
         if self._waits_for_lost_rack(step, constraints):
             return [anywhere]
         return []
 
-    def _waited(self, step: StepRun) -> float:
-        """Return the seconds since a task of the step could have been placed."""
-        if step.ready_at is None:
-            return 0.0
-        ended_at = min(
-            (task.status_at for task in step.waiting_tasks()), default=self.now
-        )
-        return self.now - max(step.ready_at, ended_at)
+    def _seconds_left(self, step: StepRun) -> float:
+        """Return for how long a step may still wait; not positive if it may not."""
+        left = MIN_WAIT_SECONDS - step.waited(self.now)
+        if step.shape.long_running:
+            return left
+        return max(left, self.max_wait - (self.now - step.job.accepted_at))
+
+    def _is_limited(self, step: StepRun, service: ServiceName) -> bool:
+        """Return whether the time for which a step may wait is limited now."""
+        if step.shape.long_running:
+            return True
+        return self._is_idle(service) and not self._is_at_work(step.job)
+
+    def _is_at_work(self, job: Job) -> bool:
+        """Return whether tasks of a job run, or are about to start or to move."""
+        for task in job.allocated_tasks():
+            if task.worker.silent:
+                continue
+            if task.status is TaskStatus.RUNNING:
+                return True
+            if self.now - task.status_at < MIN_WAIT_SECONDS:
+                return True
+        return False
 
     def _waits_for_lost_rack(
         self, step: StepRun, constraints: PlacementConstraints
--- a/src/zinniatrestle/scheduling/wait_log.py
+++ b/src/zinniatrestle/scheduling/wait_log.py
@@ -109,18 +109,11 @@
             return False
         if since_logged < PARTIAL_REPEAT_SECONDS:
             return False
-        if self._longest_wait(step) < PARTIAL_WAIT_SECONDS:
+        if step.waited(self.now) < PARTIAL_WAIT_SECONDS:
             return False
         self.partial_lines_left -= 1
         return True
 
-    def _longest_wait(self, step: StepRun) -> float:
-        """Return the seconds since a waiting task was ready or its run had ended."""
-        ended_at = min((task.status_at for task in step.waiting_tasks()), default=None)
-        if step.ready_at is None or ended_at is None:
-            return 0.0
-        return self.now - max(step.ready_at, ended_at)
-
     def _has_waited(self, step: StepRun, seconds: float) -> bool:
         idle_since = self.idle_since.get(step)
         return idle_since is not None and self.now - idle_since >= seconds
@@ -152,7 +145,7 @@
             since=round(now - idle_since, 2),
             ready=round(now - (step.ready_at or now), 2),
             job_runs=not self._is_idle(step),
-            longest=round(self._longest_wait(step), 2),
+            longest=round(step.waited(now), 2),
             for_job=wait.for_job,
             until=round(wait.until - now, 2) if wait.until is not None else None,
             priority=step.job.submission.priority,
