Group the limits on lines about waits by kind of step

The limits of urgent, other and partial waits were nine constants and five attributes that each line of the log's code had to combine. Each kind now has its limits and its budget of lines.

--- a/src/zinniatrestle/scheduling/tests/test_unusable.py
+++ b/src/zinniatrestle/scheduling/tests/test_unusable.py
@@ -52,6 +52,16 @@
     assert unusable_reason(created, later) is None
 
 
+def test_a_silent_worker_has_another_line_than_one_that_is_unusable():
+    events = EventList()
+    watch = UnusableWorkers(events)
+    created = answering_worker()
+    created.silent = created.cordoned = True
+    for seconds in range(10):
+        watch.check([created], NOW + seconds)
+    assert events.lines == []
+
+
 def test_a_worker_is_logged_once_for_as_long_as_it_is_unusable():
     events = EventList()
     watch = UnusableWorkers(events)
--- a/src/zinniatrestle/scheduling/tests/test_wait_log.py
+++ b/src/zinniatrestle/scheduling/tests/test_wait_log.py
@@ -6,15 +6,11 @@
 from zinniatrestle.metrics import Metrics
 from zinniatrestle.scheduling.state import StepRun, TaskStatus
 from zinniatrestle.scheduling.wait_log import (
-    LOGGED_WAIT_SECONDS,
-    MAX_LINES_PER_SURVEY,
     MAX_NAMED_WORKERS,
-    MAX_PARTIAL_LINES_PER_SURVEY,
-    PARTIAL_REPEAT_SECONDS,
-    PARTIAL_WAIT_SECONDS,
-    REPEAT_SECONDS,
+    ORDINARY,
+    PARTIAL,
     SURVEY_SECONDS,
-    URGENT_REPEAT_SECONDS,
+    URGENT,
     WaitLog,
 )
 from zinniatrestle.scheduling.waits import Room, Wait, WaitReason
@@ -47,13 +43,13 @@
 def test_an_ordinary_step_is_logged_only_after_a_long_wait_and_then_seldom():
     rounds = Rounds()
     step = first_step(job("1" * 16))
-    rounds.run([step], LOGGED_WAIT_SECONDS - SURVEY_SECONDS)
+    rounds.run([step], ORDINARY.first_seconds - SURVEY_SECONDS)
     assert rounds.lines == []
-    rounds.run([step], 3 * REPEAT_SECONDS)
+    rounds.run([step], 3 * ORDINARY.repeat_seconds)
     assert 2 <= len(rounds.lines) <= 4
     line = rounds.lines[0]
     assert line["reason"] == "capacity"
-    assert line["since"] >= LOGGED_WAIT_SECONDS
+    assert line["since"] >= ORDINARY.first_seconds
     assert line["despite_room"]
 
 
@@ -76,25 +72,27 @@
 def test_many_waiting_steps_share_a_limit_on_lines():
     rounds = Rounds()
     steps = [first_step(job(f"{number:016}")) for number in range(200)]
-    rounds.run(steps, LOGGED_WAIT_SECONDS + 2.0)
-    assert 0 < len(rounds.lines) <= MAX_LINES_PER_SURVEY * (2.0 / SURVEY_SECONDS + 1)
+    rounds.run(steps, ORDINARY.first_seconds + 2.0)
+    assert (
+        0 < len(rounds.lines) <= ORDINARY.lines_per_survey * (2.0 / SURVEY_SECONDS + 1)
+    )
 
 
 def test_each_of_many_waiting_steps_is_logged_in_turn():
     rounds = Rounds()
     steps = [first_step(job(f"{number:016}")) for number in range(200)]
-    turn_seconds = len(steps) / MAX_LINES_PER_SURVEY * SURVEY_SECONDS
-    rounds.run(steps, LOGGED_WAIT_SECONDS + turn_seconds + 2 * SURVEY_SECONDS)
+    turn_seconds = len(steps) / ORDINARY.lines_per_survey * SURVEY_SECONDS
+    rounds.run(steps, ORDINARY.first_seconds + turn_seconds + 2 * SURVEY_SECONDS)
     assert {line["job"] for line in rounds.lines} == {step.job.id for step in steps}
 
 
 def test_urgent_steps_share_a_limit_on_lines_and_are_logged_in_turn():
     rounds = Rounds()
     steps = [first_step(job(f"{number:016}", priority=0)) for number in range(200)]
-    rounds.run(steps, URGENT_REPEAT_SECONDS)
-    surveys = URGENT_REPEAT_SECONDS / SURVEY_SECONDS + 1
-    assert 0 < len(rounds.lines) <= MAX_LINES_PER_SURVEY * surveys
-    turn_seconds = len(steps) / MAX_LINES_PER_SURVEY * SURVEY_SECONDS
+    rounds.run(steps, URGENT.repeat_seconds)
+    surveys = URGENT.repeat_seconds / SURVEY_SECONDS + 1
+    assert 0 < len(rounds.lines) <= URGENT.lines_per_survey * surveys
+    turn_seconds = len(steps) / URGENT.lines_per_survey * SURVEY_SECONDS
     rounds.run(steps, turn_seconds)
     assert {line["job"] for line in rounds.lines} == {step.job.id for step in steps}
 
@@ -147,11 +145,11 @@
 def test_a_step_whose_job_runs_is_logged_later_and_more_seldom():
     rounds = Rounds()
     step = step_of_a_job_at_work()
-    rounds.run([step], PARTIAL_WAIT_SECONDS - SURVEY_SECONDS)
+    rounds.run([step], PARTIAL.first_seconds - SURVEY_SECONDS)
     assert rounds.lines == []
-    rounds.run([step], 2 * PARTIAL_REPEAT_SECONDS)
+    rounds.run([step], 2 * PARTIAL.repeat_seconds)
     assert 1 <= len(rounds.lines) <= 2
-    assert rounds.lines[0]["longest"] >= PARTIAL_WAIT_SECONDS
+    assert rounds.lines[0]["longest"] >= PARTIAL.first_seconds
     assert rounds.lines[0]["job_runs"]
 
 
@@ -159,12 +157,12 @@
     rounds = Rounds()
     at_work = [step_of_a_job_at_work(number) for number in range(100, 300)]
     idle = [first_step(job(f"{number:016}")) for number in range(4)]
-    seconds = PARTIAL_WAIT_SECONDS + 2.0
+    seconds = PARTIAL.first_seconds + 2.0
     rounds.run([*at_work, *idle], seconds)
     logged = [line["job"] for line in rounds.lines if not line["job_runs"]]
     assert set(logged) == {step.job.id for step in idle}
     surveys = 2.0 / SURVEY_SECONDS + 1
-    assert len(rounds.lines) - len(logged) <= MAX_PARTIAL_LINES_PER_SURVEY * surveys
+    assert len(rounds.lines) - len(logged) <= PARTIAL.lines_per_survey * surveys
 
 
 def test_a_start_that_is_refused_again_and_again_does_not_end_the_wait():
@@ -176,13 +174,13 @@
         rounds.run([], 0.4)
         step.tasks[0].status = TaskStatus.WAITING
     assert rounds.lines
-    assert rounds.lines[-1]["since"] >= LOGGED_WAIT_SECONDS
+    assert rounds.lines[-1]["since"] >= ORDINARY.first_seconds
 
 
 def test_waiting_steps_are_counted_by_reason_until_they_run():
     rounds = Rounds()
     step = first_step(job("1" * 16))
-    rounds.run([step], LOGGED_WAIT_SECONDS + 1.0)
+    rounds.run([step], ORDINARY.first_seconds + 1.0)
     assert rounds.metrics.steps_waiting["capacity"] == 1
     assert set(rounds.metrics.steps_waiting) == {reason.value for reason in WaitReason}
     assert rounds.metrics.steps_waiting_despite_room == 1
--- a/src/zinniatrestle/scheduling/wait_log.py
+++ b/src/zinniatrestle/scheduling/wait_log.py
@@ -1,5 +1,7 @@
 """Log why steps wait, within limits on the number of lines, and count the reasons."""
 
+from collections import Counter
+from dataclasses import dataclass
 from typing import Any
 
 from zinniatrestle.events import Event, EventLog
@@ -16,31 +18,65 @@
     is_known_to_run,
 )
 
-# Time in seconds for which nothing of a job runs before its steps are logged: short
-# waits for capacity are normal, but 3 s of them can break the promise to callers.
-LOGGED_WAIT_SECONDS = 2.0
-# The same for a step of the highest priority that waits for an order or for a run to
-# end. One that waits for room is logged at once.
-URGENT_WAIT_SECONDS = 1.0
-# Minimum time in seconds between two lines on a step of the highest priority, and on
-# any other, to bound the log volume.
-URGENT_REPEAT_SECONDS = 1.0
-REPEAT_SECONDS = 3.0
 # Interval in seconds at which all waiting steps are looked at; rounds may follow each
 # other much faster.
 SURVEY_SECONDS = 0.2
-# Limit on the lines per survey, for urgent and for other steps, to bound their
-# processor time.
-MAX_LINES_PER_SURVEY = 4
-# The same for a step of which tasks wait while others of its job run: time before its
-# first line, minimum time between two lines, and limit on the lines per survey.
-PARTIAL_WAIT_SECONDS = 3.0
-PARTIAL_REPEAT_SECONDS = 10.0
-MAX_PARTIAL_LINES_PER_SURVEY = 1
 # Limit on the unusable workers that a line names.
 MAX_NAMED_WORKERS = 5
 
 
+@dataclass(frozen=True)
+class LineLimits:
+    """Limits on the lines about waiting steps of one kind, in seconds and lines."""
+
+    # How long a step waits before its first line.
+    first_seconds: float
+    # Minimum time between two lines about a step.
+    repeat_seconds: float
+    # Bounds the processor time of a survey.
+    lines_per_survey: int
+
+
+# Steps of the highest priority. One that waits for room is logged at once, one that
+# waits for an order or for a run to end after `first_seconds`.
+URGENT = LineLimits(first_seconds=1.0, repeat_seconds=1.0, lines_per_survey=4)
+# Steps of which no task of the job runs: short waits for capacity are normal, but 3 s
+# of them can break the promise to callers.
+ORDINARY = LineLimits(first_seconds=2.0, repeat_seconds=3.0, lines_per_survey=4)
+# Steps of which tasks wait while others of the job run.
+PARTIAL = LineLimits(first_seconds=3.0, repeat_seconds=10.0, lines_per_survey=1)
+
+
+class LineBudget:
+    """Bound the lines of one survey so that each of many waiting steps has its turn."""
+
+    def __init__(self, limits: LineLimits):
+        self.limits = limits
+        self.repeat_seconds = limits.repeat_seconds
+        self.lines_left = 0
+
+    def renew(self, steps: int):
+        """Allow the lines of another survey, in which `steps` wait."""
+        self.lines_left = self.limits.lines_per_survey
+        turn_seconds = steps * SURVEY_SECONDS / self.limits.lines_per_survey
+        self.repeat_seconds = max(self.limits.repeat_seconds, turn_seconds)
+
+    def take_line(self, since_logged: float) -> bool:
+        """Return whether a step may be logged this long after its last line."""
+        if not self.lines_left or since_logged < self.repeat_seconds:
+            return False
+        self.lines_left -= 1
+        return True
+
+
+@dataclass(frozen=True)
+class LoggedWait:
+    """What the last line about a step says."""
+
+    reason: WaitReason
+    has_ample_room: bool
+
+
 class WaitLog:
     """Decide which waits are logged, and count the waiting steps by reason."""
 
@@ -50,33 +86,30 @@
         self.now = BootSeconds(0.0)
         self.is_surveying = False
         self.surveyed_at = BootSeconds(float("-inf"))
-        self.lines_left = self.urgent_lines_left = self.partial_lines_left = 0
-        self.repeat_seconds = REPEAT_SECONDS
-        self.urgent_repeat_seconds = URGENT_REPEAT_SECONDS
-        # Since when each step has waited while nothing of its job ran.
+        self.urgent_budget = LineBudget(URGENT)
+        self.ordinary_budget = LineBudget(ORDINARY)
+        self.partial_budget = LineBudget(PARTIAL)
+        # Since when each step has waited while its job has run nothing.
         self.idle_since: dict[StepRun, BootSeconds] = {}
         self.still_idle: dict[StepRun, BootSeconds] = {}
         self.logged_at: dict[StepRun, BootSeconds] = {}
-        # The reason last found for a step, and whether there was ample room for it.
-        self.found: dict[StepRun, tuple[WaitReason, bool]] = {}
+        # The last lines about the steps in `idle_since`.
+        self.logged_waits: dict[StepRun, LoggedWait] = {}
         self.job_is_idle: dict[Job, bool] = {}
 
     def begin_round(self, now: BootSeconds):
         """Start a round, and a survey if one is due."""
         self.now = now
         self.is_surveying = now - self.surveyed_at >= SURVEY_SECONDS
-        if self.is_surveying:
-            self.surveyed_at = now
-            self.lines_left = self.urgent_lines_left = MAX_LINES_PER_SURVEY
-            self.partial_lines_left = MAX_PARTIAL_LINES_PER_SURVEY
-            urgent = sum(_is_urgent(step) for step in self.idle_since)
-            others = len(self.idle_since) - urgent
-            self.urgent_repeat_seconds = max(
-                URGENT_REPEAT_SECONDS, _turn_seconds(urgent)
-            )
-            self.repeat_seconds = max(REPEAT_SECONDS, _turn_seconds(others))
-            self.still_idle = {}
-            self.job_is_idle = {}
+        if not self.is_surveying:
+            return
+        self.surveyed_at = now
+        urgent = sum(_is_urgent(step) for step in self.idle_since)
+        self.urgent_budget.renew(urgent)
+        self.ordinary_budget.renew(len(self.idle_since) - urgent)
+        self.partial_budget.renew(0)
+        self.still_idle = {}
+        self.job_is_idle = {}
 
     def is_due(self, step: StepRun, is_short: bool = False) -> bool:
         """Return whether to log why a step waits; to be called for each that waits.
@@ -88,35 +121,16 @@
             self.still_idle[step] = self.idle_since.get(step, self.now)
         since_logged = self.now - self.logged_at.get(step, float("-inf"))
         if _is_urgent(step):
-            if is_short and not self._has_waited(step, URGENT_WAIT_SECONDS):
+            if is_short and not self._has_waited(step, URGENT.first_seconds):
                 return False
-            if not self.urgent_lines_left or since_logged < self.urgent_repeat_seconds:
+            return self.urgent_budget.take_line(since_logged)
+        if is_idle:
+            if not self._has_waited(step, ORDINARY.first_seconds):
                 return False
-            self.urgent_lines_left -= 1
-            return True
-        if not is_idle:
-            return self._is_partial_wait_due(step, since_logged)
-        if not self.lines_left or since_logged < self.repeat_seconds:
-            return False
-        if not self._has_waited(step, LOGGED_WAIT_SECONDS):
-            return False
-        self.lines_left -= 1
-        return True
-
-    def _is_partial_wait_due(self, step: StepRun, since_logged: float) -> bool:
-        """Return whether to log a step of which tasks wait while its job runs."""
-        if not self.is_surveying or not self.partial_lines_left:
-            return False
-        if since_logged < PARTIAL_REPEAT_SECONDS:
-            return False
-        if step.waited(self.now) < PARTIAL_WAIT_SECONDS:
+            return self.ordinary_budget.take_line(since_logged)
+        if not self.is_surveying or step.waited(self.now) < PARTIAL.first_seconds:
             return False
-        self.partial_lines_left -= 1
-        return True
-
-    def _has_waited(self, step: StepRun, seconds: float) -> bool:
-        idle_since = self.idle_since.get(step)
-        return idle_since is not None and self.now - idle_since >= seconds
+        return self.partial_budget.take_line(since_logged)
 
     def write(self, step: StepRun, wait: Wait, room: Room, **fields: Any):
         """Log why a step waits, with further fields."""
@@ -127,22 +141,17 @@
         )
         has_ample_room = room.is_ample(waiting if shape.gang else 1)
         self.logged_at[step] = now
-        self.found[step] = (wait.reason, has_ample_room)
-        idle_since = self.idle_since.get(step, now)
+        self.logged_waits[step] = LoggedWait(wait.reason, has_ample_room)
         if wait.held_by is not None:
             fields.update(_held_fields(wait.held_by, now))
         if wait.unusable:
-            fields["unusable_count"] = len(wait.unusable)
-            fields["unusable"] = {
-                worker.id: _unusable_text(worker, now)
-                for worker in wait.unusable[:MAX_NAMED_WORKERS]
-            }
+            fields.update(_unusable_fields(wait.unusable, now))
         self.events.write(
             Event.JOB_WAITS,
             job=step.job.id,
             step=step.key,
             reason=wait.reason.value,
-            since=round(now - idle_since, 2),
+            since=round(now - self.idle_since.get(step, now), 2),
             ready=round(now - (step.ready_at or now), 2),
             job_runs=not self._is_idle(step),
             longest=round(step.waited(now), 2),
@@ -173,26 +182,37 @@
             self.still_idle[step] = since
         self.idle_since, self.still_idle = self.still_idle, {}
         self.job_is_idle = {}
-        repeated = self.now - max(self.repeat_seconds, PARTIAL_REPEAT_SECONDS)
-        for step, at in list(self.logged_at.items()):
-            if step not in self.idle_since and at < repeated:
-                del self.logged_at[step]
-        counts = dict.fromkeys((reason.value for reason in WaitReason), 0)
-        despite_room = 0
-        self.found = {
-            step: found for step, found in self.found.items() if step in self.idle_since
-        }
-        for reason, has_ample_room in self.found.values():
-            counts[reason.value] += 1
-            despite_room += has_ample_room
-        self.metrics.steps_waiting = counts
-        self.metrics.steps_waiting_despite_room = despite_room
+        self._forget_old_lines()
+        self._count_waits()
 
     def close(self):
         """Clear the counts, since this host no longer schedules."""
         self.metrics.steps_waiting = {}
         self.metrics.steps_waiting_despite_room = 0
 
+    def _forget_old_lines(self):
+        repeat_seconds = max(
+            self.ordinary_budget.repeat_seconds, self.partial_budget.repeat_seconds
+        )
+        for step, at in list(self.logged_at.items()):
+            if step not in self.idle_since and self.now - at > repeat_seconds:
+                del self.logged_at[step]
+        for step in list(self.logged_waits):
+            if step not in self.idle_since:
+                del self.logged_waits[step]
+
+    def _count_waits(self):
+        counts = Counter({reason.value: 0 for reason in WaitReason})
+        counts.update(logged.reason.value for logged in self.logged_waits.values())
+        self.metrics.steps_waiting = dict(counts)
+        self.metrics.steps_waiting_despite_room = sum(
+            logged.has_ample_room for logged in self.logged_waits.values()
+        )
+
+    def _has_waited(self, step: StepRun, seconds: float) -> bool:
+        idle_since = self.idle_since.get(step)
+        return idle_since is not None and self.now - idle_since >= seconds
+
     def _is_idle(self, step: StepRun) -> bool:
         """Return whether nothing of a step's job runs.
 
@@ -212,11 +232,6 @@
     return step.job.submission.priority == HIGHEST_PRIORITY
 
 
-def _turn_seconds(steps: int) -> float:
-    """Return the time after which each of many waiting steps has had a line."""
-    return steps * SURVEY_SECONDS / MAX_LINES_PER_SURVEY
-
-
 def _held_fields(held_by: Task, now: BootSeconds) -> dict[str, Any]:
     """Return the fields on a run that a step waits for, and on its worker."""
     fields: dict[str, Any] = {
@@ -236,7 +251,16 @@
     return fields
 
 
-def _unusable_text(worker: Worker, now: BootSeconds) -> str:
+def _unusable_fields(workers: list[Worker], now: BootSeconds) -> dict[str, Any]:
+    """Return the fields on the unusable workers that a step waits for."""
+    conditions = {
+        worker.id: _unusable_condition(worker, now)
+        for worker in workers[:MAX_NAMED_WORKERS]
+    }
+    return {"unusable_count": len(workers), "unusable": conditions}
+
+
+def _unusable_condition(worker: Worker, now: BootSeconds) -> str:
     if worker.silent:
         return "silent"
     reason = unusable_reason(worker, now)
