Split the diagnosis of waits by what is checked

Why a step doesn't fit was found in one function of some 70 lines, and which assigned task it waits for in another of 40. Each restriction of a placement has a method now, in the order in which they apply.

--- a/src/zinniatrestle/scheduling/waits.py
+++ b/src/zinniatrestle/scheduling/waits.py
@@ -118,66 +118,128 @@
     earliest: EarliestStart | None,
 ) -> Wait:
     """Return why the waiting tasks of a step could not be placed."""
-    needed = len(step.waiting_tasks()) if step.shape.gang else 1
-    until = earliest.at if earliest is not None else None
-    allowed = [worker for worker in workers if is_allowed(worker, step, constraints)]
-    if not allowed:
-        return Wait(WaitReason.NO_PERMITTED_WORKER)
-    if _slots_when_empty(step, allowed) < needed:
-        return Wait(WaitReason.TOO_LARGE)
-    usable = [worker for worker in allowed if worker.usable()]
-    if _slots(step, usable) < needed:
-        if _slots(step, allowed) >= needed or _slots_when_empty(step, usable) < needed:
-            unusable = [
-                worker
-                for worker in allowed
-                if not worker.usable() and slots_when_empty(worker, step)
-            ]
-            return Wait(WaitReason.UNUSABLE_WORKERS, unusable=unusable, until=until)
+    diagnosis = PlacementDiagnosis(step, workers, constraints, reservations, earliest)
+    return diagnosis.find_wait()
+
+
+class PlacementDiagnosis:
+    """Apply what restricts a placement one by one until a step doesn't fit any more."""
+
+    def __init__(
+        self,
+        step: StepRun,
+        workers: list[Worker],
+        constraints: PlacementConstraints,
+        reservations: BackfillReservations,
+        earliest: EarliestStart | None,
+    ):
+        self.step = step
+        self.workers = workers
+        self.constraints = constraints
+        self.reservations = reservations
+        self.earliest = earliest
+        self.needed = len(step.waiting_tasks()) if step.shape.gang else 1
+        self.until = earliest.at if earliest is not None else None
+        self.allowed: list[Worker] = []
+        for worker in workers:
+            if is_allowed(worker, step, constraints):
+                self.allowed.append(worker)
+        self.usable = [worker for worker in self.allowed if worker.usable()]
+
+    def find_wait(self) -> Wait:
+        """Return what the first restriction leaves the step to wait for."""
+        for find in (
+            self._requirements_wait,
+            self._capacity_wait,
+            self._tickets_wait,
+            self._health_wait,
+            self._preferences_wait,
+        ):
+            wait = find()
+            if wait is not None:
+                return wait
+        return Wait(WaitReason.UNKNOWN)
+
+    def _requirements_wait(self) -> Wait | None:
+        """Return the wait for workers on which the step could run when empty."""
+        if not self.allowed:
+            return Wait(WaitReason.NO_PERMITTED_WORKER)
+        if _slots_when_empty(self.step, self.allowed) < self.needed:
+            return Wait(WaitReason.TOO_LARGE)
+        return None
+
+    def _capacity_wait(self) -> Wait | None:
+        """Return the wait for room on usable workers, or for more usable workers."""
+        step, needed = self.step, self.needed
+        if _slots(step, self.usable) >= needed:
+            return None
+        would_fit = _slots(step, self.allowed) >= needed
+        if would_fit or _slots_when_empty(step, self.usable) < needed:
+            unusable = []
+            for worker in self.allowed:
+                if not worker.usable() and slots_when_empty(worker, step):
+                    unusable.append(worker)
+            return Wait(
+                WaitReason.UNUSABLE_WORKERS, unusable=unusable, until=self.until
+            )
         if not step.shape.gang:
-            until = reservations.next_slot(step, usable)
+            until = self.reservations.next_slot(step, self.usable)
             return Wait(WaitReason.CAPACITY, until=until)
-        ahead = reservations.first_reserving() if earliest is None else None
-        for_job = ahead.job.id if ahead is not None else None
-        return Wait(WaitReason.CAPACITY, for_job, until=until)
-    if constraints.tickets is not None:
-        usable = [worker for worker in usable if worker.id in constraints.tickets]
-        if _slots(step, usable) < needed:
+        for_job = None
+        if self.earliest is None:
+            ahead = self.reservations.first_reserving()
+            for_job = ahead.job.id if ahead is not None else None
+        return Wait(WaitReason.CAPACITY, for_job, until=self.until)
+
+    def _tickets_wait(self) -> Wait | None:
+        if _slots(self.step, self._with_tickets()) < self.needed:
             return Wait(WaitReason.NO_TICKETS)
-    healthy = [worker for worker in usable if _is_healthy(worker, step)]
-    if _slots(step, healthy) < needed:
-        ends = [
-            worker.quarantined_until
-            for worker in usable
-            if worker.health is WorkerHealth.QUARANTINED
-        ]
+        return None
+
+    def _health_wait(self) -> Wait | None:
+        with_tickets = self._with_tickets()
+        if _slots(self.step, self._healthy(with_tickets)) >= self.needed:
+            return None
+        ends = []
+        for worker in with_tickets:
+            if worker.health is WorkerHealth.QUARANTINED:
+                ends.append(worker.quarantined_until)
         return Wait(WaitReason.UNHEALTHY_WORKERS, until=min(ends, default=None))
-    preferred = [
-        worker
-        for worker in candidates(step, workers, constraints)
-        if _is_healthy(worker, step)
-    ]
-    if _slots(step, preferred) < needed:
-        return Wait(WaitReason.AVOIDED_WORKERS, until=until)
-    if _slots_near(step, preferred, constraints) < needed:
-        return Wait(WaitReason.LOCALITY, until=until)
-    eligible = set(reservations.eligible_workers(step, workers))
-    unreserved = [worker for worker in preferred if worker in eligible]
-    if _slots_near(step, unreserved, constraints) < needed:
+
+    def _preferences_wait(self) -> Wait | None:
+        """Return the wait for preferred workers that no other step has reserved."""
+        step, constraints = self.step, self.constraints
+        preferred = self._healthy(candidates(step, self.workers, constraints))
+        if _slots(step, preferred) < self.needed:
+            return Wait(WaitReason.AVOIDED_WORKERS, until=self.until)
+        if _slots_near(step, preferred, constraints) < self.needed:
+            return Wait(WaitReason.LOCALITY, until=self.until)
+        eligible = set(self.reservations.eligible_workers(step, self.workers))
+        unreserved = [worker for worker in preferred if worker in eligible]
+        if _slots_near(step, unreserved, constraints) >= self.needed:
+            return None
         # A reserved worker without room may still be what makes its rack large enough.
-        blocked = [worker for worker in preferred if worker not in eligible]
-        blocked.sort(
+        blocking = min(
+            (worker for worker in preferred if worker not in eligible),
             key=lambda worker: (
                 not worker.slots(step),
                 worker.rack != step.shape.data_rack,
-            )
+            ),
         )
         return Wait(
             WaitReason.BACKFILL,
-            for_job=reservations.reserved_for[blocked[0]].job.id,
-            until=reservations.reserved_from[blocked[0]],
+            for_job=self.reservations.reserved_for[blocking].job.id,
+            until=self.reservations.reserved_from[blocking],
         )
-    return Wait(WaitReason.UNKNOWN)
+
+    def _with_tickets(self) -> list[Worker]:
+        tickets = self.constraints.tickets
+        if tickets is None:
+            return self.usable
+        return [worker for worker in self.usable if worker.id in tickets]
+
+    def _healthy(self, workers: list[Worker]) -> list[Worker]:
+        return [worker for worker in workers if _is_healthy(worker, self.step)]
 
 
 def reservation_wait(reserved: list[Task], until: float) -> Wait:
@@ -196,32 +258,11 @@
 
 def assigned_wait(step: StepRun) -> Wait | None:
     """Return the wait of a step with assigned tasks, or None if it is at work."""
-    if step.shape.long_running:
-        unfinished = [task for task in step.tasks if task.status is not TaskStatus.DONE]
-        if all(is_known_to_run(task) for task in unfinished):
-            return None
-    elif is_at_work(step):
-        return None
     assigned = [task for task in step.tasks if task.is_allocated]
-    if not assigned:
+    if not assigned or _has_all_runs(step):
         return None
-    stopping = [task for task in assigned if task.status is TaskStatus.STOPPING]
-    placed = [task for task in assigned if task.status is TaskStatus.PLACED]
-    running = [task for task in assigned if task.status is TaskStatus.RUNNING]
-    unreachable = [task for task in running if not is_known_to_run(task)]
-    if step.shape.gang and (stopping or len(assigned) < len(step.tasks)):
-        held_by = _last_known([*stopping, *placed, *assigned])
-        wait = Wait(WaitReason.GANG_MEMBERS, held_by=held_by)
-    elif placed:
-        unanswered = [task for task in placed if not task.start_pending]
-        held_by = _last_known(unanswered or placed)
-        reason = WaitReason.START_UNANSWERED if unanswered else WaitReason.START_PENDING
-        wait = Wait(reason, held_by=held_by)
-    elif unreachable:
-        wait = Wait(WaitReason.UNREACHABLE_RUNS, held_by=_last_known(unreachable))
-    elif stopping:
-        wait = Wait(WaitReason.STOPPING, held_by=_last_known(stopping))
-    else:
+    wait = _wait_for_assigned(step, assigned)
+    if wait is None:
         return None
     worker = wait.held_by.worker
     if worker is not None and not worker.can_report():
@@ -230,6 +271,36 @@
     return wait
 
 
+def _has_all_runs(step: StepRun) -> bool:
+    """Return whether a step waits for none of its assigned tasks."""
+    if not step.shape.long_running:
+        return is_at_work(step)
+    return all(
+        task.status is TaskStatus.DONE or is_known_to_run(task) for task in step.tasks
+    )
+
+
+def _wait_for_assigned(step: StepRun, assigned: list[Task]) -> Wait | None:
+    """Return which of the assigned tasks a step waits for, and why."""
+    stopping = _of_status(assigned, TaskStatus.STOPPING)
+    placed = _of_status(assigned, TaskStatus.PLACED)
+    if step.shape.gang and (stopping or len(assigned) < len(step.tasks)):
+        held_by = _last_known([*stopping, *placed, *assigned])
+        return Wait(WaitReason.GANG_MEMBERS, held_by=held_by)
+    unanswered = [task for task in placed if not task.start_pending]
+    if unanswered:
+        return Wait(WaitReason.START_UNANSWERED, held_by=_last_known(unanswered))
+    if placed:
+        return Wait(WaitReason.START_PENDING, held_by=_last_known(placed))
+    running = _of_status(assigned, TaskStatus.RUNNING)
+    unreachable = [task for task in running if not is_known_to_run(task)]
+    if unreachable:
+        return Wait(WaitReason.UNREACHABLE_RUNS, held_by=_last_known(unreachable))
+    if stopping:
+        return Wait(WaitReason.STOPPING, held_by=_last_known(stopping))
+    return None
+
+
 def is_at_work(step: StepRun) -> bool:
     """Return whether tasks of a step run, for a gang all of them."""
     running = (is_known_to_run(task) for task in step.tasks)
@@ -243,6 +314,10 @@
     return task.worker is None or task.worker.can_report()
 
 
+def _of_status(tasks: list[Task], status: TaskStatus) -> list[Task]:
+    return [task for task in tasks if task.status is status]
+
+
 def _last_known(tasks: list[Task]) -> Task:
     """Return the run whose end may become known last, by default the first."""
     unreachable = [
