Tell from the logs alone what a wait is for and what ends it

Walked the three hypotheses of the incident in virtual time with the lines that explain selects. They could be told apart by reason, but not in full: - A single task that waits for its rack or for a worker that it doesn't avoid had no until. It is the next forecast end of a run there, as for capacity. - The stops of an unknown run or of a gang member that get no answer left no line. run_unanswered has the order now, and is written for stops. - explain left out the worker_unusable lines of workers that a step waited for, and those written before the job was accepted, and named no such worker. - limit_in is given only for waits that the limit ends.

--- a/src/zinniatrestle/events/explain.py
+++ b/src/zinniatrestle/events/explain.py
@@ -10,6 +10,7 @@
 # Worker events that explain what happened to a job's runs on a worker.
 WORKER_EVENTS = frozenset(
     {
+        Event.RUN_UNANSWERED.value,
         Event.WORKER_SILENT.value,
         Event.WORKER_GONE.value,
         Event.WORKER_QUARANTINED.value,
@@ -51,20 +52,24 @@
     """Return the lines about a job, with related scheduler and worker events.
 
     Related events are those between the job's first and last line, and of workers
-    only those that the job used.
+    only those that the job used or waited for. Of a worker that became unusable before,
+    the last such line is related as well.
     """
     ordered = sorted(lines, key=lambda line: line["at"])
     job_events = [line for line in ordered if _concerns_job(line, job)]
     if not job_events:
         return []
     first, last = job_events[0]["at"], job_events[-1]["at"]
-    workers = {
-        line[name]
-        for line in job_events
-        for name in ("worker", "held_worker")
-        if line.get(name)
-    }
-    selected = []
+    workers: set[str] = set()
+    for line in job_events:
+        workers.update(_workers_of(line))
+    earlier: dict[str, Line] = {}
+    for line in ordered:
+        if line["at"] >= first:
+            break
+        if line["event"] == Event.WORKER_UNUSABLE.value and line["worker"] in workers:
+            earlier[line["worker"]] = line
+    selected = sorted(earlier.values(), key=lambda line: line["at"])
     for line in ordered:
         if _concerns_job(line, job):
             selected.append(line)
@@ -79,6 +84,11 @@
     return selected
 
 
+def first_line(lines: Iterable[Line], job: str) -> Line:
+    """Return the first of `job_lines` that is about the job itself."""
+    return next(line for line in lines if _concerns_job(line, job))
+
+
 def cause(lines: list[Line], job: str) -> str:
     """Return a short text on how a job ended, and the likely cause."""
     job_events = [line for line in lines if _concerns_job(line, job)]
@@ -131,7 +141,11 @@
         if line.get("for_job"):
             text += f" for job {line['for_job']}"
         if line.get("held_by"):
-            text += f" {line['held_by']} {line['held_status']} at {line['held_worker']}"
+            text += f" {line['held_by']} {line['held_status']}"
+        if line.get("held_worker"):
+            text += f" at {line['held_worker']}"
+        for worker, condition in line.get("unusable", {}).items():
+            text += f" {worker} {condition}"
         longest[text] = max(longest.get(text, 0.0), line["since"])
         if line["despite_room"]:
             idle.append(line["idle"])
@@ -159,6 +173,8 @@
             text = f"refused by {line['worker']}: {line['reason']}"
         elif event == Event.RUN_UNANSWERED.value:
             text = f"no answer from {line['worker']}"
+            if line.get("order") == "stop":
+                text += " to a stop"
         else:
             continue
         reasons[text] = reasons.get(text, 0) + 1
@@ -176,6 +192,14 @@
     return f"{line['at'] - since:+9.3f}  {line['host']}  {line['event']}  {fields}"
 
 
+def _workers_of(line: Line) -> Iterator[str]:
+    """Yield the workers that a line about a job names."""
+    for name in ("worker", "held_worker"):
+        if line.get(name):
+            yield line[name]
+    yield from line.get("unusable", {})
+
+
 def _concerns_job(line: Line, job: str) -> bool:
     if line.get("job") == job:
         return True
--- a/src/zinniatrestle/events/tests/test_explain.py
+++ b/src/zinniatrestle/events/tests/test_explain.py
@@ -5,7 +5,13 @@
 import pytest
 
 from zinniatrestle.clock import monotonic
-from zinniatrestle.events.explain import cause, job_lines, read_lines, render
+from zinniatrestle.events.explain import (
+    cause,
+    first_line,
+    job_lines,
+    read_lines,
+    render,
+)
 from zinniatrestle.jobs import JobState
 from zinniatrestle.jobs.intake import JobRequest
 from zinniatrestle.serving import RetryLaterError
@@ -104,6 +110,53 @@
     ) in cause(lines, JOB)
 
 
+def test_the_unusable_workers_that_a_job_waited_for_are_explained():
+    line = {"host": "h", "event": "worker_unusable", "reason": "unknown_runs"}
+    of_job = {"host": "h", "job": JOB}
+    wait = {"reason": "unusable_workers", "since": 4.0, "despite_room": False}
+    lines = [
+        {**line, "at": 1.0, "worker": "w1", "reason": "not_ready"},
+        {**line, "at": 2.0, "worker": "w1"},
+        {**line, "at": 3.0, "worker": "w2"},
+        {**of_job, "at": 5.0, "event": "job_accepted"},
+        {**line, "at": 6.0, "worker": "w3"},
+        {
+            **of_job,
+            **wait,
+            "at": 9.0,
+            "event": "job_waits",
+            "unusable": {"w1": "cordoned"},
+        },
+    ]
+    selected = job_lines(lines, JOB)
+    assert [selected_line["at"] for selected_line in selected] == [2.0, 5.0, 9.0]
+    assert first_line(selected, JOB)["at"] == 5.0
+    assert "It waited for: unusable_workers w1 cordoned (4.0 s)." in cause(lines, JOB)
+
+
+def test_unanswered_stops_at_a_worker_of_a_job_are_explained():
+    line = {"host": "h", "worker": "w1"}
+    unanswered = {**line, "event": "run_unanswered", "task": f"{JOB}.0.0.0"}
+    lines = [
+        {**line, "at": 1.0, "event": "job_accepted", "job": JOB},
+        {**unanswered, "at": 2.0, "order": "start"},
+        {**unanswered, "at": 3.0, "order": "stop"},
+        {**unanswered, "at": 4.0, "order": "stop", "task": "other.0.0.0"},
+        {
+            **line,
+            "at": 5.0,
+            "event": "job_ended",
+            "job": JOB,
+            "state": "s",
+            "reason": "",
+        },
+    ]
+    assert job_lines(lines, JOB) == lines
+    assert "no answer from w1 (1), no answer from w1 to a stop (1)." in cause(
+        lines, JOB
+    )
+
+
 def test_waits_of_tasks_while_others_of_their_job_run_do_not_count():
     line = {"host": "h", "job": JOB}
     lines = [
--- a/src/zinniatrestle/operators/analysis_commands.py
+++ b/src/zinniatrestle/operators/analysis_commands.py
@@ -4,7 +4,13 @@
 from pathlib import Path
 
 from zinniatrestle.errors import NotFoundError, ResultCode
-from zinniatrestle.events.explain import cause, job_lines, read_lines, render
+from zinniatrestle.events.explain import (
+    cause,
+    first_line,
+    job_lines,
+    read_lines,
+    render,
+)
 from zinniatrestle.experiments import Experiment, Pattern, Size, run_experiment
 from zinniatrestle.experiments.plots import draw
 from zinniatrestle.experiments.run import POLICIES
@@ -38,8 +44,9 @@
     if json:
         show_json({"cause": cause(job_events, job), "lines": job_events})
         return ExitCode.DONE
+    began_at = first_line(job_events, job)["at"]
     for line in job_events:
-        show_line(render(line, job_events[0]["at"]))
+        show_line(render(line, began_at))
     show_line("")
     show_line(cause(job_events, job))
     return ExitCode.DONE
--- a/src/zinniatrestle/scheduling/rounds.py
+++ b/src/zinniatrestle/scheduling/rounds.py
@@ -41,6 +41,7 @@
 from zinniatrestle.scheduling.wait_limits import WaitLimits
 from zinniatrestle.scheduling.wait_log import WaitLog
 from zinniatrestle.scheduling.waits import (
+    LIMITED_REASONS,
     Wait,
     assigned_wait,
     placement_wait,
@@ -189,7 +190,9 @@
             return placed
         if self.wait_log.is_due(step):
             wait = placement_wait(step, workers, constraints, reservations, earliest)
-            limit = limits.remaining(step, constraints.service)
+            limit = None
+            if wait.reason in LIMITED_REASONS:
+                limit = limits.remaining(step, constraints.service)
             self._log_wait(step, wait, workers, constraints, earliest, limit)
         if earliest is not None:
             reservations.reserve(earliest)
--- a/src/zinniatrestle/scheduling/session.py
+++ b/src/zinniatrestle/scheduling/session.py
@@ -317,7 +317,7 @@
     async def _send_stop(self, task_id: TaskId, run: RunNumber):
         for timeout in ORDER_TIMEOUTS_SECONDS:
             if not self.listener.may_order():
-                break
+                return
             try:
                 await self.orders.stop(
                     self.worker.entry, task_id, run, self.generation, timeout
@@ -325,13 +325,19 @@
             except RefusedOrderError as error:
                 if error.refusal is Refusal.STALE_GENERATION:
                     self.listener.generation_superseded(self.worker)
-                    return
                 if error.refusal is not Refusal.STALE_RUN:
-                    break
+                    return
             except UnansweredOrderError:
                 continue
             self.stops[(task_id, run)] = boot_time()
             return
+        self.events.write(
+            Event.RUN_UNANSWERED,
+            task=task_id,
+            run=run,
+            worker=self.worker.id,
+            order="stop",
+        )
 
     async def _pace(self, task: Task, run: RunNumber, percent: int):
         if not self.listener.may_order() or task.run != run:
--- a/src/zinniatrestle/scheduling/tests/test_wait_limits.py
+++ b/src/zinniatrestle/scheduling/tests/test_wait_limits.py
@@ -13,6 +13,12 @@
     worker,
     workers_in_racks,
 )
+from common.wait_scenarios import (
+    WORKERS_IN_RACK,
+    wait_behind_wide_gang,
+    wait_beside_full_rack,
+    wait_beside_lost_rack,
+)
 
 from zinniatrestle.clock import monotonic
 from zinniatrestle.deployment import Bounds
@@ -26,7 +32,7 @@
     MIN_WAIT_SECONDS,
     WaitLimits,
 )
-from zinniatrestle.standins.model import Model, run_virtual, step
+from zinniatrestle.standins.model import Model, run_virtual
 from zinniatrestle.standins.runs import EventKind
 
 BOUNDS = Bounds()
@@ -168,33 +174,6 @@
     return None
 
 
-async def wait_beside_full_rack(model: Model) -> str:
-    for _ in range(4):
-        shape = step(gpus=8, seconds=60.0, data_rack="rack-0")
-        await model.submit("usual", (shape,), 60.0)
-    await asyncio.sleep(1.0)
-    shape = step(gpus=8, seconds=20.0, data_rack="rack-0")
-    return await model.submit("usual", (shape,), 20.0)
-
-
-async def wait_beside_lost_rack(model: Model) -> str:
-    for number in range(1, 4):
-        lost = model.fleet.workers[f"w{number}"]
-        model.fleet.crash(lost)
-        model.fleet.remove(lost)
-    await asyncio.sleep(BOUNDS.max_hold + 1.0)
-    shape = step(2, gpus=8, gang=True, seconds=20.0, data_rack="rack-0")
-    return await model.submit("usual", (shape,), 20.0)
-
-
-async def wait_behind_wide_gang(model: Model) -> str:
-    await model.submit("usual", (step(gpus=8, seconds=60.0),), 60.0)
-    await asyncio.sleep(1.0)
-    await model.submit("usual", (step(12, gpus=8, gang=True, seconds=5.0),), 5.0)
-    await asyncio.sleep(1.0)
-    return await model.submit("patient", (step(seconds=90.0),), 90.0)
-
-
 # Guards against accepted work that waits for over 20 s while most workers are idle: for
 # the rack of its data, or behind the reservation of a gang that waits for a long run.
 @pytest.mark.parametrize(
@@ -203,7 +182,7 @@
 def test_accepted_work_starts_within_the_bound_while_workers_are_idle(scenario):
     async def play():
         model = Model(1)
-        await model.start(workers=12, rack=4)
+        await model.start(workers=3 * WORKERS_IN_RACK, rack=WORKERS_IN_RACK)
         name = await scenario(model)
         accepted_at = monotonic()
         await asyncio.sleep(BOUNDS.finish + LOST_SECONDS)
--- a/src/zinniatrestle/scheduling/tracker.py
+++ b/src/zinniatrestle/scheduling/tracker.py
@@ -502,7 +502,11 @@
             return
         task.start_pending = False
         self.events.write(
-            Event.RUN_UNANSWERED, task=task.id, run=run, worker=task.worker.id
+            Event.RUN_UNANSWERED,
+            task=task.id,
+            run=run,
+            worker=task.worker.id,
+            order="start",
         )
         # The next report shows whether the run exists. If it doesn't, a stop makes sure
         # that a delayed start order is refused.
--- a/src/zinniatrestle/scheduling/waits.py
+++ b/src/zinniatrestle/scheduling/waits.py
@@ -58,6 +58,17 @@
     UNKNOWN = "unknown"
 
 
+# Reasons of waits that `WaitLimits` ends while the service is idle.
+LIMITED_REASONS = frozenset(
+    {
+        WaitReason.UNHEALTHY_WORKERS,
+        WaitReason.AVOIDED_WORKERS,
+        WaitReason.LOCALITY,
+        WaitReason.BACKFILL,
+    }
+)
+
+
 @dataclass
 class Wait:
     """Why a step waits, and what ends the wait as far as known."""
@@ -182,14 +193,11 @@
             return Wait(
                 WaitReason.UNUSABLE_WORKERS, unusable=unusable, until=self.until
             )
-        if not step.shape.gang:
-            until = self.reservations.next_slot(step, self.usable)
-            return Wait(WaitReason.CAPACITY, until=until)
         for_job = None
-        if self.earliest is None:
+        if step.shape.gang and self.earliest is None:
             ahead = self.reservations.first_reserving()
             for_job = ahead.job.id if ahead is not None else None
-        return Wait(WaitReason.CAPACITY, for_job, until=self.until)
+        return Wait(WaitReason.CAPACITY, for_job, until=self._room_at(self.usable))
 
     def _tickets_wait(self) -> Wait | None:
         if _slots(self.step, self._with_tickets()) < self.needed:
@@ -211,9 +219,15 @@
         step, constraints = self.step, self.constraints
         preferred = self._healthy(candidates(step, self.workers, constraints))
         if _slots(step, preferred) < self.needed:
-            return Wait(WaitReason.AVOIDED_WORKERS, until=self.until)
+            until = self._room_at(preferred)
+            return Wait(WaitReason.AVOIDED_WORKERS, until=until)
         if _slots_near(step, preferred, constraints) < self.needed:
-            return Wait(WaitReason.LOCALITY, until=self.until)
+            near = [
+                worker
+                for group in locality_groups(step, preferred, constraints)
+                for worker in group
+            ]
+            return Wait(WaitReason.LOCALITY, until=self._room_at(near))
         eligible = set(self.reservations.eligible_workers(step, self.workers))
         unreserved = [worker for worker in preferred if worker in eligible]
         if _slots_near(step, unreserved, constraints) >= self.needed:
@@ -232,6 +246,12 @@
             until=self.reservations.reserved_from[blocking],
         )
 
+    def _room_at(self, workers: list[Worker]) -> float | None:
+        """Return when the step, or a single task of it, is forecast to fit."""
+        if self.step.shape.gang:
+            return self.until
+        return self.reservations.next_slot(self.step, workers)
+
     def _with_tickets(self) -> list[Worker]:
         tickets = self.constraints.tickets
         if tickets is None:
