--- a/src/zinniatrestle/scheduling/progress_writer.py
+++ b/src/zinniatrestle/scheduling/progress_writer.py
@@ -2,6 +2,7 @@
 
 import asyncio
 from collections.abc import Iterable
+from dataclasses import dataclass
 
 from zinniatrestle.clock import boot_time, monotonic
 from zinniatrestle.deployment import StoreLimits
@@ -34,8 +35,13 @@
 # A write is retried for this long before the lease is checked again.
 WRITE_TIMEOUT_SECONDS = 2.0
 
-# The jobs of a request whose changes are not stored yet, and its future.
-Waiter = tuple[set[JobId], asyncio.Future]
+
+@dataclass
+class SaveRequest:
+    """A request to store jobs, which is done once no job is left in `unsaved`."""
+
+    unsaved: set[JobId]
+    done: asyncio.Future
 
 
 class ProgressWriter:
@@ -58,7 +64,7 @@
         self.dirty: dict[JobId, Job] = {}
         # Jobs of the write that is under way.
         self.writing: dict[JobId, Job] = {}
-        self.waiters: list[Waiter] = []
+        self.requests: list[SaveRequest] = []
         self.dirty_added = asyncio.Event()
         # Jobs that turned out to have ended in the store when a write did not apply.
         self.ended: list[Job] = []
@@ -78,14 +84,14 @@
         The future fails with LeaseLostError if the lease is lost first.
         """
         done = asyncio.get_running_loop().create_future()
-        job_ids = set()
+        unsaved = set()
         for job in jobs:
             self.dirty[job.id] = job
-            job_ids.add(job.id)
-        if not job_ids:
+            unsaved.add(job.id)
+        if not unsaved:
             done.set_result(None)
             return done
-        self.waiters.append((job_ids, done))
+        self.requests.append(SaveRequest(unsaved, done))
         self.dirty_added.set()
         return done
 
@@ -98,6 +104,20 @@
                 await self._flush()
 
     async def _flush(self):
+        """Write the jobs that changed first, as many as a transaction may have."""
+        # A job that changes during the write is marked dirty again, and the request for
+        # that change waits for a later write.
+        batch = self.writing = self._take_batch()
+        names = set(batch)
+        covered = list(self.requests)
+        while batch:
+            if await self._try_write(batch):
+                break
+        self.writing = {}
+        self._complete(covered, names)
+
+    def _take_batch(self) -> dict[JobId, Job]:
+        """Remove jobs from the dirty ones, and return them."""
         batch: dict[JobId, Job] = {}
         size = 0
         for name, job in list(self.dirty.items()):
@@ -106,35 +126,33 @@
                 break
             size += len(value)
             batch[name] = job
-            if len(batch) == MAX_JOBS_PER_TRANSACTION:
-                break
-        # A job that changes during the write is marked dirty again, and the request for
-        # that change waits for a later write.
-        for name in batch:
             del self.dirty[name]
-        self.writing = batch
-        names = set(batch)
-        covered = list(self.waiters)
-        while batch:
-            expects, writes, final = self._transaction(batch)
-            try:
-                result = await transact_with_retries(
-                    self.store, expects, writes, monotonic() + WRITE_TIMEOUT_SECONDS
-                )
-            except (StoreUnavailableError, StoreUncertainError) as error:
-                if not self.leadership.is_holder:
-                    self._fail_waiters()
-                    raise LeaseLostError("The lease was lost.") from error
-                self.events.write_deduplicated(
-                    Event.DEPENDENCY_LOST, error.detail, dependency="progress"
-                )
-                continue
-            if result.applied:
-                self._mark_written(batch, result.version, final)
+            if len(batch) == MAX_JOBS_PER_TRANSACTION:
                 break
+        return batch
+
+    async def _try_write(self, batch: dict[JobId, Job]) -> bool:
+        """Write a batch and return whether it is stored; raises LeaseLostError.
+
+        Jobs that the store has no row of are removed from the batch.
+        """
+        expects, writes, final = self._transaction(batch)
+        deadline = monotonic() + WRITE_TIMEOUT_SECONDS
+        try:
+            result = await transact_with_retries(self.store, expects, writes, deadline)
+        except (StoreUnavailableError, StoreUncertainError) as error:
+            if not self.leadership.is_holder:
+                self._fail_requests()
+                raise LeaseLostError("The lease was lost.") from error
+            self.events.write_deduplicated(
+                Event.DEPENDENCY_LOST, error.detail, dependency="progress"
+            )
+            return False
+        if not result.applied:
             self._handle_mismatch(batch, result)
-        self.writing = {}
-        self._complete_waiters(covered, names)
+            return False
+        self._mark_written(batch, result.version, final)
+        return True
 
     def _transaction(
         self, batch: dict[JobId, Job]
@@ -182,7 +200,7 @@
         fence = result.current.get((FENCES, FENCE_ROW))
         if fence is None or fence.version != self.leadership.fence:
             self.leadership.step_down("The fence has moved.")
-            self._fail_waiters()
+            self._fail_requests()
             raise LeaseLostError("Another host has acquired the lease.")
         for name, job in list(batch.items()):
             row = result.current.get((PROGRESS, row_name(name)))
@@ -201,19 +219,19 @@
             job.state = stored.state
             self.ended.append(job)
 
-    def _complete_waiters(self, waiters: list[Waiter], names: set[JobId]):
-        """Complete those of `waiters` of which all jobs have been written."""
-        for job_ids, done in waiters:
-            job_ids -= names
-            if not job_ids and not done.done():
-                done.set_result(None)
-        self.waiters = [waiter for waiter in self.waiters if waiter[0]]
-
-    def _fail_waiters(self):
-        for _, done in self.waiters:
-            if not done.done():
-                done.set_exception(LeaseLostError("The lease was lost."))
-        self.waiters = []
+    def _complete(self, requests: list[SaveRequest], names: set[JobId]):
+        """Complete those of `requests` of which all jobs have been written."""
+        for request in requests:
+            request.unsaved -= names
+            if not request.unsaved and not request.done.done():
+                request.done.set_result(None)
+        self.requests = [request for request in self.requests if request.unsaved]
+
+    def _fail_requests(self):
+        for request in self.requests:
+            if not request.done.done():
+                request.done.set_exception(LeaseLostError("The lease was lost."))
+        self.requests = []
 
     def _now(self) -> float:
         return self.store.clock.earliest(boot_time())
