--- a/src/zinniatrestle/scheduling/session.py
+++ b/src/zinniatrestle/scheduling/session.py
@@ -148,6 +148,7 @@
                 continue
             asked_at = boot_time()
             deadline = self._deadline(asked_at)
+            timeout = HOLD_RETRY_TIMEOUT_SECONDS if misses else HOLD_TIMEOUT_SECONDS
             try:
                 answer = await self.orders.hold(
                     worker.entry,
@@ -155,14 +156,14 @@
                     worker.acknowledged_end,
                     deadline,
                     wait,
-                    HOLD_RETRY_TIMEOUT_SECONDS if misses else HOLD_TIMEOUT_SECONDS,
+                    timeout,
                 )
             except RefusedOrderError as error:
                 misses += 1
+                wait = 0.0
                 if not self._handle_refused_hold(error):
                     return
                 await asyncio.sleep(RETRY_SECONDS)
-                wait = 0.0
                 continue
             except UnansweredOrderError:
                 misses += 1
@@ -173,11 +174,7 @@
                 continue
             misses = 0
             worker.lease.observe(answer.clock_ms, boot_time())
-            if (
-                worker.entry.instance
-                and answer.instance
-                and answer.instance != worker.entry.instance
-            ):
+            if self._is_from_another_instance(answer):
                 self.listener.instance_replaced(worker, answer.instance)
                 return
             self.listener.report(worker, answer, asked_at)
@@ -185,13 +182,22 @@
                 # Until the ends are stored and acknowledged, the worker would answer
                 # the next hold with them at once.
                 await asyncio.wait({worker.save_task}, timeout=HOLD_WAIT_SECONDS)
-            if not self.listener.may_extend(worker):
-                # Soon after its lease may be extended again, it is.
-                wait = RETRY_SECONDS
-                continue
-            # The first answer carries the worker's clock, without which no deadline
-            # can be set: the next hold follows at once.
-            wait = HOLD_WAIT_SECONDS if deadline is not None else 0.0
+            wait = self._next_wait(deadline)
+
+    def _is_from_another_instance(self, answer: HoldAnswer) -> bool:
+        known = self.worker.entry.instance
+        return bool(known and answer.instance) and answer.instance != known
+
+    def _next_wait(self, deadline: int | None) -> float:
+        """Return the long-poll wait of the hold that follows one with `deadline`."""
+        if not self.listener.may_extend(self.worker):
+            # The lease is extended soon after it may be again.
+            return RETRY_SECONDS
+        if deadline is None:
+            # Only the first answer carries the worker's clock, without which no
+            # deadline can be set.
+            return 0.0
+        return HOLD_WAIT_SECONDS
 
     def _deadline(self, asked_at: BootSeconds) -> int | None:
         """Return the deadline of a hold or a start, in ms of the worker's clock.
@@ -250,12 +256,10 @@
             raise
 
     async def _send_start(self, task: Task, run: RunNumber):
+        deadline = None
         # The task may have been stopped or moved while the order was queued.
-        if not self._is_still_wanted(task, run):
-            self.listener.not_started(task, run, Refusal.NOT_ORDERED)
-            return
-        worker = self.worker
-        deadline = self._deadline(boot_time())
+        if self._is_still_wanted(task, run):
+            deadline = self._deadline(boot_time())
         if deadline is None:
             self.listener.not_started(task, run, Refusal.NOT_ORDERED)
             return
@@ -269,6 +273,11 @@
             ticket=task.ticket,
         )
         task.start_deadline_ms = deadline
+        await self._try_start(task, order)
+
+    async def _try_start(self, task: Task, order: StartOrder):
+        """Send a start order until it is answered, at most a few times."""
+        worker, run = self.worker, order.run
         unanswered = False
         for timeout in ORDER_TIMEOUTS_SECONDS:
             if unanswered and not self._is_still_wanted(task, run):
