--- a/src/zinniatrestle/scheduling/session.py
+++ b/src/zinniatrestle/scheduling/session.py
@@ -243,6 +243,12 @@
         self.stops[(task_id, run)] = None
         self.outbox.put_nowait(lambda: self._stop(task_id, run))
 
+    def forget_stops(self, asked_at: BootSeconds):
+        """Forget the stops that were answered before a hold was sent at `asked_at`."""
+        for key, answered_at in list(self.stops.items()):
+            if answered_at is not None and answered_at < asked_at:
+                del self.stops[key]
+
     def pace(self, task: Task, run: RunNumber, percent: int):
         """Queue a change of a run's pace to `percent` of its speed."""
         self.outbox.put_nowait(lambda: self._pace(task, run, percent))
--- a/src/zinniatrestle/scheduling/tracker.py
+++ b/src/zinniatrestle/scheduling/tracker.py
@@ -108,16 +108,7 @@
                 # The session that sent the start order is closed.
                 task.start_pending = False
                 continue
-            self.events.write(
-                Event.RUN_LOST,
-                task=task.id,
-                run=task.run,
-                worker=worker.id,
-                reason=reason,
-                lost=self.lost_core_seconds(task),
-            )
-            self.unassign(task)
-            self.stop_gang(task.step)
+            self._mark_lost(worker, task, reason)
 
     def mark_silent(self, worker: Worker, refused: bool):
         """Mark a worker as silent and start a round."""
@@ -158,6 +149,20 @@
         """Apply a report of a worker; the ends of runs are saved in the background."""
         if worker.has_ended:
             return
+        self._record_answer(worker)
+        changed = self._apply_ends(worker, answer)
+        loads = self._apply_runs(worker, answer)
+        self._handle_unreported_runs(worker, answer, asked_at)
+        session = self.sessions.get(worker)
+        if session is None:
+            return
+        session.forget_stops(asked_at)
+        self._set_paces(session, loads, asked_at)
+        worker.generation_confirmed = True
+        if answer.ended and answer.ended[-1].number > worker.save_requested_end:
+            self._save_ends(worker, changed, answer.ended[-1].number)
+
+    def _record_answer(self, worker: Worker):
         if worker.silent:
             worker.silent = False
             self.events.write(Event.WORKER_SEEN, worker=worker.id, again=True)
@@ -165,30 +170,33 @@
         # predecessor assigned tasks to: its clock was set back.
         self.fleet.transfer_tasks(worker)
         worker.reported_at = boot_time()
+
+    def _apply_ends(self, worker: Worker, answer: HoldAnswer) -> set[Job]:
+        """Apply the ended runs, and return the jobs to save before they are dropped."""
         changed: set[Job] = set()
-        reported = set()
         for end in answer.ended:
-            reported.add((end.task, end.run))
             job = self._apply_end(worker, end)
             if job is not None:
                 changed.add(job)
-        loads: dict[Task, float] = {}
+        return changed
+
+    def _apply_runs(self, worker: Worker, answer: HoldAnswer) -> dict[Task, float]:
+        """Apply the progress of the running tasks, and return the load of each."""
         answered_at = boot_time()
+        loads: dict[Task, float] = {}
         worker.unknown_runs.clear()
         for running in answer.running:
-            reported.add((running.task, running.run))
             task = self._apply_running(worker, running, answered_at)
             if task is not None:
                 loads[task] = running.load
         for step in {task.step for task in loads}:
             self.speeds.compare(step, answered_at)
-        self._handle_unreported_runs(worker, reported, answer.clock_ms, asked_at)
-        session = self.sessions.get(worker)
-        if session is None:
-            return
-        for key, stop_answered_at in list(session.stops.items()):
-            if stop_answered_at is not None and stop_answered_at < asked_at:
-                del session.stops[key]
+        return loads
+
+    def _set_paces(
+        self, session: WorkerSession, loads: dict[Task, float], asked_at: BootSeconds
+    ):
+        worker = session.worker
         for task, percent in self.pacing.choose_paces(worker, loads, asked_at).items():
             self.events.write(
                 Event.RUN_PACED,
@@ -199,25 +207,20 @@
             )
             task.pace = percent
             session.pace(task, task.run, percent)
-        worker.generation_confirmed = True
-        if answer.ended and answer.ended[-1].number > worker.save_requested_end:
-            changed |= self.unsaved_jobs
-            self.unsaved_jobs.clear()
-            self.wake.set()
-            worker.save_requested_end = answer.ended[-1].number
-            worker.save_task = asyncio.create_task(
-                self._acknowledge_saved(
-                    worker,
-                    worker.save_task,
-                    self.progress_writer.request(changed),
-                    worker.save_requested_end,
-                )
-            )
-            self.save_tasks.add(worker.save_task)
-            worker.save_task.add_done_callback(self.save_tasks.discard)
-            worker.save_task.add_done_callback(
-                partial(self.log_failure, "save", worker.id)
-            )
+
+    def _save_ends(self, worker: Worker, changed: set[Job], number: int):
+        """Save what ends up to `number` have changed, then acknowledge these."""
+        changed |= self.unsaved_jobs
+        self.unsaved_jobs.clear()
+        self.wake.set()
+        worker.save_requested_end = number
+        saved = self.progress_writer.request(changed)
+        worker.save_task = asyncio.create_task(
+            self._acknowledge_saved(worker, worker.save_task, saved, number)
+        )
+        self.save_tasks.add(worker.save_task)
+        worker.save_task.add_done_callback(self.save_tasks.discard)
+        worker.save_task.add_done_callback(partial(self.log_failure, "save", worker.id))
 
     async def _acknowledge_saved(
         self,
@@ -241,6 +244,7 @@
     def _apply_running(
         self, worker: Worker, running: RunningTask, answered_at: BootSeconds
     ) -> Task | None:
+        """Apply a reported run and return its task; a run of no task is stopped."""
         task = self.find_task(running.task)
         session = self.sessions.get(worker)
         is_expected = (
@@ -267,12 +271,14 @@
         return task
 
     def _handle_unreported_runs(
-        self, worker: Worker, reported: set, clock_ms: int, asked_at: BootSeconds
+        self, worker: Worker, answer: HoldAnswer, asked_at: BootSeconds
     ):
         """Stop or mark as lost the runs that are missing from a report."""
         session = self.sessions.get(worker)
         if session is None:
             return
+        reported = {(end.task, end.run) for end in answer.ended}
+        reported |= {(running.task, running.run) for running in answer.running}
         for task in list(worker.tasks.values()):
             if (task.id, task.run) in reported or task.start_pending:
                 continue
@@ -287,18 +293,23 @@
             if answered_at is not None and answered_at < asked_at:
                 self._mark_lost(worker, task, "not running after a stop")
                 continue
-            # After a restart the unanswered order was one to the former instance.
-            if task.status is TaskStatus.PLACED and task.start_deadline_ms is not None:
-                self._avoid_unresponsive(worker, task)
-            if task.status is not TaskStatus.STOPPING:
-                self.stop(task, "not reported by its worker")
-                self.stop_gang(task.step)
-                continue
-            if _start_has_expired(task, clock_ms):
-                self._avoid_unresponsive(worker, task)
-                self._mark_lost(worker, task, "its start order has expired")
-                continue
-            session.stop(task.id, task.run)
+            self._stop_unreported(session, task, answer.clock_ms)
+
+    def _stop_unreported(self, session: WorkerSession, task: Task, clock_ms: int):
+        """Stop a run that may still start, or mark it as lost if it can't any more."""
+        worker = session.worker
+        # After a restart the unanswered order was one to the former instance.
+        if task.status is TaskStatus.PLACED and task.start_deadline_ms is not None:
+            self._avoid_unresponsive(worker, task)
+        if task.status is not TaskStatus.STOPPING:
+            self.stop(task, "not reported by its worker")
+            self.stop_gang(task.step)
+            return
+        if _start_has_expired(task, clock_ms):
+            self._avoid_unresponsive(worker, task)
+            self._mark_lost(worker, task, "its start order has expired")
+            return
+        session.stop(task.id, task.run)
 
     def _avoid_unresponsive(self, worker: Worker, task: Task):
         """Avoid a worker that answers holds and left a start without an answer."""
@@ -320,6 +331,7 @@
         self.wake.set()
 
     def _apply_end(self, worker: Worker, end: EndedRun) -> Job | None:
+        """Apply the end of a run, and return the job to save before it is dropped."""
         task = self.find_task(end.task)
         if task is None:
             return self._unsaved_job_of(end.task)
@@ -327,16 +339,7 @@
         job = task.step.job
         is_current = task.run == end.run and task.worker is worker and task.is_allocated
         if not is_current:
-            if end.outcome is RunOutcome.DONE and self._is_late_completion(task, end):
-                task.start_time_known = False
-                self._record_success(worker, task, now)
-                return job
-            # The failure of a run that was marked as lost still counts as an attempt.
-            if end.outcome is RunOutcome.FAILED and end.run not in task.failed_runs:
-                task.failed_runs.add(end.run)
-                self.fail_if_out_of_attempts(task)
-                return job
-            return self._unsaved_job_of(end.task)
+            return self._apply_late_end(worker, task, end)
         self.metrics.ends.add(1, {"how": end.outcome.value})
         self.events.write(
             Event.RUN_ENDED,
@@ -364,6 +367,20 @@
         self._infer_unreachable_end(task.step)
         return job
 
+    def _apply_late_end(self, worker: Worker, task: Task, end: EndedRun) -> Job | None:
+        """Apply the end of a run that was marked as lost, or of an earlier one."""
+        job = task.step.job
+        if end.outcome is RunOutcome.DONE and self._is_late_completion(task, end):
+            task.start_time_known = False
+            self._record_success(worker, task, boot_time())
+            return job
+        # The failure still counts as an attempt.
+        if end.outcome is RunOutcome.FAILED and end.run not in task.failed_runs:
+            task.failed_runs.add(end.run)
+            self.fail_if_out_of_attempts(task)
+            return job
+        return self._unsaved_job_of(end.task)
+
     def _unsaved_job_of(self, task: TaskId) -> Job | None:
         """Return the job of a task if changes of it are not stored yet, else None.
 
