--- a/src/zinniatrestle/scheduling/fleet.py
+++ b/src/zinniatrestle/scheduling/fleet.py
@@ -104,42 +104,47 @@
             )
             return
         worker = self.workers.get(entry.worker)
-        if worker is not None and _same_instance(worker.entry, entry):
-            starts_draining = (
-                entry.state is WorkerState.DRAINING
-                and worker.entry.state is not WorkerState.DRAINING
-            )
-            worker.update_entry(entry)
-            worker.replaced_entry = None
-            worker.entry_seen_at = boot_time()
-            self._update_drain_deadline(worker)
-            if worker.missing_since is not None:
-                worker.missing_since = None
-                self.events.write(Event.WORKER_SEEN, worker=worker.id, again=True)
-            if starts_draining:
-                self.events.write(
-                    Event.WORKER_GONE,
-                    worker=worker.id,
-                    reason="draining",
-                    remaining=entry.remaining,
-                )
-                self.listener.drain_started(worker)
+        if worker is None:
+            if not self._has_been_replaced(entry):
+                self._join(entry)
             return
-        if worker is not None:
-            replaced = worker.replaced_entry
-            if replaced is not None and _same_instance(replaced, entry):
-                return
-            if entry.instance < worker.entry.instance:
-                # A late write of an earlier instance, or the first one of a new
-                # instance whose clock was set back: a hold shows which one answers.
-                worker.earlier_entry = entry
-                return
-            worker.earlier_entry = None
-            self.end(worker, "replaced by a new instance", replaced=True)
-        elif self._has_been_replaced(entry):
+        if _same_instance(worker.entry, entry):
+            self._update_entry(worker, entry)
+            return
+        replaced = worker.replaced_entry
+        if replaced is not None and _same_instance(replaced, entry):
             return
+        if entry.instance < worker.entry.instance:
+            # A late write of an earlier instance, or the first one of a new instance
+            # whose clock was set back: a hold shows which one answers.
+            worker.earlier_entry = entry
+            return
+        worker.earlier_entry = None
+        self.end(worker, "replaced by a new instance", replaced=True)
         self._join(entry)
 
+    def _update_entry(self, worker: Worker, entry: WorkerEntry):
+        """Apply a newer entry of a known instance."""
+        starts_draining = (
+            entry.state is WorkerState.DRAINING
+            and worker.entry.state is not WorkerState.DRAINING
+        )
+        worker.update_entry(entry)
+        worker.replaced_entry = None
+        worker.entry_seen_at = boot_time()
+        self._update_drain_deadline(worker)
+        if worker.missing_since is not None:
+            worker.missing_since = None
+            self.events.write(Event.WORKER_SEEN, worker=worker.id, again=True)
+        if starts_draining:
+            self.events.write(
+                Event.WORKER_GONE,
+                worker=worker.id,
+                reason="draining",
+                remaining=entry.remaining,
+            )
+            self.listener.drain_started(worker)
+
     def _has_been_replaced(self, entry: WorkerEntry) -> bool:
         """Return whether another instance has answered in place of an entry's.
 
