--- a/src/zinniatrestle/scheduling/leadership.py
+++ b/src/zinniatrestle/scheduling/leadership.py
@@ -333,12 +333,7 @@
                 self.on_fence_change(fence.version)
             return
         if self.record is not None:
-            self.predecessor_hold_until = (
-                self.record.until + self.hold_extension * MS_PER_SECOND
-            )
-            if not self.record.holder:
-                # A holder that released the lease held workers until then at most.
-                self.predecessor_hold_until = self.store.clock.latest(boot_time())
+            self.predecessor_hold_until = self._hold_end(self.record)
         self.handover = handover
         self._set_stored(record, result.version)
         self.fence = self.own_fence = result.version
@@ -349,6 +344,13 @@
         self.acquired.set()
         self.events.write(Event.LEASE_TAKEN, generation=generation)
 
+    def _hold_end(self, record: LeaseRecord) -> float:
+        """Return the store time in ms until which a former holder may hold workers."""
+        if not record.holder:
+            # It has released the lease, after which it holds none.
+            return self.store.clock.latest(boot_time())
+        return record.until + self.hold_extension * MS_PER_SECOND
+
     async def _renew(self):
         requested_at = self.store.clock.earliest(boot_time())
         record = self._extended_record(requested_at, self.generation, self.handover)
--- a/src/zinniatrestle/scheduling/lease_expiries.py
+++ b/src/zinniatrestle/scheduling/lease_expiries.py
@@ -5,6 +5,7 @@
 """
 
 import math
+from typing import NamedTuple
 
 from zinniatrestle.clock import boot_time
 from zinniatrestle.ids import BootSeconds, InstanceId, StoreMilliseconds, WorkerId
@@ -17,6 +18,13 @@
 MS_PER_SECOND = 1000.0
 
 
+class ExpiryRecord(NamedTuple):
+    """Time after which no lease at an instance is valid, by two clocks."""
+
+    expires_at: BootSeconds
+    stored: StoreMilliseconds
+
+
 class LeaseExpiries:
     """Restore the predecessor's records of lease expiries and export those to hand on.
 
@@ -26,33 +34,30 @@
 
     def __init__(self, clock: StoreClock):
         self.clock = clock
-        # The restored or last exported records, with the times of this host that they
-        # stand for. A record is handed on unchanged as long as that time is, since each
-        # conversion between clocks may make it later.
-        self.records: dict[
-            tuple[WorkerId, InstanceId], tuple[BootSeconds, StoreMilliseconds]
-        ] = {}
+        # The restored or last exported records. One is handed on unchanged as long as
+        # the time of this host is, since each conversion may make it later.
+        self.records: dict[tuple[WorkerId, InstanceId], ExpiryRecord] = {}
 
     def restore(self, inherited: dict[WorkerId, dict[InstanceId, StoreMilliseconds]]):
         """Convert the predecessor's records to the latest times that they stand for."""
         now = boot_time()
         store_now = self.clock.earliest(now)
         for worker_id, instances in inherited.items():
-            for instance, until in instances.items():
-                expires_at = BootSeconds(now + (until - store_now) / MS_PER_SECOND)
-                self.records[worker_id, instance] = (expires_at, until)
+            for instance, stored in instances.items():
+                expires_at = BootSeconds(now + (stored - store_now) / MS_PER_SECOND)
+                self.records[worker_id, instance] = ExpiryRecord(expires_at, stored)
 
     def recorded_expiry(self, worker: Worker) -> BootSeconds | None:
         """Return after which time no lease at an instance is valid, if it is known."""
         record = self.records.get((worker.id, worker.entry.instance))
-        return record[0] if record is not None else None
+        return record.expires_at if record is not None else None
 
     def export(
         self, fleet: Fleet
     ) -> dict[WorkerId, dict[InstanceId, StoreMilliseconds]]:
         """Return when the leases with tasks expire that are not being extended."""
         exported: dict[WorkerId, dict[InstanceId, StoreMilliseconds]] = {}
-        records = {}
+        records: dict[tuple[WorkerId, InstanceId], ExpiryRecord] = {}
         for worker in [*fleet.unregistered, *fleet.workers.values()]:
             if len(records) == MAX_EXPIRY_RECORDS:
                 break
@@ -61,11 +66,11 @@
             key = (worker.id, worker.entry.instance)
             expires_at = worker.lease.expires_at
             record = self.records.get(key)
-            if record is None or record[0] != expires_at:
-                until = StoreMilliseconds(math.ceil(self.clock.latest(expires_at)))
-                record = (expires_at, until)
+            if record is None or record.expires_at != expires_at:
+                stored = StoreMilliseconds(math.ceil(self.clock.latest(expires_at)))
+                record = ExpiryRecord(expires_at, stored)
             records[key] = record
-            exported.setdefault(worker.id, {})[worker.entry.instance] = record[1]
+            exported.setdefault(worker.id, {})[worker.entry.instance] = record.stored
         self.records = records
         return exported
 
--- a/tests/common/faults.py
+++ b/tests/common/faults.py
@@ -2,22 +2,28 @@
 
 import asyncio
 import random
+from collections.abc import Callable, Coroutine
+from typing import Any
 
 from zinniatrestle.clock import monotonic
-from zinniatrestle.standins.fleet import EXPIRY_HEARTBEATS, SimulatedFleet
+from zinniatrestle.standins.fleet import EXPIRY_HEARTBEATS
 from zinniatrestle.standins.model import Model, ModelHost
 from zinniatrestle.standins.rows import Reachability
 from zinniatrestle.standins.runs import FaultMode, SimulatedWorker
 
+Fault = Callable[[Model, random.Random], Coroutine[Any, Any, None]]
 
-async def inject_faults(model: Model, rng: random.Random, faults: list):
+
+async def inject_faults(model: Model, rng: random.Random, faults: list[Fault]):
+    """Inject randomly chosen faults, which may overlap, until cancelled."""
     while True:
         await asyncio.sleep(rng.uniform(0.5, 3.0))
         fault = rng.choice(faults)
         model.callers.add(asyncio.create_task(inject_fault(fault, model, rng)))
 
 
-async def inject_fault(fault, model: Model, rng: random.Random):
+async def inject_fault(fault: Fault, model: Model, rng: random.Random):
+    """Inject a fault, and record the time in which it disturbs the model."""
     if not model.fleet.workers:
         return
     fault_task = asyncio.create_task(fault(model, rng))
@@ -28,7 +34,7 @@
     await fault_task
 
 
-async def kill_leader(model, rng):
+async def kill_leader(model: Model, rng: random.Random):
     host = model.leader()
     if host is None:
         return
@@ -37,7 +43,7 @@
     start_if_down(host)
 
 
-async def kill_any_host(model, rng):
+async def kill_any_host(model: Model, rng: random.Random):
     host = rng.choice(model.hosts)
     if not host.alive:
         return
@@ -52,7 +58,7 @@
         host.start()
 
 
-async def partition_leader_from_store(model, rng):
+async def partition_leader_from_store(model: Model, rng: random.Random):
     host = model.leader()
     if host is None:
         return
@@ -61,7 +67,7 @@
     host.store.reachability = Reachability.SERVED
 
 
-async def store_outage(model, rng):
+async def store_outage(model: Model, rng: random.Random):
     reachability = rng.choice([Reachability.SILENT, Reachability.REFUSED])
     for host in model.hosts:
         host.store.reachability = reachability
@@ -70,20 +76,18 @@
         host.store.reachability = Reachability.SERVED
 
 
-async def lose_answers_to_leader(model, rng):
+async def lose_answers_to_leader(model: Model, rng: random.Random):
     """Lose the answers to the leader's writes while its reads are served."""
     host = model.leader()
     if host is None:
         return
-    host.store.lost_answer_share, host.store.late_commit_share = (
-        1.0,
-        rng.choice([0.0, 0.5, 1.0]),
-    )
+    host.store.lost_answer_share = 1.0
+    host.store.late_commit_share = rng.choice([0.0, 0.5, 1.0])
     await asyncio.sleep(rng.uniform(0.5, 4.0))
     host.store.lost_answer_share = 0.0
 
 
-async def lose_store_answers(model, rng):
+async def lose_store_answers(model: Model, rng: random.Random):
     for host in model.hosts:
         host.store.lost_answer_share, host.store.late_commit_share = 0.3, 0.5
     await asyncio.sleep(3.0)
@@ -91,24 +95,24 @@
         host.store.lost_answer_share = 0.0
 
 
-async def drop_change_history(model, rng):
+async def drop_change_history(model: Model, rng: random.Random):
     model.rows.drop_history()
 
 
-async def delay_orders(model, rng):
+async def delay_orders(model: Model, rng: random.Random):
     model.fleet.late_order_share = 0.1
     await asyncio.sleep(4.0)
     model.fleet.late_order_share = 0.0
 
 
-async def partition_worker(model, rng):
+async def partition_worker(model: Model, rng: random.Random):
     worker = rng.choice(list(model.fleet.workers.values()))
     worker.reachable = False
     await asyncio.sleep(rng.uniform(1.0, 9.0))
     worker.reachable = True
 
 
-async def partition_worker_from_leader(model, rng):
+async def partition_worker_from_leader(model: Model, rng: random.Random):
     host = model.leader()
     worker = rng.choice(list(model.fleet.workers))
     if host is None:
@@ -118,14 +122,14 @@
     model.fleet.partitions.discard((host.name, worker))
 
 
-async def restart_worker(model, rng):
+async def restart_worker(model: Model, rng: random.Random):
     worker = rng.choice(list(model.fleet.workers.values()))
     model.fleet.crash(worker)
     await asyncio.sleep(rng.uniform(0.1, 3.0))
     model.fleet.restart(worker)
 
 
-async def set_worker_fault(model, rng):
+async def set_worker_fault(model: Model, rng: random.Random):
     worker = rng.choice(list(model.fleet.workers.values()))
     worker.fault_mode = rng.choice(
         [FaultMode.FAILS, FaultMode.HANGS, FaultMode.SHEDS, FaultMode.SLOW]
@@ -134,7 +138,7 @@
     worker.fault_mode = FaultMode.NONE
 
 
-async def deregister_worker(model, rng):
+async def deregister_worker(model: Model, rng: random.Random):
     """Cut a worker off and remove its entry, which returns before its runs end."""
     worker = rng.choice(list(model.fleet.workers.values()))
     worker.reachable = False
@@ -147,7 +151,7 @@
     model.fleet.write(worker)
 
 
-async def drain_and_restart_worker(model, rng):
+async def drain_and_restart_worker(model: Model, rng: random.Random):
     worker = rng.choice(list(model.fleet.workers.values()))
     model.fleet.drain(worker, 2.0)
     await asyncio.sleep(2.5)
@@ -157,7 +161,7 @@
     model.fleet.restart(worker)
 
 
-async def kill_all_hosts(model, rng):
+async def kill_all_hosts(model: Model, rng: random.Random):
     for host in model.hosts:
         await host.kill()
     await asyncio.sleep(rng.uniform(0.5, 3.0))
@@ -165,20 +169,20 @@
         start_if_down(host)
 
 
-async def delay_many_orders(model, rng):
+async def delay_many_orders(model: Model, rng: random.Random):
     model.fleet.late_order_share = rng.uniform(0.3, 0.5)
     await asyncio.sleep(rng.uniform(2.0, 6.0))
     model.fleet.late_order_share = 0.0
 
 
-async def evacuate_domain(model, rng):
+async def evacuate_domain(model: Model, rng: random.Random):
     domain = rng.choice("abc")
     model.operator.evacuate(domain)
     await asyncio.sleep(rng.uniform(4.0, 9.0))
     model.operator.end_evacuation(domain)
 
 
-async def set_fault_of_workers(model, rng):
+async def set_fault_of_workers(model: Model, rng: random.Random):
     fault_mode = rng.choice([FaultMode.FAILS, FaultMode.HANGS, FaultMode.SLOW])
     workers = choose_workers(model, rng)
     for worker in workers:
@@ -188,7 +192,7 @@
         worker.fault_mode = FaultMode.NONE
 
 
-async def partition_workers(model, rng):
+async def partition_workers(model: Model, rng: random.Random):
     """Cut workers off from all hosts, and in some cases from the registry as well."""
     workers = choose_workers(model, rng)
     heartbeats = rng.random() < 0.5
@@ -200,7 +204,7 @@
         worker.reachable = worker.heartbeats = True
 
 
-async def restart_workers_behind_partition(model, rng):
+async def restart_workers_behind_partition(model: Model, rng: random.Random):
     """Restart workers while no host reaches them, some with clocks set back."""
     workers = choose_workers(model, rng)
     for worker in workers:
@@ -212,7 +216,7 @@
         worker.reachable = True
 
 
-async def restart_workers_with_earlier_clock(model, rng):
+async def restart_workers_with_earlier_clock(model: Model, rng: random.Random):
     workers = choose_workers(model, rng)
     for worker in workers:
         model.fleet.crash(worker)
@@ -220,7 +224,7 @@
     restart_if_present(model, workers, rng, clock_lag=rng.uniform(2.0, 60.0))
 
 
-async def replace_worker_at_address(model, rng):
+async def replace_worker_at_address(model: Model, rng: random.Random):
     """Let another worker answer at the address of a crashed one."""
     worker = rng.choice(list(model.fleet.workers.values()))
     model.fleet.crash(worker)
@@ -232,13 +236,13 @@
     await expire_entry(model, worker)
 
 
-async def lose_workers(model, rng):
+async def lose_workers(model: Model, rng: random.Random):
     """Lose workers for good; others come a few seconds later."""
     workers = choose_workers(model, rng)
     await asyncio.gather(*(lose_worker(model, rng, worker) for worker in workers))
 
 
-async def lose_rack(model, rng):
+async def lose_rack(model: Model, rng: random.Random):
     """Lose all workers of a rack, which come back or are succeeded by others."""
     rack = rng.choice(list_workers(model)).entry.rack
     workers = [worker for worker in list_workers(model) if worker.entry.rack == rack]
@@ -251,7 +255,7 @@
     restart_if_present(model, workers, rng)
 
 
-async def reclaim_spot_workers(model, rng):
+async def reclaim_spot_workers(model: Model, rng: random.Random):
     """Announce that workers are taken away; others come a few seconds later."""
     notice = rng.uniform(1.0, 5.5)
     workers = choose_workers(model, rng)
@@ -268,7 +272,7 @@
         add_successor(model, worker)
 
 
-async def lose_worker(model, rng, worker: SimulatedWorker):
+async def lose_worker(model: Model, rng: random.Random, worker: SimulatedWorker):
     if not is_present(model, worker):
         return
     model.fleet.retire(worker)
@@ -298,7 +302,13 @@
     return model.fleet.workers.get(worker.entry.worker) is worker
 
 
-def restart_if_present(model: Model, workers, rng, clock_lag: float | None = None):
+def restart_if_present(
+    model: Model,
+    workers: list[SimulatedWorker],
+    rng: random.Random,
+    clock_lag: float | None = None,
+):
+    """Restart workers, by default some with their clocks set back by 30 s."""
     for worker in workers:
         if not is_present(model, worker):
             continue
@@ -312,7 +322,12 @@
 
 
 def add_successor(model: Model, worker: SimulatedWorker):
-    fleet: SimulatedFleet = model.fleet
     entry = worker.entry
-    name = successor_name(model, worker)
-    fleet.add(name, entry.rack, entry.domain, entry.cpu, entry.memory_mb, entry.gpus)
+    model.fleet.add(
+        successor_name(model, worker),
+        entry.rack,
+        entry.domain,
+        entry.cpu,
+        entry.memory_mb,
+        entry.gpus,
+    )
--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -39,7 +39,7 @@
         self.cluster = cluster
         self.relays = relays
         self.rng = random.Random(seed)
-        # Draws of later additions, which leave those of a kept seed as they are.
+        # Separate, so that the draws of `rng` for a kept seed stay the same.
         self.further_rng = random.Random(f"{seed}-further")
         self.accepted: set[str] = set()
         self.refused: set[str] = set()
