--- a/src/zinniatrestle/scheduling/tests/test_acknowledgement.py
+++ b/src/zinniatrestle/scheduling/tests/test_acknowledgement.py
@@ -13,8 +13,7 @@
 SLOW_STORE_FACTOR = 40.0
 
 
-# Guards against a gang that a successor runs again, as the end of a member was
-# acknowledged while the end of the gang, known from another member, was not stored.
+# Guards against a gang that runs again: its end was acknowledged, but not stored.
 @pytest.mark.parametrize("more_steps", [False, True])
 def test_no_end_of_a_gang_is_acknowledged_while_the_store_is_unreachable(more_steps):
     async def play():
--- a/src/zinniatrestle/scheduling/tests/test_advice.py
+++ b/src/zinniatrestle/scheduling/tests/test_advice.py
@@ -75,8 +75,7 @@
     assert start_events(model) == []
 
 
-# Guards against a step that asks for no tickets of the workers it avoids, as denied
-# workers counted as alternatives, and so waits beside idle workers for ever.
+# Guards against an endless wait for denied workers in place of avoided ones.
 def test_a_task_that_failed_on_the_only_allowed_worker_runs_there_again():
     model, settled = run_model(
         workers=6, count=1, multiples_of=6, seconds=TERMS.validity + 1.0, failures=1
--- a/src/zinniatrestle/scheduling/tests/test_lease_expiries.py
+++ b/src/zinniatrestle/scheduling/tests/test_lease_expiries.py
@@ -149,8 +149,7 @@
             model.fleet.partitions.add((host.name, lost.entry.worker))
 
 
-# Guards against a second run of a task whose worker's lease was extended although a
-# successor had been told when it expires.
+# Guards against a second run beside one whose lease outlasts its recorded expiry.
 @pytest.mark.parametrize("late_commits", [None, 0.0, 1.0])
 @pytest.mark.parametrize("registered", [True, False])
 @pytest.mark.parametrize(
@@ -178,8 +177,7 @@
     assert run_virtual(play()) == []
 
 
-# Guards against a run that is given up at its recorded expiry although its worker
-# answers the successor.
+# Guards against a run that is lost at its recorded expiry while its worker answers.
 @pytest.mark.parametrize("registered", [True, False])
 @pytest.mark.parametrize("seconds", [0.0, 0.1, 0.3, 0.5, 0.8, 1.5])
 def test_run_goes_on_if_its_worker_answers_the_successor(seconds, registered):
@@ -300,8 +298,7 @@
         await sent.wait()
 
 
-# Guards against an extension after a record was published, sent or stored, also if the
-# answers of renewals are lost or their writes are late.
+# Guards against an extension after a record was published, sent or stored.
 @pytest.mark.parametrize("late_commits", [None, 0.0, 0.5, 1.0])
 def test_no_lease_may_be_extended_while_its_record_is_or_may_be_stored(late_commits):
     name = WorkerId("w")
@@ -379,8 +376,7 @@
     assert run_virtual(play()) == []
 
 
-# Guards against a record that is applied to a new instance of the worker, in which a
-# late start may have begun a run.
+# Guards against a run in a new instance that is lost at the expiry of the former one.
 def test_recorded_expiry_does_not_bound_the_lease_of_a_new_instance():
     async def play():
         model, lost = await start_with_task(4.0)
--- a/src/zinniatrestle/scheduling/tests/test_lost_orders.py
+++ b/src/zinniatrestle/scheduling/tests/test_lost_orders.py
@@ -112,8 +112,7 @@
     assert run_virtual(play()) == []
 
 
-# Guards against a task that waits for the answer to a stop for as long as its worker
-# answers none.
+# Guards against a task that waits without a limit for the answer to a stop.
 @pytest.mark.parametrize("gang", [False, True])
 def test_run_is_repeated_elsewhere_if_its_worker_answers_holds_but_no_orders(gang):
     async def play():
@@ -132,8 +131,7 @@
     assert run_virtual(play()) <= lease + DETECTION_SECONDS < BOUNDS.finish
 
 
-# Guards against a step that is placed again and again on a worker which leaves each
-# order without an answer and carries it out seconds later.
+# Guards against a step that is placed again and again where orders come late.
 @pytest.mark.parametrize("gang", [False, True])
 @pytest.mark.parametrize("seed", range(3))
 def test_step_is_placed_once_on_a_worker_that_answers_no_orders(gang, seed):
--- a/src/zinniatrestle/scheduling/tests/test_lost_workers.py
+++ b/src/zinniatrestle/scheduling/tests/test_lost_workers.py
@@ -195,8 +195,7 @@
     assert run_virtual(play()) <= Bounds().finish
 
 
-# Guards against a second run of a task whose worker was not registered when the
-# successor started, and registers again while it can't be reached.
+# Guards against a second run beside one at a worker that registers again, out of reach.
 def test_run_on_worker_that_registers_again_is_not_repeated_before_its_lease_ends():
     async def play():
         model = Model(1)
@@ -232,8 +231,7 @@
         assert lost["at"] == pytest.approx(line["at"] + line["until"], abs=0.3)
 
 
-# Guards against a successor that takes the leases of a worker to end before those that
-# its predecessor has extended once it reached the worker again.
+# Guards against a second run beside one whose lease was extended before a succession.
 @pytest.mark.parametrize("tenths", range(0, 20, 2))
 def test_a_worker_that_answers_again_keeps_its_lease_after_a_succession(tenths):
     async def play():
--- a/src/zinniatrestle/scheduling/tests/test_replaced_workers.py
+++ b/src/zinniatrestle/scheduling/tests/test_replaced_workers.py
@@ -149,8 +149,7 @@
     assert run_virtual(play()) <= limit < BOUNDS.finish
 
 
-# Guards against a second run of a task beside the one that a start order, carried out
-# by a new instance, has begun there.
+# Guards against a second run beside one that a late start has begun in a new instance.
 def test_run_in_an_unreachable_new_instance_is_not_repeated_before_its_lease_ends():
     async def play():
         model = Model(1)
--- a/src/zinniatrestle/scheduling/tests/test_reserved_steps.py
+++ b/src/zinniatrestle/scheduling/tests/test_reserved_steps.py
@@ -19,8 +19,7 @@
     return {line["worker"] for line in model.lines if line["event"] == "run_preempted"}
 
 
-# Guards against an urgent step that waits for a run whose stop is carried out late
-# while other workers are idle.
+# Guards against an urgent step that waits for a late stop while other workers are idle.
 @pytest.mark.parametrize("gang", [False, True])
 def test_a_step_does_not_wait_for_its_reserved_workers_while_others_are_free(gang):
     async def play():
--- a/src/zinniatrestle/scheduling/tests/test_restarted_workers.py
+++ b/src/zinniatrestle/scheduling/tests/test_restarted_workers.py
@@ -115,8 +115,7 @@
     assert run_virtual(play()) == []
 
 
-# Guards against a task that waits for the longest lease after each succession, although
-# the worker that it ran on answers and runs nothing.
+# Guards against a wait for the longest lease at a worker that answers and runs nothing.
 @pytest.mark.parametrize("clock_lag", [-30.0, 0.0, 30.0])
 def test_successor_repeats_the_runs_of_an_instance_that_was_restarted(clock_lag):
     async def play():
--- a/src/zinniatrestle/scheduling/tests/test_wait_limits.py
+++ b/src/zinniatrestle/scheduling/tests/test_wait_limits.py
@@ -63,8 +63,7 @@
     run_on(first_step(job(name * 16, Step(cpu=1000, gpus=gpus))).tasks[0], target)
 
 
-# Guards against a job that waits for its data's rack beside idle workers for as long as
-# it can still be on time.
+# Guards against a job that waits for its rack beside idle workers until it is late.
 def test_a_job_older_than_its_limit_runs_away_from_its_data():
     workers = workers_in_racks(4, size=1)
     occupy(workers[0])
@@ -167,8 +166,7 @@
     assert remaining(waiting_step(Step(gpus=8), 2.0), workers) is None
 
 
-# Guards against accepted work that waits for over 20 s while most workers are idle: for
-# the rack of its data, or behind the reservation of a gang that waits for a long run.
+# Guards against waits of over 20 s for a rack or a reservation beside idle workers.
 @pytest.mark.parametrize(
     "scenario", [wait_beside_full_rack, wait_beside_lost_rack, wait_behind_wide_gang]
 )
--- a/src/zinniatrestle/scheduling/tests/test_waits.py
+++ b/src/zinniatrestle/scheduling/tests/test_waits.py
@@ -158,8 +158,7 @@
     assert wait.until == NOW + 4.0
 
 
-# Guards against an error in a round, and so the end of the scheduler, if the reserved
-# worker has no room itself.
+# Guards against an error that ends the scheduler if a reserved worker has no room.
 def test_wait_for_a_rack_that_is_too_small_without_a_reserved_worker():
     workers = workers_in_racks(2, size=2)
     for number, gpus in enumerate((8, 4, 8, 8)):
--- a/src/zinniatrestle/upkeep/tests/test_waves.py
+++ b/src/zinniatrestle/upkeep/tests/test_waves.py
@@ -183,8 +183,7 @@
     run_with_scenario(check)
 
 
-# Guards against a worker that gets no tasks after the end of a wave whose latest list
-# lacks its machine.
+# Guards against a worker that stays cordoned if the latest list lacks its machine.
 @pytest.mark.parametrize("is_withdrawn", [False, True])
 def test_a_worker_is_used_again_if_its_machine_is_missing_from_the_lists(is_withdrawn):
     async def check(scenario):
