--- a/src/zinniatrestle/standins/checker.py
+++ b/src/zinniatrestle/standins/checker.py
@@ -8,7 +8,7 @@
 from zinniatrestle.scheduling.leadership import LEASE_ROW, LEASES
 from zinniatrestle.scheduling.messages import LeaseRecord
 from zinniatrestle.standins.fleet import SimulatedFleet
-from zinniatrestle.standins.model import Model
+from zinniatrestle.standins.model import JobOutcome, Model
 from zinniatrestle.standins.runs import EventKind, TaskScript, WorkerEvent
 from zinniatrestle.workers.messages import RunOutcome
 
@@ -151,15 +151,7 @@
     more than it is guaranteed.
     """
     found = []
-    guaranteed = {entry.name: entry.guaranteed for entry in model.operator.accounts}
-    urgent_queues = {
-        entry.name for entry in model.operator.queues if not entry.priority
-    }
-    urgent = {
-        job: outcome
-        for job, outcome in model.jobs.items()
-        if outcome.queue in urgent_queues and not outcome.refused
-    }
+    urgent = _urgent_jobs(model)
     first_starts: dict[TaskId, float] = {}
     last_ends: dict[JobId, float] = {}
     for event in model.fleet.history:
@@ -174,15 +166,7 @@
         since = outcome.accepted_at - model.bounds.contact
         if any(since <= at <= due_at for at in model.disturbance_times):
             continue
-        needed = 0
-        for other, theirs in urgent.items():
-            if theirs.account != outcome.account or theirs.sent_at > due_at:
-                continue
-            ended_at = last_ends.get(other, 0.0)
-            if model.has_ended(other) and ended_at < outcome.accepted_at:
-                continue
-            needed += max(shape.count * shape.gpus for shape in theirs.steps)
-        if needed > guaranteed[outcome.account]:
+        if not _is_within_guarantee(model, job, due_at, urgent, last_ends):
             continue
         for index in range(outcome.steps[0].count):
             task = task_id(job, 0, 0, index)
@@ -192,6 +176,37 @@
     return found
 
 
+def _urgent_jobs(model: Model) -> dict[JobId, JobOutcome]:
+    """Return the jobs of the highest priority that may have been accepted."""
+    queues = {entry.name for entry in model.operator.queues if not entry.priority}
+    urgent = {}
+    for job, outcome in model.jobs.items():
+        if outcome.queue in queues and not outcome.refused:
+            urgent[job] = outcome
+    return urgent
+
+
+def _is_within_guarantee(
+    model: Model,
+    job: JobId,
+    due_at: float,
+    urgent: dict[JobId, JobOutcome],
+    last_ends: dict[JobId, float],
+) -> bool:
+    """Return whether an account is guaranteed what its urgent jobs need by `due_at`."""
+    outcome = urgent[job]
+    needed = 0
+    for other, theirs in urgent.items():
+        if theirs.account != outcome.account or theirs.sent_at > due_at:
+            continue
+        ended_at = last_ends.get(other, 0.0)
+        if model.has_ended(other) and ended_at < outcome.accepted_at:
+            continue
+        needed += max(shape.count * shape.gpus for shape in theirs.steps)
+    guaranteed = {entry.name: entry.guaranteed for entry in model.operator.accounts}
+    return needed <= guaranteed[outcome.account]
+
+
 def job_of(task: TaskId) -> JobId:
     """Return the id of the job that a task belongs to."""
     return JobId(task.split(".")[0])
