--- a/src/zinniatrestle/scheduling/tests/test_lost_workers.py
+++ b/src/zinniatrestle/scheduling/tests/test_lost_workers.py
@@ -13,7 +13,7 @@
 from zinniatrestle.standins.checker import violations
 from zinniatrestle.standins.host_orders import HostOrders
 from zinniatrestle.standins.model import Model, run_virtual, step
-from zinniatrestle.standins.runs import EventKind
+from zinniatrestle.standins.runs import EventKind, SimulatedWorker
 from zinniatrestle.workers.messages import Refusal, RefusedOrderError
 
 # Time to detect the loss and to run a round.
@@ -26,6 +26,15 @@
     return model.fleet.workers[model.fleet.history[0].worker]
 
 
+async def start_run(
+    model: Model, workers: int, seconds: float, gpus: int = 8
+) -> SimulatedWorker:
+    """Start a model with one task and return the worker that runs the task."""
+    await model.start(workers=workers, rack=workers)
+    await model.submit("usual", (step(gpus=gpus, seconds=seconds),), seconds)
+    return await wait_for_running_worker(model)
+
+
 async def lose_worker(lose) -> tuple[Model, float]:
     model = Model(1)
     await model.start(workers=4, rack=4)
@@ -199,9 +208,7 @@
 def test_run_on_worker_that_registers_again_is_not_repeated_before_its_lease_ends():
     async def play():
         model = Model(1)
-        await model.start(workers=2, rack=2)
-        await model.submit("usual", (step(gpus=8, seconds=20.0),), 20.0)
-        worker = await wait_for_running_worker(model)
+        worker = await start_run(model, 2, 20.0)
         model.fleet.remove(worker)
         worker.reachable = False
         first_holder = model.leader()
@@ -236,9 +243,7 @@
 def test_a_worker_that_answers_again_keeps_its_lease_after_a_succession(tenths):
     async def play():
         model = Model(1)
-        await model.start(workers=2, rack=2)
-        await model.submit("usual", (step(gpus=8, seconds=30.0),), 30.0)
-        worker = await wait_for_running_worker(model)
+        worker = await start_run(model, 2, 30.0)
         worker.reachable = False
         await asyncio.sleep(4.0)
         worker.reachable = True
@@ -255,9 +260,7 @@
 def test_a_worker_that_answers_again_gets_tasks():
     async def play():
         model = Model(1)
-        await model.start(workers=1, rack=1)
-        await model.submit("usual", (step(gpus=4, seconds=9.0),), 9.0)
-        worker = await wait_for_running_worker(model)
+        worker = await start_run(model, 1, 9.0, gpus=4)
         worker.reachable = False
         await asyncio.sleep(4.0)
         worker.reachable = True
--- a/src/zinniatrestle/scheduling/tests/test_progress_writer.py
+++ b/src/zinniatrestle/scheduling/tests/test_progress_writer.py
@@ -41,17 +41,19 @@
     return created
 
 
-def new_writer(host: ModelHost) -> ProgressWriter:
-    return ProgressWriter(
+async def start_with_writer() -> tuple[Model, ModelHost, ProgressWriter]:
+    """Return a model, its leader, and a writer of progress that is to be run."""
+    model = Model(1, hosts=1)
+    await model.start(workers=1, rack=1)
+    host = model.leader()
+    writer = ProgressWriter(
         host.store, host.leadership, EventLog(), host.deployment.store
     )
+    return model, host, writer
 
 
 async def seconds_to_save_beside_a_job_that_keeps_changing() -> float:
-    model = Model(1, hosts=1)
-    await model.start(workers=1, rack=1)
-    host = model.leader()
-    writer = new_writer(host)
+    model, host, writer = await start_with_writer()
     host.store.latency_factor = SLOW_STORE_FACTOR
     quiet, changing = stored_job(model, "a" * 16), stored_job(model, "b" * 16)
     tasks = [asyncio.create_task(writer.run())]
@@ -96,10 +98,7 @@
 # Guards against a submission that outlives its job's progress, and then runs again.
 def test_the_submission_of_a_job_that_ends_during_a_write_is_removed():
     async def play():
-        model = Model(1, hosts=1)
-        await model.start(workers=1, rack=1)
-        host = model.leader()
-        writer = new_writer(host)
+        model, _, writer = await start_with_writer()
         running = asyncio.create_task(writer.run())
         created = stored_job(model, "a" * 16)
         saving = asyncio.create_task(writer.save([created]))
@@ -115,10 +114,7 @@
 # Guards against a row that the store refuses for ever, and with it all other jobs.
 def test_the_progress_of_the_largest_job_on_many_workers_fits_into_a_row():
     async def play():
-        model = Model(1, hosts=1)
-        await model.start(workers=1, rack=1)
-        host = model.leader()
-        writer = new_writer(host)
+        model, host, writer = await start_with_writer()
         writing = asyncio.create_task(writer.run())
         created = stored_job(model, "a" * 16, Step(count=MAX_TASKS, cpu=1000))
         for number, task in enumerate(first_step(created).tasks):
