Show that a reserved canary delays no guaranteed gang (RECLAIM)

Cause: an idle canary was offered one slot whatever its free capacity, so a less urgent task was placed on a canary that was reserved for a gang.

Ruled out, by the logs: the count of the account's jobs (24 + 10 + 24 of 72 guaranteed accelerators), late stops (1.2 s at most after the disturbances), and a step that isn't planned early enough.

--- /dev/null
+++ b/src/zinniatrestle/scheduling/tests/test_reserved_workers.py
@@ -0,0 +1,65 @@
+"""Reserved workers are free for an urgent step once the preempted runs have stopped."""
+
+import asyncio
+
+from zinniatrestle.deployment import Bounds
+from zinniatrestle.ids import JobId
+from zinniatrestle.scheduling.draining import ORDER_LATENCY_SECONDS
+from zinniatrestle.standins.checker import violations
+from zinniatrestle.standins.model import Model, run_virtual, step
+from zinniatrestle.standins.runs import EventKind, FaultMode
+
+# Stops take up to a quarter of the time in which a guarantee has to be met.
+BOUNDS = Bounds(stop=0.9, reclaim=3.4)
+# A step that preempts at the last moment is in time if it starts this much later.
+START_SECONDS = BOUNDS.stop + 2 * ORDER_LATENCY_SECONDS
+# Longer than a first quarantine.
+QUARANTINE_SECONDS = 5.0
+LONG_SECONDS = 60.0
+
+
+async def preemption_for(model: Model, job: JobId) -> float:
+    """Wait until runs have been preempted for a job, and return when they were."""
+    while True:
+        for line in model.lines:
+            if line["event"] == "run_preempted" and line["for_job"] == job:
+                return line["at"]
+        await asyncio.sleep(0.01)
+
+
+def starts(model: Model, job: JobId) -> list[float]:
+    return [
+        event.at
+        for event in model.fleet.history
+        if event.kind is EventKind.START and event.task.startswith(job)
+    ]
+
+
+async def start_with_idle_canary(model: Model, workers: int):
+    """Start workers, all busy but the first, which is a canary without tasks."""
+    await model.start(workers=workers, rack=workers)
+    faulty = model.fleet.workers["w0"]
+    faulty.fault_mode = FaultMode.FAILS
+    await model.submit("usual", (step(workers, gpus=8),), 1.0)
+    assert await model.wait_for_jobs(10.0)
+    faulty.fault_mode = FaultMode.NONE
+    for _ in range(workers - 1):
+        await model.submit("patient", (step(gpus=8),), LONG_SECONDS)
+    await asyncio.sleep(QUARANTINE_SECONDS)
+
+
+# Guards against a task on a canary that is reserved for an urgent gang, which then has
+# to wait for the task or for the end of its reservations (RECLAIM).
+def test_a_canary_that_is_reserved_for_a_gang_gets_no_other_task():
+    async def play():
+        model = Model(1, bounds=BOUNDS)
+        await start_with_idle_canary(model, workers=4)
+        gang = await model.submit("urgent", (step(2, gpus=8, gang=True),), 1.0)
+        preempted_at = await preemption_for(model, gang)
+        await model.submit("patient", (step(gpus=1),), LONG_SECONDS)
+        await asyncio.sleep(BOUNDS.reclaim + 1.0)
+        await model.stop()
+        assert violations(model) == []
+        return max(starts(model, gang)) - preempted_at
+
+    assert run_virtual(play()) <= START_SECONDS
