Start a reserved step beside other steps' reservations (RECLAIM)

What callers saw: an urgent job waited with its capacity free at its reserved workers. A guarantee leaves 1.5 s for a stop and a start, so a job that preempts at the last moment would be late.

Cause: a step was only started once the worker's free capacity, less all reservations, was at least 0. The runs that another step had preempted there later were still stopping, so its reservation made that negative.

Why it works: what is reserved and not in use is free, so a step starts if its tasks fit beside the runs. The other reservation stays; plans count each run once, so its own runs free what it needs.

Ruled out: no second reservation at a worker; the plans would preempt more.

--- a/src/zinniatrestle/scheduling/preemption.py
+++ b/src/zinniatrestle/scheduling/preemption.py
@@ -210,8 +210,9 @@
     ) -> Assignment:
         """Return the assignment of the reserved tasks whose capacity is free by now.
 
-        A gang gets all its tasks or none. Reservations are released if a worker is no
-        longer permitted, or if their capacity is not free in time.
+        A gang gets all its tasks or none. Of the steps with reservations at a worker,
+        the first whose tasks fit starts there. Reservations are released if a worker is
+        no longer permitted, or if their capacity is not free in time.
         """
         ready: Assignment = {}
         for task in reserved:
@@ -219,7 +220,7 @@
             if not is_permitted(worker, step, constraints):
                 self._release(reserved)
                 return {}
-            if min(worker.free_cpu, worker.free_memory, worker.free_gpus) >= 0:
+            if worker.has_room_for_reserved(step):
                 ready[task] = worker
         expired = now - reserved[0].confirmed_at > RESERVATION_TIMEOUT_SECONDS
         if step.shape.gang and len(ready) < len(reserved):
--- a/src/zinniatrestle/scheduling/state.py
+++ b/src/zinniatrestle/scheduling/state.py
@@ -453,6 +453,21 @@
         if self.reserved_tasks.pop(task.id, None) is not None:
             self._allocate(task, -1)
 
+    def has_room_for_reserved(self, step: StepRun) -> bool:
+        """Return whether the tasks of a step that are reserved here fit by now.
+
+        Resources reserved for other steps are not in use yet, so they count as free.
+        """
+        cpu, memory, gpus = self.free_cpu, self.free_memory, self.free_gpus
+        for task in self.reserved_tasks.values():
+            if task.step is step:
+                continue
+            shape = task.step.shape
+            cpu += 0 if shape.best_effort else shape.cpu
+            memory += shape.memory_mb
+            gpus += shape.gpus
+        return min(cpu, memory, gpus) >= 0
+
     def _allocate(self, task: Task, sign: int):
         shape = task.step.shape
         if not shape.best_effort:
--- a/src/zinniatrestle/scheduling/tests/test_reserved_workers.py
+++ b/src/zinniatrestle/scheduling/tests/test_reserved_workers.py
@@ -2,10 +2,12 @@
 
 import asyncio
 
+from zinniatrestle.clock import monotonic
 from zinniatrestle.deployment import Bounds
 from zinniatrestle.ids import JobId
+from zinniatrestle.jobs import Step
 from zinniatrestle.scheduling.draining import ORDER_LATENCY_SECONDS
-from zinniatrestle.standins.checker import violations
+from zinniatrestle.standins.checker import check_capacity, violations
 from zinniatrestle.standins.model import Model, run_virtual, step
 from zinniatrestle.standins.runs import EventKind, FaultMode
 
@@ -63,3 +65,38 @@
         return max(starts(model, gang)) - preempted_at
 
     assert run_virtual(play()) <= START_SECONDS
+
+
+async def start_two_urgent_jobs_on_one_worker(second: Step) -> list[float]:
+    """Let two jobs preempt runs at one worker, the second while the first waits.
+
+    Returns how long after its preemptions each of them has started.
+    """
+    model = Model(1, bounds=BOUNDS)
+    await model.start(workers=1, rack=1)
+    for _ in range(2):
+        await model.submit("patient", (step(gpus=4),), LONG_SECONDS)
+    await asyncio.sleep(1.0)
+    waits = []
+    jobs = []
+    for shape in (step(gpus=4), second):
+        jobs.append(await model.submit("urgent", (shape,), 1.0))
+        waits.append(-await preemption_for(model, jobs[-1]))
+        await asyncio.sleep(BOUNDS.stop - ORDER_LATENCY_SECONDS)
+    found: list[str] = []
+    until = monotonic() + BOUNDS.reclaim
+    while monotonic() < until:
+        check_capacity(model.fleet, found)
+        await asyncio.sleep(0.05)
+    await model.stop()
+    assert found + violations(model) == []
+    return [
+        wait + max(starts(model, job)) for job, wait in zip(jobs, waits, strict=True)
+    ]
+
+
+# Guards against a step that waits for the runs that another step with reservations at
+# the same worker has preempted later, beyond the time of its guarantee (RECLAIM).
+def test_a_step_does_not_wait_for_the_stops_of_a_later_one():
+    waits = run_virtual(start_two_urgent_jobs_on_one_worker(step(gpus=4)))
+    assert max(waits) <= BOUNDS.stop + ORDER_LATENCY_SECONDS
--- a/src/zinniatrestle/scheduling/waits.py
+++ b/src/zinniatrestle/scheduling/waits.py
@@ -185,7 +185,7 @@
     wait = Wait(WaitReason.PREEMPTION, until=until)
     for task in reserved:
         worker = task.worker
-        if min(worker.free_cpu, worker.free_memory, worker.free_gpus) >= 0:
+        if worker.has_room_for_reserved(task.step):
             continue
         for other in worker.tasks.values():
             if other.status is TaskStatus.STOPPING:
