Place a gang on its free reserved workers and others together (RECLAIM)

An urgent gang with most of its reserved workers free waited for the last one, although another worker came free; a less urgent job took that.

Cause: reserved tasks that look for other workers did so beside their own reservations, so a gang needed as many other workers as it has tasks.

Why it works: the reservations of the step don't count while its workers are searched, and those of tasks that stay reserved are made again at once.

Ruled out: to give a gang's free workers back until all are; less urgent steps would take them.

--- a/src/zinniatrestle/scheduling/rounds.py
+++ b/src/zinniatrestle/scheduling/rounds.py
@@ -235,12 +235,19 @@
     ) -> Assignment:
         """Return an assignment of reserved tasks to workers that came free before.
 
-        The reservations of these tasks are released.
+        What is free at their reserved workers counts. The reservations of the assigned
+        tasks are released.
         """
         open_workers = reservations.eligible_workers(step, workers)
+        held = [task for task in reserved if task.status is TaskStatus.RESERVED]
+        for task in held:
+            task.worker.release_reservation(task)
         assignment = self.placement.place(step, reserved, open_workers, constraints)
         for task in assignment:
             self.tracker.release_reservation(task)
+        for task in held:
+            if task.status is TaskStatus.RESERVED:
+                task.worker.reserve(task)
         self._assign_tickets(assignment, constraints)
         return assignment
 
--- a/src/zinniatrestle/scheduling/tests/test_reserved_workers.py
+++ b/src/zinniatrestle/scheduling/tests/test_reserved_workers.py
@@ -100,3 +100,49 @@
 def test_a_step_does_not_wait_for_the_stops_of_a_later_one():
     waits = run_virtual(start_two_urgent_jobs_on_one_worker(step(gpus=4)))
     assert max(waits) <= BOUNDS.stop + ORDER_LATENCY_SECONDS
+
+
+async def delay_one_stop(model: Model, job: JobId):
+    """Let the first run that was preempted for a job stop `LONG_SECONDS` later."""
+    await preemption_for(model, job)
+    await asyncio.sleep(ORDER_LATENCY_SECONDS)
+    for line in model.lines:
+        if line["event"] == "run_preempted" and line["for_job"] == job:
+            run = model.fleet.workers[line["worker"]].running[line["task"]]
+            run.stops_at += LONG_SECONDS
+            return
+
+
+async def start_gang_beside_a_late_stop(ends: bool) -> float:
+    """Let a gang preempt two of three runs, of which one doesn't stop in time.
+
+    The third run ends after the time of a stop if `ends`. Another job waits behind the
+    gang. Returns how long after its preemptions the gang has started.
+    """
+    model = Model(1, bounds=BOUNDS)
+    await model.start(workers=3, rack=3)
+    long_step = step(gpus=8, seconds=LONG_SECONDS)
+    for _ in model.fleet.workers:
+        await model.submit("patient", (long_step,), LONG_SECONDS)
+    await asyncio.sleep(1.0)
+    gang = await model.submit("urgent", (step(2, gpus=8, gang=True),), 1.0)
+    preempted_at = await preemption_for(model, gang)
+    await delay_one_stop(model, gang)
+    await model.submit("patient", (long_step,), LONG_SECONDS)
+    await asyncio.sleep(BOUNDS.stop)
+    if ends:
+        for worker in model.fleet.workers.values():
+            for run in worker.running.values():
+                if run.stops_at is None:
+                    run.work_seconds = LONG_SECONDS
+    await asyncio.sleep(BOUNDS.reclaim)
+    await model.stop()
+    assert violations(model) == []
+    return max(starts(model, gang)) - preempted_at
+
+
+# Guards against a gang that waits although enough of its reserved workers and of the
+# others are free.
+def test_a_gang_uses_its_free_reserved_workers_and_others_together():
+    wait = run_virtual(start_gang_beside_a_late_stop(ends=True))
+    assert wait <= START_SECONDS
