Take the late end of a run into account while the run is being repeated

Cause: the end of a run that had been marked as lost counted only as long as no other run had been placed. That is some 0.02 s; after it the worker's report was acknowledged and forgotten, and the repetition had to run to its end.

Evidence: test_step_starts_once_the_late_end_of_a_repeated_run_is_reported failed before (6 s) and passes.

Why it works: a task is complete with the first run that is done. The later run is stopped, and keeps its capacity until it has ended. Until then the stored row says that the task is done, with the worker of the later run, so a successor stops that run and goes on with the next step. A failure of another run of such a task no longer counts as an attempt.

Ruled out: to free the later run's capacity at once; on a service that doesn't guard its capacity it would be exceeded (the third test fails with that change). To keep the completion in memory only: the end has been acknowledged by then, so a successor would run the step a third time (the second test).

--- a/src/zinniatrestle/scheduling/cluster_state.py
+++ b/src/zinniatrestle/scheduling/cluster_state.py
@@ -102,9 +102,35 @@
         task.start_pending = False
         task.inherited = False
         task.pace = 100
-        if task.status is not TaskStatus.DONE:
-            task.status = TaskStatus.WAITING
+        task.status = TaskStatus.DONE if task.completed else TaskStatus.WAITING
         self.unsaved_jobs.add(task.step.job)
+        if task.completed:
+            self._finish_if_done(task.step)
+
+    def complete(self, tasks: list[Task]):
+        """Record that a task, or all members of a gang, have ended as done.
+
+        Later runs of them are stopped first, since their workers' capacity is in use.
+        """
+        for task in tasks:
+            task.completed = True
+        for task in tasks:
+            self.release_reservation(task)
+            if task.is_allocated:
+                self.stop(task, "an earlier run is done")
+            else:
+                self.unassign(task)
+
+    def _finish_if_done(self, step: StepRun):
+        if any(task.status is not TaskStatus.DONE for task in step.tasks):
+            return
+        step.finish()
+        self.speeds.forget(step)
+        job = step.job
+        job.finished_steps.add(step.key)
+        job.drop_finished_occurrences()
+        if job.all_done() and not job.ended:
+            self.end_job(job, JobState.COMPLETED, "all tasks done")
 
     def release_reservation(self, task: Task):
         """Release the reservation of a task, if it has one, or those of its gang."""
@@ -181,8 +207,10 @@
     def fail_if_out_of_attempts(self, task: Task):
         """Fail the job of a task that has used up its attempts."""
         step, job = task.step, task.step.job
+        if task.completed or step.shape.long_running or job.ended:
+            return
         failures = step.failure_count(task)
-        if step.shape.long_running or failures < job.submission.attempts or job.ended:
+        if failures < job.submission.attempts:
             return
         self.end_job(job, JobState.FAILED, f"task {task.id} failed {failures} times")
 
--- a/src/zinniatrestle/scheduling/state.py
+++ b/src/zinniatrestle/scheduling/state.py
@@ -67,6 +67,8 @@
         self.id = task_id(step.job.id, step.occurrence, step.number, index)
         self.key = task_key(self.id)
         self.status = TaskStatus.WAITING
+        # A run has ended as done. If it isn't the latest one, that is being stopped.
+        self.completed = False
         # When the latest run was placed, was confirmed, began to be stopped or ended.
         self.status_at = BootSeconds(0.0)
         self.run = RunNumber(0)
@@ -154,7 +156,7 @@
             instance=worker.entry.instance if worker else 0,
             failed_runs=tuple(sorted(self.failed_runs)),
             checkpoint=self.checkpoint,
-            done=self.status is TaskStatus.DONE,
+            done=self.completed,
         )
 
     def restore(self, record: TaskProgress):
@@ -162,6 +164,7 @@
         self.run = record.run
         self.failed_runs = set(record.failed_runs)
         self.checkpoint = record.checkpoint
+        self.completed = record.done
         if record.done:
             self.status = TaskStatus.DONE
 
--- a/src/zinniatrestle/scheduling/tracker.py
+++ b/src/zinniatrestle/scheduling/tracker.py
@@ -7,7 +7,7 @@
 from zinniatrestle.errors import LeaseLostError
 from zinniatrestle.events import Event
 from zinniatrestle.ids import BootSeconds, InstanceId, RunNumber, TaskId, WorkerId
-from zinniatrestle.jobs.messages import JobState, job_of_task
+from zinniatrestle.jobs.messages import job_of_task
 from zinniatrestle.scheduling.cluster_state import ClusterState
 from zinniatrestle.scheduling.fleet import FleetListener
 from zinniatrestle.scheduling.health_records import restore_health
@@ -258,8 +258,10 @@
                 worker.unknown_runs.add(running.task)
                 session.stop(running.task, running.run)
             return None
-        if task.step.job.ended and task.status is not TaskStatus.STOPPING:
+        if task.step.job.ended:
             self.stop(task, "job ended")
+        elif task.completed:
+            self.stop(task, "an earlier run is done")
         if task.status is TaskStatus.STOPPING and session is not None:
             session.stop(task.id, task.run)
         if task.status is TaskStatus.PLACED:
@@ -369,10 +371,10 @@
 
     def _apply_late_end(self, worker: Worker, task: Task, end: EndedRun) -> Job | None:
         """Apply the end of a run that was marked as lost, or of an earlier one."""
-        job = task.step.job
-        if end.outcome is RunOutcome.DONE and self._is_late_completion(task, end):
-            task.start_time_known = False
-            self._record_success(worker, task, boot_time())
+        step, job = task.step, task.step.job
+        if end.outcome is RunOutcome.DONE and self._is_new_completion(task):
+            self._restore_health(worker, boot_time())
+            self.complete(step.tasks if step.shape.gang else [task])
             return job
         # The failure still counts as an attempt.
         if end.outcome is RunOutcome.FAILED and end.run not in task.failed_runs:
@@ -409,15 +411,11 @@
         if member.worker.silent and member.reported:
             self._mark_lost(member.worker, member, "its end aborted the gang")
 
-    def _is_late_completion(self, task: Task, end: EndedRun) -> bool:
-        """Return whether an end belongs to the latest run, which was marked as lost."""
+    def _is_new_completion(self, task: Task) -> bool:
+        """Return whether it is not known yet that a run of a task has ended as done."""
         if task.step.job.ended or task.step.shape.long_running:
             return False
-        members = task.step.tasks if task.step.shape.gang else [task]
-        return all(
-            member.status is TaskStatus.WAITING and member.run == end.run
-            for member in members
-        )
+        return not task.completed
 
     def _record_success(self, worker: Worker, task: Task, now: BootSeconds):
         step = task.step
@@ -433,18 +431,10 @@
             # The next run starts from scratch, not from the end of this one.
             task.checkpoint = ""
             return
+        for member in finished:
+            member.completed = True
         for member in finished:
             self.unassign(member)
-            member.status = TaskStatus.DONE
-        if any(member.status is not TaskStatus.DONE for member in step.tasks):
-            return
-        step.finish()
-        self.speeds.forget(step)
-        job = step.job
-        job.finished_steps.add(step.key)
-        job.drop_finished_occurrences()
-        if job.all_done() and not job.ended:
-            self.end_job(job, JobState.COMPLETED, "all tasks done")
 
     def _restore_health(self, worker: Worker, now: BootSeconds):
         """Record a success of a worker, which ends its quarantine or canary run."""
