State until when a start without an answer is waited for

The lines about a gang member, a start or a stop gave an end only if the worker was unreachable. A worker that answers holds and no orders refuses the start once its deadline has passed on the worker's clock, after which the run is lost.

Evidence: the new tests of test_waits.py and test_wait_explanations.py; the run is lost within a report of the time that each line gives.

--- a/src/zinniatrestle/scheduling/tests/test_wait_explanations.py
+++ b/src/zinniatrestle/scheduling/tests/test_wait_explanations.py
@@ -12,6 +12,7 @@
     WORKERS_IN_RACK,
     wait_behind_wide_gang,
     wait_beside_full_rack,
+    wait_for_unanswered_member,
     wait_for_unknown_run,
 )
 
@@ -25,6 +26,8 @@
 # Time between two lines about a step, and a round.
 LINE_SECONDS = 3.5
 LOG_DELAY_SECONDS = 0.5
+# Time in which a worker reports its runs again.
+REPORT_SECONDS = 1.0
 
 
 @dataclass
@@ -110,10 +113,11 @@
     check_that_limit_ended_wait(explanation)
 
 
-def test_wait_for_an_unknown_run_is_told_with_its_worker_and_unanswered_stops():
-    def answer_orders(model: Model):
-        model.fleet.workers[STRAY_WORKER].order_mode = OrderMode.ANSWERED
+def answer_orders(model: Model):
+    model.fleet.workers[STRAY_WORKER].order_mode = OrderMode.ANSWERED
+
 
+def test_wait_for_an_unknown_run_is_told_with_its_worker_and_unanswered_stops():
     explanation = explain_wait(wait_for_unknown_run, answer_orders)
     for line in explanation.of("job_waits"):
         assert line["reason"] == "unusable_workers"
@@ -134,3 +138,29 @@
         in explanation.cause
     )
     check_that_waits_are_timed(explanation)
+
+
+def test_wait_for_a_gang_member_is_told_with_the_orders_that_got_no_answer():
+    explanation = explain_wait(wait_for_unanswered_member)
+    waits = [
+        line for line in explanation.of("job_waits") if line["reason"] == "gang_members"
+    ]
+    (lost,) = explanation.of("run_lost")
+    assert lost["reason"] == "its start order has expired"
+    assert waits
+    for line in waits:
+        assert (line["held_by"], line["held_worker"]) == (lost["task"], STRAY_WORKER)
+        assert line["held_status"] == "stopping"
+        expires_at = line["at"] + line["until"]
+        assert expires_at <= lost["at"] <= expires_at + REPORT_SECONDS
+    unanswered = [
+        line["order"]
+        for line in explanation.of("run_unanswered")
+        if line["task"] == lost["task"]
+    ]
+    assert unanswered[0] == "start"
+    assert set(unanswered[1:]) == {"stop"}
+    assert explanation.steps_waiting["gang_members"] == 1
+    assert f"gang_members {lost['task']} stopping at {STRAY_WORKER}" in (
+        explanation.cause
+    )
--- a/src/zinniatrestle/scheduling/tests/test_waits.py
+++ b/src/zinniatrestle/scheduling/tests/test_waits.py
@@ -308,6 +308,19 @@
     assert assigned_wait(step).reason is WaitReason.START_UNANSWERED
 
 
+# Guards against lines about a start without an answer that give no end of the wait.
+@pytest.mark.parametrize("status", [TaskStatus.PLACED, TaskStatus.STOPPING])
+def test_wait_for_a_run_without_reports_ends_when_its_start_expires(status):
+    task = first_step(job("a" * 16)).tasks[0]
+    target = worker("w")
+    run_on(task, target).status = status
+    target.lease.observe(50_000, NOW)
+    task.start_deadline_ms = 54_900
+    assert assigned_wait(task.step).until == pytest.approx(NOW + 5.0)
+    task.reported = True
+    assert assigned_wait(task.step).until is None
+
+
 def test_wait_for_the_stop_of_a_single_task():
     step = first_step(job("a" * 16))
     run_on(step.tasks[0], worker("w")).status = TaskStatus.STOPPING
--- a/src/zinniatrestle/scheduling/waits.py
+++ b/src/zinniatrestle/scheduling/waits.py
@@ -287,15 +287,24 @@
     if not assigned or _has_all_runs(step):
         return None
     wait = _wait_for_assigned(step, assigned)
-    if wait is None:
-        return None
-    worker = wait.held_by.worker
-    if worker is not None and not worker.can_report():
-        # The run is lost when its lease expires.
-        wait.until = worker.lease.expires_at
+    if wait is not None:
+        wait.until = _lost_at(wait.held_by)
     return wait
 
 
+def _lost_at(task: Task) -> float | None:
+    """Return when a run is lost if nothing more is heard of it, or None if never."""
+    worker = task.worker
+    if worker is None:
+        return None
+    if not worker.can_report():
+        return worker.lease.expires_at
+    if task.reported or task.start_deadline_ms is None:
+        return None
+    # From then on the worker refuses the start.
+    return worker.lease.latest_at(task.start_deadline_ms)
+
+
 def _has_all_runs(step: StepRun) -> bool:
     """Return whether a step waits for none of its assigned tasks."""
     if not step.shape.long_running:
--- a/src/zinniatrestle/workers/lease.py
+++ b/src/zinniatrestle/workers/lease.py
@@ -48,6 +48,16 @@
         self._update_expiry()
         return until
 
+    def latest_at(self, clock_ms: int) -> BootSeconds | None:
+        """Return the latest time at which the worker's clock reads `clock_ms`.
+
+        Return None while that clock is unknown.
+        """
+        if self.clock_ms is None:
+            return None
+        remaining = (clock_ms - self.clock_ms) / MS_PER_SECOND
+        return BootSeconds(self.read_at + remaining / MIN_CLOCK_RATE)
+
     def assume_granted(self, now: BootSeconds, seconds: float):
         """Allow for leases of `seconds` that another host may have granted by now."""
         self.is_assumed = True
@@ -66,8 +76,9 @@
         return now > self.expires_at
 
     def _update_expiry(self):
-        if self.clock_ms is None:
+        latest = self.latest_at(self.granted_until_ms)
+        if latest is None:
             return
-        remaining = (self.granted_until_ms - self.clock_ms) / MS_PER_SECOND
-        latest = self.read_at + remaining / MIN_CLOCK_RATE + TIMER_SLACK_SECONDS
-        self.expires_at = max(self.expires_at, BootSeconds(latest))
+        self.expires_at = max(
+            self.expires_at, BootSeconds(latest + TIMER_SLACK_SECONDS)
+        )
--- a/tests/common/wait_scenarios.py
+++ b/tests/common/wait_scenarios.py
@@ -45,6 +45,13 @@
     return await model.submit("patient", (step(seconds=90.0),), 90.0)
 
 
+async def wait_for_unanswered_member(model: Model) -> JobId:
+    """Submit a gang on all workers, one of which answers holds but no orders."""
+    model.fleet.workers[STRAY_WORKER].order_mode = OrderMode.DROPPED
+    shape = step(3 * WORKERS_IN_RACK, gpus=8, gang=True, seconds=5.0)
+    return await model.submit("usual", (shape,), 5.0)
+
+
 async def wait_for_unknown_run(model: Model) -> JobId:
     """Submit a gang that needs a worker with an unknown run that no order stops."""
     worker = model.fleet.workers[STRAY_WORKER]
