Show jobs that fail since overdue tasks use up their attempts on a faulty worker

A job that has waited for 0.7 of `bounds.finish` may run on workers in quarantine while its service counts as idle. It counts as idle here, since three of four workers have all cores in use and most accelerators free. The worker in quarantine fails each run within 0.05 s, and the next round places the next task or the same one there. The step's own failures there only lower the worker's rank, and it has no rival.

--- a/src/zinniatrestle/scheduling/tests/test_wait_limits.py
+++ b/src/zinniatrestle/scheduling/tests/test_wait_limits.py
@@ -16,7 +16,7 @@
 from zinniatrestle.clock import monotonic
 from zinniatrestle.deployment import Bounds
 from zinniatrestle.ids import RackId
-from zinniatrestle.jobs.messages import Step
+from zinniatrestle.jobs.messages import JobState, Step
 from zinniatrestle.scheduling.placement import BestFit
 from zinniatrestle.scheduling.state import TaskStatus, WorkerHealth
 from zinniatrestle.scheduling.wait_limits import (
@@ -26,7 +26,7 @@
     WaitLimits,
 )
 from zinniatrestle.standins.model import Model, run_virtual, step
-from zinniatrestle.standins.runs import EventKind
+from zinniatrestle.standins.runs import EventKind, FaultMode
 
 BOUNDS = Bounds()
 MAX_WAIT = BOUNDS.finish * MAX_WAIT_SHARE
@@ -220,3 +220,22 @@
     assigned.status = TaskStatus.PLACED
     assigned.status_at = NOW
     assert place_relaxed(waiting, workers) == {}
+
+
+# Guards against overdue tasks that use up all their attempts on a faulty worker, the
+# only one with room, and so fail a job that others could have run.
+def test_a_job_does_not_fail_for_the_lack_of_room_on_healthy_workers():
+    async def play():
+        model = Model(1)
+        await model.start(workers=4, rack=4)
+        model.fleet.workers["w3"].fault_mode = FaultMode.FAILS
+        # One of these fails on w3, and waits for the cores of the other workers.
+        for _ in range(4):
+            shape = step(cpu=32_000, gpus=1, seconds=30.0)
+            await model.submit("usual", (shape,), 30.0)
+        await asyncio.sleep(1.0)
+        await model.submit("usual", (step(6, cpu=4000, seconds=3.0),), 3.0)
+        assert await model.wait_for_jobs(100.0)
+        return {model.state(job) for job in model.jobs}
+
+    assert run_virtual(play()) == {JobState.COMPLETED}
