Show a gang that never starts while late jobs behind it take its reserved workers

The test fails: the gang isn't started within the 40 s for which the test waits.

WaitLimits.is_overdue lets late jobs pass over the reservations of gangs that rank before them while their service counts as idle. is_idle asks for half of the cores or half of the accelerators to be free, so a service with all accelerators in use counts as idle if its tasks need few cores.

--- a/src/zinniatrestle/scheduling/tests/test_wait_limits.py
+++ b/src/zinniatrestle/scheduling/tests/test_wait_limits.py
@@ -239,3 +239,30 @@
         return {model.state(job) for job in model.jobs}
 
     assert run_virtual(play()) == {JobState.COMPLETED}
+
+
+# Guards against a gang that never starts since late jobs that rank behind it take its
+# reserved workers, while most accelerators are in use and most cores are idle.
+def test_late_jobs_do_not_take_the_workers_reserved_for_a_gang():
+    async def play():
+        model = Model(1)
+        await model.start(workers=6, rack=6)
+
+        async def submit_small_jobs():
+            while True:
+                shape = step(gpus=4, seconds=5.0)
+                await model.submit("patient", (shape,), 4.0 + 2 * model.random.random())
+                await asyncio.sleep(0.3)
+
+        submitting = asyncio.create_task(submit_small_jobs())
+        await asyncio.sleep(35.0)
+        shape = step(6, gpus=8, gang=True, seconds=3.0)
+        gang = await model.submit("usual", (shape,), 3.0)
+        sent_at = monotonic()
+        while first_start(model, gang) is None and monotonic() < sent_at + 40.0:
+            await asyncio.sleep(0.5)
+        submitting.cancel()
+        return (first_start(model, gang) or monotonic()) - sent_at
+
+    # The runs that the gang waits for take 4 to 6 s.
+    assert run_virtual(play()) <= BOUNDS.finish
