Show jobs that wait for the queue of starts at a worker which answers none (LOST)

A session sends three orders at a time and tries each for 1.6 s. The starts behind them stay queued, so their tasks count as about to start, and each waits a further lease of its own from the moment at which its order is sent in vain.

--- a/src/zinniatrestle/scheduling/tests/test_lost_orders.py
+++ b/src/zinniatrestle/scheduling/tests/test_lost_orders.py
@@ -329,3 +329,20 @@
 
     with mock.patch.object(HostOrders, "start", start_or_refuse):
         assert run_virtual(play()) <= DETECTION_SECONDS
+
+
+# Guards against jobs that wait for the start orders of one worker that answers none,
+# each of which is sent only once those before it have timed out.
+def test_jobs_whose_starts_wait_behind_unanswered_ones_start_elsewhere_in_time():
+    async def play():
+        model = Model(1)
+        await model.start(workers=4, rack=4)
+        model.fleet.workers["w0"].order_mode = OrderMode.DROPPED
+        sent_at = monotonic()
+        jobs = [model.submit("usual", (step(gpus=0),), 1.0) for _ in range(24)]
+        await asyncio.gather(*jobs)
+        assert await model.wait_for_jobs(60.0)
+        assert violations(model) == []
+        return max(event.at for event in start_events(model)) - sent_at
+
+    assert run_virtual(play()) <= BOUNDS.finish
