Show an urgent step that is reserved again and again beside a run that isn't stopped

The test fails: nothing of the job runs within the 40 s for which the test waits, beside a run on a worker that answers all orders and could be preempted. No rule of the users' is broken in it (their bound on guarantees doesn't hold near such a fault, and no capacity is free); it is a wait that begins anew every 3 s without a limit.

FreeCapacity counts each run that is being stopped as free capacity, however long it has been, so each new plan costs nothing and reserves the same worker again.

--- a/src/zinniatrestle/scheduling/tests/test_reserved_steps.py
+++ b/src/zinniatrestle/scheduling/tests/test_reserved_steps.py
@@ -5,9 +5,10 @@
 import pytest
 
 from zinniatrestle.clock import monotonic
+from zinniatrestle.deployment import Bounds
 from zinniatrestle.standins.checker import violations
 from zinniatrestle.standins.model import Model, run_virtual, step
-from zinniatrestle.standins.runs import EventKind
+from zinniatrestle.standins.runs import EventKind, OrderMode
 
 # Longer than reservations last.
 STOP_SECONDS = 10.0
@@ -48,3 +49,27 @@
         return max(starts) - freed_at
 
     assert run_virtual(play()) <= DETECTION_SECONDS
+
+
+# Guards against an urgent step that is reserved again and again beside the same run,
+# whose stops get no answer, while other runs could be preempted.
+def test_a_step_preempts_another_run_if_the_first_one_is_not_stopped():
+    async def play():
+        model = Model(1)
+        await model.start(workers=4, rack=4)
+        for _ in model.fleet.workers:
+            await model.submit("patient", (step(gpus=8),), 60.0)
+        await asyncio.sleep(1.0)
+        for name in ("w0", "w1", "w2"):
+            model.fleet.workers[name].order_mode = OrderMode.DROPPED
+        urgent = await model.submit("urgent", (step(gpus=8),), 1.0)
+        sent_at = monotonic()
+        while not model.has_ended(urgent) and monotonic() < sent_at + 40.0:
+            # RECLAIM doesn't hold while workers answer no orders.
+            model.disturbance_times.append(monotonic())
+            await asyncio.sleep(0.5)
+        assert preempted_workers(model) & {"w0", "w1", "w2"}
+        assert violations(model) == []
+        return monotonic() - sent_at
+
+    assert run_virtual(play()) <= Bounds().finish
