Show a late entry of an ended instance that ends the one that answers (TWICE)

Fleet._apply_entry takes an entry with a higher number for a newer instance. It ends the known one, and with it all runs that its reports contained, although a hold has shown that the instance of this entry has ended.

--- a/src/zinniatrestle/scheduling/tests/test_restarted_workers.py
+++ b/src/zinniatrestle/scheduling/tests/test_restarted_workers.py
@@ -3,12 +3,14 @@
 import asyncio
 from unittest import mock
 
+import msgspec
 import pytest
 
 from zinniatrestle.clock import monotonic
 from zinniatrestle.deployment import Bounds
-from zinniatrestle.ids import InstanceId
+from zinniatrestle.ids import InstanceId, RowName
 from zinniatrestle.standins.checker import violations
+from zinniatrestle.standins.fleet import WORKER_TABLE
 from zinniatrestle.standins.model import Model, run_virtual, step
 from zinniatrestle.standins.runs import EventKind
 
@@ -137,3 +139,27 @@
         return starts[0] - killed_at
 
     assert run_virtual(play()) <= BOUNDS.lease + DETECTION_SECONDS
+
+
+# Guards against a late entry of an ended instance that ends the session with the one
+# that answers, whose number is lower since its clock was set back.
+def test_late_entry_of_an_ended_instance_does_not_end_the_one_that_answers():
+    async def play():
+        model = Model(1)
+        await model.start(workers=4, rack=4)
+        worker = model.fleet.workers["w0"]
+        ended = worker.entry
+        model.fleet.restart(worker, clock_lag=30.0)
+        await asyncio.sleep(DETECTION_SECONDS)
+        for _ in range(3):
+            await model.submit("usual", (step(gpus=8),), 8.0)
+        await asyncio.sleep(DETECTION_SECONDS)
+        assert worker.running
+        name = RowName(worker.entry.worker)
+        model.rows.put(WORKER_TABLE, name, msgspec.msgpack.encode(ended))
+        await asyncio.sleep(BOUNDS.heartbeat)
+        model.fleet.write(worker)
+        assert await model.wait_for_jobs(BOUNDS.finish)
+        return violations(model)
+
+    assert run_virtual(play()) == []
