Show that only 100 of the lost workers of a large deployment are recorded (LOST)

test_all_workers_of_a_large_deployment_can_be_recorded fails with 100 == 920.

MAX_EXPIRY_RECORDS is 100. For the other workers the wait begins anew with each successor, as it did for all before the records.

--- a/src/zinniatrestle/scheduling/tests/test_lease_expiries.py
+++ b/src/zinniatrestle/scheduling/tests/test_lease_expiries.py
@@ -8,10 +8,12 @@
 from common.scheduling import first_step, job, run_on, worker
 
 from zinniatrestle.clock import boot_time, monotonic
-from zinniatrestle.deployment import Bounds
+from zinniatrestle.deployment import Bounds, StoreLimits
 from zinniatrestle.ids import BootSeconds, Generation, HostId, InstanceId, WorkerId
 from zinniatrestle.jobs import Step
+from zinniatrestle.jobs.intake import BASE64_FACTOR
 from zinniatrestle.rows.clock import StoreClock
+from zinniatrestle.scheduling.health_records import MAX_HEALTH_RECORDS
 from zinniatrestle.scheduling.leadership import LEASE_ROW, LEASES, Leadership
 from zinniatrestle.scheduling.lease_expiries import MAX_EXPIRY_RECORDS, LeaseExpiries
 from zinniatrestle.scheduling.messages import (
@@ -40,6 +42,8 @@
 CUT_SECONDS = 4.0
 TASK_SECONDS = 25.0
 UNTIL = 5_000_000
+# Workers of the largest deployments.
+LARGE_DEPLOYMENT = 920
 
 
 def starts_of(model: Model) -> list[float]:
@@ -555,3 +559,26 @@
     lost = [assigned_worker(f"w{n}") for n in range(2 * MAX_EXPIRY_RECORDS)]
     exported = LeaseExpiries(clock_with_uncertainty(0.0)).export(FleetOf(lost))
     assert len(exported) == MAX_EXPIRY_RECORDS
+
+
+# Guards against waits that begin anew with each successor if a large share of the
+# workers is lost at a time.
+def test_all_workers_of_a_large_deployment_can_be_recorded():
+    lost = [assigned_worker(f"w{n}") for n in range(LARGE_DEPLOYMENT)]
+    exported = LeaseExpiries(clock_with_uncertainty(0.0)).export(FleetOf(lost))
+    assert len(exported) == LARGE_DEPLOYMENT
+
+
+def test_the_largest_handover_fits_into_a_row():
+    lost = []
+    for number in range(MAX_EXPIRY_RECORDS):
+        instance = InstanceId(1_800_000_000_000 + number)
+        lost.append(assigned_worker(f"i-{number:010}", instance=instance))
+    health = WorkerHealthRecord(lost[0].entry.instance, 12.345, 3, 0.123)
+    handover = Handover(
+        times={f"queue-{n:02}": RunTimeStatistics(1, 2.0, 0.1, 0.1) for n in range(50)},
+        health_records={known.id: health for known in lost[:MAX_HEALTH_RECORDS]},
+        lease_expiries=LeaseExpiries(clock_with_uncertainty(0.0)).export(FleetOf(lost)),
+    )
+    encoded = msgspec.msgpack.encode(lease_record(handover=handover))
+    assert len(encoded) * BASE64_FACTOR <= StoreLimits().row_bytes
