Let late jobs pass over the reservations of gangs only once no more jobs come

A service is idle shortly before each start of such a gang, since workers are kept free for it. With late jobs arriving all the time the gang lost its workers each time.

Evidence: test_late_jobs_do_not_take_the_workers_reserved_for_a_gang found the gang not started after 40 s, and passes.

Why it works: the bound on accepted work counts from the end of the traffic, so a reservation has to yield only once no job has been accepted for as long. Then the jobs that can take the gang's workers are those that wait already. Locality and health still yield by the age of the job alone, and long-running steps wait for no reservation.

Ruled out: a time for which the service has to be idle first; a gang that waits for long runs keeps more than half of it free for seconds.

--- a/src/zinniatrestle/scheduling/rounds.py
+++ b/src/zinniatrestle/scheduling/rounds.py
@@ -83,7 +83,7 @@
         steps = self._waiting_steps(now)
         steps.sort(key=lambda step: self.order.key(step, now))
         reservations = BackfillReservations(forecast)
-        limits = WaitLimits(self.bounds, workers, now)
+        limits = WaitLimits(self.bounds, workers, now, self._last_accepted_at())
         self.preemptor.begin_round(forecast)
         placed: list[Task] = []
         for step in steps:
@@ -97,6 +97,10 @@
         self.wait_log.end_round()
         self.context.metrics.rounds.record(time.perf_counter() - started_at)
 
+    def _last_accepted_at(self) -> float:
+        jobs = self.tracker.jobs.values()
+        return max((job.accepted_at for job in jobs), default=float("-inf"))
+
     def _waiting_steps(self, now: BootSeconds) -> list[StepRun]:
         waiting = []
         for job in self.tracker.jobs.values():
@@ -215,7 +219,7 @@
         assignment = self.placement.place(step, waiting, open_workers, constraints)
         if assignment:
             return assignment, constraints
-        if limits.is_overdue(step, constraints.service):
+        if limits.may_use_reserved(step, constraints.service):
             open_workers = workers
         applied = constraints
         for weaker in limits.relaxed(step, constraints):
--- a/src/zinniatrestle/scheduling/wait_limits.py
+++ b/src/zinniatrestle/scheduling/wait_limits.py
@@ -28,10 +28,18 @@
     step for which they leave no worker waits, and nothing else may ever end that wait.
     """
 
-    def __init__(self, bounds: Bounds, workers: list[Worker], now: BootSeconds):
+    def __init__(
+        self,
+        bounds: Bounds,
+        workers: list[Worker],
+        now: BootSeconds,
+        last_accepted_at: float = float("-inf"),
+    ):
         self.max_wait = bounds.finish * MAX_WAIT_SHARE
         self.workers = workers
         self.now = now
+        # When the youngest known job was accepted, in boot seconds.
+        self.last_accepted_at = last_accepted_at
         self.idle_services: dict[ServiceName, bool] = {}
 
     def is_overdue(self, step: StepRun, service: ServiceName) -> bool:
@@ -48,6 +56,18 @@
             return False
         return self._is_idle(service) and not self._is_at_work(step.job)
 
+    def may_use_reserved(self, step: StepRun, service: ServiceName) -> bool:
+        """Return whether a step may run on workers that are reserved for others.
+
+        While jobs keep coming, late ones would take the workers of a gang that ranks
+        before them again and again, so that it never starts.
+        """
+        if not self.is_overdue(step, service):
+            return False
+        if step.shape.long_running:
+            return True
+        return self.now - self.last_accepted_at >= self.max_wait
+
     def _is_at_work(self, job: Job) -> bool:
         """Return whether tasks of a job run, or are about to start or to move."""
         for task in job.allocated_tasks():
