Count cores and accelerators together to tell whether a service is idle

Late jobs gave up the rack of their data, and the health of workers, in a service whose workers were all in use.

Cause: a service counted as idle if over half of its cores or over half of its accelerators were free. Tasks of few cores for their accelerators, or of few accelerators for their cores, leave one of the two free for good. Runs on workers that don't answer counted as work of the service, though nothing shows that they go on.

Evidence: the three new cases of test_wait_limits.py fail before and pass.

Why it works: the bound on accepted work holds while under half of the capacity of a service is in use.

Ruled out: the smaller of the two shares; the bound would hold in services that it takes for busy.

--- a/src/zinniatrestle/scheduling/tests/test_wait_limits.py
+++ b/src/zinniatrestle/scheduling/tests/test_wait_limits.py
@@ -5,6 +5,7 @@
 import pytest
 from common.scheduling import (
     NOW,
+    SERVICE,
     constraints,
     first_step,
     job,
@@ -24,6 +25,7 @@
     MAX_WAIT_SHARE,
     MIN_WAIT_SECONDS,
     WaitLimits,
+    is_idle,
 )
 from zinniatrestle.standins.model import Model, run_virtual, step
 from zinniatrestle.standins.runs import EventKind, FaultMode
@@ -101,6 +103,29 @@
     assert place_relaxed(waiting_step(shape, 3 * MAX_WAIT), workers) == {}
 
 
+# Guards against jobs that give up their preferences in a service that is busy, as its
+# tasks need few cores for their accelerators, or few accelerators for their cores.
+@pytest.mark.parametrize(("cores", "cpu", "gpus"), [(32, 1000, 8), (128, 128_000, 1)])
+def test_a_service_is_busy_if_its_tasks_use_up_most_of_its_capacity(cores, cpu, gpus):
+    workers = [worker(f"w{number}", cpu=1000 * cores) for number in range(4)]
+    assert is_idle(workers, SERVICE)
+    for number, target in enumerate(workers):
+        created = first_step(job(str(number) * 16, Step(cpu=cpu, gpus=gpus)))
+        run_on(created.tasks[0], target)
+    assert not is_idle(workers, SERVICE)
+
+
+# Guards against runs that count as work of the service although nothing shows it.
+def test_workers_that_do_not_answer_do_not_make_a_service_busy():
+    workers = workers_in_racks(4, size=1)
+    for number, target in enumerate(workers[:2]):
+        occupy(target, name=str(number))
+        target.free_cpu = 0
+    assert not is_idle(workers, SERVICE)
+    workers[0].silent = True
+    assert is_idle(workers, SERVICE)
+
+
 def test_a_job_with_a_running_task_keeps_its_preferences():
     workers = workers_in_racks(4, size=1)
     waiting = waiting_step(Step(count=2, gpus=8, data_rack=RackId("r0")), 3 * MAX_WAIT)
--- a/src/zinniatrestle/scheduling/wait_limits.py
+++ b/src/zinniatrestle/scheduling/wait_limits.py
@@ -9,7 +9,13 @@
     can_run_near_data,
     candidates,
 )
-from zinniatrestle.scheduling.state import Job, StepRun, TaskStatus, Worker
+from zinniatrestle.scheduling.state import (
+    ACCELERATOR_MILLICORES,
+    Job,
+    StepRun,
+    TaskStatus,
+    Worker,
+)
 from zinniatrestle.workers.messages import WorkerState
 
 # Time for workers to join a new scheduler, and for a stopped run's capacity to be free.
@@ -17,7 +23,7 @@
 # Share of the bound on accepted work for which a step waits for preferred workers. The
 # rest is for its start order and one retry.
 MAX_WAIT_SHARE = 0.7
-# A service is idle if a smaller share of its accelerators or of its cores is allocated.
+# A service is idle if a smaller share of its capacity is allocated.
 IDLE_SHARE = 0.5
 
 
@@ -121,16 +127,17 @@
 
 
 def is_idle(workers: list[Worker], service: ServiceName) -> bool:
-    """Return whether under `IDLE_SHARE` of a service's capacity is allocated."""
-    cpu = free_cpu = gpus = free_gpus = 0
+    """Return whether under `IDLE_SHARE` of a service's capacity is allocated.
+
+    Cores and accelerators count together: either may run out long before the other.
+    """
+    capacity = free = 0
     for worker in workers:
         entry = worker.entry
         if entry.service != service or entry.state is not WorkerState.READY:
             continue
-        if worker.missing_since is not None:
+        if worker.silent or worker.missing_since is not None:
             continue
-        cpu += entry.cpu
-        gpus += entry.gpus
-        free_cpu += worker.free_cpu
-        free_gpus += worker.free_gpus
-    return free_cpu > (1 - IDLE_SHARE) * cpu or free_gpus > (1 - IDLE_SHARE) * gpus
+        capacity += entry.cpu + entry.gpus * ACCELERATOR_MILLICORES
+        free += worker.free_cpu + worker.free_gpus * ACCELERATOR_MILLICORES
+    return free > (1 - IDLE_SHARE) * capacity
