Spend no task's last attempt on a worker that may be faulty

Cause: a job that has waited for 0.7 of the bound on accepted work may run on workers in quarantine. One that fails each run at once is free again in the next round, so a task spent all its attempts there within a second, while healthy workers were in use.

Evidence: test_a_job_does_not_fail_for_the_lack_of_room_on_healthy_workers found two of five jobs failed and finds all completed.

Why it works: a task at its last attempt waits for a healthy worker, or for a canary as before the limits on waits. All others may still be tried.

Ruled out: leaving out the workers on which the step failed; two faulty workers use up two attempts as well as one does. Not to use workers in quarantine at all; a service may have no others, and the quarantine lasts up to 60 s.

--- a/src/zinniatrestle/scheduling/wait_limits.py
+++ b/src/zinniatrestle/scheduling/wait_limits.py
@@ -91,6 +91,8 @@
         """Return the weaker constraints to place a waiting step by, in this order."""
         anywhere = replace(constraints, ignore_locality=True)
         if self.is_overdue(step, constraints.service):
+            if not _can_afford_failure(step):
+                return [anywhere]
             return [anywhere, replace(anywhere, requirements_only=True)]
         if constraints.ignore_locality or self._waited(step) < MIN_WAIT_SECONDS:
             return []
@@ -126,6 +128,17 @@
         return self.idle_services[service]
 
 
+def _can_afford_failure(step: StepRun) -> bool:
+    """Return whether none of a step's waiting tasks is at its last attempt."""
+    if step.shape.long_running:
+        return True
+    attempts = step.job.submission.attempts
+    for task in step.waiting_tasks():
+        if step.failure_count(task) + 1 >= attempts:
+            return False
+    return True
+
+
 def is_idle(workers: list[Worker], service: ServiceName) -> bool:
     """Return whether under `IDLE_SHARE` of a service's capacity is allocated.
 
