Give starts back that wait behind ones without an answer

Cause: a session sends three orders at a time and tries each for 1.6 s. A start behind others was sent long after it was placed, in vain, and its task then waited for the deadline of that order, a lease after its sending. The sum had no bound but the number of tasks that a worker holds.

Evidence: test_jobs_whose_starts_wait_behind_unanswered_ones_start_elsewhere_in_time failed with 18.2 <= 14.0.

Why it works: a start that was queued before another one timed out in all its tries isn't sent, so its run doesn't exist and its task is free at once.

Ruled out: more orders at a time; each would wait for its own deadline all the same.

--- a/src/zinniatrestle/scheduling/session.py
+++ b/src/zinniatrestle/scheduling/session.py
@@ -123,6 +123,8 @@
         self.generation = generation
         self.events = events
         self.outbox: asyncio.Queue[Callable[[], Awaitable[None]]] = asyncio.Queue()
+        # When a start was last left without an answer to any try.
+        self.unanswered_at = BootSeconds(float("-inf"))
         # Runs to be stopped, with the time at which the stop was answered, if it was.
         self.stops: dict[tuple[TaskId, RunNumber], BootSeconds | None] = {}
 
@@ -228,7 +230,8 @@
 
     def start(self, task: Task, run: RunNumber):
         """Queue the start of a run that is already stored."""
-        self.outbox.put_nowait(lambda: self._start(task, run))
+        queued_at = boot_time()
+        self.outbox.put_nowait(lambda: self._start(task, run, queued_at))
 
     def stop(self, task_id: TaskId, run: RunNumber):
         """Queue the stop of a run, unless one is already queued or answered."""
@@ -241,7 +244,11 @@
         """Queue a change of a run's pace to `percent` of its speed."""
         self.outbox.put_nowait(lambda: self._pace(task, run, percent))
 
-    async def _start(self, task: Task, run: RunNumber):
+    async def _start(self, task: Task, run: RunNumber, queued_at: BootSeconds):
+        if self.unanswered_at > queued_at:
+            # It would wait for answers as long as the orders before it.
+            self.listener.not_started(task, run, Refusal.NOT_ANSWERING)
+            return
         try:
             await self._send_start(task, run)
         except Exception:
@@ -289,6 +296,9 @@
             worker.lease.observe(clock_ms, boot_time())
             self.listener.started(task, run)
             return
+        else:
+            # All tries timed out.
+            self.unanswered_at = boot_time()
         self.listener.unanswered(task, run)
 
     def _log_failure(self, part: str, error: Exception):
--- a/src/zinniatrestle/workers/messages.py
+++ b/src/zinniatrestle/workers/messages.py
@@ -54,6 +54,8 @@
     NOT_REACHED = "not_reached"
     # Not sent, as this host may not send orders or doesn't know the worker's clock.
     NOT_ORDERED = "not_ordered"
+    # Not sent, as an order that was sent meanwhile got no answer.
+    NOT_ANSWERING = "not_answering"
 
 
 class WorkerEntry(msgspec.Struct, frozen=True):
