--- a/src/zinniatrestle/scheduling/tests/test_wait_limits.py
+++ b/src/zinniatrestle/scheduling/tests/test_wait_limits.py
@@ -23,17 +23,21 @@
 
 from zinniatrestle.clock import monotonic
 from zinniatrestle.deployment import Bounds
-from zinniatrestle.ids import RackId
-from zinniatrestle.jobs.messages import Step
+from zinniatrestle.ids import RackId, RunNumber
+from zinniatrestle.jobs.messages import JobState, Step
 from zinniatrestle.scheduling.placement import BestFit
 from zinniatrestle.scheduling.state import TaskStatus, WorkerHealth
 from zinniatrestle.scheduling.wait_limits import (
     IDLE_SHARE,
+    LIMITED_REASONS,
     MAX_WAIT_SHARE,
     MIN_WAIT_SECONDS,
     WaitLimits,
+    is_idle,
 )
-from zinniatrestle.standins.model import Model, run_virtual
+from zinniatrestle.scheduling.waits import WaitReason
+from zinniatrestle.standins.model import Model, run_virtual, step
+from zinniatrestle.standins.runs import FaultMode
 
 BOUNDS = Bounds()
 MAX_WAIT = BOUNDS.finish * MAX_WAIT_SHARE
@@ -107,6 +111,29 @@
     assert place_relaxed(waiting_step(shape, 3 * MAX_WAIT), workers) == {}
 
 
+# Guards against jobs that give up their preferences in a service that is busy, as its
+# tasks need few cores for their accelerators, or few accelerators for their cores.
+@pytest.mark.parametrize(("cores", "cpu", "gpus"), [(32, 1000, 8), (128, 128_000, 1)])
+def test_a_service_is_busy_if_its_tasks_use_up_most_of_its_capacity(cores, cpu, gpus):
+    workers = [worker(f"w{number}", cpu=1000 * cores) for number in range(4)]
+    assert is_idle(workers, SERVICE)
+    for number, target in enumerate(workers):
+        created = first_step(job(str(number) * 16, Step(cpu=cpu, gpus=gpus)))
+        run_on(created.tasks[0], target)
+    assert not is_idle(workers, SERVICE)
+
+
+# Guards against runs that count as work of the service although nothing shows it.
+def test_workers_that_do_not_answer_do_not_make_a_service_busy():
+    workers = workers_in_racks(4, size=1)
+    for number, target in enumerate(workers[:2]):
+        occupy(target, name=str(number))
+        target.free_cpu = 0
+    assert not is_idle(workers, SERVICE)
+    workers[0].silent = True
+    assert is_idle(workers, SERVICE)
+
+
 def test_a_job_with_a_running_task_keeps_its_preferences():
     workers = workers_in_racks(4, size=1)
     waiting = waiting_step(Step(count=2, gpus=8, data_rack=RackId("r0")), 3 * MAX_WAIT)
@@ -141,8 +168,10 @@
     assert list(found.values()) == [workers[1]]
 
 
-def remaining(waiting, workers) -> float | None:
-    return WaitLimits(BOUNDS, workers, NOW).remaining(waiting, SERVICE)
+def remaining(waiting, workers, reason=WaitReason.LOCALITY, young=float("-inf")):
+    """Return the rest of a wait; the youngest job was accepted at `young`."""
+    limits = WaitLimits(BOUNDS, workers, NOW, young)
+    return limits.remaining(waiting, SERVICE, reason)
 
 
 def test_the_time_that_remains_of_a_wait_ends_once_the_step_is_overdue():
@@ -155,6 +184,37 @@
     )
 
 
+def test_only_waits_for_what_a_step_prefers_are_limited():
+    workers = workers_in_racks(4, size=1)
+    waiting = waiting_step(Step(gpus=8), MAX_WAIT)
+    limited = {
+        reason
+        for reason in WaitReason
+        if remaining(waiting, workers, reason) is not None
+    }
+    assert limited == LIMITED_REASONS
+
+
+def test_a_wait_for_reserved_workers_is_limited_once_no_more_jobs_come():
+    workers = workers_in_racks(4, size=1)
+    waiting = waiting_step(Step(gpus=8), MAX_WAIT + 1.0)
+    left = remaining(waiting, workers, WaitReason.BACKFILL, young=NOW - 3.0)
+    assert left == pytest.approx(MAX_WAIT - 3.0)
+    assert remaining(waiting, workers, young=NOW - 3.0) == 0.0
+
+
+@pytest.mark.parametrize(
+    "reason", [WaitReason.UNHEALTHY_WORKERS, WaitReason.AVOIDED_WORKERS]
+)
+def test_a_wait_for_healthy_workers_is_not_limited_before_the_last_attempt(reason):
+    workers = workers_in_racks(4, size=1)
+    waiting = waiting_step(Step(gpus=8), MAX_WAIT + 1.0)
+    waiting.tasks[0].failed_runs.add(RunNumber(1))
+    assert remaining(waiting, workers, reason) == 0.0
+    waiting.tasks[0].failed_runs.add(RunNumber(2))
+    assert remaining(waiting, workers, reason) is None
+
+
 def test_no_time_remains_known_while_the_service_is_busy_or_the_job_runs():
     workers = workers_in_racks(4, size=1)
     waiting = waiting_step(Step(count=2, gpus=8), 2.0)
@@ -215,3 +275,49 @@
     assigned.status = TaskStatus.PLACED
     assigned.status_at = NOW
     assert place_relaxed(waiting, workers) == {}
+
+
+# Guards against overdue tasks that use up all their attempts on a faulty worker, the
+# only one with room, and so fail a job that others could have run.
+def test_a_job_does_not_fail_for_the_lack_of_room_on_healthy_workers():
+    async def play():
+        model = Model(1)
+        await model.start(workers=4, rack=4)
+        model.fleet.workers["w3"].fault_mode = FaultMode.FAILS
+        # One of these fails on w3, and waits for the cores of the other workers.
+        for _ in range(4):
+            shape = step(cpu=32_000, gpus=1, seconds=30.0)
+            await model.submit("usual", (shape,), 30.0)
+        await asyncio.sleep(1.0)
+        await model.submit("usual", (step(6, cpu=4000, seconds=3.0),), 3.0)
+        assert await model.wait_for_jobs(100.0)
+        return {model.state(job) for job in model.jobs}
+
+    assert run_virtual(play()) == {JobState.COMPLETED}
+
+
+# Guards against a gang that never starts since late jobs that rank behind it take its
+# reserved workers, while most accelerators are in use and most cores are idle.
+def test_late_jobs_do_not_take_the_workers_reserved_for_a_gang():
+    async def play():
+        model = Model(1)
+        await model.start(workers=6, rack=6)
+
+        async def submit_small_jobs():
+            while True:
+                shape = step(gpus=4, seconds=5.0)
+                await model.submit("patient", (shape,), 4.0 + 2 * model.random.random())
+                await asyncio.sleep(0.3)
+
+        submitting = asyncio.create_task(submit_small_jobs())
+        await asyncio.sleep(35.0)
+        shape = step(6, gpus=8, gang=True, seconds=3.0)
+        gang = await model.submit("usual", (shape,), 3.0)
+        sent_at = monotonic()
+        while not start_times(model, gang) and monotonic() < sent_at + 40.0:
+            await asyncio.sleep(0.5)
+        submitting.cancel()
+        return min(start_times(model, gang), default=monotonic()) - sent_at
+
+    # The runs that the gang waits for take 4 to 6 s.
+    assert run_virtual(play()) <= BOUNDS.finish
--- a/src/zinniatrestle/scheduling/wait_limits.py
+++ b/src/zinniatrestle/scheduling/wait_limits.py
@@ -9,7 +9,14 @@
     can_run_near_data,
     candidates,
 )
-from zinniatrestle.scheduling.state import Job, StepRun, TaskStatus, Worker
+from zinniatrestle.scheduling.state import (
+    ACCELERATOR_MILLICORES,
+    Job,
+    StepRun,
+    TaskStatus,
+    Worker,
+)
+from zinniatrestle.scheduling.waits import WaitReason
 from zinniatrestle.workers.messages import WorkerState
 
 # Time for workers to join a new scheduler, and for a stopped run's capacity to be free.
@@ -17,8 +24,17 @@
 # Share of the bound on accepted work for which a step waits for preferred workers. The
 # rest is for its start order and one retry.
 MAX_WAIT_SHARE = 0.7
-# A service is idle if a smaller share of its accelerators or of its cores is allocated.
+# A service is idle if a smaller share of its capacity is allocated.
 IDLE_SHARE = 0.5
+# Reasons of waits that a limit ends; what a step requires has none.
+LIMITED_REASONS = frozenset(
+    {
+        WaitReason.UNHEALTHY_WORKERS,
+        WaitReason.AVOIDED_WORKERS,
+        WaitReason.LOCALITY,
+        WaitReason.BACKFILL,
+    }
+)
 
 
 class WaitLimits:
@@ -28,10 +44,18 @@
     step for which they leave no worker waits, and nothing else may ever end that wait.
     """
 
-    def __init__(self, bounds: Bounds, workers: list[Worker], now: BootSeconds):
+    def __init__(
+        self,
+        bounds: Bounds,
+        workers: list[Worker],
+        now: BootSeconds,
+        last_accepted_at: float = float("-inf"),
+    ):
         self.max_wait = bounds.finish * MAX_WAIT_SHARE
         self.workers = workers
         self.now = now
+        # When the youngest known job was accepted, in boot seconds.
+        self.last_accepted_at = last_accepted_at
         self.idle_services: dict[ServiceName, bool] = {}
 
     def is_overdue(self, step: StepRun, service: ServiceName) -> bool:
@@ -44,9 +68,25 @@
             return False
         return self._is_limited(step, service)
 
-    def remaining(self, step: StepRun, service: ServiceName) -> float | None:
-        """Return the seconds until a step is overdue if nothing changes, else None."""
-        if not self._is_limited(step, service):
+    def may_use_reserved(self, step: StepRun, service: ServiceName) -> bool:
+        """Return whether a step may run on workers that are reserved for others.
+
+        While jobs keep coming, late ones would take the workers of a gang that ranks
+        before them again and again, so that it never starts.
+        """
+        if self._seconds_left_for_reserved(step) > 0:
+            return False
+        return self._is_limited(step, service)
+
+    def remaining(
+        self, step: StepRun, service: ServiceName, reason: WaitReason
+    ) -> float | None:
+        """Return the seconds after which a limit ends a wait, or None if none does."""
+        if reason not in LIMITED_REASONS or not self._is_limited(step, service):
+            return None
+        if reason is WaitReason.BACKFILL:
+            return max(0.0, self._seconds_left_for_reserved(step))
+        if reason is not WaitReason.LOCALITY and not _can_afford_failure(step):
             return None
         return max(0.0, self._seconds_left(step))
 
@@ -56,6 +96,8 @@
         """Return the weaker constraints to place a waiting step by, in this order."""
         anywhere = replace(constraints, ignore_locality=True)
         if self.is_overdue(step, constraints.service):
+            if not _can_afford_failure(step):
+                return [anywhere]
             return [anywhere, replace(anywhere, requirements_only=True)]
         if constraints.ignore_locality or step.waited(self.now) < MIN_WAIT_SECONDS:
             return []
@@ -70,6 +112,13 @@
             return left
         return max(left, self.max_wait - (self.now - step.job.accepted_at))
 
+    def _seconds_left_for_reserved(self, step: StepRun) -> float:
+        """Return for how long a step may still have to wait for reserved workers."""
+        left = self._seconds_left(step)
+        if step.shape.long_running:
+            return left
+        return max(left, self.max_wait - (self.now - self.last_accepted_at))
+
     def _is_limited(self, step: StepRun, service: ServiceName) -> bool:
         """Return whether the time for which a step may wait is limited now."""
         if step.shape.long_running:
@@ -106,17 +155,29 @@
         return self.idle_services[service]
 
 
+def _can_afford_failure(step: StepRun) -> bool:
+    """Return whether none of a step's waiting tasks is at its last attempt."""
+    if step.shape.long_running:
+        return True
+    attempts = step.job.submission.attempts
+    for task in step.waiting_tasks():
+        if step.failure_count(task) + 1 >= attempts:
+            return False
+    return True
+
+
 def is_idle(workers: list[Worker], service: ServiceName) -> bool:
-    """Return whether under `IDLE_SHARE` of a service's capacity is allocated."""
-    cpu = free_cpu = gpus = free_gpus = 0
+    """Return whether under `IDLE_SHARE` of a service's capacity is allocated.
+
+    Cores and accelerators count together: either may run out long before the other.
+    """
+    capacity = free = 0
     for worker in workers:
         entry = worker.entry
         if entry.service != service or entry.state is not WorkerState.READY:
             continue
-        if worker.missing_since is not None:
+        if worker.silent or worker.missing_since is not None:
             continue
-        cpu += entry.cpu
-        gpus += entry.gpus
-        free_cpu += worker.free_cpu
-        free_gpus += worker.free_gpus
-    return free_cpu > (1 - IDLE_SHARE) * cpu or free_gpus > (1 - IDLE_SHARE) * gpus
+        capacity += entry.cpu + entry.gpus * ACCELERATOR_MILLICORES
+        free += worker.free_cpu + worker.free_gpus * ACCELERATOR_MILLICORES
+    return free > (1 - IDLE_SHARE) * capacity
--- a/src/zinniatrestle/scheduling/waits.py
+++ b/src/zinniatrestle/scheduling/waits.py
@@ -62,17 +62,6 @@
     UNKNOWN = "unknown"
 
 
-# Reasons of waits that `WaitLimits` ends while the service is idle.
-LIMITED_REASONS = frozenset(
-    {
-        WaitReason.UNHEALTHY_WORKERS,
-        WaitReason.AVOIDED_WORKERS,
-        WaitReason.LOCALITY,
-        WaitReason.BACKFILL,
-    }
-)
-
-
 @dataclass
 class Wait:
     """Why a step waits, and what ends the wait as far as known."""
