--- a/src/zinniatrestle/scheduling/rounds.py
+++ b/src/zinniatrestle/scheduling/rounds.py
@@ -37,7 +37,6 @@
 from zinniatrestle.scheduling.wait_limits import WaitLimits
 from zinniatrestle.scheduling.wait_log import WaitLog
 from zinniatrestle.scheduling.waits import (
-    LIMITED_REASONS,
     Wait,
     assigned_wait,
     placement_wait,
@@ -80,7 +79,7 @@
         steps = self._waiting_steps(now)
         steps.sort(key=lambda step: self.order.key(step, now))
         reservations = BackfillReservations(forecast)
-        limits = WaitLimits(self.bounds, workers, now)
+        limits = WaitLimits(self.bounds, workers, now, self._last_accepted_at())
         self.preemptor.begin_round(forecast)
         placed: list[Task] = []
         for step in steps:
@@ -94,6 +93,10 @@
         self.wait_log.end_round()
         self.context.metrics.rounds.record(time.perf_counter() - started_at)
 
+    def _last_accepted_at(self) -> float:
+        jobs = self.tracker.jobs.values()
+        return max((job.accepted_at for job in jobs), default=float("-inf"))
+
     def _waiting_steps(self, now: BootSeconds) -> list[StepRun]:
         waiting = []
         for job in self.tracker.jobs.values():
@@ -181,9 +184,7 @@
             return placed
         if self.wait_log.is_due(step):
             wait = placement_wait(step, workers, constraints, reservations, earliest)
-            limit = None
-            if wait.reason in LIMITED_REASONS:
-                limit = limits.remaining(step, constraints.service)
+            limit = limits.remaining(step, constraints.service, wait.reason)
             self._log_wait(step, wait, workers, constraints, earliest, limit)
         if earliest is not None:
             reservations.reserve(earliest)
@@ -227,7 +228,7 @@
         assignment = self.placement.place(step, waiting, open_workers, constraints)
         if assignment:
             return assignment, constraints
-        if limits.is_overdue(step, constraints.service):
+        if limits.may_use_reserved(step, constraints.service):
             open_workers = workers
         applied = constraints
         for weaker in limits.relaxed(step, constraints):
--- a/src/zinniatrestle/scheduling/waits.py
+++ b/src/zinniatrestle/scheduling/waits.py
@@ -22,6 +22,10 @@
     WorkerHealth,
 )
 
+# Room is ample if a step fits this many times and more than this share is free.
+AMPLE_ROOM_FACTOR = 2
+AMPLE_IDLE_SHARE = 0.5
+
 
 class WaitReason(Enum):
     """What a waiting step lacks."""
@@ -37,7 +41,7 @@
     NO_TICKETS = "no_tickets"
     # The workers with room are in quarantine, or canaries in use.
     UNHEALTHY_WORKERS = "unhealthy_workers"
-    # The workers with room are slow, or a task of the step failed on them.
+    # The workers with room are slow, or the step failed or was refused there.
     AVOIDED_WORKERS = "avoided_workers"
     # It fits, but not near its data or not in one rack.
     LOCALITY = "locality"
@@ -52,23 +56,12 @@
     # Runs of the step are on workers that can't be reached, so they may have ended.
     UNREACHABLE_RUNS = "unreachable_runs"
     START_PENDING = "start_pending"
-    # A start order got no answer, and no report has shown yet whether it was obeyed.
+    # A start order got no answer, and no report has shown yet whether it runs.
     START_UNANSWERED = "start_unanswered"
     # It fits, so the next round should place it.
     UNKNOWN = "unknown"
 
 
-# Reasons of waits that `WaitLimits` ends while the service is idle.
-LIMITED_REASONS = frozenset(
-    {
-        WaitReason.UNHEALTHY_WORKERS,
-        WaitReason.AVOIDED_WORKERS,
-        WaitReason.LOCALITY,
-        WaitReason.BACKFILL,
-    }
-)
-
-
 @dataclass
 class Wait:
     """Why a step waits, and what ends the wait as far as known."""
@@ -95,8 +88,9 @@
     idle_share: float
 
     def is_ample(self, count: int) -> bool:
-        """Return whether `count` tasks fit twice and half of the capacity is free."""
-        return self.anywhere >= 2 * count and self.idle_share > 0.5
+        """Return whether `count` tasks fit twice while the service is mostly idle."""
+        has_room = self.anywhere >= AMPLE_ROOM_FACTOR * count
+        return has_room and self.idle_share > AMPLE_IDLE_SHARE
 
 
 def room_for(
@@ -282,15 +276,24 @@
     if not assigned or _has_all_runs(step):
         return None
     wait = _wait_for_assigned(step, assigned)
-    if wait is None:
-        return None
-    worker = wait.held_by.worker
-    if worker is not None and not worker.can_report():
-        # The run is lost when its lease expires.
-        wait.until = worker.lease.expires_at
+    if wait is not None:
+        wait.until = _lost_at(wait.held_by)
     return wait
 
 
+def _lost_at(task: Task) -> float | None:
+    """Return when a run is lost if nothing more is heard of it, or None if never."""
+    worker = task.worker
+    if worker is None:
+        return None
+    if not worker.can_report():
+        return worker.lease.expires_at
+    if task.reported or task.start_deadline_ms is None:
+        return None
+    # From then on the worker refuses the start.
+    return worker.lease.latest_at(task.start_deadline_ms)
+
+
 def _has_all_runs(step: StepRun) -> bool:
     """Return whether a step waits for none of its assigned tasks."""
     if not step.shape.long_running:
