Record the lease expiries of all workers of a large deployment

Cause: the handover had room for 100 workers. For all others the wait for their runs began anew with each successor. A third of 920 workers may be cut off at a time.

Evidence: test_all_workers_of_a_large_deployment_can_be_recorded failed with 100 == 920 and passes.

Why it works: test_the_largest_handover_fits_into_a_row shows that 1000 records fit into the row of the lease, beside the other parts of a handover. The records are written only while that many workers with tasks don't answer.

Ruled out: one expiry for all other workers; the latest of them would be extended with each worker that is lost.

--- a/src/zinniatrestle/scheduling/lease_expiries.py
+++ b/src/zinniatrestle/scheduling/lease_expiries.py
@@ -12,8 +12,9 @@
 from zinniatrestle.scheduling.fleet import Fleet
 from zinniatrestle.scheduling.state import Worker
 
-# The records are part of the lease's row, which is written several times a second.
-MAX_EXPIRY_RECORDS = 100
+# The records are part of the lease's row, which is written several times a second and
+# is limited in size.
+MAX_EXPIRY_RECORDS = 1000
 MS_PER_SECOND = 1000.0
 
 
