Preempt another run for an urgent step if the first one isn't stopped in time

Cause: a plan takes the capacity of all runs that are being stopped as free. With a worker that answers no orders each new plan, every 3 s, reserved the same capacity at no loss.

Why it works: a stop that has taken as long as a reservation lasts no longer counts as free capacity, so the next plan has to pay for another run. Stops take `bounds.stop`, below 1 s, where orders are answered. The test of a plan that uses such capacity first now says when the stop began, which the tracker always does.

Ruled out: leaving out the workers of expired reservations; other runs there may end.

--- a/src/zinniatrestle/scheduling/preemption.py
+++ b/src/zinniatrestle/scheduling/preemption.py
@@ -16,7 +16,10 @@
     is_permitted,
 )
 from zinniatrestle.scheduling.preemption_costs import PreemptionCosts
-from zinniatrestle.scheduling.preemption_plan import PreemptionPlanner
+from zinniatrestle.scheduling.preemption_plan import (
+    RESERVATION_TIMEOUT_SECONDS,
+    PreemptionPlanner,
+)
 from zinniatrestle.scheduling.state import (
     MILLICORES_PER_CORE,
     StepRun,
@@ -26,8 +29,6 @@
 )
 from zinniatrestle.scheduling.tracker import Tracker
 
-# Reservations that can't be used by then are released, and the step is planned anew.
-RESERVATION_TIMEOUT_SECONDS = 3.0
 HIGHEST_PRIORITY = 0
 # Work that may be lost per unit of urgent work, if the job is on time only with
 # preemption, or late with it and useless without it. Urgent jobs are short, and worth
--- a/src/zinniatrestle/scheduling/preemption_plan.py
+++ b/src/zinniatrestle/scheduling/preemption_plan.py
@@ -18,6 +18,9 @@
     Worker,
 )
 
+# Reservations that can't be used by then are released, and the step is planned anew.
+RESERVATION_TIMEOUT_SECONDS = 3.0
+
 
 @dataclass
 class PreemptionPlan:
@@ -34,17 +37,20 @@
 class FreeCapacity:
     """Free capacity of a worker while a plan is made.
 
-    Capacity of tasks that are being stopped already counts as free.
+    Capacity of tasks that are being stopped already counts as free, unless the stop
+    takes so long that a reservation would end before it.
     """
 
-    def __init__(self, worker: Worker, step: StepRun):
+    def __init__(self, worker: Worker, step: StepRun, now: float):
         self.worker = worker
         self.step = step
         self.cpu = worker.free_cpu
         self.memory = worker.free_memory
         self.gpus = worker.free_gpus
         for task in worker.tasks.values():
-            if task.status is TaskStatus.STOPPING:
+            if task.status is not TaskStatus.STOPPING:
+                continue
+            if now - task.status_at < RESERVATION_TIMEOUT_SECONDS:
                 self.add(task)
         # Tasks of the step that the worker may still take, if the step limits them.
         self.allowed = step.shape.max_per_worker
@@ -132,7 +138,9 @@
         self.step = step
         self.tasks = tasks
         self.costs = costs
-        self.capacities = {worker: FreeCapacity(worker, step) for worker in group}
+        self.capacities = {
+            worker: FreeCapacity(worker, step, costs.now) for worker in group
+        }
         self.slots = {
             worker: capacity.slots() for worker, capacity in self.capacities.items()
         }
--- a/src/zinniatrestle/scheduling/rounds.py
+++ b/src/zinniatrestle/scheduling/rounds.py
@@ -29,11 +29,8 @@
     PlacementPolicy,
     candidates,
 )
-from zinniatrestle.scheduling.preemption import (
-    HIGHEST_PRIORITY,
-    RESERVATION_TIMEOUT_SECONDS,
-    Preemptor,
-)
+from zinniatrestle.scheduling.preemption import HIGHEST_PRIORITY, Preemptor
+from zinniatrestle.scheduling.preemption_plan import RESERVATION_TIMEOUT_SECONDS
 from zinniatrestle.scheduling.speeds import is_slow, should_restart
 from zinniatrestle.scheduling.state import Job, StepRun, Task, TaskStatus, Worker
 from zinniatrestle.scheduling.tracker import Tracker
--- a/src/zinniatrestle/scheduling/tests/test_reclaim.py
+++ b/src/zinniatrestle/scheduling/tests/test_reclaim.py
@@ -100,6 +100,7 @@
     workers = workers_in_racks(1, size=2)
     stopping = run_task("1", workers[0], 2, NOW - 9)
     stopping.status = TaskStatus.STOPPING
+    stopping.status_at = NOW
     run_task("2", workers[1], 2, NOW - 1)
     found = plan(1, workers)
     assert found.victims == []
