Ignore entries of an instance in whose place another one has answered

Cause: an entry with a higher instance number ended the session with the known instance and gave up the runs that it had reported. After a clock was set back the ended instance has the higher number, so a late entry of it ended the one that answers. Only while the new instance's own entry had not been read was that of its predecessor ignored.

Evidence: test_late_entry_of_an_ended_instance_does_not_end_the_one_that_answers found 'TWICE: ... at w3 and w0' and passes.

Why it works: an answered hold proves that the instances before the one that answers have ended. Their numbers are kept for as long as the scheduler leads. An instance that answers later after all is taken from the list.

Ruled out: waiting for a hold with each new entry; a restarted worker whose address has changed would be used later.

--- a/src/zinniatrestle/scheduling/fleet.py
+++ b/src/zinniatrestle/scheduling/fleet.py
@@ -74,6 +74,9 @@
         self.workers: dict[WorkerId, Worker] = {}
         # Instances that are not in the registry but on which tasks may still run.
         self.unregistered: list[Worker] = []
+        # Instances in whose place another one has answered. Their entries may still be
+        # written, and have higher numbers if the worker's clock was set back.
+        self.ended_instances: dict[WorkerId, set[InstanceId]] = {}
         # When leases that only the predecessor could extend have expired.
         self.inherited_lease_end = BootSeconds(0.0)
 
@@ -126,8 +129,7 @@
                 self.listener.drain_started(worker)
             return
         if worker is not None:
-            replaced = worker.replaced_entry
-            if replaced is not None and _same_instance(replaced, entry):
+            if entry.instance in self.ended_instances.get(worker.id, ()):
                 return
             if entry.instance < worker.entry.instance:
                 # A late write of an earlier instance, or the first one of a new
@@ -174,6 +176,9 @@
         The new one's entry may come much later, if the worker can't reach the registry.
         It gets no tasks before, but its reports show what it runs.
         """
+        ended = self.ended_instances.setdefault(worker.id, set())
+        ended.add(worker.entry.instance)
+        ended.discard(instance)
         self.end(worker, "another instance answers", replaced=True)
         if worker.id in self.workers:
             return
