Search no workers for a step that free capacity can't hold

Cause: for each waiting step all workers were looked at several times, for the step's candidates, their racks and their slots, and again under weaker constraints once it had waited, although nothing was free.

Evidence: test_no_workers_are_searched_for_a_step_without_room counted 14 searches in 2 s and counts none.

Why it works: every placement needs free slots, of all workers together, for one task or for a whole gang. A test with random shapes checks that no placement is missed. Steps with tickets are searched as before, since the search tells which tickets to ask for.

Ruled out: fewer rounds; the first one after a run's end would come later.

--- a/src/zinniatrestle/scheduling/placement.py
+++ b/src/zinniatrestle/scheduling/placement.py
@@ -133,6 +133,23 @@
     return max(0, max_slots)
 
 
+def has_free_slots(step: StepRun, count: int, workers: list[Worker]) -> bool:
+    """Return whether `count` tasks of a gang, or one of another step, may fit now.
+
+    That is by free capacity alone, which is cheaper to see than where a step may run.
+    """
+    needed = count if step.shape.gang else 1
+    gpus = step.shape.gpus
+    slots = 0
+    for worker in workers:
+        if gpus and worker.free_gpus < gpus:
+            continue
+        slots += worker.slots(step)
+        if slots >= needed:
+            return True
+    return False
+
+
 def is_remote(step: StepRun) -> bool:
     """Return whether a step runs without the locality that it needs for full speed.
 
--- a/src/zinniatrestle/scheduling/rounds.py
+++ b/src/zinniatrestle/scheduling/rounds.py
@@ -28,6 +28,7 @@
     PlacementConstraints,
     PlacementPolicy,
     candidates,
+    has_free_slots,
 )
 from zinniatrestle.scheduling.preemption import HIGHEST_PRIORITY, Preemptor
 from zinniatrestle.scheduling.preemption_plan import RESERVATION_TIMEOUT_SECONDS
@@ -212,6 +213,9 @@
         If the constraints leave none, those that the limits on waits allow are tried.
         """
         waiting = step.waiting_tasks()
+        has_tickets = constraints.tickets is not None
+        if not has_tickets and not has_free_slots(step, len(waiting), workers):
+            return {}, constraints
         open_workers = reservations.eligible_workers(step, workers)
         assignment = self.placement.place(step, waiting, open_workers, constraints)
         if assignment:
--- a/src/zinniatrestle/scheduling/tests/test_placement.py
+++ b/src/zinniatrestle/scheduling/tests/test_placement.py
@@ -1,7 +1,11 @@
 """Placement of tasks: gangs, locality, constraints, unhealthy and full workers."""
 
+import asyncio
+import random
+
 import pytest
 from common.scheduling import (
+    NOW,
     constraints,
     first_step,
     job,
@@ -12,8 +16,10 @@
 
 from zinniatrestle.ids import RackId, RegionId
 from zinniatrestle.jobs.messages import Step
-from zinniatrestle.scheduling.placement import BestFit, FirstFit
-from zinniatrestle.scheduling.state import WorkerHealth
+from zinniatrestle.scheduling.context import Policy
+from zinniatrestle.scheduling.placement import BestFit, FirstFit, has_free_slots
+from zinniatrestle.scheduling.state import StepRun, WorkerHealth
+from zinniatrestle.standins.model import Model, run_virtual, step
 from zinniatrestle.workers.messages import WorkerState
 
 
@@ -197,3 +203,61 @@
         run_on(first_step(serving).tasks[0], target)
     shape = Step(count=2, gpus=8, gang=True, rack_bound=True)
     assert set(place(shape, workers).values()) == {workers[1], workers[3]}
+
+
+def random_step(rng: random.Random) -> StepRun:
+    shape = Step(
+        count=rng.randint(1, 6),
+        cpu=rng.choice([0, 1000, 12_000]),
+        memory_mb=rng.choice([0, 40_000]),
+        gpus=rng.choice([0, 1, 4, 8]),
+        gang=rng.random() < 0.5,
+        max_per_worker=rng.choice([0, 0, 1]),
+        best_effort=rng.random() < 0.2,
+    )
+    return first_step(job(f"{rng.getrandbits(64):016x}", shape))
+
+
+# Guards against a step that isn't placed although it fits.
+@pytest.mark.parametrize("seed", range(50))
+def test_a_step_that_can_be_placed_has_free_slots(seed):
+    rng = random.Random(seed)
+    workers = workers_in_racks(2, size=2)
+    for target in workers:
+        for _ in range(rng.randint(0, 3)):
+            # Reservations may take more than is free yet.
+            target.reserve(random_step(rng).tasks[0])
+    for _ in range(20):
+        waiting = random_step(rng)
+        found = BestFit().place(waiting, waiting.tasks, workers, constraints(now=NOW))
+        if found:
+            assert has_free_slots(waiting, len(waiting.tasks), workers)
+
+
+class CountingFit(BestFit):
+    """Count the searches for workers."""
+
+    def __init__(self):
+        self.searches = 0
+
+    def place(self, *args):
+        self.searches += 1
+        return super().place(*args)
+
+
+# Guards against rounds that search all workers for each of many steps without room.
+def test_no_workers_are_searched_for_a_step_without_room():
+    async def play():
+        placement = CountingFit()
+        model = Model(1, policy=Policy(placement=placement))
+        await model.start(workers=4, rack=4)
+        for _ in range(4):
+            await model.submit("usual", (step(gpus=8),), 10.0)
+        await asyncio.sleep(1.0)
+        searches = placement.searches
+        await model.submit("usual", (step(gpus=8),), 1.0)
+        await asyncio.sleep(2.0)
+        assert placement.searches == searches
+        assert await model.wait_for_jobs(20.0)
+
+    run_virtual(play())
