--- a/src/zinniatrestle/scheduling/tests/test_reserved_workers.py
+++ b/src/zinniatrestle/scheduling/tests/test_reserved_workers.py
@@ -5,7 +5,6 @@
 from zinniatrestle.clock import monotonic
 from zinniatrestle.deployment import Bounds
 from zinniatrestle.ids import JobId
-from zinniatrestle.jobs import Step
 from zinniatrestle.scheduling.draining import ORDER_LATENCY_SECONDS
 from zinniatrestle.standins.checker import check_capacity, violations
 from zinniatrestle.standins.model import Model, run_virtual, step
@@ -67,7 +66,7 @@
     assert run_virtual(play()) <= START_SECONDS
 
 
-async def start_two_urgent_jobs_on_one_worker(second: Step) -> list[float]:
+async def start_two_urgent_jobs_on_one_worker() -> list[float]:
     """Let two jobs preempt runs at one worker, the second while the first waits.
 
     Returns how long after its preemptions each of them has started.
@@ -79,8 +78,8 @@
     await asyncio.sleep(1.0)
     waits = []
     jobs = []
-    for shape in (step(gpus=4), second):
-        jobs.append(await model.submit("urgent", (shape,), 1.0))
+    for _ in range(2):
+        jobs.append(await model.submit("urgent", (step(gpus=4),), 1.0))
         waits.append(-await preemption_for(model, jobs[-1]))
         await asyncio.sleep(BOUNDS.stop - ORDER_LATENCY_SECONDS)
     found: list[str] = []
@@ -98,7 +97,7 @@
 # Guards against a step that waits for the runs that another step with reservations at
 # the same worker has preempted later, beyond the time of its guarantee (RECLAIM).
 def test_a_step_does_not_wait_for_the_stops_of_a_later_one():
-    waits = run_virtual(start_two_urgent_jobs_on_one_worker(step(gpus=4)))
+    waits = run_virtual(start_two_urgent_jobs_on_one_worker())
     assert max(waits) <= BOUNDS.stop + ORDER_LATENCY_SECONDS
 
 
