Account for leases that a former session extended in a restarted worker

A task may run twice at the same time: its worker restarts under its id and is cut off within 3.5 s, after it has started the task.

Cause: orders name a worker by its id, which it keeps when it restarts. If the session with the former instance finds the new one by a hold, before the registry's entry is read, the new one carries the hold out before its answer names it. The deadline is one on the former clock and far ahead on the new one, so the lease lasts for the longest time, 10.2 s. The session with the new instance counted from its own deadlines only, 6.6 s ahead, and the record for a successor had the same time.

Why it works: when an instance ends that was sent a deadline, the time is kept, and the lease of the next instance of the worker is assumed to last the longest time from then on. Nothing is sent on the former clock later.

The price: a run that is lost within 3.5 s of its worker's restart is waited for until the longest lease ends, 10.3 s after the former session.

Ruled out: holds without a deadline after a missed answer; starts of the former session carry deadlines as well, and a worker takes them over even if it refuses the start. To name the instance in the orders: the platform's header names the id.

Open: a successor that takes over within 3.5 s of such a hold knows neither the former instance nor the hold.

--- a/src/zinniatrestle/scheduling/fleet.py
+++ b/src/zinniatrestle/scheduling/fleet.py
@@ -76,6 +76,9 @@
         self.unregistered: list[Worker] = []
         # When leases that only the predecessor could extend have expired.
         self.inherited_lease_end = BootSeconds(0.0)
+        # When each worker was last sent a deadline on the clock of an instance that
+        # has ended, at the latest.
+        self.former_deadlines_at: dict[WorkerId, BootSeconds] = {}
 
     def snapshot(self, rows: list[StoredRow]):
         """Replace the known entries by those of a full read."""
@@ -191,6 +194,11 @@
             worker.missing_since = boot_time()
         self._update_drain_deadline(worker)
         self.transfer_tasks(worker)
+        sent_at = self.former_deadlines_at.get(worker.id)
+        if sent_at is not None:
+            # On the clock of this instance the deadlines may be far ahead, and a hold
+            # extends the leases before its answer names the instance.
+            worker.lease.assume_granted(sent_at, self.max_hold)
         self.workers[entry.worker] = worker
         self.events.write(
             Event.WORKER_SEEN,
@@ -285,6 +293,8 @@
         elif worker.has_ended:
             return
         worker.has_ended = True
+        if worker.lease.granted_until_ms:
+            self.former_deadlines_at[worker.id] = boot_time()
         if self.workers.get(worker.id) is worker:
             del self.workers[worker.id]
         self.events.write(Event.WORKER_GONE, worker=worker.id, reason=reason)
--- a/src/zinniatrestle/scheduling/tests/test_replaced_workers.py
+++ b/src/zinniatrestle/scheduling/tests/test_replaced_workers.py
@@ -187,3 +187,32 @@
         return violations(model)
 
     assert run_virtual(play()) == []
+
+
+# Guards against a repeated run while a lease goes on that was meant for the instance
+# before.
+def test_run_is_not_repeated_within_a_lease_that_the_former_session_extended():
+    async def play():
+        model = Model(1)
+        await model.start(workers=2, rack=1)
+        # By then deadlines on the clock of the instance are far ahead on a new one's.
+        await asyncio.sleep(BOUNDS.max_hold)
+        worker = model.fleet.workers["w0"]
+        model.fleet.crash(worker)
+        await asyncio.sleep(BOUNDS.heartbeat)
+        # The session with the former instance finds the new one before its entry.
+        with mock.patch.object(model.fleet, "write"):
+            model.fleet.restart(worker)
+        await asyncio.sleep(0.5)
+        model.fleet.write(worker)
+        await asyncio.sleep(0.5)
+        shape = step(gpus=8, data_rack=worker.entry.rack)
+        await model.submit("usual", (shape,), 3 * BOUNDS.max_hold)
+        await asyncio.sleep(0.5)
+        assert len(worker.running) == 1
+        worker.reachable = False
+        await asyncio.sleep(2 * BOUNDS.max_hold)
+        assert len(model.fleet.workers["w1"].running) == 1
+        return violations(model)
+
+    assert run_virtual(play()) == []
--- a/tests/model/test_seeds.py
+++ b/tests/model/test_seeds.py
@@ -54,6 +54,7 @@
     48: "a gang waited forever for workers that were waiting for a canary",
     35: "a gang that failed on half of the workers never ran again",
     1058: "a start that reached a new instance of a worker was repeated elsewhere",
+    20060: "a lease extended by a hold of the former session was not accounted for",
 }
 
 
