Play long-running tasks and work at best effort in the model

The workload like the users' has no long-running steps, none at best effort, and few steps with a limit per worker.

--- a/tests/model/test_users_workload.py
+++ b/tests/model/test_users_workload.py
@@ -83,6 +83,8 @@
     cancel: float
     errors: float
     chain: tuple[int, ...] = (1,)
+    long_running: bool = False
+    best_effort: bool = False
 
 
 AWARD_SCORING = Kind(
@@ -178,6 +180,8 @@
     With `settles` it goes on until all jobs have ended, and requires that they do.
     """
 
+    kinds = KINDS
+
     def __init__(self, seed: int, settles: bool = True):
         self.settles = settles
         self.rng = random.Random(seed)
@@ -201,7 +205,7 @@
             worker.speed = self.rng.choice([1.0, 1.0, 1.3])
         beating = asyncio.create_task(model.fleet.send_heartbeats(BOUNDS.heartbeat))
         watching = asyncio.create_task(self._watch())
-        traffic = [asyncio.create_task(self._submit_all(kind)) for kind in KINDS]
+        traffic = [asyncio.create_task(self._submit_all(kind)) for kind in self.kinds]
         traffic.append(asyncio.create_task(self._add_bursts()))
         injecting = asyncio.create_task(self._inject_faults())
         await asyncio.sleep(TRAFFIC_SECONDS)
@@ -209,7 +213,7 @@
             task.cancel()
         await asyncio.sleep(FAULTS_AFTER_TRAFFIC_SECONDS)
         injecting.cancel()
-        settled = await self._wait_for_end()
+        settled = await self.wait_for_end()
         for task in (watching, beating):
             task.cancel()
         self.found.extend(self.idle_waits.violations())
@@ -220,7 +224,7 @@
                     self.found.append(f"LOST: {job} is {model.state(job)}")
         return self.found
 
-    async def _wait_for_end(self) -> bool:
+    async def wait_for_end(self) -> bool:
         """Wait until the promise has been checked and all jobs have ended."""
         await asyncio.sleep(BOUNDS.finish)
         settled = True
@@ -239,7 +243,11 @@
             overloaded: list[str] = []
             check_capacity(self.model.fleet, overloaded)
             self.found.extend(line for line in overloaded if line not in self.found)
-            self.idle_waits.sample()
+            self.sample_waits()
+
+    def sample_waits(self):
+        """Look for waits beside idle workers."""
+        self.idle_waits.sample()
 
     # Traffic
 
@@ -263,7 +271,7 @@
         return asyncio.get_running_loop().time() - STARTUP_SECONDS
 
     def _burst(self):
-        kind = self.rng.choice(KINDS)
+        kind = self.rng.choice(self.kinds)
         for _ in range(self.rng.randint(3, 10)):
             self._submit(kind)
 
@@ -290,6 +298,9 @@
         rng = self.rng
         width = round(_draw(rng, kind.width, WIDTH_SPREAD))
         more: dict[str, object] = {}
+        if kind.long_running or kind.best_effort:
+            more["long_running"] = kind.long_running
+            more["best_effort"] = kind.best_effort
         if rng.random() < kind.data_rack:
             more["data_rack"] = RackId(f"rack-{rng.randrange(RACKS)}")
         if rng.random() < kind.apart:
@@ -341,12 +352,12 @@
     assert run_virtual(UsersWorkload(seed, settles=False).run()) == []
 
 
-def main():
-    """Run the seeds of a range and print each violation and the share of failures."""
+def play_seeds(workload: type[UsersWorkload]):
+    """Play a range of seeds, and print each violation and the share of failures."""
     first, last = int(sys.argv[1]), int(sys.argv[2])
     failed = 0
     for seed in range(first, last + 1):
-        found = run_virtual(UsersWorkload(seed).run())
+        found = run_virtual(workload(seed).run())
         failed += bool(found)
         for line in found:
             print(f"seed {seed}: {line}", flush=True)
@@ -354,4 +365,4 @@
 
 
 if __name__ == "__main__":
-    main()
+    play_seeds(UsersWorkload)
