Play timed jobs in the model

The checks of waits took the first occurrence of a job only and no workload had timed jobs, though LOST holds for each occurrence once it is due.

--- a/src/zinniatrestle/standins/model.py
+++ b/src/zinniatrestle/standins/model.py
@@ -1,6 +1,7 @@
 """A deployment in one process and virtual time: hosts, store, workers and callers."""
 
 import asyncio
+import math
 import random
 from collections.abc import Coroutine
 from typing import Any
@@ -9,7 +10,7 @@
 import msgspec
 
 from zinniatrestle.advice import Adviser
-from zinniatrestle.clock import monotonic
+from zinniatrestle.clock import monotonic, wall_time
 from zinniatrestle.deployment import Addresses, Bounds, Deployment, Identity
 from zinniatrestle.errors import NotRunError, UnknownOutcomeError
 from zinniatrestle.events import Event, EventLog
@@ -47,6 +48,7 @@
 ORIGIN = 1_800_000_000.0
 # The deadline of calls by the model's callers.
 CALL_SECONDS = 3.0
+MS_PER_SECOND = 1000.0
 
 
 def run_virtual(coroutine: Coroutine) -> Any:
@@ -177,6 +179,19 @@
         return bool(self.tasks)
 
 
+class DueTimes(msgspec.Struct, frozen=True):
+    """When the occurrences of a timed job are due; `first_at` is monotonic seconds."""
+
+    occurrences: int
+    first_at: float
+    interval: float
+
+    def due_by(self, now: float) -> int:
+        """Return the number of occurrences that are due at a time."""
+        passed = math.floor((now - self.first_at) / self.interval) + 1
+        return min(self.occurrences, max(0, passed))
+
+
 class JobOutcome(msgspec.Struct):
     """A submitted job and the answers its caller got; times are monotonic seconds.
 
@@ -191,6 +206,7 @@
     seconds: float
     steps: tuple[Step, ...] = (Step(),)
     account: ClientAccountId = ClientAccountId("")
+    due_times: DueTimes | None = None
     accepted: bool = False
     accepted_at: float | None = None
     refused: bool = False
@@ -280,18 +296,31 @@
         steps: tuple[Step, ...],
         seconds: float,
         account: str = "first",
+        due_times: DueTimes | None = None,
         **script,
     ) -> JobId:
         """Submit a job through any host, with up to five tries until it is accepted.
 
-        The job counts as refused only if every try was refused.
+        The job counts as refused only if every try was refused. It is timed if there
+        are `due_times`.
         """
         job = JobId(f"{self.random.getrandbits(64):016x}")
         spec = TaskScript(seconds=seconds, steps=steps, **script).encoded()
         outcome = JobOutcome(
-            QueueName(queue), monotonic(), seconds, steps, ClientAccountId(account)
+            QueueName(queue),
+            monotonic(),
+            seconds,
+            steps,
+            ClientAccountId(account),
+            due_times,
         )
         self.jobs[job] = outcome
+        request = JobRequest(spec, steps)
+        if due_times is not None:
+            first_due = wall_time() + due_times.first_at - monotonic()
+            request.occurrences = due_times.occurrences
+            request.first_due_ms = round(first_due * MS_PER_SECOND)
+            request.every_ms = round(due_times.interval * MS_PER_SECOND)
         refusals = tries = 0
         for _ in range(5):
             host = self.random.choice(self.hosts)
@@ -304,7 +333,7 @@
                     "queues.example", f"/{queue}/", f"key-{account}"
                 )
                 await host.frontend.accept(
-                    admission, job, JobRequest(spec, steps), monotonic() + CALL_SECONDS
+                    admission, job, request, monotonic() + CALL_SECONDS
                 )
             except NotRunError:
                 refusals += 1
