Account for leases that a predecessor extended in a restarted worker

Why it works: after the first answer of a session no earlier generation can extend the leases at the worker. If the worker's clock, which starts anew with each instance, shows that the instance is younger than the longest lease, its leases are assumed to last that long from this answer on.

The price: for 3.5 s after the first answer of an instance that has just started, its lost runs are waited for until 10.3 s after that answer. Older instances have none.

Ruled out: to assume it for all instances; each takeover would prolong the wait for the runs of workers that are lost soon after it. An older instance may still hold such a lease if holds reached it while none of their answers came back.

--- a/src/zinniatrestle/scheduling/session.py
+++ b/src/zinniatrestle/scheduling/session.py
@@ -45,6 +45,7 @@
 # Orders in flight to one worker. Several avoid head-of-line blocking by an order that
 # gets no answer.
 MAX_CONCURRENT_ORDERS = 3
+MS_PER_SECOND = 1000.0
 
 
 class SessionListener(ABC):
@@ -119,6 +120,7 @@
         self.worker = worker
         self.orders = orders
         self.listener = listener
+        self.max_hold = bounds.max_hold
         self.hold_seconds = bounds.max_hold * HOLD_SHARE
         self.generation = generation
         self.events = events
@@ -172,6 +174,11 @@
                     await asyncio.sleep(RETRY_SECONDS)
                 continue
             misses = 0
+            is_first = worker.lease.clock_ms is None
+            if is_first and answer.clock_ms < self.max_hold * MS_PER_SECOND:
+                # A hold that a predecessor sent to the former instance may have
+                # extended the leases of this one, by a deadline on another clock.
+                worker.lease.assume_granted(boot_time(), self.max_hold)
             worker.lease.observe(answer.clock_ms, boot_time())
             if (
                 worker.entry.instance
--- a/src/zinniatrestle/scheduling/tests/test_replaced_workers.py
+++ b/src/zinniatrestle/scheduling/tests/test_replaced_workers.py
@@ -4,6 +4,7 @@
 from unittest import mock
 
 import msgspec
+import pytest
 
 from zinniatrestle.clock import monotonic
 from zinniatrestle.deployment import Bounds
@@ -216,3 +217,38 @@
         return violations(model)
 
     assert run_virtual(play()) == []
+
+
+# Guards against a repeated run while a lease goes on that a predecessor extended in an
+# instance which it did not know.
+@pytest.mark.parametrize("released", [True, False])
+def test_run_is_not_repeated_within_a_lease_that_the_predecessor_extended(released):
+    async def play():
+        model = Model(1)
+        await model.start(workers=2, rack=1)
+        # By then deadlines on the clock of the instance are far ahead on a new one's.
+        await asyncio.sleep(BOUNDS.max_hold)
+        worker = model.fleet.workers["w0"]
+        leader = model.leader()
+        model.fleet.crash(worker)
+        await asyncio.sleep(BOUNDS.heartbeat)
+        with mock.patch.object(model.fleet, "write"):
+            model.fleet.restart(worker)
+        while not worker.deadline:
+            await asyncio.sleep(0.01)
+        if released:
+            await leader.leadership.release()
+        await leader.kill()
+        model.fleet.write(worker)
+        while model.leader() is None:
+            await asyncio.sleep(0.01)
+        shape = step(gpus=8, data_rack=worker.entry.rack)
+        await model.submit("usual", (shape,), 3 * BOUNDS.max_hold)
+        await asyncio.sleep(0.5)
+        assert len(worker.running) == 1
+        worker.reachable = False
+        await asyncio.sleep(2 * BOUNDS.max_hold)
+        assert len(model.fleet.workers["w1"].running) == 1
+        return violations(model)
+
+    assert run_virtual(play()) == []
