--- a/src/zinniatrestle/scheduling/tests/test_progress_writer.py
+++ b/src/zinniatrestle/scheduling/tests/test_progress_writer.py
@@ -96,7 +96,7 @@
 
 
 # Guards against a submission that outlives its job's progress, and then runs again.
-def test_the_submission_of_a_job_that_ends_during_a_write_is_removed():
+def test_a_second_save_deletes_the_submission_of_a_job_that_ended_during_the_first():
     async def play():
         model, _, writer = await start_with_writer()
         running = asyncio.create_task(writer.run())
