Take no job of the model for running because of a repetition

A wait beside the repetition of a task that is done broke LOST on the platform, but not in the model, whose check of waits took such a job for running. Ends that the scheduler can't know yet don't count.

Evidence: the new test, with a scheduler that ignores late ends, finds no wait without the change and one with it.

--- a/src/zinniatrestle/standins/idle_waits.py
+++ b/src/zinniatrestle/standins/idle_waits.py
@@ -80,7 +80,10 @@
             return {}
         running = set()
         for worker in live_workers(self.model):
-            running |= {job_of(task) for task in worker.running}
+            for task in worker.running:
+                # The repetition of a task that has ended is no work for its job.
+                if task not in self.ended_tasks.done:
+                    running.add(job_of(task))
         usable = usable_workers(self.model)
         waiting = {}
         for job, outcome in self.model.jobs.items():
--- a/tests/model/test_idle_waits.py
+++ b/tests/model/test_idle_waits.py
@@ -1,12 +1,16 @@
 """The check of waits finds work that a scheduler forgets, and nothing else."""
 
 import asyncio
+from unittest import mock
 
 import pytest
+from common.history import start_events
 
+from zinniatrestle.clock import monotonic
 from zinniatrestle.deployment import Bounds
 from zinniatrestle.scheduling.context import Policy
 from zinniatrestle.scheduling.placement import Assignment, BestFit
+from zinniatrestle.scheduling.tracker import Tracker
 from zinniatrestle.standins.idle_waits import MAX_IDLE_SECONDS, IdleWaits
 from zinniatrestle.standins.model import DueTimes, Model, run_virtual, step
 
@@ -146,3 +150,32 @@
     shapes = (forgotten(),)
     begins_at = 1.0 + WAIT_SECONDS - MAX_IDLE_SECONDS + 1.0
     assert run_virtual(play(shapes, begins_at=begins_at)).violations() == []
+
+
+async def waits_beside_a_repeated_run() -> list[str]:
+    """Sample the waits of a job of which a run is done, but repeated elsewhere."""
+    model = Model(1)
+    await model.start(workers=4, rack=4)
+    waits = IdleWaits(model, float("inf"))
+    shapes = (step(1, seconds=10.0), step(1, after=(0,), seconds=10.0))
+    await model.submit("usual", shapes, 10.0)
+    # The first run ends after its worker has become unreachable, within its lease.
+    await asyncio.sleep(5.0)
+    worker = model.fleet.workers[start_events(model)[0].worker]
+    worker.reachable = False
+    while len(start_events(model)) < 2:
+        waits.sample()
+        await asyncio.sleep(SAMPLE_SECONDS)
+    worker.reachable = True
+    waits.begins_at = monotonic()
+    for _ in range(round(WAIT_SECONDS / SAMPLE_SECONDS)):
+        waits.sample()
+        await asyncio.sleep(SAMPLE_SECONDS)
+    await model.stop()
+    return waits.violations()
+
+
+def test_a_step_that_waits_for_the_repetition_of_a_done_run_is_found():
+    with mock.patch.object(Tracker, "_is_new_completion", return_value=False):
+        assert len(run_virtual(waits_beside_a_repeated_run())) == 1
+    assert run_virtual(waits_beside_a_repeated_run()) == []
