Tell what a step behind repetitions waits for, and what a successor found

The lines couldn't tell the hypotheses of the incident apart. A step that isn't ready had no job_waits line, so a job of which only the repetition of a lost run runs had none at all; whether the lost run was reported later was seen only from the next step's start; and nothing said which tasks a scheduler found assigned that started from the store.

- job_waits with reason=repeated_runs for a step of which all that is left before it are repetitions of runs that may have been done (lost_run, its worker, and whether that may still report the end), or runs that are being stopped as they are done (held_done).
- run_lost with the progress in the last report; run_ended with late for the end of a run that was marked as lost; state_loaded after each succession.
- Metrics runs_lost and late_ends; steps_waiting has the new reason. explain names the lost run and shows its worker's lines.

Which runs were lost before a succession isn't known to the successor: the rows don't have it. No decision changes.

--- a/src/zinniatrestle/events/explain.py
+++ b/src/zinniatrestle/events/explain.py
@@ -22,6 +22,7 @@
     {
         Event.LEASE_TAKEN.value,
         Event.LEASE_LOST.value,
+        Event.STATE_LOADED.value,
         Event.EVACUATION.value,
         Event.HISTORY_LOST.value,
         Event.DEPENDENCY_LOST.value,
@@ -144,6 +145,11 @@
             text += f" {line['held_by']} {line['held_status']}"
         if line.get("held_worker"):
             text += f" at {line['held_worker']}"
+        if line.get("lost_worker"):
+            text += (
+                f", of which run {line['lost_run']} was lost at {line['lost_worker']} "
+                f"({line['lost_worker_state']})"
+            )
         for worker, condition in line.get("unusable", {}).items():
             text += f" {worker} {condition}"
         longest[text] = max(longest.get(text, 0.0), line["since"])
@@ -194,7 +200,7 @@
 
 def _workers_of(line: Line) -> Iterator[str]:
     """Yield the workers that a line about a job names."""
-    for name in ("worker", "held_worker"):
+    for name in ("worker", "held_worker", "lost_worker"):
         if line.get(name):
             yield line[name]
     yield from line.get("unusable", {})
--- a/src/zinniatrestle/events/messages.py
+++ b/src/zinniatrestle/events/messages.py
@@ -34,6 +34,7 @@
     RUN_PACED = "run_paced"
     LEASE_TAKEN = "lease_taken"
     LEASE_LOST = "lease_lost"
+    STATE_LOADED = "state_loaded"
     WORKER_SEEN = "worker_seen"
     WORKER_SILENT = "worker_silent"
     WORKER_GONE = "worker_gone"
--- a/src/zinniatrestle/metrics.py
+++ b/src/zinniatrestle/metrics.py
@@ -29,6 +29,8 @@
         self.starts = meter.create_counter("runs_started", "1")
         self.start_failures = meter.create_counter("runs_not_started", "1")
         self.ends = meter.create_counter("runs_ended", "1")
+        self.lost_runs = meter.create_counter("runs_lost", "1")
+        self.late_ends = meter.create_counter("late_ends", "1")
         self.preemptions = meter.create_counter("runs_preempted", "1")
         self.quarantines = meter.create_counter("workers_quarantined", "1")
         self.store_time = meter.create_histogram("store_call_time", "s")
--- a/src/zinniatrestle/scheduling/rounds.py
+++ b/src/zinniatrestle/scheduling/rounds.py
@@ -40,7 +40,9 @@
 from zinniatrestle.scheduling.waits import (
     Wait,
     assigned_wait,
+    former_worker_of,
     placement_wait,
+    repetition_wait,
     reservation_wait,
     room_for,
 )
@@ -77,7 +79,7 @@
         self._stop_on_draining_workers(workers, forecast)
         self._stop_on_slow_workers(workers, forecast)
         self.wait_log.begin_round(now)
-        steps = self._waiting_steps(now)
+        steps = self._waiting_steps(forecast)
         steps.sort(key=lambda step: self.order.key(step, now))
         reservations = BackfillReservations(forecast)
         limits = WaitLimits(self.bounds, workers, now, self._last_accepted_at())
@@ -98,13 +100,18 @@
         jobs = self.tracker.jobs.values()
         return max((job.accepted_at for job in jobs), default=float("-inf"))
 
-    def _waiting_steps(self, now: BootSeconds) -> list[StepRun]:
+    def _waiting_steps(self, forecast: Forecast) -> list[StepRun]:
+        now = forecast.now
         waiting = []
         for job in self.tracker.jobs.values():
             if job.ended:
                 continue
             for step in job.steps.values():
-                if step.done or not job.is_ready(step):
+                if step.done:
+                    continue
+                if not job.is_ready(step):
+                    if self.wait_log.is_surveying:
+                        self._log_repetition(step, forecast)
                     continue
                 if step.ready_at is None:
                     step.ready_at = now
@@ -300,6 +307,19 @@
             workers = list(self.tracker.fleet.workers.values())
             self._log_wait(step, wait, workers, self.constraints(step, now))
 
+    def _log_repetition(self, step: StepRun, forecast: Forecast):
+        """Log which repetition of a run that may be done keeps a step from its turn."""
+        wait = repetition_wait(step, forecast)
+        if wait is None or not self.wait_log.is_due(step, is_short=True):
+            return
+        fleet = self.tracker.fleet
+        lost = wait.held_by.lost_run
+        if lost is not None:
+            registered = fleet.workers.get(lost.worker)
+            wait.former_worker = former_worker_of(lost, registered)
+        constraints = self.constraints(step, forecast.now)
+        self._log_wait(step, wait, list(fleet.workers.values()), constraints)
+
     def _log_wait(
         self,
         step: StepRun,
@@ -336,6 +356,7 @@
         for task, worker in assignment.items():
             task.run = run or RunNumber(task.run + 1)
             task.worker = worker
+            task.placed_instance = worker.entry.instance
             task.status = TaskStatus.PLACED
             task.status_at = placed_at
             task.start_pending = True
--- a/src/zinniatrestle/scheduling/scheduler.py
+++ b/src/zinniatrestle/scheduling/scheduler.py
@@ -177,6 +177,7 @@
         self.ended_jobs.sort()
         self.stored_progress.clear()
         self._restore_assignments()
+        self._log_loaded()
 
     # Jobs
 
@@ -232,6 +233,25 @@
             for step in job.steps.values():
                 self._restore_step(step)
 
+    def _log_loaded(self):
+        """Log what the predecessor left: what is still assigned, and waited for."""
+        fleet = self.tracker.fleet
+        jobs = self.tracker.jobs.values()
+        assigned = [task for job in jobs for task in job.allocated_tasks()]
+        unregistered = [task for task in assigned if task.worker in fleet.unregistered]
+        self.events.write(
+            Event.STATE_LOADED,
+            generation=self.leadership.generation,
+            jobs=len(jobs),
+            ended=sum(job.ended for job in jobs),
+            workers=len(fleet.workers),
+            assigned=len(assigned),
+            assigned_done=sum(task.completed for task in assigned),
+            unregistered=len(unregistered),
+            recorded=len(self.lease_expiries.records),
+            until=round(fleet.inherited_lease_end - boot_time(), 2),
+        )
+
     def _inherited_lease_end(self) -> BootSeconds:
         """Return when leases that only the predecessor could extend have expired."""
         now = boot_time()
--- a/src/zinniatrestle/scheduling/state.py
+++ b/src/zinniatrestle/scheduling/state.py
@@ -1,11 +1,13 @@
 """In-memory state of jobs, steps, tasks and workers in the scheduler."""
 
 import asyncio
+from dataclasses import dataclass
 from enum import Enum
 
 from zinniatrestle.ids import (
     BootSeconds,
     FailureDomainId,
+    InstanceId,
     JobId,
     RackId,
     RegionId,
@@ -58,6 +60,17 @@
 )
 
 
+@dataclass(frozen=True)
+class LostRun:
+    """A run that was marked as lost and whose end isn't known; it may be done."""
+
+    run: RunNumber
+    worker: WorkerId
+    instance: InstanceId
+    lost_at: BootSeconds
+    reason: str
+
+
 class Task:
     """One task of a step, and its latest run."""
 
@@ -74,6 +87,9 @@
         self.run = RunNumber(0)
         self.worker: Worker | None = None
         self.failed_runs: set[RunNumber] = set()
+        # The latest run that was lost while it may have been done, until its end is
+        # known. A later run may repeat what is done.
+        self.lost_run: LostRun | None = None
         self.checkpoint = ""
         self.ticket = ""
         self.started_at = BootSeconds(0.0)
@@ -88,6 +104,8 @@
         self.confirmed_at = BootSeconds(0.0)
         # Worker and worker instance to which an earlier scheduler assigned the task.
         self.previous_assignment = (WorkerId(""), 0)
+        # Instance on which the run was placed; another one may answer in its place.
+        self.placed_instance = InstanceId(0)
         # The run started from a checkpoint.
         self.resumed = False
         # A report of the worker contained this run, so the run belongs to the known
@@ -162,6 +180,7 @@
     def restore(self, record: TaskProgress):
         """Restore the stored state, except for the assigned worker."""
         self.run = record.run
+        self.placed_instance = record.instance
         self.failed_runs = set(record.failed_runs)
         self.checkpoint = record.checkpoint
         self.completed = record.done
@@ -270,10 +289,13 @@
 
     def is_ready(self, step: StepRun) -> bool:
         """Return whether all steps that a step depends on are done."""
-        for dependency in step.shape.after:
-            if not self.steps[f"{step.occurrence}.{dependency}"].done:
-                return False
-        return True
+        return all(earlier.done for earlier in self.dependencies(step))
+
+    def dependencies(self, step: StepRun) -> list[StepRun]:
+        """Return the steps that have to be done before a step."""
+        return [
+            self.steps[f"{step.occurrence}.{number}"] for number in step.shape.after
+        ]
 
     def allocated_tasks(self) -> list[Task]:
         """Return the tasks to which resources of a worker are allocated."""
--- a/src/zinniatrestle/scheduling/tracker.py
+++ b/src/zinniatrestle/scheduling/tracker.py
@@ -21,6 +21,7 @@
 )
 from zinniatrestle.scheduling.state import (
     Job,
+    LostRun,
     StepRun,
     Task,
     TaskStatus,
@@ -108,7 +109,7 @@
                 # The session that sent the start order is closed.
                 task.start_pending = False
                 continue
-            self._mark_lost(worker, task, reason)
+            self._mark_lost(worker, task, reason, may_be_done=True)
 
     def mark_silent(self, worker: Worker, refused: bool):
         """Mark a worker as silent and start a round."""
@@ -319,7 +320,15 @@
         reason = f"the start of task {task.id} got no answer"
         self.quarantine(worker, reason, boot_time())
 
-    def _mark_lost(self, worker: Worker, task: Task, reason: str):
+    def _mark_lost(
+        self, worker: Worker, task: Task, reason: str, may_be_done: bool = False
+    ):
+        """Mark a run as lost; the end of one that may be done may yet be reported."""
+        instance = task.placed_instance
+        if not task.completed and (may_be_done or instance != worker.entry.instance):
+            task.lost_run = LostRun(task.run, worker.id, instance, boot_time(), reason)
+        self.metrics.lost_runs.add(1, {"reason": reason})
+        known_at = task.reported_at if task.reported else None
         self.events.write(
             Event.RUN_LOST,
             task=task.id,
@@ -327,6 +336,8 @@
             worker=worker.id,
             reason=reason,
             lost=self.lost_core_seconds(task),
+            percent=task.percent if task.reported else None,
+            reported=round(boot_time() - known_at, 2) if known_at else None,
         )
         self.unassign(task)
         self.stop_gang(task.step)
@@ -372,6 +383,9 @@
     def _apply_late_end(self, worker: Worker, task: Task, end: EndedRun) -> Job | None:
         """Apply the end of a run that was marked as lost, or of an earlier one."""
         step, job = task.step, task.step.job
+        if task.lost_run is not None and task.lost_run.run == end.run:
+            self._log_end_of_lost_run(worker, task, end)
+            task.lost_run = None
         if end.outcome is RunOutcome.DONE and self._is_new_completion(task):
             self._restore_health(worker, boot_time())
             self.complete(step.tasks if step.shape.gang else [task])
@@ -383,6 +397,18 @@
             return job
         return self._unsaved_job_of(end.task)
 
+    def _log_end_of_lost_run(self, worker: Worker, task: Task, end: EndedRun):
+        self.metrics.late_ends.add(1, {"how": end.outcome.value})
+        self.events.write(
+            Event.RUN_ENDED,
+            task=task.id,
+            run=end.run,
+            worker=worker.id,
+            how=end.outcome.value,
+            late=round(boot_time() - task.lost_run.lost_at, 2),
+            latest_run=task.run,
+        )
+
     def _unsaved_job_of(self, task: TaskId) -> Job | None:
         """Return the job of a task if changes of it are not stored yet, else None.
 
--- a/src/zinniatrestle/scheduling/wait_log.py
+++ b/src/zinniatrestle/scheduling/wait_log.py
@@ -14,6 +14,7 @@
     Room,
     Wait,
     WaitReason,
+    does_new_work,
     is_at_work,
     is_known_to_run,
 )
@@ -96,6 +97,8 @@
         # The last lines about the steps in `idle_since`.
         self.logged_waits: dict[StepRun, LoggedWait] = {}
         self.job_is_idle: dict[Job, bool] = {}
+        # Jobs of which at most repetitions of runs that may be done run.
+        self.job_repeats: dict[Job, bool] = {}
 
     def begin_round(self, now: BootSeconds):
         """Start a round, and a survey if one is due."""
@@ -110,6 +113,7 @@
         self.partial_budget.renew(0)
         self.still_idle = {}
         self.job_is_idle = {}
+        self.job_repeats = {}
 
     def is_due(self, step: StepRun, is_short: bool = False) -> bool:
         """Return whether to log why a step waits; to be called for each that waits.
@@ -144,6 +148,7 @@
         self.logged_waits[step] = LoggedWait(wait.reason, has_ample_room)
         if wait.held_by is not None:
             fields.update(_held_fields(wait.held_by, now))
+            fields.update(_lost_fields(wait, now))
         if wait.unusable:
             fields.update(_unusable_fields(wait.unusable, now))
         self.events.write(
@@ -152,7 +157,7 @@
             step=step.key,
             reason=wait.reason.value,
             since=round(now - self.idle_since.get(step, now), 2),
-            ready=round(now - (step.ready_at or now), 2),
+            ready=round(now - step.ready_at, 2) if step.ready_at else None,
             job_runs=not self._is_idle(step),
             longest=round(step.waited(now), 2),
             for_job=wait.for_job,
@@ -182,6 +187,7 @@
             self.still_idle[step] = since
         self.idle_since, self.still_idle = self.still_idle, {}
         self.job_is_idle = {}
+        self.job_repeats = {}
         self._forget_old_lines()
         self._count_waits()
 
@@ -216,17 +222,27 @@
     def _is_idle(self, step: StepRun) -> bool:
         """Return whether nothing of a step's job runs.
 
-        A long-running task is to run whether others of its job run or not.
+        A long-running task is to run whether others of its job run or not. For a step
+        whose turn has not come, repetitions of runs that may be done don't count.
         """
         if step.shape.long_running:
             return any(not is_known_to_run(task) for task in step.tasks)
         job = step.job
+        if not job.is_ready(step):
+            return self._only_repeats(job)
         if job not in self.job_is_idle:
             self.job_is_idle[job] = not any(
                 is_at_work(other) for other in job.steps.values() if not other.done
             )
         return self.job_is_idle[job]
 
+    def _only_repeats(self, job: Job) -> bool:
+        if job not in self.job_repeats:
+            self.job_repeats[job] = not any(
+                does_new_work(other) for other in job.steps.values() if not other.done
+            )
+        return self.job_repeats[job]
+
 
 def _is_urgent(step: StepRun) -> bool:
     return step.job.submission.priority == HIGHEST_PRIORITY
@@ -236,8 +252,10 @@
     """Return the fields on a run that a step waits for, and on its worker."""
     fields: dict[str, Any] = {
         "held_by": held_by.id,
+        "held_run": held_by.run,
         "held_status": held_by.status.value,
         "held_s": round(now - held_by.status_at, 2),
+        "held_done": held_by.completed,
     }
     worker = held_by.worker
     if worker is None:
@@ -251,6 +269,20 @@
     return fields
 
 
+def _lost_fields(wait: Wait, now: BootSeconds) -> dict[str, Any]:
+    """Return the fields on the lost run that the run which is waited for repeats."""
+    lost = wait.held_by.lost_run
+    if lost is None or wait.former_worker is None:
+        return {}
+    return {
+        "lost_run": lost.run,
+        "lost_s": round(now - lost.lost_at, 2),
+        "lost_reason": lost.reason,
+        "lost_worker": lost.worker,
+        "lost_worker_state": wait.former_worker.value,
+    }
+
+
 def _unusable_fields(workers: list[Worker], now: BootSeconds) -> dict[str, Any]:
     """Return the fields on the unusable workers that a step waits for."""
     conditions = {
--- a/src/zinniatrestle/scheduling/waits.py
+++ b/src/zinniatrestle/scheduling/waits.py
@@ -6,6 +6,7 @@
 
 from zinniatrestle.ids import JobId
 from zinniatrestle.scheduling.backfill import BackfillReservations, EarliestStart
+from zinniatrestle.scheduling.forecast import Forecast
 from zinniatrestle.scheduling.placement import (
     PlacementConstraints,
     candidates,
@@ -15,6 +16,7 @@
 )
 from zinniatrestle.scheduling.state import (
     ACCELERATOR_MILLICORES,
+    LostRun,
     StepRun,
     Task,
     TaskStatus,
@@ -58,10 +60,26 @@
     START_PENDING = "start_pending"
     # A start order got no answer, and no report has shown yet whether it runs.
     START_UNANSWERED = "start_unanswered"
+    # All that is left of the steps before it are repetitions of runs that were lost,
+    # and may have been done, or that are done.
+    REPEATED_RUNS = "repeated_runs"
     # It fits, so the next round should place it.
     UNKNOWN = "unknown"
 
 
+class FormerWorker(Enum):
+    """What is known of a worker on which a run was lost: it may report the end yet."""
+
+    # It answers, so it would have reported the run.
+    ANSWERS = "answers"
+    # It reports the end when it answers again.
+    SILENT = "silent"
+    # It reports the end only if the same instance registers again.
+    MISSING = "missing"
+    # Another instance answers in its place, and knows nothing of the run.
+    REPLACED = "replaced"
+
+
 @dataclass
 class Wait:
     """Why a step waits, and what ends the wait as far as known."""
@@ -71,6 +89,8 @@
     for_job: JobId | None = None
     # Run whose start or end the step waits for.
     held_by: Task | None = None
+    # The worker on which an earlier run of that task was lost.
+    former_worker: FormerWorker | None = None
     # Permitted workers that would have room if they were usable.
     unusable: list[Worker] = field(default_factory=list)
     # Expected end of the wait, in boot seconds.
@@ -281,6 +301,48 @@
     return wait
 
 
+def repetition_wait(step: StepRun, forecast: Forecast) -> Wait | None:
+    """Return the wait of a step for nothing but repetitions in the steps before it.
+
+    Return None if these have other work left, or are done.
+    """
+    repeated: list[Task] = []
+    for earlier in step.job.dependencies(step):
+        for task in earlier.tasks:
+            if not _may_be_done(task):
+                return None
+            if task.status is not TaskStatus.DONE:
+                repeated.append(task)
+    if not repeated:
+        return None
+    open_tasks = [task for task in repeated if not task.completed]
+    if not open_tasks:
+        held_by = _last_known(repeated)
+        return Wait(WaitReason.REPEATED_RUNS, held_by=held_by, until=_lost_at(held_by))
+    held_by = max(open_tasks, key=forecast.remaining)
+    until = None
+    if is_known_to_run(held_by):
+        until = forecast.now + forecast.remaining(held_by)
+    return Wait(WaitReason.REPEATED_RUNS, held_by=held_by, until=until)
+
+
+def former_worker_of(lost: LostRun, registered: Worker | None) -> FormerWorker:
+    """Return what is known of the worker of a lost run.
+
+    `registered` is the instance with the worker's id that is known now, if any.
+    """
+    if registered is None:
+        return FormerWorker.MISSING
+    if registered.entry.instance != lost.instance:
+        return FormerWorker.REPLACED
+    return FormerWorker.SILENT if registered.silent else FormerWorker.ANSWERS
+
+
+def _may_be_done(task: Task) -> bool:
+    """Return whether a run of a task is done, or was lost and may be."""
+    return task.completed or task.lost_run is not None
+
+
 def _lost_at(task: Task) -> float | None:
     """Return when a run is lost if nothing more is heard of it, or None if never."""
     worker = task.worker
@@ -330,6 +392,14 @@
     return all(running) if step.shape.gang else any(running)
 
 
+def does_new_work(step: StepRun) -> bool:
+    """Return whether a task of a step runs of which no earlier run may be done."""
+    for task in step.tasks:
+        if is_known_to_run(task) and not _may_be_done(task):
+            return True
+    return False
+
+
 def is_known_to_run(task: Task) -> bool:
     """Return whether a task runs on a worker that would report its end."""
     if task.status is not TaskStatus.RUNNING:
--- a/tests/common/history.py
+++ b/tests/common/history.py
@@ -1,4 +1,6 @@
-"""Events of a model's workers, for tests of when and where tasks run."""
+"""Events of a model's workers and lines of its hosts, for tests of what runs when."""
+
+from typing import Any
 
 from zinniatrestle.standins.model import Model
 from zinniatrestle.standins.runs import EventKind, WorkerEvent
@@ -16,3 +18,14 @@
 def start_times(model: Model, task_prefix: str = "") -> list[float]:
     """Return the times of these starts."""
     return [event.at for event in start_events(model, task_prefix)]
+
+
+def lines_of(model: Model, event: str, **fields: Any) -> list[dict[str, Any]]:
+    """Return the lines of an event with these fields."""
+    found = []
+    for line in model.lines:
+        if line["event"] != event:
+            continue
+        if all(line.get(name) == value for name, value in fields.items()):
+            found.append(line)
+    return found
