Start the next step although repetitions are still being stopped

What callers saw: a second step that could run and didn't, beside idle workers (LOST). A step before it had ended as done, but a run of it that had been marked as lost was being repeated when its end was reported.

Cause: since such an end completes the task and the repetition is stopped, but a step counted as done only once nothing of it was assigned any more. Its next step, and the end of the job, thus waited for the stop: for a lease (7 to 8 s) if the repetition's worker was silent, had crashed or had left, and without any limit (59 s, the whole repetition) if it answered holds and no stops. A successor took the wait over, since the row names the worker of the repetition.

Why the fix works: steps are ordered by completion of the tasks before them, which is stored in the same row and the same write as the start of the next step. The repetition keeps its worker's capacity and its place in the row until it has ended, so LIMIT and TWICE are as before; nothing is started of a completed task. A job ends with its last task.

job_waits has no line any more for a stop that a next step waits for, as there is no such wait.

--- a/src/zinniatrestle/scheduling/cluster_state.py
+++ b/src/zinniatrestle/scheduling/cluster_state.py
@@ -108,7 +108,7 @@
             self._finish_if_done(task.step)
 
     def complete(self, tasks: list[Task]):
-        """Record that a task, or all members of a gang, have ended as done.
+        """Record that a task of a step, or all members of a gang, have ended as done.
 
         Later runs of them are stopped first, since their workers' capacity is in use.
         """
@@ -120,6 +120,7 @@
                 self.stop(task, "an earlier run is done")
             else:
                 self.unassign(task)
+        self._end_if_completed(tasks[0].step.job)
 
     def _finish_if_done(self, step: StepRun):
         if any(task.status is not TaskStatus.DONE for task in step.tasks):
@@ -129,7 +130,11 @@
         job = step.job
         job.finished_steps.add(step.key)
         job.drop_finished_occurrences()
-        if job.all_done() and not job.ended:
+        self._end_if_completed(job)
+
+    def _end_if_completed(self, job: Job):
+        """End a job of which all tasks have completed, whatever is still stopping."""
+        if job.has_completed() and not job.ended:
             self.end_job(job, JobState.COMPLETED, "all tasks done")
 
     def release_reservation(self, task: Task):
--- a/src/zinniatrestle/scheduling/preemption.py
+++ b/src/zinniatrestle/scheduling/preemption.py
@@ -200,7 +200,7 @@
             if job.due_at > step.job.due_at:
                 continue
             for other in job.steps.values():
-                if not other.done and job.is_ready(other):
+                if not other.completed and job.is_ready(other):
                     needed += other.shape.count * other.shape.gpus
         return needed <= guaranteed
 
--- a/src/zinniatrestle/scheduling/rounds.py
+++ b/src/zinniatrestle/scheduling/rounds.py
@@ -107,7 +107,7 @@
             if job.ended:
                 continue
             for step in job.steps.values():
-                if step.done:
+                if step.completed:
                     continue
                 if not job.is_ready(step):
                     if self.wait_log.is_surveying:
--- a/src/zinniatrestle/scheduling/state.py
+++ b/src/zinniatrestle/scheduling/state.py
@@ -234,6 +234,14 @@
                     avoided.add(worker)
         return avoided
 
+    @property
+    def completed(self) -> bool:
+        """Return whether a run of each task has ended as done.
+
+        Repetitions of such runs may not have been stopped yet.
+        """
+        return self.done or all(task.completed for task in self.tasks)
+
     def waiting_tasks(self) -> list[Task]:
         """Return the tasks that are neither assigned nor done."""
         return [task for task in self.tasks if task.status is TaskStatus.WAITING]
@@ -246,7 +254,7 @@
         return now - max(self.ready_at, min(task.status_at for task in waiting))
 
     def finish(self):
-        """Mark the step as done and drop its tasks."""
+        """Mark the step as done, as nothing of it runs any more, and drop its tasks."""
         self.done = True
         self.tasks = []
 
@@ -288,11 +296,11 @@
             self.steps[step.key] = step
 
     def is_ready(self, step: StepRun) -> bool:
-        """Return whether all steps that a step depends on are done."""
-        return all(earlier.done for earlier in self.dependencies(step))
+        """Return whether all steps that a step depends on have completed."""
+        return all(earlier.completed for earlier in self.dependencies(step))
 
     def dependencies(self, step: StepRun) -> list[StepRun]:
-        """Return the steps that have to be done before a step."""
+        """Return the steps that have to complete before a step starts."""
         return [
             self.steps[f"{step.occurrence}.{number}"] for number in step.shape.after
         ]
@@ -304,12 +312,12 @@
             allocated.extend(task for task in step.tasks if task.is_allocated)
         return allocated
 
-    def all_done(self) -> bool:
+    def has_completed(self) -> bool:
         """Return whether every task of every occurrence has completed."""
         if self.submission.timed:
             if self.next_occurrence < self.submission.occurrences:
                 return False
-        return all(step.done for step in self.steps.values())
+        return all(step.completed for step in self.steps.values())
 
     def drop_finished_occurrences(self):
         """Drop the occurrences of which every step is done."""
--- a/src/zinniatrestle/scheduling/wait_log.py
+++ b/src/zinniatrestle/scheduling/wait_log.py
@@ -182,7 +182,7 @@
             return
         for step, since in self.idle_since.items():
             # A step that was placed waits on until it runs: its start may be refused.
-            if step.done or step.job.ended or not self._is_idle(step):
+            if step.completed or step.job.ended or not self._is_idle(step):
                 continue
             self.still_idle[step] = since
         self.idle_since, self.still_idle = self.still_idle, {}
@@ -255,7 +255,6 @@
         "held_run": held_by.run,
         "held_status": held_by.status.value,
         "held_s": round(now - held_by.status_at, 2),
-        "held_done": held_by.completed,
     }
     worker = held_by.worker
     if worker is None:
--- a/src/zinniatrestle/scheduling/waits.py
+++ b/src/zinniatrestle/scheduling/waits.py
@@ -60,8 +60,8 @@
     START_PENDING = "start_pending"
     # A start order got no answer, and no report has shown yet whether it runs.
     START_UNANSWERED = "start_unanswered"
-    # All that is left of the steps before it are repetitions of runs that were lost,
-    # and may have been done, or that are done.
+    # All that is left of the steps before it are repetitions of runs that were lost
+    # and may have been done.
     REPEATED_RUNS = "repeated_runs"
     # It fits, so the next round should place it.
     UNKNOWN = "unknown"
@@ -304,22 +304,18 @@
 def repetition_wait(step: StepRun, forecast: Forecast) -> Wait | None:
     """Return the wait of a step for nothing but repetitions in the steps before it.
 
-    Return None if these have other work left, or are done.
+    Return None if these have other work left, or have completed.
     """
     repeated: list[Task] = []
     for earlier in step.job.dependencies(step):
         for task in earlier.tasks:
             if not _may_be_done(task):
                 return None
-            if task.status is not TaskStatus.DONE:
+            if not task.completed:
                 repeated.append(task)
     if not repeated:
         return None
-    open_tasks = [task for task in repeated if not task.completed]
-    if not open_tasks:
-        held_by = _last_known(repeated)
-        return Wait(WaitReason.REPEATED_RUNS, held_by=held_by, until=_lost_at(held_by))
-    held_by = max(open_tasks, key=forecast.remaining)
+    held_by = max(repeated, key=forecast.remaining)
     until = None
     if is_known_to_run(held_by):
         until = forecast.now + forecast.remaining(held_by)
