Restart runs near their data once a rack comes free and they end sooner there

What callers saw: a second step that waits 30 s after all hosts were lost (LOST). The first step had ended as done, but its worker was lost before a host heard of it, so it was repeated; that repetition is no progress for the job, whose next step waits for it.

Cause: late jobs, and steps that have waited for 1.5 s beside idle workers, run anywhere, and a run that is far from its data stays there, three times as long, even if the rack of the data comes free a second later.

Why the fix works: after the waiting steps of a round have been placed, a run is stopped if the rack of its data has room that nobody reserves and what it still needs there, by its own progress, is at most two thirds of what it needs here. A task moves at most twice, as another step may take the room first.

--- a/src/zinniatrestle/scheduling/placement.py
+++ b/src/zinniatrestle/scheduling/placement.py
@@ -156,6 +156,8 @@
     That is outside the rack of its data or, for a rack-bound step, on several racks.
     """
     shape = step.shape
+    if not (shape.data_rack or shape.rack_bound):
+        return False
     racks = {task.worker.rack for task in step.tasks if task.worker is not None}
     if shape.data_rack and racks - {shape.data_rack}:
         return True
--- a/src/zinniatrestle/scheduling/rounds.py
+++ b/src/zinniatrestle/scheduling/rounds.py
@@ -29,8 +29,10 @@
     PlacementPolicy,
     candidates,
     has_free_slots,
+    is_remote,
 )
 from zinniatrestle.scheduling.preemption import HIGHEST_PRIORITY, Preemptor
+from zinniatrestle.scheduling.remote_runs import tasks_to_move_near
 from zinniatrestle.scheduling.speeds import is_slow, should_restart
 from zinniatrestle.scheduling.state import Job, StepRun, Task, TaskStatus, Worker
 from zinniatrestle.scheduling.tracker import Tracker
@@ -87,6 +89,7 @@
         placed: list[Task] = []
         for step in steps:
             placed.extend(self._schedule_step(step, workers, reservations, limits, now))
+        self._stop_remote_runs(workers, reservations, now)
         if placed:
             self._start(placed)
         elif tracker.unsaved_jobs:
@@ -485,6 +488,30 @@
                     self.tracker.stop(task, "its worker is slow")
                     self.tracker.stop_gang(task.step)
 
+    def _stop_remote_runs(
+        self,
+        workers: list[Worker],
+        reservations: BackfillReservations,
+        now: BootSeconds,
+    ):
+        """Stop runs that end sooner near their data, where no waiting step needs room.
+
+        That is judged after the waiting steps have been placed.
+        """
+        for job in self.tracker.jobs.values():
+            if job.ended:
+                continue
+            for step in job.steps.values():
+                if not is_remote(step):
+                    continue
+                open_workers = reservations.eligible_workers(step, workers)
+                constraints = self.constraints(step, now)
+                for task in tasks_to_move_near(
+                    step, open_workers, constraints, self.bounds
+                ):
+                    task.moves += 1
+                    self.tracker.stop(task, "there is room near its data")
+
     # Timed jobs
 
     def _add_due_occurrences(self):
--- a/src/zinniatrestle/scheduling/state.py
+++ b/src/zinniatrestle/scheduling/state.py
@@ -130,6 +130,8 @@
         self.refused_until: dict[WorkerId, BootSeconds] = {}
         # Percentage of its full speed at which a best-effort run works.
         self.pace = 100
+        # How often it was stopped to run nearer to its data.
+        self.moves = 0
 
     def record_progress(self, percent: float, at: BootSeconds):
         """Record the progress of the run that its worker reported."""
