Let resumed gangs of the model wait for their members

A member of a gang that was resumed from a checkpoint ended as broken if another member's start came some milliseconds later, as it had work behind it: the stand-in took any work for work of this run. On the platform members work from the moment when all are present.

--- a/src/zinniatrestle/standins/fleet.py
+++ b/src/zinniatrestle/standins/fleet.py
@@ -244,11 +244,12 @@
             return
         members = members_by_run.get((step_of(run.task), run.run), [])
         if len(members) < run.gang_size:
-            if run.work_seconds == 0.0 and now - run.started_at > self.gang_seconds:
-                self._end(worker, run, RunOutcome.GANG_INCOMPLETE)
-            elif run.work_seconds > 0.0:
+            if run.at_work:
                 self._end(worker, run, RunOutcome.MEMBER_ENDED)
+            elif now - run.started_at > self.gang_seconds:
+                self._end(worker, run, RunOutcome.GANG_INCOMPLETE)
             return
+        run.at_work = True
         if worker.fault_mode is FaultMode.FAILS:
             self._end(worker, run, RunOutcome.FAILED)
             return
@@ -336,6 +337,10 @@
             raise RefusedOrderError(Refusal.STALE_GENERATION, worker.clock_ms())
         worker.generation = generation
 
+    def _extend_lease(self, worker: SimulatedWorker, deadline_ms: int):
+        limit = worker.clock_ms() + worker.max_lease_seconds * 1000
+        worker.deadline = min(max(worker.deadline, deadline_ms), limit)
+
     async def start(self, worker: WorkerEntry, order: StartOrder) -> int:
         """Start a run and return the worker's clock in ms; raises RefusedOrderError."""
         target = self.find_worker(worker)
@@ -346,11 +351,12 @@
         if current is not None and current.run == order.run:
             return target.clock_ms()
         if order.run <= target.last_ended_run.get(order.task, 0) or current is not None:
+            # The lease of all other runs is extended nevertheless.
+            self._extend_lease(target, order.deadline_ms)
             raise RefusedOrderError(Refusal.STALE_RUN, target.clock_ms())
         if order.deadline_ms <= target.clock_ms():
             raise RefusedOrderError(Refusal.TOO_LATE, target.clock_ms())
-        limit = target.clock_ms() + target.max_lease_seconds * 1000
-        target.deadline = min(max(target.deadline, order.deadline_ms), limit)
+        self._extend_lease(target, order.deadline_ms)
         script = msgspec.json.decode(order.spec, type=TaskScript)
         run = SimulatedRun(order.task, order.run, script, monotonic())
         if order.checkpoint:
@@ -402,8 +408,7 @@
         instance = target.entry.instance
         self._check_generation(target, generation)
         if deadline_ms is not None:
-            limit = target.clock_ms() + target.max_lease_seconds * 1000
-            target.deadline = min(max(target.deadline, deadline_ms), limit)
+            self._extend_lease(target, deadline_ms)
         for end in target.ended:
             if end.number <= acknowledged_end and end.number not in target.expired_ends:
                 run = SimulatedRun(end.task, end.run, TaskScript(), 0.0)
--- a/src/zinniatrestle/standins/runs.py
+++ b/src/zinniatrestle/standins/runs.py
@@ -91,6 +91,8 @@
     started_at: float
     work_seconds: float = 0.0
     checkpoint: str = ""
+    # All members of its gang have been present.
+    at_work: bool = False
     # The time at which a stop in progress ends it.
     stops_at: float | None = None
 
