Let workers of the model save, resume and answer as on the platform

Every run of the model saved its work each 2 s, whatever its step, and was resumed at once, so a repetition took 2 s at most. That hid each wait for a repetition.

All messages took the same time, so that none overtook another. Slow workers took 6 times as long, those of the users 6.5 to 8.

--- a/src/zinniatrestle/standins/fleet.py
+++ b/src/zinniatrestle/standins/fleet.py
@@ -22,6 +22,7 @@
 from zinniatrestle.standins.runs import (
     EventKind,
     FaultMode,
+    FleetTraits,
     SimulatedRun,
     SimulatedWorker,
     TaskScript,
@@ -49,8 +50,6 @@
 CHECKPOINT_SECONDS = 2.0
 # The registry removes an entry after this many missed heartbeats.
 EXPIRY_HEARTBEATS = 3
-# The run time of a task at a worker in fault mode SLOW, relative to a healthy one.
-SLOW_WORKER_FACTOR = 6.0
 
 
 class MemoryWorkerRows(WorkerRows):
@@ -80,7 +79,9 @@
         gang_seconds: float = 3.0,
         stop_seconds: float = 0.0,
         far_factor: float = 3.0,
+        traits: FleetTraits | None = None,
     ):
+        self.traits = traits or FleetTraits()
         self.stop_seconds = stop_seconds
         self.far_factor = far_factor
         self.rows = rows
@@ -120,6 +121,8 @@
             sequence=1,
         )
         worker = SimulatedWorker(entry, 10.0, started_at=monotonic())
+        if len(self.traits.clock_rates) > 1:
+            worker.clock_rate = self.random.choice(self.traits.clock_rates)
         self.workers[entry.worker] = worker
         self.write(worker)
         return worker
@@ -240,7 +243,7 @@
         script = run.script
         if run.stops_at is not None:
             if now >= run.stops_at:
-                self._end(worker, run, RunOutcome.STOPPED)
+                self._end_stopped(worker, run)
             return
         members = members_by_run.get((step_of(run.task), run.run), [])
         if len(members) < run.gang_size:
@@ -255,10 +258,14 @@
             return
         if worker.fault_mode is FaultMode.HANGS:
             return
+        if now < run.restored_at:
+            return
         run.work_seconds += passed / self._slowdown_factor(
             worker, run, {rack for rack, _ in members}
         )
-        run.checkpoint = str(int(run.work_seconds / CHECKPOINT_SECONDS) or "")
+        saved = int(run.work_seconds / CHECKPOINT_SECONDS)
+        if self._has_checkpoints(run) and saved > float(run.checkpoint or 0):
+            run.checkpoint = str(saved)
         if any(member.work_seconds < script.seconds for _, member in members):
             return
         if run.work_seconds < script.seconds:
@@ -286,7 +293,7 @@
         """
         factor = 1 / worker.speed
         if worker.fault_mode is FaultMode.SLOW:
-            factor *= SLOW_WORKER_FACTOR
+            factor *= worker.slow_factor
         shape = run.shape
         if shape.data_rack and worker.entry.rack != shape.data_rack:
             factor *= self.far_factor
@@ -294,6 +301,15 @@
             factor *= self.far_factor
         return factor
 
+    def _has_checkpoints(self, run: SimulatedRun) -> bool:
+        return run.shape.checkpointing or not self.traits.checkpoints_by_step
+
+    def _end_stopped(self, worker: SimulatedWorker, run: SimulatedRun):
+        if self.traits.checkpoints_by_step and run.shape.checkpointing:
+            # A stop takes a checkpoint of its own.
+            run.checkpoint = str(run.work_seconds / CHECKPOINT_SECONDS or "")
+        self._end(worker, run, RunOutcome.STOPPED)
+
     def _end(self, worker: SimulatedWorker, run: SimulatedRun, outcome: RunOutcome):
         del worker.running[run.task]
         worker.end_count += 1
@@ -362,6 +378,8 @@
         if order.checkpoint:
             run.checkpoint = order.checkpoint
             run.work_seconds = float(order.checkpoint) * CHECKPOINT_SECONDS
+            if self.traits.checkpoints_by_step:
+                run.restored_at = monotonic() + self.traits.restore_seconds
         target.running[order.task] = run
         self._record(EventKind.START, target, run)
         return target.clock_ms()
@@ -382,7 +400,7 @@
             return
         current.stops_at = monotonic() + self.stop_seconds
         if not self.stop_seconds:
-            self._end(target, current, RunOutcome.STOPPED)
+            self._end_stopped(target, current)
 
     async def pace(
         self,
--- a/src/zinniatrestle/standins/host_orders.py
+++ b/src/zinniatrestle/standins/host_orders.py
@@ -86,7 +86,10 @@
         if cut or (target is not None and not target.reachable):
             await asyncio.sleep(timeout)
             raise UnansweredOrderError("The worker is unreachable.")
-        await asyncio.sleep(self.delay)
+        delay = self.delay
+        if self.fleet.traits.max_extra_delay:
+            delay += self.fleet.random.uniform(0.0, self.fleet.traits.max_extra_delay)
+        await asyncio.sleep(delay)
 
     async def _send_order(self, worker: WorkerEntry, timeout: float, execute):
         await self._cross_network(worker, timeout)
--- a/src/zinniatrestle/standins/model.py
+++ b/src/zinniatrestle/standins/model.py
@@ -39,7 +39,7 @@
 from zinniatrestle.standins.machines import MemoryWaveRows, SimulatedMachines
 from zinniatrestle.standins.operator import MemoryOperator, MemoryOperatorRows
 from zinniatrestle.standins.rows import HostRows, MemoryRows
-from zinniatrestle.standins.runs import TaskScript
+from zinniatrestle.standins.runs import FleetTraits, TaskScript
 from zinniatrestle.upkeep import WaveRunner
 
 # The wait of one long poll for changes of the desired state.
@@ -236,6 +236,7 @@
         bounds: Bounds | None = None,
         adviser: Adviser | None = None,
         upkeep: bool = False,
+        traits: FleetTraits | None = None,
     ):
         self.upkeep = upkeep
         self.machines: SimulatedMachines | None = None
@@ -246,7 +247,12 @@
         self.bounds = bounds or Bounds()
         self.rows = MemoryRows(seed)
         self.fleet = SimulatedFleet(
-            self.rows, seed, self.bounds.gang, self.bounds.stop, self.bounds.far_factor
+            self.rows,
+            seed,
+            self.bounds.gang,
+            self.bounds.stop,
+            self.bounds.far_factor,
+            traits,
         )
         self.operator = MemoryOperator(self.rows)
         self.metrics = Metrics()
--- a/src/zinniatrestle/standins/runs.py
+++ b/src/zinniatrestle/standins/runs.py
@@ -17,6 +17,8 @@
 STARTUP_SECONDS = 0.5
 # The rate of a worker's own clock, which runs 1% slow.
 CLOCK_MS_PER_SECOND = 990
+# The run time of a task at a worker in fault mode SLOW, relative to a healthy one.
+SLOW_WORKER_FACTOR = 6.0
 
 
 class TaskScript(msgspec.Struct, frozen=True):
@@ -59,6 +61,25 @@
     LATE = "late"
 
 
+@dataclass(frozen=True)
+class FleetTraits:
+    """How closely a fleet follows the platform's workers.
+
+    With the defaults all workers and messages are alike, as the seeds of earlier
+    workloads require.
+    """
+
+    # Rates of the workers' own clocks, in milliseconds per second of true time.
+    clock_rates: tuple[int, ...] = (CLOCK_MS_PER_SECOND,)
+    # The longest time that a message takes beyond the usual one. Messages that are
+    # under way together may overtake each other.
+    max_extra_delay: float = 0.0
+    # Only steps with checkpoints have them, then also at a stop, and a run that is
+    # resumed works only after `restore_seconds`. Otherwise every run is resumed.
+    checkpoints_by_step: bool = False
+    restore_seconds: float = 0.25
+
+
 class EventKind(Enum):
     """What an event of the history records."""
 
@@ -91,6 +112,8 @@
     started_at: float
     work_seconds: float = 0.0
     checkpoint: str = ""
+    # It works from this time on, at the earliest.
+    restored_at: float = 0.0
     # All members of its gang have been present.
     at_work: bool = False
     # The time at which a stop in progress ends it.
@@ -129,6 +152,10 @@
     fault_mode: FaultMode = FaultMode.NONE
     # The speed relative to the nominal one, faults aside.
     speed: float = 1.0
+    # The run time in fault mode SLOW, relative to the usual one.
+    slow_factor: float = SLOW_WORKER_FACTOR
+    # The rate of its own clock, in milliseconds per second.
+    clock_rate: int = CLOCK_MS_PER_SECOND
     generation: Generation = NO_GENERATION
     # The end of the lease of all runs, in milliseconds of the worker's own clock.
     deadline: float = 0.0
@@ -143,12 +170,12 @@
     changed: asyncio.Event = field(default_factory=asyncio.Event)
 
     def clock_ms(self) -> int:
-        """Return the worker's own clock, which runs 1% slow."""
-        return int((monotonic() - self.started_at) * CLOCK_MS_PER_SECOND)
+        """Return the worker's own clock, which runs slow."""
+        return int((monotonic() - self.started_at) * self.clock_rate)
 
     def remaining_lease_seconds(self) -> float:
         """Return for how long the lease of all runs remains valid."""
-        return (self.deadline - self.clock_ms()) / CLOCK_MS_PER_SECOND
+        return (self.deadline - self.clock_ms()) / self.clock_rate
 
 
 def step_of(task: TaskId) -> str:
