Let workers of the model lose power, answers and connections

A worker that was lost for good refused connections at once, which a host takes for the end of its process. One whose machine has no power doesn't answer: its runs are lost only with their lease. Cuts worked in both directions; in one direction orders and holds are carried out and their answers are lost, and with resets a share of them is.

--- a/src/zinniatrestle/standins/fleet.py
+++ b/src/zinniatrestle/standins/fleet.py
@@ -95,6 +95,8 @@
         self.late_order_tasks: set[asyncio.Task] = set()
         # Pairs of a host and a worker that it can't reach.
         self.partitions: set[tuple[str, WorkerId]] = set()
+        # Addresses of machines without power, at which nothing answers.
+        self.unpowered: set[str] = set()
 
     def add(
         self,
@@ -148,6 +150,7 @@
         """
         if worker.alive:
             self.crash(worker)
+        self.unpowered.discard(worker.entry.address)
         instance = InstanceId(int((wall_time() - clock_lag) * 1000))
         worker.entry = msgspec.structs.replace(worker.entry, instance=instance)
         worker.alive = True
@@ -162,6 +165,7 @@
     def replace(self, worker: SimulatedWorker, name: str) -> SimulatedWorker:
         """End a worker and add another one that answers at its address."""
         self.crash(worker)
+        self.unpowered.discard(worker.entry.address)
         entry = worker.entry
         replacement = self.add(
             name, entry.rack, entry.domain, entry.cpu, entry.memory_mb, entry.gpus
@@ -183,6 +187,11 @@
         """Remove a worker's table entry."""
         self.rows.put(WORKER_TABLE, RowName(worker.entry.worker), None)
 
+    def cut_power(self, worker: SimulatedWorker):
+        """End a worker whose machine loses power, so that calls to it get no answer."""
+        self.crash(worker)
+        self.unpowered.add(worker.entry.address)
+
     def retire(self, worker: SimulatedWorker):
         """End a worker that never comes back; its table entry stays for now."""
         self.crash(worker)
--- a/src/zinniatrestle/standins/host_orders.py
+++ b/src/zinniatrestle/standins/host_orders.py
@@ -74,15 +74,22 @@
     ) -> HoldAnswer:
         """Extend the lease of all runs; wait up to `wait` seconds for one to end."""
         await self._cross_network(worker, wait + timeout)
+        self._reset_some(worker)
+        if self._are_answers_lost(worker):
+            await self.fleet.hold(worker, generation, acknowledged_end, deadline_ms, 0)
+            await asyncio.sleep(wait + timeout)
+            raise UnansweredOrderError("The answer was lost.")
         answer = await self.fleet.hold(
             worker, generation, acknowledged_end, deadline_ms, wait
         )
         await self._cross_network(worker, timeout)
+        self._reset_some(worker)
         return answer
 
     async def _cross_network(self, worker: WorkerEntry, timeout: float):
         target = self.fleet.workers.get(worker.worker)
         cut = (self.host, worker.worker) in self.fleet.partitions
+        cut = cut or worker.address in self.fleet.unpowered
         if cut or (target is not None and not target.reachable):
             await asyncio.sleep(timeout)
             raise UnansweredOrderError("The worker is unreachable.")
@@ -91,8 +98,21 @@
             delay += self.fleet.random.uniform(0.0, self.fleet.traits.max_extra_delay)
         await asyncio.sleep(delay)
 
+    def _reset_some(self, worker: WorkerEntry):
+        """Raise UnansweredOrderError if the connection to a worker is reset now."""
+        target = self.fleet.workers.get(worker.worker)
+        if target is None or not target.reset_share:
+            return
+        if self.fleet.random.random() < target.reset_share:
+            raise UnansweredOrderError("The connection was reset.")
+
+    def _are_answers_lost(self, worker: WorkerEntry) -> bool:
+        target = self.fleet.workers.get(worker.worker)
+        return target is not None and target.answers_lost
+
     async def _send_order(self, worker: WorkerEntry, timeout: float, execute):
         await self._cross_network(worker, timeout)
+        self._reset_some(worker)
         target = self.fleet.workers.get(worker.worker)
         mode = target.order_mode if target is not None else OrderMode.ANSWERED
         if mode is OrderMode.DROPPED:
@@ -104,7 +124,11 @@
             await asyncio.sleep(timeout)
             raise UnansweredOrderError("The order timed out.")
         answer = await execute()
+        if self._are_answers_lost(worker):
+            await asyncio.sleep(timeout)
+            raise UnansweredOrderError("The answer was lost.")
         await self._cross_network(worker, timeout)
+        self._reset_some(worker)
         return answer
 
     def _execute_later(self, worker: WorkerEntry, execute):
--- a/src/zinniatrestle/standins/room.py
+++ b/src/zinniatrestle/standins/room.py
@@ -61,7 +61,9 @@
 
 def _is_usable(model: Model, worker: SimulatedWorker) -> bool:
     entry = worker.entry
-    if not worker.reachable or worker.fault_mode in UNFIT_MODES:
+    if not worker.reachable or worker.answers_lost or worker.reset_share:
+        return False
+    if worker.fault_mode in UNFIT_MODES:
         return False
     if entry.state is not WorkerState.READY:
         return False
--- a/src/zinniatrestle/standins/runs.py
+++ b/src/zinniatrestle/standins/runs.py
@@ -146,6 +146,10 @@
     max_lease_seconds: float
     alive: bool = True
     reachable: bool = True
+    # Calls reach it, but its answers are lost.
+    answers_lost: bool = False
+    # The share of calls whose connection is reset before or after they are executed.
+    reset_share: float = 0.0
     heartbeats: bool = True
     # How it treats orders; it answers holds in any case.
     order_mode: OrderMode = OrderMode.ANSWERED
