Count missed heartbeats in the model from a worker's last write

A worker of the model that couldn't reach the registry still wrote there that it drains or has restarted, and the count of its missed heartbeats went on, so that its entry was removed up to a heartbeat after such a write. The registry of the platform removes an entry after three heartbeats without a write.

The shape of a run is decoded once, which a run of the model does 600,000 times.

--- a/src/zinniatrestle/standins/fleet.py
+++ b/src/zinniatrestle/standins/fleet.py
@@ -130,7 +130,10 @@
         return worker
 
     def write(self, worker: SimulatedWorker):
-        """Write a worker's table entry."""
+        """Write a worker's table entry, unless it can't reach the registry."""
+        if not worker.heartbeats:
+            return
+        worker.missed_heartbeats = 0
         name = RowName(worker.entry.worker)
         self.rows.put(WORKER_TABLE, name, msgspec.msgpack.encode(worker.entry))
 
@@ -202,20 +205,18 @@
 
         An entry is removed once its worker has missed `EXPIRY_HEARTBEATS` of them.
         """
-        missed: dict[WorkerId, int] = {}
         while True:
             await asyncio.sleep(interval)
             for worker in list(self.workers.values()):
                 entry = worker.entry
                 if worker.alive and worker.heartbeats:
-                    missed.pop(entry.worker, None)
                     worker.entry = msgspec.structs.replace(
                         entry, sequence=entry.sequence + 1
                     )
                     self.write(worker)
                     continue
-                missed[entry.worker] = missed.get(entry.worker, 0) + 1
-                if missed[entry.worker] == EXPIRY_HEARTBEATS:
+                worker.missed_heartbeats += 1
+                if worker.missed_heartbeats == EXPIRY_HEARTBEATS:
                     self.remove(worker)
 
     async def run(self):
--- a/src/zinniatrestle/standins/runs.py
+++ b/src/zinniatrestle/standins/runs.py
@@ -3,6 +3,7 @@
 import asyncio
 from dataclasses import dataclass, field
 from enum import Enum
+from functools import cached_property
 
 import msgspec
 
@@ -119,7 +120,7 @@
     # The time at which a stop in progress ends it.
     stops_at: float | None = None
 
-    @property
+    @cached_property
     def shape(self) -> Step:
         """Return the step that the task belongs to."""
         number = int(self.task.split(".")[2])
@@ -150,7 +151,9 @@
     answers_lost: bool = False
     # The share of calls whose connection is reset before or after they are executed.
     reset_share: float = 0.0
+    # Whether it reaches the registry, and how often it has not since its last write.
     heartbeats: bool = True
+    missed_heartbeats: int = 0
     # How it treats orders; it answers holds in any case.
     order_mode: OrderMode = OrderMode.ANSWERED
     fault_mode: FaultMode = FaultMode.NONE
