--- a/tests/common/faults.py
+++ b/tests/common/faults.py
@@ -1,16 +1,21 @@
 """Faults for the parts of a model; each is injected and removed again."""
 
 import asyncio
+import contextlib
 import random
 from collections.abc import Callable, Coroutine
 from typing import Any
 
 from zinniatrestle.clock import monotonic
+from zinniatrestle.errors import StoreUnavailableError, StoreUncertainError
 from zinniatrestle.standins.fleet import EXPIRY_HEARTBEATS
 from zinniatrestle.standins.model import Model, ModelHost
 from zinniatrestle.standins.rows import Reachability
 from zinniatrestle.standins.runs import FaultMode, SimulatedWorker
 
+# The time from the start of a host's process until it serves.
+HOST_STARTUP_SECONDS = 0.6
+
 Fault = Callable[[Model, random.Random], Coroutine[Any, Any, None]]
 
 
@@ -287,6 +292,216 @@
     model.fleet.remove(worker)
 
 
+async def lose_all_hosts(model: Model, rng: random.Random):
+    """Kill all hosts right after a confirmation; new processes start soon after.
+
+    No fault that overlaps starts one of them sooner.
+    """
+    await wait_for_confirmation(model, rng)
+    down_until = monotonic() + rng.uniform(1.0, 1.4) + HOST_STARTUP_SECONDS
+    while monotonic() < down_until:
+        for host in model.hosts:
+            if host.alive:
+                await host.kill()
+        await asyncio.sleep(0.05)
+    for host in rng.sample(model.hosts, len(model.hosts)):
+        start_if_down(host)
+        await asyncio.sleep(rng.uniform(0.0, 0.2))
+
+
+async def wait_for_confirmation(model: Model, rng: random.Random):
+    """Change the desired state, or wait until the next job is accepted."""
+    if rng.random() < 0.4:
+        model.operator.write()
+        return
+    accepted = sum(outcome.accepted for outcome in model.jobs.values())
+    give_up_at = monotonic() + 2.0
+    while monotonic() < give_up_at:
+        if sum(outcome.accepted for outcome in model.jobs.values()) > accepted:
+            return
+        await asyncio.sleep(0.005)
+
+
+async def kill_host_after_confirmation(model: Model, rng: random.Random):
+    await wait_for_confirmation(model, rng)
+    host = rng.choice(model.hosts)
+    if not host.alive:
+        return
+    await host.kill()
+    await asyncio.sleep(rng.uniform(2.0, 3.0))
+    start_if_down(host)
+
+
+async def stop_hosts_in_turn(model: Model, rng: random.Random):
+    """Stop some hosts one after the other, as an upgrade does."""
+    for host in rng.sample(model.hosts, rng.randint(1, len(model.hosts))):
+        if not host.alive:
+            continue
+        with contextlib.suppress(StoreUnavailableError, StoreUncertainError):
+            await host.leadership.release()
+        await host.kill()
+        await asyncio.sleep(rng.uniform(1.0, 2.0))
+        start_if_down(host)
+
+
+async def refuse_some_hosts(model: Model, rng: random.Random):
+    """Let the store serve only some of the hosts."""
+    hosts = rng.sample(model.hosts, rng.randint(1, len(model.hosts) - 1))
+    for host in hosts:
+        host.store.reachability = rng.choice(
+            [Reachability.SILENT, Reachability.REFUSED]
+        )
+    await asyncio.sleep(rng.uniform(4.0, 9.0))
+    for host in hosts:
+        host.store.reachability = Reachability.SERVED
+
+
+async def slow_store(model: Model, rng: random.Random):
+    factor = rng.choice([6.0, 23.0, 60.0])
+    for host in model.hosts:
+        host.store.latency_factor = factor
+    await asyncio.sleep(rng.uniform(3.0, 5.0))
+    for host in model.hosts:
+        host.store.latency_factor = 1.0
+
+
+async def store_outage_with_expiries(model: Model, rng: random.Random):
+    """Let the entries of workers expire while the store is down.
+
+    They are back within 2 s of its return.
+    """
+    workers = [worker for worker in list_workers(model) if worker.heartbeats]
+    for host in model.hosts:
+        host.store.reachability = Reachability.SILENT
+    for worker in workers:
+        worker.heartbeats = False
+    await asyncio.sleep(rng.uniform(4.0, 7.0))
+    for host in model.hosts:
+        host.store.reachability = Reachability.SERVED
+    await asyncio.gather(*(return_entry(model, worker, rng) for worker in workers))
+
+
+async def return_entry(model: Model, worker: SimulatedWorker, rng: random.Random):
+    await asyncio.sleep(rng.uniform(0.0, 2.0))
+    worker.heartbeats = True
+    if worker.alive and is_present(model, worker):
+        model.fleet.write(worker)
+
+
+async def cut_power_of_workers(model: Model, rng: random.Random):
+    """Let workers crash without a refusal; some come back, others are replaced."""
+    workers = choose_workers(model, rng)
+    for worker in workers:
+        model.fleet.cut_power(worker)
+    if rng.random() < 0.5:
+        await asyncio.sleep(rng.uniform(3.0, 6.0))
+        restart_if_present(model, workers, rng)
+        return
+    await asyncio.gather(*(lose_worker(model, rng, worker) for worker in workers))
+
+
+async def remove_workers(model: Model, rng: random.Random):
+    """Empty workers and take them away; others come much later."""
+    workers = rng.sample(list_workers(model), rng.randint(1, 2))
+    removed = await asyncio.gather(
+        *(remove_worker(model, rng, worker) for worker in workers)
+    )
+    await asyncio.sleep(20.0)
+    for worker, is_removed in zip(workers, removed, strict=True):
+        if is_removed:
+            add_successor(model, worker)
+
+
+async def release_workers(model: Model, rng: random.Random):
+    """Replace workers one after the other, as a new version of the service does."""
+    workers = rng.sample(list_workers(model), rng.randint(2, 8))
+    for worker in workers:
+        removing = asyncio.create_task(remove_worker(model, rng, worker))
+        model.callers.add(removing)
+        await asyncio.sleep(rng.uniform(0.2, 1.0))
+        if is_present(model, worker):
+            add_successor(model, worker)
+
+
+async def remove_worker(
+    model: Model, rng: random.Random, worker: SimulatedWorker
+) -> bool:
+    """Drain a worker and take it away later than announced, unless it is lost."""
+    if not is_present(model, worker):
+        return False
+    model.fleet.drain(worker, model.bounds.drain)
+    linger = rng.choice([rng.uniform(0.0, 0.5), rng.uniform(0.0, 7.0)])
+    await asyncio.sleep(model.bounds.drain + linger)
+    if not is_present(model, worker):
+        return False
+    model.fleet.retire(worker)
+    model.fleet.remove(worker)
+    return True
+
+
+async def slow_workers(model: Model, rng: random.Random):
+    workers = choose_workers(model, rng)
+    await slow_down(workers, rng.uniform(6.5, 8.0), rng.uniform(4.0, 7.0))
+
+
+async def slow_down(workers: list[SimulatedWorker], factor: float, seconds: float):
+    for worker in workers:
+        worker.slow_factor = factor
+        worker.fault_mode = FaultMode.SLOW
+    await asyncio.sleep(seconds)
+    for worker in workers:
+        worker.fault_mode = FaultMode.NONE
+
+
+async def lose_answers_of_workers(model: Model, rng: random.Random):
+    """Cut workers off in one direction: calls reach them and their answers are lost."""
+    workers = choose_workers(model, rng)
+    for worker in workers:
+        worker.answers_lost = True
+    await asyncio.sleep(rng.uniform(1.0, 9.0))
+    for worker in workers:
+        worker.answers_lost = False
+
+
+async def reset_connections_of_workers(model: Model, rng: random.Random):
+    workers = choose_workers(model, rng)
+    share = rng.choice([0.3, 0.7])
+    for worker in workers:
+        worker.reset_share = share
+    await asyncio.sleep(rng.uniform(3.0, 8.0))
+    for worker in workers:
+        worker.reset_share = 0.0
+
+
+async def trouble_workers_for_long(model: Model, rng: random.Random):
+    """Let workers hang, crawl or be cut off until seconds after the loss of hosts."""
+    workers = choose_workers(model, rng)
+    seconds = rng.uniform(8.0, 22.0)
+    kind = rng.randrange(4)
+    if kind == 0:
+        await slow_down(workers, rng.uniform(6.5, 8.0), seconds)
+        return
+    for worker in workers:
+        if kind == 1:
+            worker.fault_mode = FaultMode.HANGS
+        elif kind == 2:
+            worker.reachable = False
+        else:
+            worker.answers_lost = True
+    await asyncio.sleep(seconds)
+    for worker in workers:
+        worker.fault_mode = FaultMode.NONE
+        worker.reachable = True
+        worker.answers_lost = False
+
+
+async def evacuate_for_long(model: Model, rng: random.Random):
+    domain = rng.choice("abc")
+    model.operator.evacuate(domain)
+    await asyncio.sleep(rng.uniform(20.0, 50.0))
+    model.operator.end_evacuation(domain)
+
+
 def list_workers(model: Model) -> list[SimulatedWorker]:
     return list(model.fleet.workers.values())
 
--- a/tests/model/test_users_workload.py
+++ b/tests/model/test_users_workload.py
@@ -21,6 +21,7 @@
 from zinniatrestle.standins.checker import check_capacity, violations
 from zinniatrestle.standins.idle_waits import IdleWaits
 from zinniatrestle.standins.model import DueTimes, Model, run_virtual, step
+from zinniatrestle.standins.runs import FleetTraits
 
 CI_SEEDS = range(1, 3)
 # Seeds that once failed, with the cause of the failure.
@@ -183,13 +184,15 @@
     """
 
     kinds = KINDS
+    traffic_seconds = TRAFFIC_SECONDS
+    traits: FleetTraits | None = None
 
     def __init__(self, seed: int, settles: bool = True):
         self.settles = settles
         self.rng = random.Random(seed)
-        self.model = Model(seed, bounds=BOUNDS)
+        self.model = Model(seed, bounds=BOUNDS, traits=self.traits)
         self.model.callers = set()
-        ends_at = STARTUP_SECONDS + TRAFFIC_SECONDS
+        ends_at = STARTUP_SECONDS + self.traffic_seconds
         self.idle_waits = IdleWaits(self.model, ends_at + BOUNDS.finish)
         self.found: list[str] = []
         self.load = self.rng.choice([0.7, 1.0, 1.5])
@@ -210,7 +213,7 @@
         traffic = [asyncio.create_task(self._submit_all(kind)) for kind in self.kinds]
         traffic.append(asyncio.create_task(self._add_bursts()))
         injecting = asyncio.create_task(self._inject_faults())
-        await asyncio.sleep(TRAFFIC_SECONDS)
+        await asyncio.sleep(self.traffic_seconds)
         for task in traffic:
             task.cancel()
         await asyncio.sleep(FAULTS_AFTER_TRAFFIC_SECONDS)
@@ -260,12 +263,12 @@
 
     async def _add_bursts(self):
         """Submit many jobs of a kind at once, also at the end of the traffic."""
-        await asyncio.sleep(self.rng.uniform(5.0, TRAFFIC_SECONDS - 10.0))
+        await asyncio.sleep(self.rng.uniform(5.0, self.traffic_seconds - 10.0))
         self._burst()
         await asyncio.sleep(self.rng.uniform(0.0, 2.0))
         if self.rng.random() < 0.5:
             self._burst()
-        await asyncio.sleep(TRAFFIC_SECONDS - 1.0 - self._elapsed())
+        await asyncio.sleep(self.traffic_seconds - 1.0 - self._elapsed())
         if self.rng.random() < 0.7:
             self._burst()
 
