--- a/src/zinniatrestle/standins/fleet.py
+++ b/src/zinniatrestle/standins/fleet.py
@@ -22,6 +22,7 @@
 from zinniatrestle.standins.runs import (
     EventKind,
     FaultMode,
+    FleetTraits,
     SimulatedRun,
     SimulatedWorker,
     TaskScript,
@@ -49,8 +50,6 @@
 CHECKPOINT_SECONDS = 2.0
 # The registry removes an entry after this many missed heartbeats.
 EXPIRY_HEARTBEATS = 3
-# The run time of a task at a worker in fault mode SLOW, relative to a healthy one.
-SLOW_WORKER_FACTOR = 6.0
 
 
 class MemoryWorkerRows(WorkerRows):
@@ -80,7 +79,9 @@
         gang_seconds: float = 3.0,
         stop_seconds: float = 0.0,
         far_factor: float = 3.0,
+        traits: FleetTraits | None = None,
     ):
+        self.traits = traits or FleetTraits()
         self.stop_seconds = stop_seconds
         self.far_factor = far_factor
         self.rows = rows
@@ -94,6 +95,8 @@
         self.late_order_tasks: set[asyncio.Task] = set()
         # Pairs of a host and a worker that it can't reach.
         self.partitions: set[tuple[str, WorkerId]] = set()
+        # Addresses of machines without power, at which nothing answers.
+        self.unpowered: set[str] = set()
 
     def add(
         self,
@@ -120,12 +123,17 @@
             sequence=1,
         )
         worker = SimulatedWorker(entry, 10.0, started_at=monotonic())
+        if len(self.traits.clock_rates) > 1:
+            worker.clock_rate = self.random.choice(self.traits.clock_rates)
         self.workers[entry.worker] = worker
         self.write(worker)
         return worker
 
     def write(self, worker: SimulatedWorker):
-        """Write a worker's table entry."""
+        """Write a worker's table entry, unless it can't reach the registry."""
+        if not worker.heartbeats:
+            return
+        worker.missed_heartbeats = 0
         name = RowName(worker.entry.worker)
         self.rows.put(WORKER_TABLE, name, msgspec.msgpack.encode(worker.entry))
 
@@ -145,6 +153,7 @@
         """
         if worker.alive:
             self.crash(worker)
+        self.unpowered.discard(worker.entry.address)
         instance = InstanceId(int((wall_time() - clock_lag) * 1000))
         worker.entry = msgspec.structs.replace(worker.entry, instance=instance)
         worker.alive = True
@@ -159,6 +168,7 @@
     def replace(self, worker: SimulatedWorker, name: str) -> SimulatedWorker:
         """End a worker and add another one that answers at its address."""
         self.crash(worker)
+        self.unpowered.discard(worker.entry.address)
         entry = worker.entry
         replacement = self.add(
             name, entry.rack, entry.domain, entry.cpu, entry.memory_mb, entry.gpus
@@ -180,6 +190,11 @@
         """Remove a worker's table entry."""
         self.rows.put(WORKER_TABLE, RowName(worker.entry.worker), None)
 
+    def cut_power(self, worker: SimulatedWorker):
+        """End a worker whose machine loses power, so that calls to it get no answer."""
+        self.crash(worker)
+        self.unpowered.add(worker.entry.address)
+
     def retire(self, worker: SimulatedWorker):
         """End a worker that never comes back; its table entry stays for now."""
         self.crash(worker)
@@ -190,20 +205,18 @@
 
         An entry is removed once its worker has missed `EXPIRY_HEARTBEATS` of them.
         """
-        missed: dict[WorkerId, int] = {}
         while True:
             await asyncio.sleep(interval)
             for worker in list(self.workers.values()):
                 entry = worker.entry
                 if worker.alive and worker.heartbeats:
-                    missed.pop(entry.worker, None)
                     worker.entry = msgspec.structs.replace(
                         entry, sequence=entry.sequence + 1
                     )
                     self.write(worker)
                     continue
-                missed[entry.worker] = missed.get(entry.worker, 0) + 1
-                if missed[entry.worker] == EXPIRY_HEARTBEATS:
+                worker.missed_heartbeats += 1
+                if worker.missed_heartbeats == EXPIRY_HEARTBEATS:
                     self.remove(worker)
 
     async def run(self):
@@ -240,24 +253,29 @@
         script = run.script
         if run.stops_at is not None:
             if now >= run.stops_at:
-                self._end(worker, run, RunOutcome.STOPPED)
+                self._end_stopped(worker, run)
             return
         members = members_by_run.get((step_of(run.task), run.run), [])
         if len(members) < run.gang_size:
-            if run.work_seconds == 0.0 and now - run.started_at > self.gang_seconds:
-                self._end(worker, run, RunOutcome.GANG_INCOMPLETE)
-            elif run.work_seconds > 0.0:
+            if run.at_work:
                 self._end(worker, run, RunOutcome.MEMBER_ENDED)
+            elif now - run.started_at > self.gang_seconds:
+                self._end(worker, run, RunOutcome.GANG_INCOMPLETE)
             return
+        run.at_work = True
         if worker.fault_mode is FaultMode.FAILS:
             self._end(worker, run, RunOutcome.FAILED)
             return
         if worker.fault_mode is FaultMode.HANGS:
             return
+        if now < run.restored_at:
+            return
         run.work_seconds += passed / self._slowdown_factor(
             worker, run, {rack for rack, _ in members}
         )
-        run.checkpoint = str(int(run.work_seconds / CHECKPOINT_SECONDS) or "")
+        saved = int(run.work_seconds / CHECKPOINT_SECONDS)
+        if self._has_checkpoints(run) and saved > float(run.checkpoint or 0):
+            run.checkpoint = str(saved)
         if any(member.work_seconds < script.seconds for _, member in members):
             return
         if run.work_seconds < script.seconds:
@@ -285,7 +303,7 @@
         """
         factor = 1 / worker.speed
         if worker.fault_mode is FaultMode.SLOW:
-            factor *= SLOW_WORKER_FACTOR
+            factor *= worker.slow_factor
         shape = run.shape
         if shape.data_rack and worker.entry.rack != shape.data_rack:
             factor *= self.far_factor
@@ -293,6 +311,15 @@
             factor *= self.far_factor
         return factor
 
+    def _has_checkpoints(self, run: SimulatedRun) -> bool:
+        return run.shape.checkpointing or not self.traits.checkpoints_by_step
+
+    def _end_stopped(self, worker: SimulatedWorker, run: SimulatedRun):
+        if self.traits.checkpoints_by_step and run.shape.checkpointing:
+            # A stop takes a checkpoint of its own.
+            run.checkpoint = str(run.work_seconds / CHECKPOINT_SECONDS or "")
+        self._end(worker, run, RunOutcome.STOPPED)
+
     def _end(self, worker: SimulatedWorker, run: SimulatedRun, outcome: RunOutcome):
         del worker.running[run.task]
         worker.end_count += 1
@@ -336,6 +363,10 @@
             raise RefusedOrderError(Refusal.STALE_GENERATION, worker.clock_ms())
         worker.generation = generation
 
+    def _extend_lease(self, worker: SimulatedWorker, deadline_ms: int):
+        limit = worker.clock_ms() + worker.max_lease_seconds * 1000
+        worker.deadline = min(max(worker.deadline, deadline_ms), limit)
+
     async def start(self, worker: WorkerEntry, order: StartOrder) -> int:
         """Start a run and return the worker's clock in ms; raises RefusedOrderError."""
         target = self.find_worker(worker)
@@ -346,16 +377,19 @@
         if current is not None and current.run == order.run:
             return target.clock_ms()
         if order.run <= target.last_ended_run.get(order.task, 0) or current is not None:
+            # The lease of all other runs is extended nevertheless.
+            self._extend_lease(target, order.deadline_ms)
             raise RefusedOrderError(Refusal.STALE_RUN, target.clock_ms())
         if order.deadline_ms <= target.clock_ms():
             raise RefusedOrderError(Refusal.TOO_LATE, target.clock_ms())
-        limit = target.clock_ms() + target.max_lease_seconds * 1000
-        target.deadline = min(max(target.deadline, order.deadline_ms), limit)
+        self._extend_lease(target, order.deadline_ms)
         script = msgspec.json.decode(order.spec, type=TaskScript)
         run = SimulatedRun(order.task, order.run, script, monotonic())
         if order.checkpoint:
             run.checkpoint = order.checkpoint
             run.work_seconds = float(order.checkpoint) * CHECKPOINT_SECONDS
+            if self.traits.checkpoints_by_step:
+                run.restored_at = monotonic() + self.traits.restore_seconds
         target.running[order.task] = run
         self._record(EventKind.START, target, run)
         return target.clock_ms()
@@ -376,7 +410,7 @@
             return
         current.stops_at = monotonic() + self.stop_seconds
         if not self.stop_seconds:
-            self._end(target, current, RunOutcome.STOPPED)
+            self._end_stopped(target, current)
 
     async def pace(
         self,
@@ -402,8 +436,7 @@
         instance = target.entry.instance
         self._check_generation(target, generation)
         if deadline_ms is not None:
-            limit = target.clock_ms() + target.max_lease_seconds * 1000
-            target.deadline = min(max(target.deadline, deadline_ms), limit)
+            self._extend_lease(target, deadline_ms)
         for end in target.ended:
             if end.number <= acknowledged_end and end.number not in target.expired_ends:
                 run = SimulatedRun(end.task, end.run, TaskScript(), 0.0)
--- a/src/zinniatrestle/standins/runs.py
+++ b/src/zinniatrestle/standins/runs.py
@@ -3,6 +3,7 @@
 import asyncio
 from dataclasses import dataclass, field
 from enum import Enum
+from functools import cached_property
 
 import msgspec
 
@@ -17,6 +18,8 @@
 STARTUP_SECONDS = 0.5
 # The rate of a worker's own clock, which runs 1% slow.
 CLOCK_MS_PER_SECOND = 990
+# The run time of a task at a worker in fault mode SLOW, relative to a healthy one.
+SLOW_WORKER_FACTOR = 6.0
 
 
 class TaskScript(msgspec.Struct, frozen=True):
@@ -59,6 +62,25 @@
     LATE = "late"
 
 
+@dataclass(frozen=True)
+class FleetTraits:
+    """How closely a fleet follows the platform's workers.
+
+    With the defaults all workers and messages are alike, as the seeds of earlier
+    workloads require.
+    """
+
+    # Rates of the workers' own clocks, in milliseconds per second of true time.
+    clock_rates: tuple[int, ...] = (CLOCK_MS_PER_SECOND,)
+    # The longest time that a message takes beyond the usual one. Messages that are
+    # under way together may overtake each other.
+    max_extra_delay: float = 0.0
+    # Only steps with checkpoints have them, then also at a stop, and a run that is
+    # resumed works only after `restore_seconds`. Otherwise every run is resumed.
+    checkpoints_by_step: bool = False
+    restore_seconds: float = 0.25
+
+
 class EventKind(Enum):
     """What an event of the history records."""
 
@@ -91,10 +113,14 @@
     started_at: float
     work_seconds: float = 0.0
     checkpoint: str = ""
+    # It works from this time on, at the earliest.
+    restored_at: float = 0.0
+    # All members of its gang have been present.
+    at_work: bool = False
     # The time at which a stop in progress ends it.
     stops_at: float | None = None
 
-    @property
+    @cached_property
     def shape(self) -> Step:
         """Return the step that the task belongs to."""
         number = int(self.task.split(".")[2])
@@ -121,12 +147,22 @@
     max_lease_seconds: float
     alive: bool = True
     reachable: bool = True
+    # Calls reach it, but its answers are lost.
+    answers_lost: bool = False
+    # The share of calls whose connection is reset before or after they are executed.
+    reset_share: float = 0.0
+    # Whether it reaches the registry, and how often it has not since its last write.
     heartbeats: bool = True
+    missed_heartbeats: int = 0
     # How it treats orders; it answers holds in any case.
     order_mode: OrderMode = OrderMode.ANSWERED
     fault_mode: FaultMode = FaultMode.NONE
     # The speed relative to the nominal one, faults aside.
     speed: float = 1.0
+    # The run time in fault mode SLOW, relative to the usual one.
+    slow_factor: float = SLOW_WORKER_FACTOR
+    # The rate of its own clock, in milliseconds per second.
+    clock_rate: int = CLOCK_MS_PER_SECOND
     generation: Generation = NO_GENERATION
     # The end of the lease of all runs, in milliseconds of the worker's own clock.
     deadline: float = 0.0
@@ -141,12 +177,12 @@
     changed: asyncio.Event = field(default_factory=asyncio.Event)
 
     def clock_ms(self) -> int:
-        """Return the worker's own clock, which runs 1% slow."""
-        return int((monotonic() - self.started_at) * CLOCK_MS_PER_SECOND)
+        """Return the worker's own clock, which runs slow."""
+        return int((monotonic() - self.started_at) * self.clock_rate)
 
     def remaining_lease_seconds(self) -> float:
         """Return for how long the lease of all runs remains valid."""
-        return (self.deadline - self.clock_ms()) / CLOCK_MS_PER_SECOND
+        return (self.deadline - self.clock_ms()) / self.clock_rate
 
 
 def step_of(task: TaskId) -> str:
