Let a damaged entry of the registry name no worker

Callers saw that no job was done any more: one entry with an unknown field nested 20,000 deep ended the scheduler on one host after the other (234 times in 38 s). The decoder raises RecursionError for it, which is none of the errors that were expected. Entries with negative capacities, numbers beyond 64 bits, absurd times, ports out of range or addresses that are no host's were taken for workers; their numbers can't be stored.

decoding.py decodes what others wrote, with MalformedInputError as its only error and with bounds for each field. The registry checks the address and the name, which is sent in a header. The fleet logs a damaged entry once for each reason (`input_rejected`); the valid entry before it stays in use.

--- /dev/null
+++ b/src/zinniatrestle/decoding.py
@@ -0,0 +1,50 @@
+"""Decoding of input that others wrote, with MalformedInputError as the only error.
+
+Input is decoded once, at the boundary, into structs whose fields have bounds, so that
+no later part meets a value that it can't compute with, encode or send.
+"""
+
+from collections.abc import Callable
+from typing import Annotated, Any, TypeVar
+
+import msgspec
+from msgspec import Meta
+
+from zinniatrestle.errors import MalformedInputError
+
+T = TypeVar("T")
+
+# Integers up to this one are exact in floats, and in all readers of JSON.
+MAX_EXACT_INTEGER = 2**53
+# Far beyond any machine, in thousandths of a core, in MB and in accelerators.
+MAX_CAPACITY = 10**9
+MAX_NAME_LENGTH = 200
+
+Counter = Annotated[int, Meta(ge=0, le=MAX_EXACT_INTEGER)]
+Capacity = Annotated[int, Meta(ge=0, le=MAX_CAPACITY)]
+Duration = Annotated[float, Meta(ge=0, le=MAX_EXACT_INTEGER)]
+Name = Annotated[str, Meta(max_length=MAX_NAME_LENGTH)]
+
+
+def decode_json(data: bytes, expected_type: type[T], what: str) -> T:
+    """Decode JSON; raises MalformedInputError, whose detail begins with `what`."""
+    return _decode(msgspec.json.decode, data, expected_type, what)
+
+
+def decode_msgpack(data: bytes, expected_type: type[T], what: str) -> T:
+    """Decode MessagePack; raises MalformedInputError."""
+    return _decode(msgspec.msgpack.decode, data, expected_type, what)
+
+
+def _decode(
+    decoder: Callable[..., Any], data: bytes, expected_type: type[T], what: str
+) -> T:
+    try:
+        return decoder(data, type=expected_type)
+    except RecursionError as error:
+        raise MalformedInputError(
+            f"{what} can't be decoded: it is nested too deeply."
+        ) from error
+    except (ValueError, OverflowError) as error:
+        # All of the decoder's own errors are ValueErrors.
+        raise MalformedInputError(f"{what} can't be decoded: {error}.") from error
--- a/src/zinniatrestle/deployment.py
+++ b/src/zinniatrestle/deployment.py
@@ -6,6 +6,7 @@
 from zinniatrestle.ids import FailureDomainId, HostId, RegionId
 
 MAX_PORT = 65535
+MAX_PORT_DIGITS = 5
 
 
 @dataclass(frozen=True)
@@ -109,6 +110,13 @@
 def split_address(name: str, address: str) -> tuple[str, int]:
     """Split an address IP:PORT into IP and port; raises SettingsError."""
     ip, _, port = address.rpartition(":")
-    if not ip or not port.isdigit() or not 0 < int(port) <= MAX_PORT:
+    if not ip or not is_port(port):
         raise SettingsError(f"The address {name} is not IP:PORT: {address!r}.")
     return ip, int(port)
+
+
+def is_port(text: str) -> bool:
+    """Return whether a text is a port to which a connection can be opened."""
+    if not text.isascii() or not text.isdecimal() or len(text) > MAX_PORT_DIGITS:
+        return False
+    return 0 < int(text) <= MAX_PORT
--- a/src/zinniatrestle/errors.py
+++ b/src/zinniatrestle/errors.py
@@ -74,6 +74,10 @@
     code = ResultCode.BAD_INPUT
 
 
+class MalformedInputError(CallerError):
+    """Signal input of others that can't be decoded or has values out of bounds."""
+
+
 class AuthenticationError(CallerError):
     """Signal a missing or invalid token."""
 
--- a/src/zinniatrestle/events/__init__.py
+++ b/src/zinniatrestle/events/__init__.py
@@ -2,5 +2,6 @@
 
 from zinniatrestle.events.log import EventLog
 from zinniatrestle.events.messages import Event
+from zinniatrestle.events.rejections import RejectionLog
 
-__all__ = ["Event", "EventLog"]
+__all__ = ["Event", "EventLog", "RejectionLog"]
--- a/src/zinniatrestle/events/messages.py
+++ b/src/zinniatrestle/events/messages.py
@@ -15,6 +15,7 @@
     DEPENDENCY_REGAINED = "dependency_regained"
     HISTORY_LOST = "history_lost"
     TASK_FAILED = "task_failed"
+    INPUT_REJECTED = "input_rejected"
     DESIRED_STATE = "desired_state"
     EVACUATION = "evacuation"
     JOB_ACCEPTED = "job_accepted"
--- a/src/zinniatrestle/platform/registry.py
+++ b/src/zinniatrestle/platform/registry.py
@@ -1,7 +1,14 @@
 """Decoder of the registry, in which workers write their own entries."""
 
+from ipaddress import IPv4Address
+from typing import Annotated
+
 import msgspec
+from msgspec import Meta
 
+from zinniatrestle.decoding import Capacity, Counter, Duration, Name, decode_json
+from zinniatrestle.deployment import is_port
+from zinniatrestle.errors import MalformedInputError
 from zinniatrestle.ids import (
     FailureDomainId,
     InstanceId,
@@ -15,30 +22,31 @@
 from zinniatrestle.workers.messages import WorkerEntry, WorkerState
 
 MS_PER_SECOND = 1000.0
+MAX_LABELS = 100
 
 
 class WireCapacity(msgspec.Struct, frozen=True):
     """Capacity of a worker; `cpu` is in thousandths of a core."""
 
-    cpu: int
-    memMb: int
-    gpus: int = 0
+    cpu: Capacity
+    memMb: Capacity
+    gpus: Capacity = 0
 
 
 class WireServer(msgspec.Struct, frozen=True):
     """Entry of a worker; `sequence` counts the writes of the entry."""
 
-    service: str
-    address: str
-    zone: str
-    state: str
+    service: Name
+    address: Name
+    zone: Name
+    state: WorkerState
     capacity: WireCapacity
-    labels: list[str] = []
-    sequence: int = 0
-    coldRemainingMs: float = 0.0
-    remainingMs: float | None = None
+    labels: Annotated[list[Name], Meta(max_length=MAX_LABELS)] = []
+    sequence: Counter = 0
+    coldRemainingMs: Duration = 0.0
+    remainingMs: Duration | None = None
     # Declared as a float, since not all writers send an integer.
-    born: float = 0
+    born: Duration = 0
 
 
 class PlatformWorkerRows(WorkerRows):
@@ -46,16 +54,11 @@
 
     table = TableName("servers")
 
-    def decode(self, name: RowName, value: bytes) -> WorkerEntry | None:
-        """Return the entry, or None if it is damaged or its address is invalid."""
-        try:
-            wire = msgspec.json.decode(value, type=WireServer)
-            state = WorkerState(wire.state)
-        except (msgspec.ValidationError, msgspec.DecodeError, ValueError):
-            return None
-        ip, _, port = wire.address.rpartition(":")
-        if not ip or not port.isdigit():
-            return None
+    def decode(self, name: RowName, value: bytes) -> WorkerEntry:
+        """Return the entry; raises MalformedInputError if it names no usable worker."""
+        wire = decode_json(value, WireServer, "The entry")
+        _check_name(name)
+        _check_address(wire.address)
         remaining = None
         if wire.remainingMs is not None:
             remaining = wire.remainingMs / MS_PER_SECOND
@@ -64,7 +67,7 @@
             service=ServiceName(wire.service),
             address=wire.address,
             domain=FailureDomainId(wire.zone),
-            state=state,
+            state=wire.state,
             cpu=wire.capacity.cpu,
             memory_mb=wire.capacity.memMb,
             gpus=wire.capacity.gpus,
@@ -77,6 +80,28 @@
         )
 
 
+def _check_name(name: RowName):
+    """Check that orders can carry a worker's id in a header."""
+    if not name or " " in name or not name.isascii() or not name.isprintable():
+        raise MalformedInputError(
+            "The entry's name must consist of printable ASCII characters."
+        )
+
+
+def _check_address(address: str):
+    ip, _, port = address.rpartition(":")
+    if not _is_host_ip(ip) or not is_port(port):
+        raise MalformedInputError("The entry's address must be the IP:PORT of a host.")
+
+
+def _is_host_ip(text: str) -> bool:
+    try:
+        ip = IPv4Address(text)
+    except ValueError:
+        return False
+    return not (ip.is_unspecified or ip.is_multicast)
+
+
 def _rack_from_labels(labels: list[str]) -> RackId:
     """Return the rack, the second label; the first one is the worker's kind."""
     return RackId(labels[1]) if len(labels) > 1 else RackId("")
--- a/src/zinniatrestle/platform/tests/test_orders.py
+++ b/src/zinniatrestle/platform/tests/test_orders.py
@@ -16,7 +16,6 @@
     RunOutcome,
     StartOrder,
     UnansweredOrderError,
-    WorkerState,
 )
 
 TASK = TaskId("00000000000000aa.0.0.0")
@@ -174,31 +173,3 @@
             await orders.hold(worker_entry, GENERATION, 0, None, 0.0, TIMEOUT_SECONDS)
 
     run_with_worker(check)
-
-
-def test_an_entry_is_decoded_into_rack_capacity_and_state():
-    worker_entry = entry(state="draining", remainingMs=1500)
-    assert worker_entry.rack == "r1-2"
-    assert (worker_entry.cpu, worker_entry.memory_mb, worker_entry.gpus) == (
-        8000,
-        1024,
-        2,
-    )
-    assert worker_entry.state is WorkerState.DRAINING
-    assert worker_entry.remaining == 1.5
-
-
-@pytest.mark.parametrize(
-    "value",
-    [
-        b"\xff\x00",
-        b"[]",
-        msgspec.json.encode({**ENTRY, "state": "unheard"}),
-        msgspec.json.encode({**ENTRY, "address": 7}),
-        msgspec.json.encode({**ENTRY, "address": "nowhere"}),
-        msgspec.json.encode({**ENTRY, "capacity": {"cpu": "many"}}),
-        msgspec.json.encode({"service": "service"}),
-    ],
-)
-def test_a_damaged_entry_is_ignored(value):
-    assert PlatformWorkerRows().decode(RowName("i-1"), value) is None
--- a/src/zinniatrestle/scheduling/fleet.py
+++ b/src/zinniatrestle/scheduling/fleet.py
@@ -6,7 +6,8 @@
 
 from zinniatrestle.clock import boot_time
 from zinniatrestle.deployment import Deployment
-from zinniatrestle.events import Event, EventLog
+from zinniatrestle.errors import MalformedInputError
+from zinniatrestle.events import Event, EventLog, RejectionLog
 from zinniatrestle.ids import (
     BootSeconds,
     FailureDomainId,
@@ -71,6 +72,7 @@
         self.max_hold = deployment.bounds.max_hold
         self.listener = listener
         self.events = events
+        self.rejections = RejectionLog(events, self.table)
         self.workers: dict[WorkerId, Worker] = {}
         # Instances that are not in the registry but on which tasks may still run.
         self.unregistered: list[Worker] = []
@@ -89,6 +91,7 @@
         for row in rows:
             present.add(row.name)
             self._apply_entry(row.name, row.value)
+        self.rejections.retain(present)
         for name, worker in list(self.workers.items()):
             if name not in present:
                 self._mark_missing(worker)
@@ -98,17 +101,19 @@
         if change.value is not None:
             self._apply_entry(change.name, change.value)
             return
+        self.rejections.accept(change.name)
         worker = self.workers.get(WorkerId(change.name))
         if worker is not None:
             self._mark_missing(worker)
 
     def _apply_entry(self, name: RowName, value: bytes):
-        entry = self.rows.decode(name, value)
-        if entry is None:
-            self.events.write_deduplicated(
-                Event.WORKER_GONE, "damaged entry", worker=name
-            )
+        """Apply an entry; a damaged one names no worker, and replaces no valid one."""
+        try:
+            entry = self.rows.decode(name, value)
+        except MalformedInputError as error:
+            self.rejections.reject(name, error.detail)
             return
+        self.rejections.accept(name)
         worker = self.workers.get(entry.worker)
         if worker is None:
             if not self._has_been_replaced(entry):
--- a/src/zinniatrestle/standins/fleet.py
+++ b/src/zinniatrestle/standins/fleet.py
@@ -6,6 +6,7 @@
 import msgspec
 
 from zinniatrestle.clock import monotonic, wall_time
+from zinniatrestle.decoding import decode_msgpack
 from zinniatrestle.ids import (
     FailureDomainId,
     Generation,
@@ -58,12 +59,9 @@
 
     table = WORKER_TABLE
 
-    def decode(self, name: RowName, value: bytes) -> WorkerEntry | None:
-        """Return the entry, or None if it can't be decoded."""
-        try:
-            return msgspec.msgpack.decode(value, type=WorkerEntry)
-        except (msgspec.ValidationError, msgspec.DecodeError):
-            return None
+    def decode(self, name: RowName, value: bytes) -> WorkerEntry:
+        """Return the entry; raises MalformedInputError if it can't be decoded."""
+        return decode_msgpack(value, WorkerEntry, "The entry")
 
 
 class SimulatedFleet:
--- a/src/zinniatrestle/workers/interfaces.py
+++ b/src/zinniatrestle/workers/interfaces.py
@@ -66,5 +66,5 @@
     table: TableName
 
     @abstractmethod
-    def decode(self, name: RowName, value: bytes) -> WorkerEntry | None:
-        """Return the entry, or None if it is damaged or names no usable worker."""
+    def decode(self, name: RowName, value: bytes) -> WorkerEntry:
+        """Return the entry; raises MalformedInputError if it names no usable worker."""
