Let a damaged row of operators change nothing and be logged once

Callers saw 503 from every host for good: an operator's row `wave/7` nested deeply ended the task that follows the desired state, and so did a desired state of that kind or the removal of a row like `wave/²`, which isn't a number. Numbers beyond 64 bits, negative durations and limits were taken over.

The rows are decoded by decode_json into bounded fields, and the name of a wave is checked also when it is removed. A malformed row is logged once for each reason, as `input_rejected` in place of `reload_failed`; what it replaced stays in force, also after a full read.

--- a/src/zinniatrestle/decoding.py
+++ b/src/zinniatrestle/decoding.py
@@ -23,6 +23,7 @@
 Counter = Annotated[int, Meta(ge=0, le=MAX_EXACT_INTEGER)]
 Capacity = Annotated[int, Meta(ge=0, le=MAX_CAPACITY)]
 Duration = Annotated[float, Meta(ge=0, le=MAX_EXACT_INTEGER)]
+Factor = Annotated[float, Meta(ge=0, le=MAX_EXACT_INTEGER)]
 Name = Annotated[str, Meta(max_length=MAX_NAME_LENGTH)]
 
 
--- a/src/zinniatrestle/platform/operator.py
+++ b/src/zinniatrestle/platform/operator.py
@@ -1,8 +1,19 @@
 """Decoder of the rows that operators write: desired states, evacuations, waves."""
 
-import msgspec
+from typing import Annotated
 
-from zinniatrestle.errors import CallerError
+import msgspec
+from msgspec import Meta
+
+from zinniatrestle.decoding import (
+    Capacity,
+    Counter,
+    Duration,
+    Factor,
+    Name,
+    decode_json,
+)
+from zinniatrestle.errors import MalformedInputError
 from zinniatrestle.ids import (
     ApiKey,
     ClientAccountId,
@@ -28,14 +39,18 @@
 EVACUATE_PREFIX = "evacuate/"
 WAVE_PREFIX = "wave/"
 MS_PER_SECOND = 1000.0
+# More digits are no number of a wave.
+MAX_WAVE_DIGITS = 15
+
+Priority = Annotated[int, Meta(ge=-(10**9), le=10**9)]
 
 
 class WireAdvice(msgspec.Struct, frozen=True):
     """Times of a queue's advice service, and how long its tickets are valid."""
 
-    decisionMs: float = 0.0
-    perWorkerMs: float = 0.0
-    validMs: float = 0.0
+    decisionMs: Duration = 0.0
+    perWorkerMs: Duration = 0.0
+    validMs: Duration = 0.0
 
 
 class WireRoute(msgspec.Struct, frozen=True):
@@ -45,11 +60,11 @@
     host: str
     pathPrefix: str
     service: str
-    priority: int = 0
-    maxAttempts: int = 1
-    stretch: float = 1.0
-    targetLatencyMs: float = 0.0
-    timeoutMs: float = 0.0
+    priority: Priority = 0
+    maxAttempts: Counter = 1
+    stretch: Factor = 1.0
+    targetLatencyMs: Duration = 0.0
+    timeoutMs: Duration = 0.0
     allowAnonymous: bool = False
     allowedRegions: list[str] = []
     advice: WireAdvice | None = None
@@ -66,7 +81,7 @@
 class WireGuaranteed(msgspec.Struct, frozen=True):
     """Accelerators that are guaranteed to a client account."""
 
-    gpus: int = 0
+    gpus: Capacity = 0
 
 
 class WireTenant(msgspec.Struct, frozen=True):
@@ -81,13 +96,13 @@
 class WireLimits(msgspec.Struct, frozen=True):
     """Limits of a request; 0 means no limit."""
 
-    maxBodyBytes: int = 0
+    maxBodyBytes: Counter = 0
 
 
 class WireConfig(msgspec.Struct, frozen=True):
     """A complete desired state."""
 
-    version: int
+    version: Counter
     routes: list[WireRoute] = []
     services: list[WireService] = []
     tenants: list[WireTenant] = []
@@ -97,10 +112,10 @@
 class WireWave(msgspec.Struct, frozen=True):
     """A maintenance wave: at most `cap` machines at a time, done in `durationS`."""
 
-    wave: int
-    machines: list[str] = []
-    durationS: float = 0.0
-    cap: int = 1
+    wave: Counter
+    machines: list[Name] = []
+    durationS: Duration = 0.0
+    cap: Counter = 1
 
 
 class PlatformOperatorRows(OperatorRows):
@@ -113,19 +128,15 @@
     ) -> DesiredState | Evacuation | Wave | None:
         """Decode a row, or return None if its name has no meaning here.
 
-        Raises CallerError if the row can't be decoded.
+        Raises MalformedInputError if the row can't be decoded.
         """
         if name.startswith(EVACUATE_PREFIX):
             return Evacuation(FailureDomainId(name.removeprefix(EVACUATE_PREFIX)))
-        try:
-            if name == CONFIG_ROW and value is not None:
-                return _decode_desired_state(
-                    msgspec.json.decode(value, type=WireConfig)
-                )
-            if name.startswith(WAVE_PREFIX):
-                return _decode_wave(name, value)
-        except (msgspec.ValidationError, msgspec.DecodeError) as error:
-            raise CallerError(f"The row {name} can't be decoded: {error}.") from error
+        if name == CONFIG_ROW and value is not None:
+            wire = decode_json(value, WireConfig, "The desired state")
+            return _decode_desired_state(wire)
+        if name.startswith(WAVE_PREFIX):
+            return _decode_wave(name, value)
         return None
 
 
@@ -179,8 +190,18 @@
 
 def _decode_wave(name: RowName, value: bytes | None) -> Wave:
     """Decode a wave; a removed row gives a wave without machines."""
+    number = _wave_number(name)
     if value is None:
-        number = name.removeprefix(WAVE_PREFIX)
-        return Wave(int(number) if number.isdigit() else 0, (), 0.0, 0)
-    wire = msgspec.json.decode(value, type=WireWave)
-    return Wave(wire.wave, tuple(wire.machines), wire.durationS, max(1, wire.cap))
+        return Wave(number, (), 0.0, 0)
+    wire = decode_json(value, WireWave, "The wave")
+    if wire.wave != number:
+        raise MalformedInputError(f"The wave has the number {wire.wave} in its row.")
+    return Wave(number, tuple(wire.machines), wire.durationS, max(1, wire.cap))
+
+
+def _wave_number(name: RowName) -> int:
+    digits = name.removeprefix(WAVE_PREFIX)
+    is_number = digits.isascii() and digits.isdecimal()
+    if not is_number or len(digits) > MAX_WAVE_DIGITS:
+        raise MalformedInputError(f"{WAVE_PREFIX} must be followed by a number.")
+    return int(digits)
--- a/src/zinniatrestle/queues/follower.py
+++ b/src/zinniatrestle/queues/follower.py
@@ -2,8 +2,8 @@
 
 from abc import ABC, abstractmethod
 
-from zinniatrestle.errors import CallerError
-from zinniatrestle.events import Event, EventLog
+from zinniatrestle.errors import MalformedInputError
+from zinniatrestle.events import Event, EventLog, RejectionLog
 from zinniatrestle.ids import BootSeconds, RowName, TableName
 from zinniatrestle.queues.messages import DesiredState, Evacuation, Wave
 from zinniatrestle.queues.state import OperatorState
@@ -16,7 +16,7 @@
 
 
 class OperatorRows(ABC):
-    """Decode the rows that operators write; raises CallerError for malformed rows."""
+    """Decode the rows that operators write."""
 
     table: TableName
 
@@ -27,7 +27,8 @@
         """Return the content of a row, or None for a row of another kind.
 
         A `value` of None stands for a removed row; the result then identifies what was
-        removed.
+        removed. Raises MalformedInputError for a row with damaged content or an invalid
+        name.
         """
 
 
@@ -39,11 +40,16 @@
         self.table = rows.table
         self.state = state
         self.events = events
+        self.rejections = RejectionLog(events, self.table)
+        # Rows whose content is in force. A damaged new version replaces no content.
+        self.applied: set[RowName] = set()
 
     def snapshot(self, rows: list[StoredRow]):
         """Replace evacuations and waves by those in `rows`, and install its state."""
-        self.state.evacuated.clear()
-        self.state.waves.clear()
+        present = {row.name for row in rows}
+        self.rejections.retain(present)
+        for name in self.applied - present:
+            self._remove(name)
         for row in rows:
             self._apply(row.name, row.value)
 
@@ -59,11 +65,11 @@
         self.state.confirm(asked_at)
 
     def _apply(self, name: RowName, value: bytes):
-        try:
-            decoded = self.rows.decode(name, value)
-        except CallerError as error:
-            self.events.write(Event.RELOAD_FAILED, row=name, reason=error.detail)
+        decoded = self._decode(name, value)
+        if decoded is None:
             return
+        self.rejections.accept(name)
+        self.applied.add(name)
         if isinstance(decoded, DesiredState):
             installed = self.state.install(decoded)
             self.events.write(
@@ -74,13 +80,26 @@
             self.state.evacuated.add(decoded.domain)
             self.events.write(Event.EVACUATION, domain=decoded.domain, out=True)
             return
-        if isinstance(decoded, Wave):
-            self.state.waves[decoded.number] = decoded
+        self.state.waves[decoded.number] = decoded
 
     def _remove(self, name: RowName):
-        decoded = self.rows.decode(name, None)
+        self.rejections.accept(name)
+        if name not in self.applied:
+            return
+        self.applied.discard(name)
+        decoded = self._decode(name, None)
         if isinstance(decoded, Evacuation):
             self.state.evacuated.discard(decoded.domain)
             self.events.write(Event.EVACUATION, domain=decoded.domain, out=False)
         if isinstance(decoded, Wave):
             self.state.waves.pop(decoded.number, None)
+
+    def _decode(
+        self, name: RowName, value: bytes | None
+    ) -> DesiredState | Evacuation | Wave | None:
+        """Decode a row; a malformed one changes nothing and is logged."""
+        try:
+            return self.rows.decode(name, value)
+        except MalformedInputError as error:
+            self.rejections.reject(name, error.detail)
+            return None
