Use the readable part of what a worker reports

Callers saw jobs that were never done: one run with a name that is no task's, among the ends that a worker lists, made each report of that worker fail, so that none of its ends counted. An end with an outcome that isn't known, or any entry of another form, did the same. A nested answer was taken for an unexpected error. A worker that answers holds at once although nothing has changed was called 2,500 times in 10 s.

The entries of the lists are decoded one by one into bounded fields. A running entry is used without its damaged fields; without a name the answer counts as none, since any task of the worker could be meant, and its leases run out. An end with an unknown outcome is an end that is neither done nor failed. One that can't be read, but has a number, is acknowledged with a line of log, or the worker would list it for ever; its run is missing from the running ones. Names of tasks are taken apart by split_task_id, which takes no other spelling of a number.

--- a/src/zinniatrestle/decoding.py
+++ b/src/zinniatrestle/decoding.py
@@ -19,6 +19,8 @@
 # Far beyond any machine, in thousandths of a core, in MB and in accelerators.
 MAX_CAPACITY = 10**9
 MAX_NAME_LENGTH = 200
+# Errors of a list's entries beyond these are counted only.
+MAX_LISTED_ERRORS = 3
 
 Counter = Annotated[int, Meta(ge=0, le=MAX_EXACT_INTEGER)]
 Capacity = Annotated[int, Meta(ge=0, le=MAX_CAPACITY)]
@@ -37,6 +39,15 @@
     return _decode(msgspec.msgpack.decode, data, expected_type, what)
 
 
+def summarize(errors: list[MalformedInputError]) -> str:
+    """Return the details of some errors as one text, or an empty one for none."""
+    details = [error.detail for error in errors[:MAX_LISTED_ERRORS]]
+    omitted = len(errors) - len(details)
+    if omitted:
+        details.append(f"{omitted} more.")
+    return " ".join(details)
+
+
 def _decode(
     decoder: Callable[..., Any], data: bytes, expected_type: type[T], what: str
 ) -> T:
--- a/src/zinniatrestle/events/rejections.py
+++ b/src/zinniatrestle/events/rejections.py
@@ -1,32 +1,32 @@
-"""Log lines about rows that are rejected because of their content."""
+"""Log lines about input of others that is rejected because of its content."""
 
 from zinniatrestle.events.log import EventLog
 from zinniatrestle.events.messages import Event
 
 
 class RejectionLog:
-    """Log rejected rows of a table, each once for as long as its reason is the same."""
+    """Log rejected input of one source, for each name once until its reason changes."""
 
-    def __init__(self, events: EventLog, table: str):
+    def __init__(self, events: EventLog, source: str):
         self.events = events
-        self.table = table
+        self.source = source
         self.reasons: dict[str, str] = {}
 
-    def reject(self, row: str, reason: str):
-        """Log that a row is rejected, unless that is known."""
-        if self.reasons.get(row) == reason:
+    def reject(self, name: str, reason: str):
+        """Log that input is rejected, unless that is known."""
+        if self.reasons.get(name) == reason:
             return
-        self.reasons[row] = reason
+        self.reasons[name] = reason
         self.events.write(
-            Event.INPUT_REJECTED, table=self.table, row=row, reason=reason
+            Event.INPUT_REJECTED, source=self.source, name=name, reason=reason
         )
 
-    def accept(self, row: str):
-        """Record that a row is valid or removed, so that new damage is logged."""
-        self.reasons.pop(row, None)
+    def accept(self, name: str):
+        """Record that input is valid or gone, so that new damage is logged."""
+        self.reasons.pop(name, None)
 
-    def retain(self, rows: set[str]):
-        """Forget the rows that no longer exist."""
-        for row in list(self.reasons):
-            if row not in rows:
-                del self.reasons[row]
+    def retain(self, names: set[str]):
+        """Forget all names but these."""
+        for name in list(self.reasons):
+            if name not in names:
+                del self.reasons[name]
--- a/src/zinniatrestle/jobs/messages.py
+++ b/src/zinniatrestle/jobs/messages.py
@@ -26,6 +26,9 @@
 PROGRESS = TableName("progress")
 # One row per cancellation, by which the scheduler is notified.
 CANCELLATIONS = TableName("cancels")
+# Numbers in a task's id: its occurrence, step and index.
+TASK_NUMBERS = 3
+MAX_DIGITS = 16
 
 
 class JobState(Enum):
@@ -165,6 +168,24 @@
     return TaskId(f"{job}.{occurrence}.{step}.{index}")
 
 
+def split_task_id(task: TaskId) -> tuple[JobId, str, int] | None:
+    """Return the job of a task, the key of its step and its index.
+
+    Return None for an id that `task_id` doesn't return.
+    """
+    job, *numbers = task.split(".")
+    if len(numbers) != TASK_NUMBERS or not all(map(_is_number, numbers)):
+        return None
+    occurrence, step, index = numbers
+    return JobId(job), f"{occurrence}.{step}", int(index)
+
+
+def _is_number(text: str) -> bool:
+    if not text.isascii() or not text.isdecimal() or len(text) > MAX_DIGITS:
+        return False
+    return text == "0" or text[0] != "0"
+
+
 def job_of_task(task: TaskId) -> JobId:
     """Return the id of the job that a task belongs to."""
     return JobId(task.split(".", 1)[0])
--- a/src/zinniatrestle/platform/orders.py
+++ b/src/zinniatrestle/platform/orders.py
@@ -1,15 +1,27 @@
 """Client for orders to workers."""
 
-from typing import Any
+from typing import Annotated, Any
 
 import msgspec
-
+from msgspec import Meta
+
+from zinniatrestle.decoding import (
+    MAX_EXACT_INTEGER,
+    Counter,
+    Duration,
+    Factor,
+    Name,
+    decode_json,
+    summarize,
+)
+from zinniatrestle.errors import MalformedInputError
 from zinniatrestle.ids import Generation, InstanceId, RunNumber, TaskId
 from zinniatrestle.platform.http import CallEffect, CallError, HttpAnswer, HttpClient
 from zinniatrestle.workers.interfaces import WorkerOrders
 from zinniatrestle.workers.messages import (
     EndedRun,
     HoldAnswer,
+    MalformedAnswerError,
     Refusal,
     RefusedOrderError,
     RunningTask,
@@ -21,6 +33,13 @@
 
 INSTANCE_HEADER = "Zinniatrestle-Expect-Instance"
 MS_PER_SECOND = 1000.0
+# A job's row has to hold the checkpoints of its tasks.
+MAX_CHECKPOINT_LENGTH = 4000
+
+Checkpoint = Annotated[str, Meta(max_length=MAX_CHECKPOINT_LENGTH)]
+EndNumber = Annotated[int, Meta(ge=1, le=MAX_EXACT_INTEGER)]
+
+FULL_PERCENT = 100.0
 OK = 200
 OTHER_INSTANCE_STATUS = 421
 REFUSALS_BY_REASON = {
@@ -84,20 +103,64 @@
     """A refusal, and the worker's clock."""
 
     reason: str = ""
-    clockMs: int | None = None
+    clockMs: Counter | None = None
+
+
+class WireClock(msgspec.Struct, frozen=True):
+    """The worker's clock, which each answer with a body has."""
+
+    clockMs: Counter
 
 
 class WireLists(msgspec.Struct, frozen=True):
-    """The running and the ended runs at a worker.
+    """The running and the ended runs at a worker, each entry decoded by itself."""
 
-    A running entry is `[task, run, checkpoint, percent, load]`, an ended one is
-    `[number, task, run, outcome, checkpoint]`.
-    """
+    clockMs: Counter
+    running: list[msgspec.Raw] = []
+    ended: list[msgspec.Raw] = []
+    born: Duration = 0
+
+
+class WireRun(msgspec.Struct, frozen=True, array_like=True):
+    """The fields of a running entry without which it is of no use."""
+
+    task: Name
+    run: Counter
+
+
+class WireRunning(msgspec.Struct, frozen=True, array_like=True):
+    """An entry of the running runs."""
+
+    task: Name
+    run: Counter
+    checkpoint: Checkpoint | None = None
+    percent: Factor | None = None
+    load: Factor | None = None
+
+
+class WireEndNumber(msgspec.Struct, frozen=True, array_like=True):
+    """The number of an ended entry, up to which a hold acknowledges ends."""
+
+    number: EndNumber
+
+
+class WireEnd(msgspec.Struct, frozen=True, array_like=True):
+    """The fields of an ended entry without which it is of no use."""
 
-    clockMs: int
-    running: list[list[Any]] = []
-    ended: list[list[Any]] = []
-    born: float = 0
+    number: EndNumber
+    task: Name
+    run: Counter
+    outcome: Name
+
+
+class WireEnded(msgspec.Struct, frozen=True, array_like=True):
+    """An entry of the ended runs."""
+
+    number: EndNumber
+    task: Name
+    run: Counter
+    outcome: Name
+    checkpoint: Checkpoint | None = None
 
 
 class PlatformWorkerOrders(WorkerOrders):
@@ -120,7 +183,7 @@
             order.ticket,
         )
         answer = await self._call(worker, "/-/run-start", body, timeout)
-        return _decode(answer, WireLists).clockMs
+        return _decode(answer.body, WireClock).clockMs
 
     async def stop(
         self,
@@ -161,15 +224,7 @@
             generation, acknowledged_end, deadline_ms, int(wait * MS_PER_SECOND)
         )
         answer = await self._call(worker, "/-/hold", body, wait + timeout)
-        lists = _decode(answer, WireLists)
-        try:
-            running = tuple(_decode_running(entry) for entry in lists.running)
-            ended = tuple(_decode_ended(entry) for entry in lists.ended)
-        except (ValueError, IndexError, TypeError) as error:
-            raise UnansweredOrderError(
-                f"The worker's lists of runs can't be decoded: {error}."
-            ) from error
-        return HoldAnswer(lists.clockMs, InstanceId(int(lists.born)), running, ended)
+        return decode_hold_answer(answer.body)
 
     async def _call(
         self, worker: WorkerEntry, path: str, body: Any, timeout: float
@@ -192,7 +247,7 @@
         if answer.status == OK:
             return answer
         if answer.status == 409:
-            refusal = _decode(answer, WireRefusal)
+            refusal = _decode(answer.body, WireRefusal)
             reason = REFUSALS_BY_REASON.get(refusal.reason, Refusal.MALFORMED)
             raise RefusedOrderError(reason, refusal.clockMs)
         if answer.status in REFUSALS_BY_STATUS:
@@ -200,31 +255,84 @@
         raise UnansweredOrderError(f"The worker answered with status {answer.status}.")
 
 
-def _decode(answer: HttpAnswer, body_type: type) -> Any:
+def _decode(body: bytes, body_type: type) -> Any:
     try:
-        return msgspec.json.decode(answer.body, type=body_type)
-    except (msgspec.ValidationError, msgspec.DecodeError) as error:
-        raise UnansweredOrderError(
-            f"The worker's answer can't be decoded: {error}."
-        ) from error
+        return decode_json(body, body_type, "The worker's answer")
+    except MalformedInputError as error:
+        raise MalformedAnswerError(error.detail) from error
+
+
+def decode_hold_answer(body: bytes) -> HoldAnswer:
+    """Decode the answer to a hold; raises MalformedAnswerError.
+
+    An entry of which only some fields are valid is used without the others. Without the
+    name of a running task the lists are of no use, since it could be any task's.
+    """
+    lists = _decode(body, WireLists)
+    errors: list[MalformedInputError] = []
+    running = [_decode_running(entry, errors) for entry in lists.running]
+    ended, unreadable = [], []
+    for entry in lists.ended:
+        try:
+            ended.append(_decode_ended(entry, errors))
+        except MalformedInputError as error:
+            errors.append(error)
+            number = _decode_end_number(entry)
+            if number is not None:
+                unreadable.append(number)
+    return HoldAnswer(
+        lists.clockMs,
+        InstanceId(int(lists.born)),
+        tuple(running),
+        tuple(ended),
+        tuple(unreadable),
+        summarize(errors),
+    )
 
 
-def _decode_running(entry: list[Any]) -> RunningTask:
-    load = float(entry[4] or 0) if len(entry) > 4 else 0.0
+def _decode_running(
+    entry: msgspec.Raw, errors: list[MalformedInputError]
+) -> RunningTask:
+    try:
+        wire = decode_json(entry, WireRunning, "A running entry")
+    except MalformedInputError as error:
+        errors.append(error)
+        try:
+            run = decode_json(entry, WireRun, "A running entry")
+        except MalformedInputError:
+            raise MalformedAnswerError(error.detail) from error
+        return RunningTask(TaskId(run.task), RunNumber(run.run), "", 0.0)
     return RunningTask(
-        TaskId(entry[0]),
-        RunNumber(entry[1]),
-        entry[2] or "",
-        float(entry[3] or 0),
-        load,
+        TaskId(wire.task),
+        RunNumber(wire.run),
+        wire.checkpoint or "",
+        min(wire.percent or 0.0, FULL_PERCENT),
+        wire.load or 0.0,
     )
 
 
-def _decode_ended(entry: list[Any]) -> EndedRun:
+def _decode_ended(entry: msgspec.Raw, errors: list[MalformedInputError]) -> EndedRun:
+    checkpoint = ""
+    try:
+        wire = decode_json(entry, WireEnded, "An ended entry")
+        checkpoint = wire.checkpoint or ""
+    except MalformedInputError as error:
+        wire = decode_json(entry, WireEnd, "An ended entry")
+        errors.append(error)
+    try:
+        outcome = RunOutcome(wire.outcome)
+    except ValueError:
+        outcome = RunOutcome.UNKNOWN
+        errors.append(
+            MalformedInputError(f"The end of {wire.task} has an unknown outcome.")
+        )
     return EndedRun(
-        int(entry[0]),
-        TaskId(entry[1]),
-        RunNumber(entry[2]),
-        RunOutcome(entry[3]),
-        entry[4] or "",
+        wire.number, TaskId(wire.task), RunNumber(wire.run), outcome, checkpoint
     )
+
+
+def _decode_end_number(entry: msgspec.Raw) -> int | None:
+    try:
+        return decode_json(entry, WireEndNumber, "An ended entry").number
+    except MalformedInputError:
+        return None
--- a/src/zinniatrestle/queues/follower.py
+++ b/src/zinniatrestle/queues/follower.py
@@ -40,7 +40,7 @@
         self.table = rows.table
         self.state = state
         self.events = events
-        self.rejections = RejectionLog(events, self.table)
+        self.rejections = RejectionLog(events, f"table {self.table}")
         # Rows whose content is in force. A damaged new version replaces no content.
         self.applied: set[RowName] = set()
 
--- a/src/zinniatrestle/scheduling/cluster_state.py
+++ b/src/zinniatrestle/scheduling/cluster_state.py
@@ -8,7 +8,7 @@
 from zinniatrestle.clock import boot_time
 from zinniatrestle.events import Event
 from zinniatrestle.ids import BootSeconds, JobId, TaskId
-from zinniatrestle.jobs.messages import JobState
+from zinniatrestle.jobs.messages import JobState, split_task_id
 from zinniatrestle.scheduling.context import SchedulerContext
 from zinniatrestle.scheduling.durations import Durations
 from zinniatrestle.scheduling.fleet import Fleet, FleetListener
@@ -157,14 +157,17 @@
 
     def find_task(self, task: TaskId, job: Job | None = None) -> Task | None:
         """Return a task by its id, or None; pass `job` if it is not registered yet."""
-        job_id, occurrence, number, index = task.split(".")
-        job = job or self.jobs.get(JobId(job_id))
+        parts = split_task_id(task)
+        if parts is None:
+            return None
+        job_id, step_key, index = parts
+        job = job or self.jobs.get(job_id)
         if job is None:
             return None
-        step = job.steps.get(f"{occurrence}.{number}")
-        if step is None or int(index) >= len(step.tasks):
+        step = job.steps.get(step_key)
+        if step is None or index >= len(step.tasks):
             return None
-        return step.tasks[int(index)]
+        return step.tasks[index]
 
     def end_job(self, job: Job, state: JobState, reason: str):
         """Set the final state of a job and stop its tasks."""
--- a/src/zinniatrestle/scheduling/fleet.py
+++ b/src/zinniatrestle/scheduling/fleet.py
@@ -72,7 +72,7 @@
         self.max_hold = deployment.bounds.max_hold
         self.listener = listener
         self.events = events
-        self.rejections = RejectionLog(events, self.table)
+        self.rejections = RejectionLog(events, f"table {self.table}")
         self.workers: dict[WorkerId, Worker] = {}
         # Instances that are not in the registry but on which tasks may still run.
         self.unregistered: list[Worker] = []
--- a/src/zinniatrestle/scheduling/session.py
+++ b/src/zinniatrestle/scheduling/session.py
@@ -7,7 +7,7 @@
 from zinniatrestle.clock import boot_time
 from zinniatrestle.deployment import Bounds
 from zinniatrestle.errors import WorkerError
-from zinniatrestle.events import Event, EventLog
+from zinniatrestle.events import Event, EventLog, RejectionLog
 from zinniatrestle.ids import (
     BootSeconds,
     Generation,
@@ -19,6 +19,7 @@
 from zinniatrestle.workers.interfaces import WorkerOrders
 from zinniatrestle.workers.messages import (
     HoldAnswer,
+    MalformedAnswerError,
     Refusal,
     RefusedOrderError,
     StartOrder,
@@ -124,6 +125,7 @@
         self.hold_seconds = bounds.max_hold * HOLD_SHARE
         self.generation = generation
         self.events = events
+        self.rejections = RejectionLog(events, "answer of a worker")
         self.outbox: asyncio.Queue[Callable[[], Awaitable[None]]] = asyncio.Queue()
         # When a start was last left without an answer to any try.
         self.unanswered_at = BootSeconds(float("-inf"))
@@ -169,7 +171,9 @@
                     return
                 await asyncio.sleep(RETRY_SECONDS)
                 continue
-            except UnansweredOrderError:
+            except UnansweredOrderError as error:
+                if isinstance(error, MalformedAnswerError):
+                    self.rejections.reject(worker.id, error.detail)
                 misses += 1
                 wait = 0.0
                 if misses >= MISSES_UNTIL_SILENT:
@@ -186,7 +190,15 @@
             if self._is_from_another_instance(answer):
                 self.listener.instance_replaced(worker, answer.instance)
                 return
+            if answer.damage:
+                self.rejections.reject(worker.id, answer.damage)
+            else:
+                self.rejections.accept(worker.id)
+            known_end = worker.save_requested_end
             self.listener.report(worker, answer, asked_at)
+            if answer.last_end <= known_end and boot_time() - asked_at < wait / 2:
+                # The worker has nothing new and doesn't wait for it either.
+                await asyncio.sleep(RETRY_SECONDS)
             if worker.save_task is not None:
                 # Until the ends are stored and acknowledged, the worker would answer
                 # the next hold with them at once.
--- a/src/zinniatrestle/scheduling/tracker.py
+++ b/src/zinniatrestle/scheduling/tracker.py
@@ -159,8 +159,10 @@
         session.forget_stops(asked_at)
         self._set_paces(session, loads, asked_at)
         worker.generation_confirmed = True
-        if answer.ended and answer.ended[-1].number > worker.save_requested_end:
-            self._save_ends(worker, changed, answer.ended[-1].number)
+        # An end that can't be read is acknowledged too, or the worker would list it for
+        # ever; its run is missing from the running ones.
+        if answer.last_end > worker.save_requested_end:
+            self._save_ends(worker, changed, answer.last_end)
 
     def _record_answer(self, worker: Worker):
         if worker.silent:
--- a/src/zinniatrestle/standins/wire.py
+++ b/src/zinniatrestle/standins/wire.py
@@ -6,6 +6,7 @@
 import socket
 from collections.abc import AsyncIterator
 from enum import Enum
+from typing import Any
 
 import msgspec
 import uvicorn
@@ -186,7 +187,8 @@
 
     def __init__(self):
         self.status = 200
-        self.body: dict = {"clockMs": 5000, "running": [], "ended": []}
+        # A `msgspec.Raw` is sent as it is.
+        self.body: Any = {"clockMs": 5000, "running": [], "ended": []}
         self.silent = False
         self.calls: list[tuple[str, dict, str]] = []
 
@@ -201,7 +203,8 @@
         self.calls.append((request.path_params["call"], body, expected))
         if self.silent:
             await asyncio.sleep(SILENCE_SECONDS)
-        data = msgspec.json.encode(self.body)
+        is_raw = isinstance(self.body, msgspec.Raw)
+        data = bytes(self.body) if is_raw else msgspec.json.encode(self.body)
         return Response(data, self.status, media_type="application/json")
 
 
--- a/src/zinniatrestle/workers/__init__.py
+++ b/src/zinniatrestle/workers/__init__.py
@@ -4,6 +4,7 @@
 from zinniatrestle.workers.messages import (
     EndedRun,
     HoldAnswer,
+    MalformedAnswerError,
     RefusedOrderError,
     RunningTask,
     RunOutcome,
@@ -16,6 +17,7 @@
 __all__ = [
     "EndedRun",
     "HoldAnswer",
+    "MalformedAnswerError",
     "RunOutcome",
     "RefusedOrderError",
     "RunningTask",
--- a/src/zinniatrestle/workers/messages.py
+++ b/src/zinniatrestle/workers/messages.py
@@ -35,6 +35,8 @@
     MEMBER_ENDED = "broken"
     # The other members of the gang did not start in time.
     GANG_INCOMPLETE = "alone"
+    # The worker gives an outcome that isn't known here.
+    UNKNOWN = "unknown"
 
 
 class Refusal(Enum):
@@ -118,13 +120,23 @@
 class HoldAnswer(msgspec.Struct, frozen=True):
     """The runs at a worker, and the ended ones that are not acknowledged yet.
 
-    `clock_ms` is a reading of the worker's own monotonic clock.
+    `clock_ms` is a reading of the worker's own monotonic clock. `unreadable_ends` has
+    the numbers of listed ends that can't be decoded, and `damage` says what is wrong
+    with the lists.
     """
 
     clock_ms: int
     instance: InstanceId
     running: tuple[RunningTask, ...]
     ended: tuple[EndedRun, ...]
+    unreadable_ends: tuple[int, ...] = ()
+    damage: str = ""
+
+    @property
+    def last_end(self) -> int:
+        """Return the highest number of a listed end; 0 if there is none."""
+        numbers = [end.number for end in self.ended]
+        return max((*numbers, *self.unreadable_ends), default=0)
 
 
 class RefusedOrderError(WorkerError):
@@ -138,3 +150,7 @@
 
 class UnansweredOrderError(WorkerError):
     """Signal an order that may have been carried out, or may still be."""
+
+
+class MalformedAnswerError(UnansweredOrderError):
+    """Signal an answer that can't be decoded, to an order that may be carried out."""
