Bound the platform's answers, and decode their entries one by one

A nested answer of the store, of the calls about machines or of the advice service raised RecursionError, which nobody expects: it ends the task that made the call. One row whose value is no base64 made a whole page an outage. A list of machines whose last page names another one was read for ever, as was a page of rows that comes again. An answer of any length was read into memory, and a header that can't be sent raised ValueError.

All answers are decoded by decode_json into bounded fields. A row that can't be read hides no other: with a name it has an empty value, which its reader rejects. A damaged machine with a name counts as down, since a machine that isn't listed would count as removed; without one the list is no answer. Answers over 32 MiB, of workers over 4 MiB, aren't read.

--- a/src/zinniatrestle/platform/advice.py
+++ b/src/zinniatrestle/platform/advice.py
@@ -1,12 +1,20 @@
 """Client of the platform's advice service."""
 
+from typing import Annotated
+
 import msgspec
+from msgspec import Meta
 
 from zinniatrestle.advice import Adviser, AdviserError
+from zinniatrestle.decoding import Name, decode_json
+from zinniatrestle.errors import MalformedInputError
 from zinniatrestle.ids import WorkerId
 from zinniatrestle.platform.http import CallError, HttpClient
 
 OK = 200
+MAX_TICKET_LENGTH = 4000
+
+Ticket = Annotated[str, Meta(max_length=MAX_TICKET_LENGTH)]
 
 
 class WireQuestion(msgspec.Struct, frozen=True):
@@ -19,7 +27,7 @@
 class WireAdvice(msgspec.Struct, frozen=True):
     """The workers that may run the step, each as `[id, ticket]`."""
 
-    allowed: list[tuple[str, str]] = []
+    allowed: list[tuple[Name, Ticket]] = []
 
 
 class PlatformAdviser(Adviser):
@@ -52,9 +60,9 @@
                 f"The advice service answered with status {answer.status}."
             )
         try:
-            advice = msgspec.json.decode(answer.body, type=WireAdvice)
-        except msgspec.DecodeError as error:
-            raise AdviserError(
-                f"The answer of the advice service can't be decoded: {error}."
-            ) from error
+            advice = decode_json(
+                answer.body, WireAdvice, "The answer of the advice service"
+            )
+        except MalformedInputError as error:
+            raise AdviserError(error.detail) from error
         return {WorkerId(worker): ticket for worker, ticket in advice.allowed}
--- a/src/zinniatrestle/platform/daemon.py
+++ b/src/zinniatrestle/platform/daemon.py
@@ -40,6 +40,8 @@
 
 # One connection serves the hold (a long poll), the others carry orders.
 CONNECTIONS_PER_WORKER = 4
+# Several times the longest list of runs: 500 ends and all running tasks.
+MAX_REPORT_BYTES = 4 * 2**20
 # The settings file may change without a signal, and a change must take effect as fast
 # as a new desired state.
 SETTINGS_POLL_SECONDS = 1.0
@@ -80,8 +82,10 @@
     def __post_init__(self):
         addresses = self.deployment.addresses
         self.client = HttpClient()
-        self.worker_client = HttpClient(CONNECTIONS_PER_WORKER)
-        self.store = PlatformStore(self.client, addresses.store, self.metrics)
+        self.worker_client = HttpClient(CONNECTIONS_PER_WORKER, MAX_REPORT_BYTES)
+        self.store = PlatformStore(
+            self.client, addresses.store, self.metrics, self.events
+        )
         self.leadership = Leadership(self.store, self.deployment, self.events)
         reader = DesiredStateReader(PlatformOperatorRows(), self.operator, self.events)
         self.feed = Feed(self.store, reader, self.events, FEED_WAIT_SECONDS)
@@ -112,8 +116,9 @@
 
     def _wave_runner(self) -> WaveRunner:
         host = self.deployment.identity.host
+        address = self.deployment.addresses.machines
         return WaveRunner(
-            PlatformMachineCalls(self.client, self.deployment.addresses.machines, host),
+            PlatformMachineCalls(self.client, address, host, self.events),
             PlatformWaveRows(),
             self.store,
             self.operator,
--- a/src/zinniatrestle/platform/http.py
+++ b/src/zinniatrestle/platform/http.py
@@ -10,6 +10,8 @@
 CONNECT_TIMEOUT_SECONDS = 1.0
 # Idle connections are closed early, since they may have failed without notice.
 KEEPALIVE_SECONDS = 10.0
+# Many times the largest answers of the platform: pages of rows, and desired states.
+MAX_ANSWER_BYTES = 32 * 2**20
 
 
 class CallEffect(Enum):
@@ -41,10 +43,18 @@
 
 
 class HttpClient:
-    """HTTP client; a call that times out closes its connection."""
+    """HTTP client; a call that times out closes its connection.
 
-    def __init__(self, max_connections_per_address: int = 0):
+    Longer answers than `max_answer_bytes` are not read.
+    """
+
+    def __init__(
+        self,
+        max_connections_per_address: int = 0,
+        max_answer_bytes: int = MAX_ANSWER_BYTES,
+    ):
         self.max_connections_per_address = max_connections_per_address
+        self.max_answer_bytes = max_answer_bytes
         self.session: aiohttp.ClientSession | None = None
 
     async def call(
@@ -81,7 +91,7 @@
                 timeout=client_timeout,
                 allow_redirects=False,
             ) as response:
-                return HttpAnswer(response.status, await response.read())
+                return HttpAnswer(response.status, await self._read_body(response))
         except aiohttp.ClientConnectorError as error:
             connection_refused = isinstance(error.os_error, ConnectionRefusedError)
             raise CallError(
@@ -95,11 +105,26 @@
             raise CallError(
                 CallEffect.UNKNOWN, "no answer before the timeout"
             ) from error
-        except (aiohttp.ClientError, OSError) as error:
+        except (aiohttp.ClientError, OSError, ValueError) as error:
+            # A ValueError is about a part of the call or the answer that can't be
+            # encoded or decoded.
             raise CallError(
                 CallEffect.UNKNOWN, f"{type(error).__name__}: {error}"
             ) from error
 
+    async def _read_body(self, response: aiohttp.ClientResponse) -> bytes:
+        chunks = []
+        size = 0
+        async for chunk in response.content.iter_any():
+            size += len(chunk)
+            if size > self.max_answer_bytes:
+                raise CallError(
+                    CallEffect.UNKNOWN,
+                    f"the answer is larger than {self.max_answer_bytes} bytes",
+                )
+            chunks.append(chunk)
+        return b"".join(chunks)
+
     async def close(self):
         """Close all connections."""
         if self.session is not None:
@@ -114,6 +139,8 @@
                 use_dns_cache=False,
             )
             self.session = aiohttp.ClientSession(
-                connector=connector, auto_decompress=False
+                connector=connector,
+                auto_decompress=False,
+                cookie_jar=aiohttp.DummyCookieJar(),
             )
         return self.session
--- a/src/zinniatrestle/platform/machines.py
+++ b/src/zinniatrestle/platform/machines.py
@@ -4,6 +4,9 @@
 
 import msgspec
 
+from zinniatrestle.decoding import Counter, Name, decode_json, summarize
+from zinniatrestle.errors import MalformedInputError
+from zinniatrestle.events import EventLog, RejectionLog
 from zinniatrestle.ids import (
     FailureDomainId,
     Generation,
@@ -29,6 +32,8 @@
 HOLDER_HEADER = "Zinniatrestle-Lease-Holder"
 GENERATION_HEADER = "Zinniatrestle-Fencing-Token"
 STATUS_TABLE = TableName("status")
+MACHINES_PATH = "/-/machines"
+MAX_PAGES = 1000
 OK = 200
 REFUSALS_BY_REASON = {
     "fence": MachineRefusal.STALE_GENERATION,
@@ -42,20 +47,26 @@
 }
 
 
+class WireMachineName(msgspec.Struct, frozen=True):
+    """The field of a machine without which the list is of no use."""
+
+    machine: Name
+
+
 class WireMachine(msgspec.Struct, frozen=True):
     """A machine; `id` is that of its worker, `pool` is the service that it serves."""
 
-    machine: str
-    pool: str | None = None
-    state: str = ""
-    zone: str = ""
-    id: str | None = None
+    machine: Name
+    pool: Name | None = None
+    state: Name = ""
+    zone: Name = ""
+    id: Name | None = None
 
 
 class WireMachines(msgspec.Struct, frozen=True):
-    """A page of the list of machines."""
+    """A page of the list of machines, of which each is decoded by itself."""
 
-    machines: list[WireMachine] = []
+    machines: list[msgspec.Raw] = []
     nextPageToken: str | None = None
 
 
@@ -75,29 +86,45 @@
 class WireStatus(msgspec.Struct, frozen=True):
     """Status of a wave."""
 
-    wave: int
-    state: str
+    wave: Counter
+    state: Name
 
 
 class PlatformMachineCalls(MachineCalls):
     """Client of the platform; an empty `address` means that it has no such calls."""
 
-    def __init__(self, client: HttpClient, address: str, host: HostId):
+    def __init__(
+        self, client: HttpClient, address: str, host: HostId, events: EventLog
+    ):
         self.client = client
         self.address = address
         self.host = host
+        self.rejections = RejectionLog(events, "list of machines")
 
     async def machines(self, timeout: float) -> list[Machine]:
         """Return all machines, read page by page."""
         machines: list[Machine] = []
-        token: str | None = ""
-        while token is not None:
+        errors: list[MalformedInputError] = []
+        token = ""
+        for _ in range(MAX_PAGES):
             query = {"pageToken": token} if token else None
-            answer = await self._call("GET", "/-/machines", timeout, query=query)
+            answer = await self._call("GET", MACHINES_PATH, timeout, query=query)
             page = _decode(answer, WireMachines)
-            machines.extend(_decode_machine(entry) for entry in page.machines)
-            token = page.nextPageToken or None
-        return machines
+            for entry in page.machines:
+                machines.append(_decode_machine(entry, errors))
+            token = page.nextPageToken or ""
+            if not token:
+                self._log_damage(errors)
+                return machines
+        raise UnansweredMachineError(
+            f"The list of machines has more than {MAX_PAGES} pages."
+        )
+
+    def _log_damage(self, errors: list[MalformedInputError]):
+        if errors:
+            self.rejections.reject(MACHINES_PATH, summarize(errors))
+        else:
+            self.rejections.accept(MACHINES_PATH)
 
     async def begin_upkeep(
         self, machine: MachineId, wave: int, generation: Generation, timeout: float
@@ -144,16 +171,24 @@
     def decode_status(self, value: bytes) -> WaveState | None:
         """Return the state in a status row, or None if it can't be decoded."""
         try:
-            return WaveState(msgspec.json.decode(value, type=WireStatus).state)
-        except (msgspec.DecodeError, ValueError):
+            return WaveState(decode_json(value, WireStatus, "The status").state)
+        except (MalformedInputError, ValueError):
             return None
 
 
-def _decode_machine(wire: WireMachine) -> Machine:
+def _decode_machine(entry: msgspec.Raw, errors: list[MalformedInputError]) -> Machine:
+    """Decode a machine; raises UnansweredMachineError if it has no name.
+
+    A machine with other damage, or in an unknown state, must not be taken down.
+    """
+    try:
+        wire = decode_json(entry, WireMachine, "A machine")
+    except MalformedInputError as error:
+        errors.append(error)
+        wire = WireMachine(_machine_name(entry))
     try:
         state = MachineState(wire.state)
     except ValueError:
-        # A machine in an unknown state must not be taken down.
         state = MachineState.DOWN
     return Machine(
         MachineId(wire.machine),
@@ -164,10 +199,16 @@
     )
 
 
+def _machine_name(entry: msgspec.Raw) -> str:
+    # A machine that is missing from the list counts as removed.
+    try:
+        return decode_json(entry, WireMachineName, "A machine").machine
+    except MalformedInputError as error:
+        raise UnansweredMachineError(error.detail) from error
+
+
 def _decode(answer: HttpAnswer, body_type: type) -> Any:
     try:
-        return msgspec.json.decode(answer.body, type=body_type)
-    except msgspec.DecodeError as error:
-        raise UnansweredMachineError(
-            f"The platform's answer can't be decoded: {error}."
-        ) from error
+        return decode_json(answer.body, body_type, "The platform's answer")
+    except MalformedInputError as error:
+        raise UnansweredMachineError(error.detail) from error
--- a/src/zinniatrestle/platform/store.py
+++ b/src/zinniatrestle/platform/store.py
@@ -3,11 +3,14 @@
 import msgspec
 
 from zinniatrestle.clock import boot_time
+from zinniatrestle.decoding import Counter, Name, decode_json
 from zinniatrestle.errors import (
     HistoryLostError,
+    MalformedInputError,
     StoreUnavailableError,
     StoreUncertainError,
 )
+from zinniatrestle.events import EventLog, RejectionLog
 from zinniatrestle.ids import (
     BootSeconds,
     RowName,
@@ -52,14 +55,23 @@
 class WireRow(msgspec.Struct, frozen=True, omit_defaults=True):
     """A row; `ver` is the version of the last transaction that wrote it."""
 
-    table: str
-    key: str
-    part: str = ""
+    table: Name
+    key: Name
+    part: Name = ""
     value: bytes | None = None
-    ver: int = 0
+    ver: Counter = 0
     deleted: bool = False
 
 
+class WireRowName(msgspec.Struct, frozen=True):
+    """The fields of a row without which it is of no use."""
+
+    table: Name
+    key: Name
+    ver: Counter
+    part: Name = ""
+
+
 class WireExpected(msgspec.Struct, frozen=True):
     """The version that a row must have; 0 means that it must not exist."""
 
@@ -78,21 +90,24 @@
 
 
 class WireRows(msgspec.Struct, frozen=True):
-    """Rows, the newest version of the store and its clock."""
+    """Rows, each decoded by itself, the newest version of the store and its clock."""
 
-    ver: int = 0
-    nowMs: int = 0
-    rows: list[WireRow] = []
+    ver: Counter = 0
+    nowMs: Counter = 0
+    rows: list[msgspec.Raw] = []
     hasMore: bool = False
 
 
 class PlatformStore(RowStore):
     """Client of the store, which also estimates the store's clock."""
 
-    def __init__(self, client: HttpClient, address: str, metrics: Metrics):
+    def __init__(
+        self, client: HttpClient, address: str, metrics: Metrics, events: EventLog
+    ):
         self.client = client
         self.metrics = metrics
         self.address = address
+        self.rejections = RejectionLog(events, "answer of the store")
         self.clock = StoreClock()
 
     async def transact(
@@ -142,7 +157,7 @@
         if answer.status == OK:
             return TransactionResult(Outcome.APPLIED, RowVersion(rows.ver), {})
         current = {}
-        for row in rows.rows:
+        for row in self._decode_rows(rows):
             if row.value is None or row.deleted:
                 continue
             stored = _decode_row(row)
@@ -158,7 +173,11 @@
             query["target"] = end
         rows = await self._read(READ_PATH, query, READ_TIMEOUT_SECONDS)
         return Page(
-            [_decode_row(row) for row in rows.rows if row.value is not None],
+            [
+                _decode_row(row)
+                for row in self._decode_rows(rows)
+                if row.value is not None
+            ],
             RowVersion(rows.ver),
             StoreMilliseconds(rows.nowMs),
             rows.hasMore,
@@ -175,7 +194,7 @@
         query = {"table": table, "after": after, "waitMs": int(wait * MS_PER_SECOND)}
         rows = await self._read("/-/rows-feed", query, wait + answer_timeout)
         changes = []
-        for row in rows.rows:
+        for row in self._decode_rows(rows):
             if row.part != part_of(table):
                 continue
             value = None if row.deleted else row.value
@@ -213,17 +232,43 @@
         attributes = {"call": call, "outcome": outcome}
         self.metrics.store_time.record(boot_time() - sent_at, attributes)
 
-    def _decode(self, answer: HttpAnswer, sent_at) -> WireRows:
+    def _decode(self, answer: HttpAnswer, sent_at: BootSeconds) -> WireRows:
         try:
-            rows = msgspec.json.decode(answer.body, type=WireRows)
-        except msgspec.DecodeError as error:
-            raise StoreUnavailableError(
-                f"The store's answer can't be decoded: {error}."
-            ) from error
+            rows = decode_json(answer.body, WireRows, "The store's answer")
+        except MalformedInputError as error:
+            raise StoreUnavailableError(error.detail) from error
         if rows.nowMs:
             self.clock.observe(StoreMilliseconds(rows.nowMs), sent_at, boot_time())
         return rows
 
+    def _decode_rows(self, rows: WireRows) -> list[WireRow]:
+        """Decode rows; one that can't be read hides no other."""
+        decoded = []
+        for entry in rows.rows:
+            try:
+                row = decode_json(entry, WireRow, "A row")
+            except MalformedInputError as error:
+                damaged = self._damaged_row(entry, error)
+                if damaged is not None:
+                    decoded.append(damaged)
+                continue
+            if self.rejections.reasons:
+                self.rejections.accept(f"{row.table}/{row.key}")
+            decoded.append(row)
+        return decoded
+
+    def _damaged_row(
+        self, entry: msgspec.Raw, error: MalformedInputError
+    ) -> WireRow | None:
+        """Return a row with an empty value, or None if it has no name."""
+        try:
+            name = decode_json(entry, WireRowName, "A row")
+        except MalformedInputError:
+            self.rejections.reject("", error.detail)
+            return None
+        self.rejections.reject(f"{name.table}/{name.key}", error.detail)
+        return WireRow(name.table, name.key, name.part, b"", name.ver)
+
 
 def part_of(table: str) -> str:
     """Return the part of the store that holds a table."""
--- a/src/zinniatrestle/platform/tests/test_machines.py
+++ b/src/zinniatrestle/platform/tests/test_machines.py
@@ -4,6 +4,7 @@
 
 import msgspec
 import pytest
+from common.events import EventList
 from starlette.applications import Starlette
 from starlette.requests import Request
 from starlette.responses import Response
@@ -69,7 +70,9 @@
         client = HttpClient()
         async with serve_app(service.app()) as address:
             try:
-                calls = PlatformMachineCalls(client, address, HostId("host-1"))
+                calls = PlatformMachineCalls(
+                    client, address, HostId("host-1"), EventList()
+                )
                 await check(service, calls)
             finally:
                 await client.close()
@@ -152,7 +155,7 @@
 
 def test_without_an_address_calls_are_refused():
     async def check():
-        calls = PlatformMachineCalls(HttpClient(), "", HostId("host-1"))
+        calls = PlatformMachineCalls(HttpClient(), "", HostId("host-1"), EventList())
         with pytest.raises(MachineRefusedError):
             await calls.machines(TIMEOUT_SECONDS)
 
--- a/src/zinniatrestle/platform/tests/test_operator.py
+++ b/src/zinniatrestle/platform/tests/test_operator.py
@@ -6,6 +6,7 @@
 from common.odd_input import (
     BEYOND_64_BITS,
     UNREADABLE,
+    badly_encoded,
     damaged_texts,
     deterministic,
     with_nested_field,
@@ -93,6 +94,7 @@
 
 DAMAGED_CONFIGS = {
     **UNREADABLE,
+    **badly_encoded("version"),
     "a nested unknown field": with_nested_field(CONFIG),
     "a version of another type": changed(CONFIG, version="x"),
     "a version beyond 64 bits": changed(CONFIG, version=BEYOND_64_BITS),
@@ -110,6 +112,7 @@
 }
 DAMAGED_WAVES = {
     **UNREADABLE,
+    **badly_encoded("wave"),
     "a nested unknown field": with_nested_field(WAVE),
     "a number beyond 64 bits": changed(WAVE, wave=BEYOND_64_BITS),
     "another wave's number": changed(WAVE, wave=8),
--- a/src/zinniatrestle/platform/tests/test_registry.py
+++ b/src/zinniatrestle/platform/tests/test_registry.py
@@ -8,6 +8,7 @@
 from common.odd_input import (
     BEYOND_64_BITS,
     UNREADABLE,
+    badly_encoded,
     damaged_texts,
     deterministic,
     with_nested_field,
@@ -51,6 +52,7 @@
 
 DAMAGED = {
     **UNREADABLE,
+    **badly_encoded("service"),
     "a nested unknown field": with_nested_field(ENTRY),
     "a state that is not named": text_of(ENTRY, state="unheard"),
     "a missing service": text_of({"address": "10.0.0.7:8080"}),
--- a/src/zinniatrestle/platform/tests/test_store.py
+++ b/src/zinniatrestle/platform/tests/test_store.py
@@ -3,6 +3,7 @@
 import asyncio
 
 import pytest
+from common.events import EventList
 
 from zinniatrestle.errors import (
     HistoryLostError,
@@ -33,7 +34,9 @@
         client = HttpClient()
         async with serve_app(wire.app()) as address:
             try:
-                await check(wire, PlatformStore(client, address, Metrics()))
+                await check(
+                    wire, PlatformStore(client, address, Metrics(), EventList())
+                )
             finally:
                 await client.close()
 
--- a/src/zinniatrestle/rows/interfaces.py
+++ b/src/zinniatrestle/rows/interfaces.py
@@ -2,6 +2,7 @@
 
 from abc import ABC, abstractmethod
 
+from zinniatrestle.errors import StoreUnavailableError
 from zinniatrestle.ids import RowName, RowVersion, TableName
 from zinniatrestle.rows.clock import StoreClock
 from zinniatrestle.rows.messages import (
@@ -54,6 +55,15 @@
         rows = list(first.rows)
         last = first
         while last.more:
-            last = await self.page(table, RowName(rows[-1].name + "\0"), RowName(""))
+            if not last.rows:
+                raise StoreUnavailableError(
+                    f"The store sent an empty page of the table {table}."
+                )
+            previous = rows[-1].name
+            last = await self.page(table, RowName(previous + "\0"), RowName(""))
+            if last.rows and last.rows[-1].name <= previous:
+                raise StoreUnavailableError(
+                    f"The store sent the same page of the table {table} again."
+                )
             rows.extend(last.rows)
         return Page(rows, first.version, last.now)
--- a/src/zinniatrestle/store/tests/test_http.py
+++ b/src/zinniatrestle/store/tests/test_http.py
@@ -8,6 +8,7 @@
 from starlette.routing import Route
 
 from zinniatrestle.errors import StoreUnavailableError, StoreUncertainError
+from zinniatrestle.events import EventLog
 from zinniatrestle.ids import HostId, RowKey, RowName, TableName
 from zinniatrestle.metrics import Metrics
 from zinniatrestle.platform.http import HttpClient
@@ -30,7 +31,7 @@
 
 async def write_to_platform_store(address: str):
     client = HttpClient()
-    store = PlatformStore(client, address, Metrics())
+    store = PlatformStore(client, address, Metrics(), EventLog())
     writes = [Write(TableName("table"), RowName("name"), b"value")]
     try:
         await store.transact([], writes, CALL_TIMEOUT_SECONDS)
--- a/tests/common/odd_input.py
+++ b/tests/common/odd_input.py
@@ -32,13 +32,20 @@
     return text[:-1] + separator + b'"unknown":' + nested(depth) + b"}"
 
 
+def badly_encoded(field: str) -> dict[str, bytes]:
+    """Return documents of which one field is a text that can't be decoded."""
+    name = field.encode()
+    return {
+        "not UTF-8": b'{"' + name + b'":"\xff\xfe"}',
+        "an encoded surrogate": b'{"' + name + b'":"\xed\xa0\x80"}',
+        "an escaped surrogate": b'{"' + name + b'":"\\ud800 and more"}',
+    }
+
+
 # Texts that are no document of any kind.
 UNREADABLE = {
     "empty": b"",
     "cut off": b'{"service":"serv',
-    "not UTF-8": b'{"service":"\xff\xfe"}',
-    "an encoded surrogate": b'{"service":"\xed\xa0\x80"}',
-    "an escaped surrogate": b'{"service":"\\ud800 and more"}',
     "a byte order mark": b"\xef\xbb\xbf{}",
     "not a number": b'{"capacity":{"cpu":NaN}}',
     "a number": b"7",
