Refuse settings files with endless, absurd or deeply nested values

A settings file may change while the process runs. Arrays nested deeply raised RecursionError and long numbers ValueError, neither of which the task that watches the file expects, so that it followed no change any more; a port like "²" did the same. Bounds that are infinite or not a number passed the check that they are greater than 0.

--- a/src/zinniatrestle/decoding.py
+++ b/src/zinniatrestle/decoding.py
@@ -5,6 +5,7 @@
 """
 
 from collections.abc import Callable
+from functools import partial
 from typing import Annotated, Any, TypeVar
 
 import msgspec
@@ -23,9 +24,11 @@
 MAX_LISTED_ERRORS = 3
 
 Counter = Annotated[int, Meta(ge=0, le=MAX_EXACT_INTEGER)]
+PositiveCounter = Annotated[int, Meta(ge=1, le=MAX_EXACT_INTEGER)]
 Capacity = Annotated[int, Meta(ge=0, le=MAX_CAPACITY)]
 Duration = Annotated[float, Meta(ge=0, le=MAX_EXACT_INTEGER)]
 Factor = Annotated[float, Meta(ge=0, le=MAX_EXACT_INTEGER)]
+PositiveFactor = Annotated[float, Meta(gt=0, le=MAX_EXACT_INTEGER)]
 Name = Annotated[str, Meta(max_length=MAX_NAME_LENGTH)]
 
 
@@ -39,6 +42,13 @@
     return _decode(msgspec.msgpack.decode, data, expected_type, what)
 
 
+def convert(document: Any, expected_type: type[T], what: str) -> T:
+    """Convert a parsed document, also numbers in texts; raises MalformedInputError."""
+    return _decode(
+        partial(msgspec.convert, strict=False), document, expected_type, what
+    )
+
+
 def summarize(errors: list[MalformedInputError]) -> str:
     """Return the details of some errors as one text, or an empty one for none."""
     details = [error.detail for error in errors[:MAX_LISTED_ERRORS]]
@@ -49,7 +59,7 @@
 
 
 def _decode(
-    decoder: Callable[..., Any], data: bytes, expected_type: type[T], what: str
+    decoder: Callable[..., Any], data: Any, expected_type: type[T], what: str
 ) -> T:
     try:
         return decoder(data, type=expected_type)
--- a/src/zinniatrestle/platform/orders.py
+++ b/src/zinniatrestle/platform/orders.py
@@ -6,11 +6,11 @@
 from msgspec import Meta
 
 from zinniatrestle.decoding import (
-    MAX_EXACT_INTEGER,
     Counter,
     Duration,
     Factor,
     Name,
+    PositiveCounter,
     decode_json,
     summarize,
 )
@@ -37,7 +37,6 @@
 MAX_CHECKPOINT_LENGTH = 4000
 
 Checkpoint = Annotated[str, Meta(max_length=MAX_CHECKPOINT_LENGTH)]
-EndNumber = Annotated[int, Meta(ge=1, le=MAX_EXACT_INTEGER)]
 
 FULL_PERCENT = 100.0
 OK = 200
@@ -141,13 +140,13 @@
 class WireEndNumber(msgspec.Struct, frozen=True, array_like=True):
     """The number of an ended entry, up to which a hold acknowledges ends."""
 
-    number: EndNumber
+    number: PositiveCounter
 
 
 class WireEnd(msgspec.Struct, frozen=True, array_like=True):
     """The fields of an ended entry without which it is of no use."""
 
-    number: EndNumber
+    number: PositiveCounter
     task: Name
     run: Counter
     outcome: Name
@@ -156,7 +155,7 @@
 class WireEnded(msgspec.Struct, frozen=True, array_like=True):
     """An entry of the ended runs."""
 
-    number: EndNumber
+    number: PositiveCounter
     task: Name
     run: Counter
     outcome: Name
--- a/src/zinniatrestle/platform/settings.py
+++ b/src/zinniatrestle/platform/settings.py
@@ -6,6 +6,13 @@
 
 import msgspec
 
+from zinniatrestle.decoding import (
+    Duration,
+    Factor,
+    PositiveCounter,
+    PositiveFactor,
+    convert,
+)
 from zinniatrestle.deployment import (
     Addresses,
     Bounds,
@@ -13,7 +20,7 @@
     Identity,
     StoreLimits,
 )
-from zinniatrestle.errors import SettingsError
+from zinniatrestle.errors import MalformedInputError, SettingsError
 from zinniatrestle.ids import FailureDomainId, HostId, RegionId
 
 SETTINGS_VARIABLE = "ZINNIATRESTLE_BOOT"
@@ -31,37 +38,37 @@
 class WireLimits(msgspec.Struct, frozen=True):
     """CPU of the machine: `cpuShare` of one core that is as fast as `cores` cores."""
 
-    cpuShare: float = 1.0
-    cores: float = 1.0
+    cpuShare: PositiveFactor = 1.0
+    cores: PositiveFactor = 1.0
 
 
 class WireBounds(msgspec.Struct, frozen=True):
     """Time limits and factors of the platform; most names end in their unit."""
 
-    contactMs: float = 4000
-    ackTimeoutMs: float = 5000
-    drainMs: float = 2500
-    graceS: float = 6
-    revokeMs: float = 5000
+    contactMs: Duration = 4000
+    ackTimeoutMs: Duration = 5000
+    drainMs: Duration = 2500
+    graceS: Duration = 6
+    revokeMs: Duration = 5000
     strictRevocation: bool = True
-    evacuateMs: float = 5000
-    configApplyMs: float = 2500
-    maxHoldMs: float = 10000
-    stopTimeoutMs: float = 1000
-    gangTimeoutMs: float = 3000
-    status_s: float = 120
+    evacuateMs: Duration = 5000
+    configApplyMs: Duration = 2500
+    maxHoldMs: Duration = 10000
+    stopTimeoutMs: Duration = 1000
+    gangTimeoutMs: Duration = 3000
+    status_s: Duration = 120
     # Time after the end of traffic by which accepted work that can run has to run.
-    finish_s: float = 14
-    farX: float = 3
-    checkpointIntervalS: float = 2
-    restoreMs: float = 250
-    noticeMs: float = 5500
-    leaseMs: float = 3000
-    paceMs: float = 100
-    harmMs: float = 4000
-    reclaimMs: float = 3000
-    migrateS: float = 1.5
-    maintenanceS: float = 2
+    finish_s: Duration = 14
+    farX: Factor = 3
+    checkpointIntervalS: Duration = 2
+    restoreMs: Duration = 250
+    noticeMs: Duration = 5500
+    leaseMs: Duration = 3000
+    paceMs: Duration = 100
+    harmMs: Duration = 4000
+    reclaimMs: Duration = 3000
+    migrateS: Duration = 1.5
+    maintenanceS: Duration = 2
 
 
 class StoreSection(msgspec.Struct, frozen=True):
@@ -69,18 +76,18 @@
 
     address: str = ""
     form: str = "table"
-    writesPerS: float = 100
-    readsPerS: float = 100
+    writesPerS: Factor = 100
+    readsPerS: Factor = 100
     # Maximum size of a row's value, encoded as base64.
-    rowBytes: int = 65_536
+    rowBytes: PositiveCounter = 65_536
 
 
 class CloudSection(msgspec.Struct, frozen=True):
     """Address and rate limits of the calls about machines."""
 
     address: str = ""
-    ratePerS: float = 10
-    dutyPerS: float = 10
+    ratePerS: Factor = 10
+    dutyPerS: Factor = 10
 
 
 class SettingsFile(msgspec.Struct, frozen=True):
@@ -95,7 +102,7 @@
     zones: dict[str, str] = {}
     orders: str = INVOCATION
     # Interval at which workers write their registry entries.
-    heartbeatMs: float = 1500
+    heartbeatMs: Duration = 1500
     advice: str = ""
     limits: WireLimits = WireLimits()
     bounds: WireBounds = WireBounds()
@@ -106,7 +113,8 @@
     """Read and check the settings file; raises SettingsError."""
     try:
         document = tomllib.loads(path.read_text())
-    except (OSError, UnicodeDecodeError, tomllib.TOMLDecodeError) as error:
+    except (OSError, ValueError, RecursionError) as error:
+        # The parser also raises ValueError for long numbers, and RecursionError.
         raise SettingsError(
             f"The settings file {path} can't be read: {error}."
         ) from error
@@ -116,9 +124,9 @@
 def decode(document: dict[str, Any]) -> Deployment:
     """Decode and check a settings document; raises SettingsError."""
     try:
-        file = msgspec.convert(document, SettingsFile, strict=False)
-    except msgspec.ValidationError as error:
-        raise SettingsError(f"The settings file is not valid: {error}.") from error
+        file = convert(document, SettingsFile, "The settings file")
+    except MalformedInputError as error:
+        raise SettingsError(error.detail) from error
     if file.platform.form != "table":
         raise SettingsError(
             "The form of the store is not supported: set platform.form to table."
--- a/src/zinniatrestle/platform/tests/test_settings.py
+++ b/src/zinniatrestle/platform/tests/test_settings.py
@@ -1,6 +1,10 @@
 """Decoding and checks of the platform's settings file."""
 
+import math
+
 import pytest
+from common.odd_input import BEYOND_64_BITS, damaged_documents, deterministic
+from hypothesis import given
 
 from zinniatrestle.errors import ResultCode, SettingsError
 from zinniatrestle.platform.settings import decode, load
@@ -37,6 +41,20 @@
         {"bounds": {"leaseMs": 0}},
         {"bounds": {"leaseMs": "soon"}},
         {"bindAddresses": {"frontendAddr": "10.0.0.1:99999"}},
+        # Digits, but no number.
+        {"bindAddresses": {"frontendAddr": "10.0.0.1:\u00b2"}},
+        {"bindAddresses": {"frontendAddr": "10.0.0.1:" + "8" * 5000}},
+        {"platform": {**GOOD["platform"], "rowBytes": -1}},
+        {"platform": {**GOOD["platform"], "rowBytes": BEYOND_64_BITS}},
+        {"heartbeatMs": math.inf},
+        {"bounds": {"leaseMs": math.nan}},
+        {"bounds": {"leaseMs": math.inf}},
+        {"bounds": {"drainMs": -1}},
+        {"bounds": {"finish_s": 1e300}},
+        {"bounds": {"maxHoldMs": 10**400}},
+        {"bounds": {"graceS": "1e400"}},
+        {"limits": {"cpuShare": 0}},
+        {"limits": {"cores": math.nan}},
     ],
 )
 def test_a_bad_setting_is_refused_with_its_code(change):
@@ -45,10 +63,22 @@
     assert caught.value.code is ResultCode.BAD_SETTING
 
 
-@pytest.mark.parametrize("text", ["not = [toml", "\x00", ""])
+@pytest.mark.parametrize(
+    "text",
+    [
+        "not = [toml",
+        "\x00",
+        "",
+        "a = " + "[" * 20_000,
+        "a" + ".b" * 20_000 + " = 1",
+        "a = 1" + "0" * 5000,
+        'a = "\\ud800"',
+        b"a = '\xff'",
+    ],
+)
 def test_a_file_that_cannot_be_read_is_refused(tmp_path, text):
     path = tmp_path / "settings.toml"
-    path.write_text(text)
+    path.write_bytes(text if isinstance(text, bytes) else text.encode())
     with pytest.raises(SettingsError):
         load(path)
 
@@ -56,3 +86,16 @@
 def test_a_missing_file_is_refused(tmp_path):
     with pytest.raises(SettingsError):
         load(tmp_path / "absent.toml")
+
+
+@deterministic
+@given(damaged_documents(GOOD))
+def test_any_document_is_usable_or_a_bad_setting(document):
+    try:
+        deployment = decode(document)
+    except SettingsError:
+        return
+    for name in deployment.bounds.__dataclass_fields__:
+        assert 0 <= getattr(deployment.bounds, name) < 2**60
+    assert deployment.identity.speed > 0
+    assert deployment.store.row_bytes > 0
