Refuse bad calls with a numbered error, and store nothing of them

Callers got a 500 in plain text for a body nested 4,500 deep, and for `cpu`, `maxRuns` or `startAtMs` beyond 64 bits; 400, 404 and 405 in plain text for calls that aren't HTTP, for other paths and for other methods. A job with negative `cpu` was accepted: placed on a worker, it adds to the worker's free capacity. A deadline of "nan" was answered with 503. A head of any length was read into memory.

The body is decoded by decode_json into bounded fields. What Starlette and uvicorn refuse has a numbered error too, on both interfaces; heads of over 64 KiB are refused with 102. An error that nobody expects is logged as `task_failed` and answered with 201 and status 504, which says that the call may have taken effect, so that it is repeated.

--- a/src/zinniatrestle/entry/app.py
+++ b/src/zinniatrestle/entry/app.py
@@ -11,7 +11,12 @@
 from zinniatrestle.gangs.routes import JobRoutes
 from zinniatrestle.operators.routes import OperatorRoutes
 from zinniatrestle.requests.routes import RequestRoutes
-from zinniatrestle.web import HttpServer, json_response, problem_response
+from zinniatrestle.web import (
+    HttpProtocol,
+    HttpServer,
+    json_response,
+    problem_response,
+)
 
 NOT_FOUND = 404
 METHOD_NOT_ALLOWED = 405
@@ -38,6 +43,7 @@
         build_app(host),
         host=settings.address,
         port=settings.port,
+        http=HttpProtocol,
         log_config=None,
         access_log=False,
         lifespan="off",
--- a/src/zinniatrestle/platform/daemon.py
+++ b/src/zinniatrestle/platform/daemon.py
@@ -36,7 +36,7 @@
 from zinniatrestle.scheduling.leadership import Leadership
 from zinniatrestle.serving import Frontend
 from zinniatrestle.upkeep import WaveRunner
-from zinniatrestle.web import HttpServer
+from zinniatrestle.web import HttpProtocol, HttpServer
 
 # One connection serves the hold (a long poll), the others carry orders.
 CONNECTIONS_PER_WORKER = 4
@@ -249,7 +249,7 @@
             host=ip,
             port=port,
             loop="asyncio",
-            http="httptools",
+            http=HttpProtocol,
             ws="none",
             log_config=None,
             access_log=False,
--- a/src/zinniatrestle/platform/job_api.py
+++ b/src/zinniatrestle/platform/job_api.py
@@ -1,20 +1,37 @@
 """HTTP interface for callers: jobs under the paths of their queues, and readiness."""
 
+import math
 from collections.abc import Awaitable, Callable
 
 import msgspec
 from starlette.applications import Starlette
+from starlette.exceptions import HTTPException
 from starlette.requests import Request
 from starlette.responses import Response
 from starlette.routing import Route
 
 from zinniatrestle.clock import monotonic
-from zinniatrestle.errors import CallerError, ResultCode, ZinniatrestleError
+from zinniatrestle.decoding import Capacity, Counter, Duration, Name, decode_json
+from zinniatrestle.errors import (
+    CallerError,
+    NotFoundError,
+    ResultCode,
+    UnknownOutcomeError,
+    ZinniatrestleError,
+)
+from zinniatrestle.events import EventLog
 from zinniatrestle.ids import ApiKey, JobId, RackId
 from zinniatrestle.jobs.intake import JobRequest
 from zinniatrestle.jobs.messages import Step
 from zinniatrestle.serving import Frontend, RetryLaterError
-from zinniatrestle.web import CODE_HEADER, DEFAULT_ERROR_STATUS, HTTP_STATUS, read_body
+from zinniatrestle.supervision import Supervisor
+from zinniatrestle.web import (
+    CODE_HEADER,
+    DEFAULT_ERROR_STATUS,
+    HTTP_STATUS,
+    UNEXPECTED_ERROR,
+    read_body,
+)
 
 DEADLINE_HEADER = "Zinniatrestle-Deadline-Ms"
 KEY_HEADER = "Api-Key"
@@ -33,30 +50,30 @@
 class WireStep(msgspec.Struct, frozen=True):
     """A step of a job; all fields but `count` default to 0, false or empty."""
 
-    count: int = 1
-    cpu: int = 0
-    memMb: int = 0
-    gpus: int = 0
+    count: Counter = 1
+    cpu: Capacity = 0
+    memMb: Capacity = 0
+    gpus: Capacity = 0
     # The caller's estimate, often far from the actual duration.
-    estimatedMs: float = 0
-    after: list[int] = []
+    estimatedMs: Duration = 0
+    after: list[Counter] = []
     checkpointing: bool = False
     gang: bool = False
     # The step runs slower if its tasks are spread over several racks.
     rackSensitive: bool = False
     # A label that the worker must have.
-    requirements: str = ""
+    requirements: Name = ""
     # The rack that holds the step's data.
-    affinity: str = ""
+    affinity: Name = ""
     # Maximum number of the step's tasks at one worker; 0 means no limit.
-    antiAffinity: int = 0
+    antiAffinity: Counter = 0
     allowDuplicates: bool = False
     longRunning: bool = False
-    image: str = ""
+    image: Name = ""
     # Limit for the tail latency of a serving task.
-    targetMs: float = 0
+    targetMs: Duration = 0
     fills: bool = False
-    mayMiss: int = 0
+    mayMiss: Counter = 0
 
 
 class WireJob(msgspec.Struct, frozen=True):
@@ -64,9 +81,9 @@
 
     spec: str = ""
     steps: list[WireStep] = []
-    maxRuns: int = 0
-    startAtMs: float = 0
-    intervalMs: float = 0
+    maxRuns: Counter = 0
+    startAtMs: Duration = 0
+    intervalMs: Duration = 0
 
 
 class WireState(msgspec.Struct, frozen=True):
@@ -82,11 +99,8 @@
 
 
 def decode_job_request(body: bytes) -> JobRequest:
-    """Decode the body of a submission; raises CallerError."""
-    try:
-        job = msgspec.json.decode(body, type=WireJob)
-    except (msgspec.ValidationError, msgspec.DecodeError) as error:
-        raise CallerError(f"The body is not a valid job: {error}.") from error
+    """Decode the body of a submission; raises MalformedInputError."""
+    job = decode_json(body, WireJob, "The job")
     steps = tuple(_decode_step(step) for step in job.steps)
     return JobRequest(
         job.spec, steps, job.maxRuns, int(job.startAtMs), int(job.intervalMs)
@@ -124,16 +138,15 @@
 
     def app(self) -> Starlette:
         """Return the ASGI application that serves callers."""
-        methods = ["GET", "POST", "DELETE"]
-        route = Route(
-            "/{path:path}", _with_error_responses(self.handle), methods=methods
-        )
-        return Starlette(routes=[route])
+        handler = _with_error_responses(self.handle, self.frontend.events)
+        route = Route("/{path:path}", handler, methods=["GET", "POST", "DELETE"])
+        handlers = {HTTPException: _answer_unrouted}
+        return Starlette(routes=[route], exception_handlers=handlers)
 
     async def handle(self, request: Request) -> Response:
         """Handle a request about a queue or a job."""
         give_up_at = monotonic() + _remaining_seconds(request)
-        path = request.url.path
+        path = request.scope["path"]
         host = request.headers.get("host", "").partition(":")[0]
         key = request.headers.get(KEY_HEADER)
         admission = self.frontend.admit(host, path, ApiKey(key) if key else None)
@@ -185,23 +198,36 @@
     text = request.headers.get(DEADLINE_HEADER, "")
     try:
         seconds = float(text) / MS_PER_SECOND if text else DEFAULT_DEADLINE_SECONDS
-    except ValueError as error:
-        raise CallerError(
-            f"{DEADLINE_HEADER} must be a number of milliseconds."
-        ) from error
+    except ValueError:
+        seconds = math.nan
+    if not math.isfinite(seconds):
+        raise CallerError(f"{DEADLINE_HEADER} must be a number of milliseconds.")
     return max(0.0, seconds - RESPONSE_MARGIN_SECONDS)
 
 
-def _with_error_responses(handler: Handler) -> Handler:
+def _with_error_responses(handler: Handler, events: EventLog) -> Handler:
+    supervisor = Supervisor(events)
+
     async def handle(request: Request) -> Response:
         try:
             return await handler(request)
         except ZinniatrestleError as error:
             return _error_response(error)
+        except Exception as error:
+            supervisor.log_failure("call", error, method=request.method)
+            return _error_response(UnknownOutcomeError(UNEXPECTED_ERROR))
 
     return handle
 
 
+async def _answer_unrouted(request: Request, error: Exception) -> Response:
+    """Answer a call whose method or path has no meaning here."""
+    response = _error_response(NotFoundError("There is no such call."))
+    response.status_code = error.status_code
+    response.headers.update(error.headers or {})
+    return response
+
+
 def _error_response(error: ZinniatrestleError) -> Response:
     status = HTTP_STATUS.get(error.code, DEFAULT_ERROR_STATUS)
     headers = {CODE_HEADER: str(int(error.code))}
--- a/src/zinniatrestle/requests/routes.py
+++ b/src/zinniatrestle/requests/routes.py
@@ -26,6 +26,7 @@
 DEFAULT_TIMEOUT_SECONDS = 10.0
 MAX_KEY_LENGTH = 200
 MS_PER_SECOND = 1000
+MAX_TIMEOUT_DIGITS = 15
 # Codes whose answer carries the status and body of the minion.
 MINION_ANSWER_CODES = frozenset({ResultCode.OK, ResultCode.UPSTREAM_FAILED})
 
@@ -65,7 +66,8 @@
         text = http.headers.get(TIMEOUT_HEADER)
         if text is None:
             return min(DEFAULT_TIMEOUT_SECONDS, self.settings.longest_timeout)
-        if not text.isdecimal() or int(text) == 0:
+        is_number = text.isascii() and text.isdecimal()
+        if not is_number or len(text) > MAX_TIMEOUT_DIGITS or int(text) == 0:
             raise CallerError(
                 f"{TIMEOUT_HEADER} must be a positive integer, got {text!r}."
             )
--- a/src/zinniatrestle/standins/wire.py
+++ b/src/zinniatrestle/standins/wire.py
@@ -209,13 +209,13 @@
 
 
 @contextlib.asynccontextmanager
-async def serve_app(app: Starlette) -> AsyncIterator[str]:
+async def serve_app(app: Starlette, http: type | str = "auto") -> AsyncIterator[str]:
     """Serve an application on a free loopback port; yields its `IP:PORT`."""
     listening = socket.socket()
     listening.bind(("127.0.0.1", 0))
     listening.listen()
     config = uvicorn.Config(
-        app, log_config=None, lifespan="off", timeout_graceful_shutdown=0
+        app, http=http, log_config=None, lifespan="off", timeout_graceful_shutdown=0
     )
     server = HttpServer(config)
     serving = asyncio.create_task(server.serve(sockets=[listening]))
--- a/src/zinniatrestle/web.py
+++ b/src/zinniatrestle/web.py
@@ -1,5 +1,6 @@
 """Helpers shared by all HTTP routes: error responses, bearer tokens, bodies."""
 
+import asyncio
 import contextlib
 import hashlib
 import hmac
@@ -8,9 +9,11 @@
 
 import msgspec
 import uvicorn
-from starlette.requests import Request
+from starlette.requests import ClientDisconnect, Request
 from starlette.responses import Response
+from uvicorn.protocols.http.httptools_impl import STATUS_LINE, HttpToolsProtocol
 
+from zinniatrestle.decoding import decode_json
 from zinniatrestle.errors import (
     AuthenticationError,
     CallerError,
@@ -46,6 +49,11 @@
     ResultCode.NOT_RETIRED: 409,
 }
 DEFAULT_ERROR_STATUS = 503
+UNEXPECTED_ERROR = "The call failed unexpectedly, and may have taken effect."
+# Bytes of a call's first line and headers, together.
+MAX_HEAD_BYTES = 65_536
+# Time for a caller to read why its call was refused.
+LINGER_SECONDS = 1.0
 
 log = ComponentLog("http")
 
@@ -61,6 +69,70 @@
         yield
 
 
+class HttpProtocol(HttpToolsProtocol):
+    """HTTP protocol of a server that numbers its errors and bounds heads of calls."""
+
+    def connection_made(self, transport: asyncio.BaseTransport):
+        """Begin to count the bytes of a head."""
+        super().connection_made(transport)
+        # Bytes of a head that is not complete yet.
+        self.head_bytes = 0
+        self.refused = False
+
+    def data_received(self, data: bytes):
+        """Parse data, and refuse a head that is too large."""
+        if self.refused:
+            return
+        self.head_bytes += len(data)
+        super().data_received(data)
+        if self.head_bytes > MAX_HEAD_BYTES and not self.refused:
+            self._refuse_head()
+
+    def on_headers_complete(self):
+        """Handle the call, whose head has ended."""
+        self.head_bytes = 0
+        size = len(self.url)
+        for name, value in self.headers:
+            size += len(name) + len(value)
+        if size > MAX_HEAD_BYTES:
+            self._refuse_head()
+            # Ends the parsing of this connection.
+            raise ValueError("The head is too large.")
+        super().on_headers_complete()
+
+    def on_body(self, body: bytes):
+        """Handle a part of the body, which doesn't count for the head."""
+        self.head_bytes = 0
+        super().on_body(body)
+
+    def send_400_response(self, msg: str):
+        """Refuse a call that is no valid HTTP, unless it is refused already."""
+        if not self.refused:
+            self._refuse(ResultCode.BAD_INPUT, msg)
+
+    def _refuse_head(self):
+        self._refuse(
+            ResultCode.TOO_LARGE,
+            f"The headers and the path must have up to {MAX_HEAD_BYTES} bytes.",
+        )
+
+    def _refuse(self, code: ResultCode, detail: str):
+        """Answer with an error, and close the connection, which can't be parsed on.
+
+        It is closed later, since unread data would reset it before the answer is read.
+        """
+        self.refused = True
+        response = problem_response(code, detail)
+        lines = [STATUS_LINE[response.status_code]]
+        for name, value in response.raw_headers:
+            lines.append(name + b": " + value + b"\r\n")
+        lines.append(b"connection: close\r\n\r\n")
+        self.transport.write(b"".join(lines) + response.body)
+        if self.transport.can_write_eof():
+            self.transport.write_eof()
+        self.loop.call_later(LINGER_SECONDS, self.transport.close)
+
+
 class Problem(msgspec.Struct, frozen=True):
     """Problem details of an error (RFC 9457), extended by the result code."""
 
@@ -97,30 +169,39 @@
             return await handler(request)
         except ZinniatrestleError as error:
             return problem_response(error.code, error.detail)
+        except Exception as error:
+            log.error(
+                "%s %s failed: %s: %s",
+                request.method,
+                request.scope["path"],
+                type(error).__name__,
+                error,
+            )
+            return problem_response(ResultCode.UNKNOWN, UNEXPECTED_ERROR)
 
     return handle
 
 
 async def read_body(request: Request, max_bytes: int) -> bytes:
-    """Read a body of at most `max_bytes`; raises CallerError if it is larger."""
+    """Read a body of at most `max_bytes`; raises CallerError."""
     chunks = []
     size = 0
-    async for chunk in request.stream():
-        size += len(chunk)
-        if size > max_bytes:
-            raise CallerError(
-                f"The body is larger than {max_bytes} bytes.", ResultCode.TOO_LARGE
-            )
-        chunks.append(chunk)
+    try:
+        async for chunk in request.stream():
+            size += len(chunk)
+            if size > max_bytes:
+                raise CallerError(
+                    f"The body is larger than {max_bytes} bytes.", ResultCode.TOO_LARGE
+                )
+            chunks.append(chunk)
+    except ClientDisconnect as error:
+        raise CallerError("The connection ended before the body.") from error
     return b"".join(chunks)
 
 
 def decode_body(body: bytes, expected_type: Any) -> Any:
-    """Decode and validate a JSON body; raises CallerError."""
-    try:
-        return msgspec.json.decode(body, type=expected_type)
-    except (msgspec.ValidationError, msgspec.DecodeError) as error:
-        raise CallerError(f"The body is invalid: {error}.") from error
+    """Decode and validate a JSON body; raises MalformedInputError."""
+    return decode_json(body, expected_type, "The body")
 
 
 def bearer_token(request: Request) -> str:
--- a/tests/common/odd_input.py
+++ b/tests/common/odd_input.py
@@ -96,11 +96,23 @@
     return paths
 
 
+def _odd_values_for(value: Any) -> st.SearchStrategy:
+    """Return values in place of another, most of them of the same type."""
+    same = odd_values
+    if isinstance(value, bool):
+        same = st.booleans()
+    elif isinstance(value, int | float):
+        same = odd_numbers
+    elif isinstance(value, str):
+        same = odd_texts
+    return st.integers(0, 3).flatmap(lambda kind: same if kind else odd_values)
+
+
 @st.composite
 def damaged_documents(draw, document: dict[str, Any]) -> dict[str, Any]:
     """Return a document of which a few values are replaced or removed."""
     damaged = copy.deepcopy(document)
-    for _ in range(draw(st.integers(1, 3))):
+    for _ in range(draw(st.sampled_from([1, 1, 2, 3]))):
         paths = _paths(damaged)
         if not paths:
             break
@@ -111,7 +123,7 @@
         if isinstance(holder, dict) and draw(st.integers(0, 4)) == 0:
             del holder[key]
             continue
-        holder[key] = draw(odd_values)
+        holder[key] = draw(_odd_values_for(holder[key]))
     return damaged
 
 
@@ -119,7 +131,7 @@
 def damaged_texts(draw, document: dict[str, Any]) -> bytes:
     """Return the JSON text of a damaged document, some with damaged bytes."""
     text = bytearray(json.dumps(draw(damaged_documents(document))).encode())
-    if draw(st.integers(0, 3)) == 0:
+    if draw(st.integers(0, 9)) == 0:
         for _ in range(draw(st.integers(1, 3))):
             position = draw(st.integers(0, len(text) - 1))
             text[position] = draw(st.integers(0, 255))
