Keep tasks running that one failure ended

One unexpected error ended tasks that have to run as long as the process: the one that follows the desired state, the lease, the settings, and with each part of the scheduler (feeds, writer, purge, waves, advice) all of it.

supervision.py runs such a task again after a `task_failed` line and a pause that doubles up to a limit. The writer of progress writes again what may not be stored, leaves out a job that can't be encoded, and writes over a damaged row. A wave holds up no other. Cancellation and LeaseLostError pass.

Readers of tables have no method for full reads any more: each row is a change, and `retain` names the rows that exist.

--- a/src/zinniatrestle/jobs/messages.py
+++ b/src/zinniatrestle/jobs/messages.py
@@ -4,6 +4,8 @@
 
 import msgspec
 
+from zinniatrestle.decoding import decode_msgpack
+from zinniatrestle.errors import MalformedInputError
 from zinniatrestle.ids import (
     ClientAccountId,
     InstanceId,
@@ -202,8 +204,8 @@
 
 
 def decode_submission(value: bytes) -> Submission:
-    """Decode a submission from the store."""
-    return msgspec.msgpack.decode(value, type=Submission)
+    """Decode a submission from the store; raises MalformedInputError."""
+    return decode_msgpack(value, Submission, "The submission")
 
 
 def encode_progress(progress: JobProgress) -> bytes:
@@ -232,12 +234,14 @@
 
 
 def decode_progress(value: bytes) -> JobProgress:
-    """Decode progress from the store."""
-    stored = msgspec.msgpack.decode(value, type=StoredProgress)
+    """Decode progress from the store; raises MalformedInputError."""
+    stored = decode_msgpack(value, StoredProgress, "The progress")
     tasks = {}
     for step, members in stored.steps.items():
         for index, task in members.items():
             worker, instance = WorkerId(""), InstanceId(0)
+            if not 0 <= task.place <= len(stored.places):
+                raise MalformedInputError("The progress names a place that is none.")
             if task.place:
                 worker, instance = stored.places[task.place - 1]
             tasks[f"{step}.{index}"] = TaskProgress(
--- a/src/zinniatrestle/platform/daemon.py
+++ b/src/zinniatrestle/platform/daemon.py
@@ -2,8 +2,10 @@
 
 import asyncio
 import signal
+from collections.abc import Awaitable, Callable
 from contextlib import suppress
 from dataclasses import dataclass, field
+from functools import partial
 from pathlib import Path
 
 import uvicorn
@@ -35,6 +37,7 @@
 from zinniatrestle.scheduling.leader_loop import run_while_leader
 from zinniatrestle.scheduling.leadership import Leadership
 from zinniatrestle.serving import Frontend
+from zinniatrestle.supervision import Supervisor
 from zinniatrestle.upkeep import WaveRunner
 from zinniatrestle.web import HttpProtocol, HttpServer
 
@@ -81,6 +84,7 @@
 
     def __post_init__(self):
         addresses = self.deployment.addresses
+        self.supervisor = Supervisor(self.events)
         self.client = HttpClient()
         self.worker_client = HttpClient(CONNECTIONS_PER_WORKER, MAX_REPORT_BYTES)
         self.store = PlatformStore(
@@ -139,10 +143,12 @@
         )
         servers = self._servers()
         serving = [asyncio.create_task(server.serve()) for server in servers]
-        scheduler_task = self._start_task(run_while_leader(self.context), "scheduler")
-        lease_task = self._start_task(self.leadership.run(), "lease")
-        self._start_task(self.feed.follow(), "desired state")
-        self._start_task(self._watch_settings(reload), "settings")
+        scheduler_task = self._start_task(
+            "scheduler", partial(run_while_leader, self.context)
+        )
+        lease_task = self._start_task("lease", self.leadership.run)
+        self._start_task("desired state", self.feed.follow)
+        self._start_task("settings", partial(self._watch_settings, reload))
         stopping = asyncio.create_task(stop.wait())
         await asyncio.wait([*serving, stopping], return_when=asyncio.FIRST_COMPLETED)
         await self._stop(scheduler_task, lease_task)
@@ -189,21 +195,13 @@
         record = self.leadership.record
         return sum(record.pending.values()) if record is not None else 0
 
-    def _start_task(self, coroutine, name: str) -> asyncio.Task:
-        task = asyncio.create_task(self._log_failure(coroutine, name))
+    def _start_task(
+        self, name: str, run: Callable[[], Awaitable[None]]
+    ) -> asyncio.Task:
+        task = asyncio.create_task(self.supervisor.keep_running(name, run))
         self.tasks.append(task)
         return task
 
-    async def _log_failure(self, coroutine, name: str):
-        """Log the exception of a task that should run until it is cancelled."""
-        try:
-            await coroutine
-        except Exception as error:
-            self.events.write(
-                Event.TASK_FAILED, task=name, reason=f"{type(error).__name__}: {error}"
-            )
-            raise
-
     async def _watch_settings(self, reload: asyncio.Event):
         """Reload the settings file when it changes or on a signal."""
         while True:
--- a/src/zinniatrestle/platform/tests/test_operator.py
+++ b/src/zinniatrestle/platform/tests/test_operator.py
@@ -18,7 +18,7 @@
 from zinniatrestle.ids import RowName, RowVersion
 from zinniatrestle.platform.operator import PlatformOperatorRows
 from zinniatrestle.queues import DesiredStateReader, OperatorState
-from zinniatrestle.rows import Change, StoredRow
+from zinniatrestle.rows import Change
 
 HOST = "Queues.example"
 CONFIG = {
@@ -68,7 +68,7 @@
     state_reader.change(change("evacuate/zone-a", None))
     assert state_reader.state.evacuated == set()
     state_reader.change(change("evacuate/zone-a", {}))
-    state_reader.snapshot([])
+    state_reader.retain(set())
     assert state_reader.state.evacuated == set()
 
 
@@ -174,10 +174,10 @@
 def test_a_full_read_keeps_a_wave_whose_row_is_damaged():
     state_reader = new_reader()
     put(state_reader, "wave/7", changed(WAVE))
-    rows = [StoredRow("op", RowName("wave/7"), b"damaged", RowVersion(3))]
-    state_reader.snapshot(rows)
+    put(state_reader, "wave/7", b"damaged")
+    state_reader.retain({RowName("wave/7")})
     assert state_reader.state.waves[7].max_concurrent == 1
-    state_reader.snapshot([])
+    state_reader.retain(set())
     assert state_reader.state.waves == {}
 
 
--- a/src/zinniatrestle/queues/follower.py
+++ b/src/zinniatrestle/queues/follower.py
@@ -7,7 +7,7 @@
 from zinniatrestle.ids import BootSeconds, RowName, TableName
 from zinniatrestle.queues.messages import DesiredState, Evacuation, Wave
 from zinniatrestle.queues.state import OperatorState
-from zinniatrestle.rows import Change, StoredRow
+from zinniatrestle.rows import Change
 from zinniatrestle.rows.feed import TableReader
 
 # Longest wait for an answer of the feed. Each answer confirms the desired state, so
@@ -44,14 +44,11 @@
         # Rows whose content is in force. A damaged new version replaces no content.
         self.applied: set[RowName] = set()
 
-    def snapshot(self, rows: list[StoredRow]):
-        """Replace evacuations and waves by those in `rows`, and install its state."""
-        present = {row.name for row in rows}
-        self.rejections.retain(present)
-        for name in self.applied - present:
+    def retain(self, names: set[RowName]):
+        """Remove what is in force by rows other than these."""
+        self.rejections.retain(names)
+        for name in self.applied - names:
             self._remove(name)
-        for row in rows:
-            self._apply(row.name, row.value)
 
     def change(self, change: Change):
         """Apply one change."""
--- a/src/zinniatrestle/scheduling/cluster_state.py
+++ b/src/zinniatrestle/scheduling/cluster_state.py
@@ -26,6 +26,7 @@
     TaskStatus,
     Worker,
 )
+from zinniatrestle.supervision import Supervisor
 
 
 class ClusterState(FleetListener, ABC):
@@ -34,6 +35,7 @@
     def __init__(self, context: SchedulerContext, progress_writer: ProgressWriter):
         self.context = context
         self.events = context.events
+        self.supervisor = Supervisor(context.events)
         self.metrics = context.metrics
         self.progress_writer = progress_writer
         self.jobs: dict[JobId, Job] = {}
--- a/src/zinniatrestle/scheduling/fleet.py
+++ b/src/zinniatrestle/scheduling/fleet.py
@@ -18,7 +18,7 @@
     ServiceName,
     WorkerId,
 )
-from zinniatrestle.rows import Change, StoredRow
+from zinniatrestle.rows import Change
 from zinniatrestle.rows.feed import TableReader
 from zinniatrestle.scheduling.state import Worker
 from zinniatrestle.workers.interfaces import WorkerRows
@@ -85,17 +85,6 @@
         # has ended, at the latest.
         self.former_deadlines_at: dict[WorkerId, BootSeconds] = {}
 
-    def snapshot(self, rows: list[StoredRow]):
-        """Replace the known entries by those of a full read."""
-        present = set()
-        for row in rows:
-            present.add(row.name)
-            self._apply_entry(row.name, row.value)
-        self.rejections.retain(present)
-        for name, worker in list(self.workers.items()):
-            if name not in present:
-                self._mark_missing(worker)
-
     def change(self, change: Change):
         """Apply a change of one entry."""
         if change.value is not None:
@@ -106,6 +95,13 @@
         if worker is not None:
             self._mark_missing(worker)
 
+    def retain(self, names: set[RowName]):
+        """Handle that the registry lists no other entries than these."""
+        self.rejections.retain(names)
+        for name, worker in list(self.workers.items()):
+            if name not in names:
+                self._mark_missing(worker)
+
     def _apply_entry(self, name: RowName, value: bytes):
         """Apply an entry; a damaged one names no worker, and replaces no valid one."""
         try:
--- a/src/zinniatrestle/scheduling/leader_task.py
+++ b/src/zinniatrestle/scheduling/leader_task.py
@@ -8,7 +8,12 @@
 
 
 class LeaderTask(ABC):
-    """A background task beside the rounds, restarted with each generation."""
+    """A background task beside the rounds, restarted with each generation.
+
+    `name` is for its lines of log.
+    """
+
+    name: str
 
     @abstractmethod
     async def run(self, cluster: "ClusterState"):
--- a/src/zinniatrestle/scheduling/leadership.py
+++ b/src/zinniatrestle/scheduling/leadership.py
@@ -35,6 +35,7 @@
 from zinniatrestle.rows.feed import Feed, TableReader
 from zinniatrestle.rows.retries import TIMER_RESOLUTION_SECONDS, transact_with_retries
 from zinniatrestle.scheduling.messages import Handover, LeaseRecord
+from zinniatrestle.supervision import Supervisor
 
 LEASES = TableName("leases")
 LEASE_ROW = RowName("scheduler")
@@ -94,11 +95,6 @@
     def __init__(self, leadership: "Leadership"):
         self.leadership = leadership
 
-    def snapshot(self, rows: list[StoredRow]):
-        """Apply the fence's version; the row is absent until a host has led once."""
-        for row in rows:
-            self.leadership.on_fence_change(row.version)
-
     def change(self, change: Change):
         """Apply a newer version of the fence."""
         self.leadership.on_fence_change(change.version)
@@ -131,6 +127,9 @@
         self.lost = asyncio.Event()
         self.lost.set()
         self.released = False
+        # Until then this host doesn't contend for the lease.
+        self.abstains_until = BootSeconds(0.0)
+        self.supervisor = Supervisor(events)
         self.pending: dict[QueueName, int] = {}
         self.handover = Handover()
         # Workers with lease expiries in a handover that is stored or may be stored yet.
@@ -198,8 +197,11 @@
         async with asyncio.TaskGroup() as group:
             group.create_task(self.fence_feed.follow())
             await asyncio.sleep(self._contention_delay())
-            while True:
-                await self._step()
+            await self.supervisor.keep_running("lease", self._contend)
+
+    async def _contend(self):
+        while True:
+            await self._step()
 
     async def _step(self):
         try:
@@ -237,6 +239,10 @@
         self.lost.set()
         self.events.write(Event.LEASE_LOST, generation=self.generation, reason=reason)
 
+    def abstain(self, seconds: float):
+        """Contend for no further lease for some seconds."""
+        self.abstains_until = BootSeconds(boot_time() + seconds)
+
     async def release(self):
         """Release the lease so that a successor need not await its expiry.
 
@@ -292,6 +298,7 @@
             remaining = (
                 self.record.until - now
             ) / MS_PER_SECOND + self._contention_delay()
+        remaining = max(remaining, self.abstains_until - boot_time())
         if await wait_for_event(
             self.fence_changed, max(remaining, TIMER_RESOLUTION_SECONDS)
         ):
@@ -299,7 +306,7 @@
             await asyncio.sleep(self._contention_delay())
 
     def _may_acquire(self) -> bool:
-        if self.released:
+        if self.released or boot_time() < self.abstains_until:
             return False
         if self.record is None or not self.record.holder:
             return True
--- a/src/zinniatrestle/scheduling/progress_writer.py
+++ b/src/zinniatrestle/scheduling/progress_writer.py
@@ -8,10 +8,11 @@
 from zinniatrestle.deployment import StoreLimits
 from zinniatrestle.errors import (
     LeaseLostError,
+    MalformedInputError,
     StoreUnavailableError,
     StoreUncertainError,
 )
-from zinniatrestle.events import Event, EventLog
+from zinniatrestle.events import Event, EventLog, RejectionLog
 from zinniatrestle.ids import JobId, RowVersion
 from zinniatrestle.jobs.intake import BASE64_FACTOR
 from zinniatrestle.jobs.messages import (
@@ -27,6 +28,7 @@
 from zinniatrestle.rows.retries import transact_with_retries
 from zinniatrestle.scheduling.leadership import FENCE_ROW, FENCES, Leadership
 from zinniatrestle.scheduling.state import Job
+from zinniatrestle.supervision import Supervisor
 
 # The store accepts 100 entries in a transaction, and a job needs up to 4.
 MAX_JOBS_PER_TRANSACTION = 24
@@ -34,6 +36,8 @@
 MAX_TRANSACTION_BYTES = 500_000
 # A write is retried for this long before the lease is checked again.
 WRITE_TIMEOUT_SECONDS = 2.0
+# Longest pause after an unexpected error, since starts and ends wait for the writer.
+MAX_PAUSE_SECONDS = 1.0
 
 
 @dataclass
@@ -62,6 +66,10 @@
         self.leadership = leadership
         self.events = events
         self.dirty: dict[JobId, Job] = {}
+        self.supervisor = Supervisor(events)
+        self.rejections = RejectionLog(events, f"table {PROGRESS}")
+        # Jobs whose state can't be encoded.
+        self.unwritable: set[JobId] = set()
         # Jobs of the write that is under way.
         self.writing: dict[JobId, Job] = {}
         self.requests: list[SaveRequest] = []
@@ -96,32 +104,57 @@
         return done
 
     async def run(self):
-        """Write the jobs that have changed, until the lease is lost."""
+        """Write the jobs that have changed; raises LeaseLostError."""
+        await self.supervisor.keep_running(
+            "progress",
+            self._write_changes,
+            final_errors=(LeaseLostError,),
+            longest_pause=MAX_PAUSE_SECONDS,
+        )
+
+    async def _write_changes(self):
         while True:
-            await self.dirty_added.wait()
-            self.dirty_added.clear()
-            while self.dirty:
-                await self._flush()
+            if not self.dirty:
+                self.dirty_added.clear()
+                await self.dirty_added.wait()
+            if not await self._flush():
+                await asyncio.sleep(MAX_PAUSE_SECONDS)
+
+    async def _flush(self) -> bool:
+        """Write the jobs that changed first, as many as a transaction may have.
 
-    async def _flush(self):
-        """Write the jobs that changed first, as many as a transaction may have."""
+        Return whether there was a job that can be written.
+        """
         # A job that changes during the write is marked dirty again, and the request for
         # that change waits for a later write.
         batch = self.writing = self._take_batch()
         names = set(batch)
         covered = list(self.requests)
-        while batch:
-            if await self._try_write(batch):
-                break
-        self.writing = {}
+        try:
+            while batch:
+                if await self._try_write(batch):
+                    break
+        except Exception:
+            # What may not be stored is written again.
+            self.dirty = {**batch, **self.dirty}
+            raise
+        finally:
+            self.writing = {}
         self._complete(covered, names)
+        return bool(names)
 
     def _take_batch(self) -> dict[JobId, Job]:
         """Remove jobs from the dirty ones, and return them."""
         batch: dict[JobId, Job] = {}
         size = 0
         for name, job in list(self.dirty.items()):
-            value = self._encoded(job)
+            try:
+                value = self._encoded(job)
+            except Exception as error:
+                # Its changes count as not stored, and hold up no other job's.
+                self._log_unwritable(name, error)
+                continue
+            self.unwritable.discard(name)
             if batch and size + len(value) > MAX_TRANSACTION_BYTES:
                 break
             size += len(value)
@@ -131,6 +164,12 @@
                 break
         return batch
 
+    def _log_unwritable(self, name: JobId, error: Exception):
+        if name in self.unwritable:
+            return
+        self.unwritable.add(name)
+        self.supervisor.log_failure("progress", error, job=name)
+
     async def _try_write(self, batch: dict[JobId, Job]) -> bool:
         """Write a batch and return whether it is stored; raises LeaseLostError.
 
@@ -211,7 +250,12 @@
             if row.version == job.version:
                 continue
             job.version = row.version
-            stored = decode_progress(row.value)
+            try:
+                stored = decode_progress(row.value)
+            except MalformedInputError as error:
+                # The next try writes over the damage.
+                self.rejections.reject(name, error.detail)
+                continue
             if not stored.state.ended or job.ended:
                 continue
             # Another host cancelled the job, or it was loaded from an answer that is
--- a/src/zinniatrestle/scheduling/scheduler.py
+++ b/src/zinniatrestle/scheduling/scheduler.py
@@ -1,6 +1,7 @@
 """The scheduler of one generation: loads stored state, follows feeds, runs rounds."""
 
 import asyncio
+from functools import partial
 
 from zinniatrestle.clock import boot_time, wait_for_event
 from zinniatrestle.errors import PlatformError, StoreUnavailableError
@@ -16,7 +17,7 @@
     decode_submission,
     row_name,
 )
-from zinniatrestle.rows import Change, Expect, StoredRow, Write
+from zinniatrestle.rows import Change, Expect, Write
 from zinniatrestle.rows.feed import Feed, TableReader
 from zinniatrestle.scheduling.context import SchedulerContext
 from zinniatrestle.scheduling.health_records import export_health_records
@@ -28,6 +29,7 @@
 from zinniatrestle.scheduling.session import HOLD_SHARE
 from zinniatrestle.scheduling.state import Job, StepRun, TaskStatus, occurrence_of
 from zinniatrestle.scheduling.tracker import Tracker
+from zinniatrestle.supervision import Supervisor
 from zinniatrestle.workers.lease import MIN_CLOCK_RATE, TIMER_SLACK_SECONDS
 
 # Long-poll time of the job feeds; each answer, even an empty one, confirms their data.
@@ -55,13 +57,8 @@
     def __init__(self, scheduler: "Scheduler"):
         self.scheduler = scheduler
 
-    def snapshot(self, rows: list[StoredRow]):
-        """Add all jobs in the table, which holds only jobs that have not ended."""
-        for row in rows:
-            self.scheduler.add_job(row.value, row.version)
-
     def change(self, change: Change):
-        """Add a new job; deletions are made by the scheduler itself and ignored."""
+        """Add a job; deletions are made by the scheduler itself and ignored."""
         if change.value is not None:
             self.scheduler.add_job(change.value, change.version)
 
@@ -74,13 +71,8 @@
     def __init__(self, scheduler: "Scheduler"):
         self.scheduler = scheduler
 
-    def snapshot(self, rows: list[StoredRow]):
-        """Apply all cancellations in the table."""
-        for row in rows:
-            self.scheduler.apply_cancellation(JobId(row.name), row.version)
-
     def change(self, change: Change):
-        """Apply a new cancellation; the scheduler's own deletions are ignored."""
+        """Apply a cancellation; the scheduler's own deletions are ignored."""
         if change.value is not None:
             self.scheduler.apply_cancellation(JobId(change.name), change.version)
 
@@ -92,6 +84,7 @@
         self.context = context
         self.events = context.events
         self.leadership = context.leadership
+        self.supervisor = Supervisor(context.events)
         self.progress_writer = ProgressWriter(
             context.store,
             context.leadership,
@@ -128,7 +121,12 @@
         )
 
     async def run(self):
-        """Load the stored state and schedule until a part fails or on cancellation."""
+        """Load the stored state and schedule until cancelled.
+
+        Raises LeaseLostError, and the error of a round that fails: its changes may be
+        incomplete, so that the state has to be loaded again. Other parts go on.
+        """
+        keep_running = self.supervisor.keep_running
         try:
             await self._load()
             async with asyncio.TaskGroup() as group:
@@ -137,11 +135,13 @@
                 group.create_task(self.cancellations.follow())
                 group.create_task(self.fleet.follow())
                 group.create_task(self._run_rounds())
-                group.create_task(self._purge_ended_jobs())
+                group.create_task(keep_running("purge", self._purge_ended_jobs))
                 for leader_task in self.context.leader_tasks:
-                    group.create_task(leader_task.run(self.tracker))
+                    run = partial(leader_task.run, self.tracker)
+                    group.create_task(keep_running(leader_task.name, run))
                 if self.tracker.advice is not None:
-                    group.create_task(self.tracker.advice.run())
+                    advice = self.tracker.advice
+                    group.create_task(keep_running("advice", advice.run))
         finally:
             await self._close()
 
--- a/src/zinniatrestle/scheduling/session.py
+++ b/src/zinniatrestle/scheduling/session.py
@@ -16,6 +16,7 @@
     TaskId,
 )
 from zinniatrestle.scheduling.state import Task, TaskStatus, Worker
+from zinniatrestle.supervision import Supervisor
 from zinniatrestle.workers.interfaces import WorkerOrders
 from zinniatrestle.workers.messages import (
     HoldAnswer,
@@ -34,6 +35,8 @@
 HOLD_WAIT_SECONDS = 0.7
 # Pause after a failed hold.
 RETRY_SECONDS = 0.3
+# Longest pause after an unexpected error: a hold finds that the worker answers again.
+MAX_FAILURE_PAUSE_SECONDS = 2.0
 # Consecutive holds without an answer after which a worker counts as silent.
 MISSES_UNTIL_SILENT = 2
 # Timeout of each try of an order. An order takes a round trip and some ms; one without
@@ -126,6 +129,7 @@
         self.generation = generation
         self.events = events
         self.rejections = RejectionLog(events, "answer of a worker")
+        self.supervisor = Supervisor(events)
         self.outbox: asyncio.Queue[Callable[[], Awaitable[None]]] = asyncio.Queue()
         # When a start was last left without an answer to any try.
         self.unanswered_at = BootSeconds(float("-inf"))
@@ -134,15 +138,18 @@
 
     async def hold(self):
         """Extend the leases at the worker until its instance has ended."""
-        while not self.worker.has_ended:
-            try:
-                await self._extend_leases()
-                return
-            except Exception as error:
-                self._log_failure("hold", error)
-            # Without reports the state of its runs is unknown: let their lease expire.
-            self.listener.mark_silent(self.worker, refused=False)
-            await asyncio.sleep(RETRY_SECONDS)
+        await self.supervisor.keep_running(
+            "session",
+            self._extend_leases,
+            after_failure=self._mark_failed,
+            longest_pause=MAX_FAILURE_PAUSE_SECONDS,
+            worker=self.worker.id,
+            part="hold",
+        )
+
+    def _mark_failed(self):
+        """Let the leases expire, since the state of runs is unknown without reports."""
+        self.listener.mark_silent(self.worker, refused=False)
 
     async def _extend_leases(self):
         worker = self.worker
@@ -251,7 +258,9 @@
             try:
                 await order()
             except Exception as error:
-                self._log_failure("order", error)
+                self.supervisor.log_failure(
+                    "session", error, worker=self.worker.id, part="order"
+                )
 
     def start(self, task: Task, run: RunNumber):
         """Queue the start of a run that is already stored."""
@@ -335,16 +344,6 @@
             self.unanswered_at = boot_time()
         self.listener.unanswered(task, run)
 
-    def _log_failure(self, part: str, error: Exception):
-        """Log an unexpected error; the session goes on without its effect."""
-        self.events.write(
-            Event.TASK_FAILED,
-            task="session",
-            worker=self.worker.id,
-            part=part,
-            reason=f"{type(error).__name__}: {error}",
-        )
-
     def _is_still_wanted(self, task: Task, run: RunNumber) -> bool:
         """Return whether the run is still to be started at this worker."""
         wanted = task.run == run and task.status is TaskStatus.PLACED
--- a/src/zinniatrestle/scheduling/tracker.py
+++ b/src/zinniatrestle/scheduling/tracker.py
@@ -68,13 +68,7 @@
         """Log the exception of a background task, if it has failed."""
         if task.cancelled() or task.exception() is None:
             return
-        error = task.exception()
-        self.events.write(
-            Event.TASK_FAILED,
-            task=name,
-            worker=worker,
-            reason=f"{type(error).__name__}: {error}",
-        )
+        self.supervisor.log_failure(name, task.exception(), worker=worker)
 
     def drain_started(self, worker: Worker):
         """Start a round, since a worker is draining."""
--- a/src/zinniatrestle/supervision.py
+++ b/src/zinniatrestle/supervision.py
@@ -43,13 +43,14 @@
         task: str,
         run: Callable[[], Awaitable[None]],
         final_errors: tuple[type[Exception], ...] = (),
+        after_failure: Callable[[], None] = lambda: None,
         longest_pause: float = LONGEST_PAUSE_SECONDS,
         **fields: Any,
     ):
         """Run a task until it returns or is cancelled, and again if it fails.
 
-        An error of `final_errors` ends it: it is raised. `fields` are for its lines of
-        log.
+        An error of `final_errors` ends it: it is raised. Each other one is logged with
+        `fields`, followed by `after_failure` and by a pause.
         """
         backoff = Backoff(longest_pause)
         while True:
@@ -61,6 +62,10 @@
                 raise
             except Exception as error:
                 self.log_failure(task, error, **fields)
+            try:
+                after_failure()
+            except Exception as error:
+                self.log_failure(task, error, **fields)
             await asyncio.sleep(backoff.pause(boot_time() - started_at))
 
     def log_failure(self, task: str, error: BaseException, **fields: Any):
--- a/src/zinniatrestle/upkeep/runner.py
+++ b/src/zinniatrestle/upkeep/runner.py
@@ -18,6 +18,7 @@
 from zinniatrestle.scheduling.leadership import Leadership, LeadershipStatus
 from zinniatrestle.scheduling.preemption_costs import PreemptionCosts
 from zinniatrestle.scheduling.state import Worker
+from zinniatrestle.supervision import Supervisor
 from zinniatrestle.upkeep.interfaces import MachineCalls, WaveRows
 from zinniatrestle.upkeep.messages import (
     WAVES,
@@ -44,6 +45,8 @@
 class WaveRunner(LeaderTask):
     """Run the waves of maintenance that operators request."""
 
+    name = "waves"
+
     def __init__(
         self,
         calls: MachineCalls,
@@ -61,6 +64,7 @@
         self.leadership = leadership
         self.bounds = bounds
         self.events = events
+        self.supervisor = Supervisor(events)
         self.cluster: ClusterState | None = None
         self.waves: dict[int, WaveProgress] = {}
         self.versions: dict[int, RowVersion] = {}
@@ -92,6 +96,9 @@
                     self.events.write_deduplicated(
                         Event.DEPENDENCY_LOST, error.detail, dependency="machines"
                     )
+                except Exception as error:
+                    # The other waves go on.
+                    self.supervisor.log_failure(self.name, error, wave=wave.number)
             await asyncio.sleep(POLL_SECONDS)
 
     def _drop_withdrawn_waves(self):
