Leave out jobs with damaged rows, and recover a damaged lease

A row of the scheduler's own tables that can't be decoded ended each scheduler that loaded it. Jobs whose submission is damaged were taken for ended, and their progress was purged after the retention, so that callers got 410. A damaged lease ended the lease's task on all hosts for good. Lost history while a load was repeated ended the scheduler too.

A job with a damaged row is left out under this generation, with an `input_rejected` line: its tasks may have run, so none may be started. Callers get the new code 606 with status 503 for its state. The holder of the lease writes over a damaged row, as long as the fence is its own; without a holder the row counts as expired after two longest leases, and the generation goes on from the fence's row.

--- a/src/zinniatrestle/errors.py
+++ b/src/zinniatrestle/errors.py
@@ -54,6 +54,7 @@
     PEER_REFUSED = 603
     PEER_UNREACHABLE = 604
     HISTORY_LOST = 605
+    DAMAGED_ROW = 606
 
 
 class ZinniatrestleError(Exception):
@@ -172,6 +173,12 @@
     code = ResultCode.STORE_UNAVAILABLE
 
 
+class DamagedRowError(StoreUnavailableError):
+    """Signal a row of the store with damaged content, which is not changed."""
+
+    code = ResultCode.DAMAGED_ROW
+
+
 class StoreUncertainError(PlatformError):
     """Signal a write whose answer was lost, so that it may have taken effect."""
 
--- a/src/zinniatrestle/jobs/intake.py
+++ b/src/zinniatrestle/jobs/intake.py
@@ -6,6 +6,8 @@
 from zinniatrestle.deployment import StoreLimits
 from zinniatrestle.errors import (
     CallerError,
+    DamagedRowError,
+    MalformedInputError,
     NotFoundError,
     NotRunError,
     ResultCode,
@@ -13,7 +15,7 @@
     StoreUncertainError,
     UnknownOutcomeError,
 )
-from zinniatrestle.events import Event, EventLog
+from zinniatrestle.events import Event, EventLog, RejectionLog
 from zinniatrestle.ids import ClientAccountId, JobId, StoreMilliseconds
 from zinniatrestle.jobs.messages import (
     CANCELLATIONS,
@@ -29,7 +31,7 @@
     row_name,
 )
 from zinniatrestle.queues import Queue
-from zinniatrestle.rows import Expect, RowStore, Write
+from zinniatrestle.rows import Expect, RowStore, StoredRow, Write
 from zinniatrestle.rows.retries import RETRY_SECONDS, transact_with_retries
 
 # Tasks of a job: a single progress row has to hold them all, at about 40 bytes each.
@@ -92,6 +94,7 @@
         self.store = store
         self.events = events
         self.limits = limits
+        self.rejections = RejectionLog(events, f"table {PROGRESS}")
 
     async def accept(
         self,
@@ -168,10 +171,23 @@
         row = await self.store.row(PROGRESS, row_name(job))
         if row is None:
             raise NotFoundError("No such job.", ResultCode.NO_SUCH_JOB)
-        return decode_progress(row.value).state
+        return self._decode_progress(row).state
+
+    def _decode_progress(self, row: StoredRow) -> JobProgress:
+        """Decode a job's progress; raises DamagedRowError."""
+        try:
+            progress = decode_progress(row.value)
+        except MalformedInputError as error:
+            self.rejections.reject(row.name, error.detail)
+            raise DamagedRowError(error.detail) from error
+        if self.rejections.reasons:
+            self.rejections.accept(row.name)
+        return progress
 
     async def cancel(self, job: JobId, deadline: float):
-        """Cancel a job permanently; raises NotFoundError, UnknownOutcomeError.
+        """Cancel a job permanently.
+
+        Raises NotFoundError, UnknownOutcomeError and DamagedRowError.
 
         The state is written to the progress row, which every start of the job's tasks
         is checked against. After this returns, no task starts except those whose start
@@ -187,7 +203,7 @@
                 continue
             if row is None:
                 raise NotFoundError("No such job.", ResultCode.NO_SUCH_JOB)
-            progress = decode_progress(row.value)
+            progress = self._decode_progress(row)
             if progress.state.ended:
                 return
             progress.state = JobState.CANCELLED
--- a/src/zinniatrestle/scheduling/leadership.py
+++ b/src/zinniatrestle/scheduling/leadership.py
@@ -6,13 +6,15 @@
 import msgspec
 
 from zinniatrestle.clock import boot_time, monotonic, wait_for_event
+from zinniatrestle.decoding import Counter, decode_msgpack
 from zinniatrestle.deployment import Deployment
 from zinniatrestle.errors import (
     LeaseLostError,
+    MalformedInputError,
     StoreUnavailableError,
     StoreUncertainError,
 )
-from zinniatrestle.events import Event, EventLog
+from zinniatrestle.events import Event, EventLog, RejectionLog
 from zinniatrestle.ids import (
     BootSeconds,
     Generation,
@@ -56,6 +58,8 @@
 WRITE_TIME_DECAY = 0.2
 # The lease survives two failed renewals.
 RENEWALS_PER_LEASE = 3
+# A damaged row counts as an expired lease after this many longest leases.
+DAMAGED_LEASES = 2
 # Share of the lease before its expiry in which the holder no longer decides, to allow
 # for clock differences and for orders in flight.
 EXPIRY_MARGIN_SHARE = 0.1
@@ -96,8 +100,11 @@
         self.leadership = leadership
 
     def change(self, change: Change):
-        """Apply a newer version of the fence."""
-        self.leadership.on_fence_change(change.version)
+        """Apply a newer version of the fence, which holds the holder's generation.
+
+        The fence is absent until a host has led once.
+        """
+        self.leadership.on_fence_change(change.version, change.value)
 
 
 class Leadership:
@@ -118,6 +125,11 @@
         # former holder must never write under its successor's fence.
         self.fence = ABSENT
         self.own_fence = ABSENT
+        # Highest generation that the fence is known to have held.
+        self.fence_generation = Generation(0)
+        # Since when the lease's row is known to be damaged.
+        self.damaged_at: BootSeconds | None = None
+        self.rejections = RejectionLog(events, f"table {LEASES}")
         self.fence_changed = asyncio.Event()
         # Estimated latency of a write of the lease.
         self.write_seconds = 0.0
@@ -267,14 +279,26 @@
             # A renewal that was in flight has applied: retry with its version.
             version = row.version
 
-    def on_fence_change(self, version: RowVersion):
+    def on_fence_change(self, version: RowVersion, value: bytes | None):
         """Step down, as another host acquired the lease or the holder released it."""
         if version <= self.fence:
             return
         self.fence = version
+        self._note_generation(value)
         self.fence_changed.set()
         self.step_down("the fence has moved")
 
+    def _note_generation(self, value: bytes | None):
+        """Note the generation in the fence, in case the lease's row is damaged."""
+        if value is None:
+            return
+        try:
+            generation = decode_msgpack(value, Counter, "The fence")
+        except MalformedInputError as error:
+            self.rejections.reject(FENCE_ROW, error.detail)
+            return
+        self.fence_generation = max(self.fence_generation, generation)
+
     async def _read_lease(self):
         """Read the lease's row."""
         started_at = boot_time()
@@ -286,8 +310,17 @@
         if row is None:
             self.record = None
             self.version = ABSENT
+            self.damaged_at = None
             return
-        self.record = msgspec.msgpack.decode(row.value, type=LeaseRecord)
+        try:
+            self.record = decode_msgpack(row.value, LeaseRecord, "The lease")
+            self.damaged_at = None
+            self.rejections.accept(LEASE_ROW)
+        except MalformedInputError as error:
+            self.rejections.reject(LEASE_ROW, error.detail)
+            if self.damaged_at is None or self.version != row.version:
+                self.damaged_at = boot_time()
+            self.record = None
         self.version = row.version
 
     async def _wait_for_expiry(self):
@@ -308,6 +341,10 @@
     def _may_acquire(self) -> bool:
         if self.released or boot_time() < self.abstains_until:
             return False
+        if self.damaged_at is not None:
+            # Its holder, if there is one, would have written over the damage.
+            lasted = boot_time() - self.damaged_at
+            return lasted > DAMAGED_LEASES * self.max_lease
         if self.record is None or not self.record.holder:
             return True
         if self._is_own_record(self.record):
@@ -322,9 +359,10 @@
         )
 
     async def _acquire(self):
-        generation = Generation(1)
+        previous = self.fence_generation
         if self.record is not None:
-            generation = Generation(self.record.generation + 1)
+            previous = max(previous, self.record.generation)
+        generation = Generation(previous + 1)
         # Lease expiries that this host published when it led before may have passed.
         handover = self.record.handover if self.record is not None else Handover()
         requested_at = self.store.clock.earliest(boot_time())
@@ -337,22 +375,30 @@
         if not result.applied:
             fence = result.current.get((FENCES, FENCE_ROW))
             if fence is not None:
-                self.on_fence_change(fence.version)
+                self.on_fence_change(fence.version, fence.value)
             return
-        if self.record is not None:
+        if self.record is not None or self.damaged_at is not None:
             self.predecessor_hold_until = self._hold_end(self.record)
+        self.damaged_at = None
         self.handover = handover
         self._set_stored(record, result.version)
         self.fence = self.own_fence = result.version
         self.fence_changed.clear()
-        self.generation = generation
+        self.generation = self.fence_generation = generation
         self.is_holder = True
         self.lost.clear()
         self.acquired.set()
         self.events.write(Event.LEASE_TAKEN, generation=generation)
 
-    def _hold_end(self, record: LeaseRecord) -> float:
-        """Return the store time in ms until which a former holder may hold workers."""
+    def _hold_end(self, record: LeaseRecord | None) -> float:
+        """Return the store time in ms until which a former holder may hold workers.
+
+        `record` is None if the former holder's record is damaged.
+        """
+        if record is None:
+            # Its lease has expired by now.
+            now = self.store.clock.latest(boot_time())
+            return now + self.hold_extension * MS_PER_SECOND
         if not record.holder:
             # It has released the lease, after which it holds none.
             return self.store.clock.latest(boot_time())
@@ -373,7 +419,16 @@
         row = result.current.get((LEASES, LEASE_ROW))
         if row is None:
             raise LeaseLostError("The lease's row no longer exists.")
-        current = msgspec.msgpack.decode(row.value, type=LeaseRecord)
+        fence = result.current.get((FENCES, FENCE_ROW))
+        try:
+            current = decode_msgpack(row.value, LeaseRecord, "The lease")
+        except MalformedInputError as error:
+            self.rejections.reject(LEASE_ROW, error.detail)
+            if fence is None or fence.version != self.own_fence:
+                raise LeaseLostError("Another host has acquired the lease.") from error
+            # The next renewal writes over the damage.
+            self.version = row.version
+            return
         if not self._is_own_record(current) or current.generation != self.generation:
             raise LeaseLostError("Another host has acquired the lease.")
         self._set_stored(current, row.version)
--- a/src/zinniatrestle/scheduling/scheduler.py
+++ b/src/zinniatrestle/scheduling/scheduler.py
@@ -4,8 +4,13 @@
 from functools import partial
 
 from zinniatrestle.clock import boot_time, wait_for_event
-from zinniatrestle.errors import PlatformError, StoreUnavailableError
-from zinniatrestle.events import Event
+from zinniatrestle.errors import (
+    HistoryLostError,
+    MalformedInputError,
+    PlatformError,
+    StoreUnavailableError,
+)
+from zinniatrestle.events import Event, RejectionLog
 from zinniatrestle.ids import BootSeconds, JobId, RowVersion, WorkerId
 from zinniatrestle.jobs.messages import (
     CANCELLATIONS,
@@ -13,11 +18,12 @@
     SUBMISSIONS,
     JobProgress,
     JobState,
+    Submission,
     decode_progress,
     decode_submission,
     row_name,
 )
-from zinniatrestle.rows import Change, Expect, Write
+from zinniatrestle.rows import Change, Expect, StoredRow, Write
 from zinniatrestle.rows.feed import Feed, TableReader
 from zinniatrestle.scheduling.context import SchedulerContext
 from zinniatrestle.scheduling.health_records import export_health_records
@@ -56,11 +62,22 @@
 
     def __init__(self, scheduler: "Scheduler"):
         self.scheduler = scheduler
+        self.rejections = RejectionLog(scheduler.events, f"table {self.table}")
 
     def change(self, change: Change):
         """Add a job; deletions are made by the scheduler itself and ignored."""
-        if change.value is not None:
-            self.scheduler.add_job(change.value, change.version)
+        if change.value is None:
+            self.rejections.accept(change.name)
+            return
+        try:
+            submission = decode_submission(change.value)
+            if row_name(submission.job) != change.name:
+                raise MalformedInputError("The submission is that of another job.")
+        except MalformedInputError as error:
+            self.rejections.reject(change.name, error.detail)
+            return
+        self.rejections.accept(change.name)
+        self.scheduler.add_job(submission, change.version)
 
 
 class CancellationReader(TableReader):
@@ -101,10 +118,15 @@
         self.ended_jobs: list[tuple[float, JobId, RowVersion]] = []
         # Ids of ended jobs: a reread table may still show the state before their end.
         self.ended_ids: set[JobId] = set()
+        # Jobs of which a row was damaged when it was loaded. This scheduler leaves them
+        # out, since their tasks may have run.
+        self.damaged_jobs: set[JobId] = set()
+        self.progress_rejections = RejectionLog(self.events, f"table {PROGRESS}")
         store = context.store
+        self.submission_reader = SubmissionReader(self)
         self.submissions = Feed(
             store,
-            SubmissionReader(self),
+            self.submission_reader,
             self.events,
             FEED_WAIT_SECONDS,
             BATCH_SECONDS,
@@ -160,8 +182,7 @@
             try:
                 page = await self.context.store.all_rows(PROGRESS)
                 for row in page.rows:
-                    progress = decode_progress(row.value)
-                    self.stored_progress[JobId(row.name)] = (progress, row.version)
+                    self._load_progress(row)
                 await self.submissions.step()
                 await self.cancellations.step()
                 await self.fleet.step()
@@ -171,20 +192,36 @@
                     Event.DEPENDENCY_LOST, error.detail, dependency="load"
                 )
                 await asyncio.sleep(LOAD_RETRY_SECONDS)
+            except HistoryLostError:
+                for feed in (self.submissions, self.cancellations, self.fleet):
+                    feed.version = None
+        self.damaged_jobs.update(self.submission_reader.rejections.reasons)
         for job_id, (progress, version) in self.stored_progress.items():
-            if job_id not in self.tracker.jobs:
+            if job_id not in self.tracker.jobs and job_id not in self.damaged_jobs:
                 self._record_ended(progress.changed_at, job_id, version)
         self.ended_jobs.sort()
         self.stored_progress.clear()
         self._restore_assignments()
 
+    def _load_progress(self, row: StoredRow):
+        job_id = JobId(row.name)
+        try:
+            progress = decode_progress(row.value)
+        except MalformedInputError as error:
+            self.damaged_jobs.add(job_id)
+            self.progress_rejections.reject(row.name, error.detail)
+            return
+        self.damaged_jobs.discard(job_id)
+        self.stored_progress[job_id] = (progress, row.version)
+
     # Jobs
 
-    def add_job(self, value: bytes, version: RowVersion):
+    def add_job(self, submission: Submission, version: RowVersion):
         """Add a job unless it is known."""
-        submission = decode_submission(value)
         if submission.job in self.tracker.jobs or submission.job in self.ended_ids:
             return
+        if submission.job in self.damaged_jobs:
+            return
         job = Job(submission, version)
         store_now = self.context.store.clock.earliest(boot_time())
         waited = max(0.0, (store_now - submission.accepted_at) / MS_PER_SECOND)
