Write an event whose fields can't be encoded without them

A field that can't be encoded, such as a text with half of a surrogate pair, raised its error out of the line of log into the decision that it explains. Reasons with texts of others were remembered without a bound, and `explain` failed at a nested line of another program.

The event is written with `not_written` in place of its fields; up to 1,000 reasons are remembered; lines that can't be decoded are passed over.

--- a/src/zinniatrestle/events/explain.py
+++ b/src/zinniatrestle/events/explain.py
@@ -3,8 +3,8 @@
 from collections.abc import Iterable, Iterator
 from typing import Any
 
-import msgspec
-
+from zinniatrestle.decoding import decode_json
+from zinniatrestle.errors import MalformedInputError
 from zinniatrestle.events.messages import Event
 
 # Worker events that explain what happened to a job's runs on a worker.
@@ -40,11 +40,11 @@
         if start < 0:
             continue
         try:
-            line = msgspec.json.decode(text[start:].encode())
-        except msgspec.DecodeError:
+            line = decode_json(text[start:].encode(errors="replace"), dict, "A line")
+        except MalformedInputError:
             # Not an event: other programs may write to the same log.
             continue
-        if isinstance(line, dict) and "event" in line and "at" in line:
+        if "event" in line and isinstance(line.get("at"), int | float):
             yield line
 
 
--- a/src/zinniatrestle/events/log.py
+++ b/src/zinniatrestle/events/log.py
@@ -16,6 +16,8 @@
 BUFFERED_LINES = 10_000
 # Repeated refusals are deduplicated to one line per interval, to bound the log volume.
 DEDUPLICATION_SECONDS = 1.0
+# Reasons that are remembered to count their repetitions.
+MAX_REASONS = 1000
 # Bounds how long a stalled reader can delay the exit of the process.
 CLOSE_TIMEOUT_SECONDS = 0.5
 
@@ -117,6 +119,9 @@
         if now - written_at < DEDUPLICATION_SECONDS:
             self.last_written[(event, reason)] = (written_at, omitted + 1)
             return
+        if len(self.last_written) >= MAX_REASONS:
+            # Some of the reasons are texts of others, so there is no end of them.
+            self.last_written.clear()
         self.last_written[(event, reason)] = (now, 0)
         self.write(event, reason=reason, omitted=omitted, **fields)
 
@@ -127,4 +132,11 @@
             "event": event.value,
             **fields,
         }
-        absl_logging.info("%s", msgspec.json.encode(line).decode())
+        try:
+            text = msgspec.json.encode(line).decode()
+        except (ValueError, TypeError, OverflowError, RecursionError) as error:
+            # An event must not fail because of its fields.
+            reason = f"{type(error).__name__}: {error}"
+            line = {key: line[key] for key in ("at", "host", "event")}
+            text = msgspec.json.encode({**line, "not_written": reason}).decode()
+        absl_logging.info("%s", text)
--- a/src/zinniatrestle/events/tests/test_explain.py
+++ b/src/zinniatrestle/events/tests/test_explain.py
@@ -3,6 +3,7 @@
 import asyncio
 
 import pytest
+from common.odd_input import UNREADABLE
 
 from zinniatrestle.clock import monotonic
 from zinniatrestle.events.explain import (
@@ -201,3 +202,9 @@
     assert line["job"] == "a"
     assert "job_accepted" in render(line, 4.0)
     assert "+1.000" in render(line, 4.0)
+
+
+@pytest.mark.parametrize("text", [*UNREADABLE.values(), b'{"event":1,"at":"x"}'])
+def test_a_line_that_is_no_event_is_passed_over(text):
+    raw_lines = [text.decode("latin-1"), "\udcff{", '{"event":"started","at":1}']
+    assert [line["at"] for line in read_lines(raw_lines)] == [1]
--- a/src/zinniatrestle/events/tests/test_log.py
+++ b/src/zinniatrestle/events/tests/test_log.py
@@ -6,8 +6,8 @@
 import msgspec
 import pytest
 
-from zinniatrestle.events import Event, EventLog
-from zinniatrestle.events.log import BUFFERED_LINES
+from zinniatrestle.events import Event, EventLog, RejectionLog
+from zinniatrestle.events.log import BUFFERED_LINES, MAX_REASONS
 
 
 class StalledStream(io.StringIO):
@@ -90,3 +90,45 @@
     log.write(Event.STOPPED)
     log.close()
     assert "lines_dropped" in {line["event"] for line in lines(stream)}
+
+
+# Guards against a decision that its own line of log ends.
+@pytest.mark.parametrize("value", ["\ud800", object(), {1.5: object()}])
+def test_a_field_that_cannot_be_written_leaves_the_event(open_log, value):
+    stream = io.StringIO()
+    log = open_log(stream)
+    log.write(Event.JOB_ACCEPTED, job=value)
+    log.close()
+    (line,) = lines(stream)
+    assert line["event"] == "job_accepted"
+    assert line["not_written"]
+
+
+def test_the_reasons_that_are_remembered_are_bounded(open_log):
+    log = open_log(io.StringIO())
+    for number in range(3 * MAX_REASONS):
+        log.write_deduplicated(Event.REQUEST_REFUSED, f"reason {number}")
+    assert len(log.last_written) <= MAX_REASONS
+
+
+def test_rejected_input_is_logged_once_for_each_reason(open_log):
+    stream = io.StringIO()
+    log = open_log(stream)
+    rejections = RejectionLog(log, "table t")
+    for reason in ("a", "a", "b", "b", "a"):
+        rejections.reject("row", reason)
+    rejections.reject("other", "a")
+    rejections.retain({"row"})
+    rejections.reject("other", "a")
+    rejections.accept("row")
+    rejections.reject("row", "a")
+    log.close()
+    found = [(line["source"], line["name"], line["reason"]) for line in lines(stream)]
+    assert found == [
+        ("table t", "row", "a"),
+        ("table t", "row", "b"),
+        ("table t", "row", "a"),
+        ("table t", "other", "a"),
+        ("table t", "other", "a"),
+        ("table t", "row", "a"),
+    ]
