--- a/src/zinniatrestle/errors.py
+++ b/src/zinniatrestle/errors.py
@@ -54,6 +54,7 @@
     PEER_REFUSED = 603
     PEER_UNREACHABLE = 604
     HISTORY_LOST = 605
+    DAMAGED_ROW = 606
 
 
 class ZinniatrestleError(Exception):
@@ -74,6 +75,10 @@
     code = ResultCode.BAD_INPUT
 
 
+class MalformedInputError(CallerError):
+    """Signal input of others that can't be decoded or has values out of bounds."""
+
+
 class AuthenticationError(CallerError):
     """Signal a missing or invalid token."""
 
@@ -168,6 +173,12 @@
     code = ResultCode.STORE_UNAVAILABLE
 
 
+class DamagedRowError(StoreUnavailableError):
+    """Signal a row of the store with damaged content, which is not changed."""
+
+    code = ResultCode.DAMAGED_ROW
+
+
 class StoreUncertainError(PlatformError):
     """Signal a write whose answer was lost, so that it may have taken effect."""
 
--- a/src/zinniatrestle/jobs/messages.py
+++ b/src/zinniatrestle/jobs/messages.py
@@ -4,6 +4,8 @@
 
 import msgspec
 
+from zinniatrestle.decoding import decode_msgpack
+from zinniatrestle.errors import MalformedInputError
 from zinniatrestle.ids import (
     ClientAccountId,
     InstanceId,
@@ -26,6 +28,9 @@
 PROGRESS = TableName("progress")
 # One row per cancellation, by which the scheduler is notified.
 CANCELLATIONS = TableName("cancels")
+# Numbers in a task's id: its occurrence, step and index.
+TASK_NUMBERS = 3
+MAX_DIGITS = 16
 
 
 class JobState(Enum):
@@ -165,6 +170,24 @@
     return TaskId(f"{job}.{occurrence}.{step}.{index}")
 
 
+def split_task_id(task: TaskId) -> tuple[JobId, str, int] | None:
+    """Return the job of a task, the key of its step and its index.
+
+    Return None for an id that `task_id` doesn't return.
+    """
+    job, *numbers = task.split(".")
+    if len(numbers) != TASK_NUMBERS or not all(map(_is_number, numbers)):
+        return None
+    occurrence, step, index = numbers
+    return JobId(job), f"{occurrence}.{step}", int(index)
+
+
+def _is_number(text: str) -> bool:
+    if not text.isascii() or not text.isdecimal() or len(text) > MAX_DIGITS:
+        return False
+    return text == "0" or text[0] != "0"
+
+
 def job_of_task(task: TaskId) -> JobId:
     """Return the id of the job that a task belongs to."""
     return JobId(task.split(".", 1)[0])
@@ -181,8 +204,8 @@
 
 
 def decode_submission(value: bytes) -> Submission:
-    """Decode a submission from the store."""
-    return msgspec.msgpack.decode(value, type=Submission)
+    """Decode a submission from the store; raises MalformedInputError."""
+    return decode_msgpack(value, Submission, "The submission")
 
 
 def encode_progress(progress: JobProgress) -> bytes:
@@ -211,12 +234,14 @@
 
 
 def decode_progress(value: bytes) -> JobProgress:
-    """Decode progress from the store."""
-    stored = msgspec.msgpack.decode(value, type=StoredProgress)
+    """Decode progress from the store; raises MalformedInputError."""
+    stored = decode_msgpack(value, StoredProgress, "The progress")
     tasks = {}
     for step, members in stored.steps.items():
         for index, task in members.items():
             worker, instance = WorkerId(""), InstanceId(0)
+            if not 0 <= task.place <= len(stored.places):
+                raise MalformedInputError("The progress names a place that is none.")
             if task.place:
                 worker, instance = stored.places[task.place - 1]
             tasks[f"{step}.{index}"] = TaskProgress(
--- a/src/zinniatrestle/platform/daemon.py
+++ b/src/zinniatrestle/platform/daemon.py
@@ -2,8 +2,10 @@
 
 import asyncio
 import signal
+from collections.abc import Awaitable, Callable
 from contextlib import suppress
 from dataclasses import dataclass, field
+from functools import partial
 from pathlib import Path
 
 import uvicorn
@@ -35,11 +37,14 @@
 from zinniatrestle.scheduling.leader_loop import run_while_leader
 from zinniatrestle.scheduling.leadership import Leadership
 from zinniatrestle.serving import Frontend
+from zinniatrestle.supervision import Supervisor
 from zinniatrestle.upkeep import WaveRunner
-from zinniatrestle.web import HttpServer
+from zinniatrestle.web import HttpProtocol, HttpServer
 
 # One connection serves the hold (a long poll), the others carry orders.
 CONNECTIONS_PER_WORKER = 4
+# Several times the longest list of runs: 500 ends and all running tasks.
+MAX_REPORT_BYTES = 4 * 2**20
 # The settings file may change without a signal, and a change must take effect as fast
 # as a new desired state.
 SETTINGS_POLL_SECONDS = 1.0
@@ -79,9 +84,12 @@
 
     def __post_init__(self):
         addresses = self.deployment.addresses
+        self.supervisor = Supervisor(self.events)
         self.client = HttpClient()
-        self.worker_client = HttpClient(CONNECTIONS_PER_WORKER)
-        self.store = PlatformStore(self.client, addresses.store, self.metrics)
+        self.worker_client = HttpClient(CONNECTIONS_PER_WORKER, MAX_REPORT_BYTES)
+        self.store = PlatformStore(
+            self.client, addresses.store, self.metrics, self.events
+        )
         self.leadership = Leadership(self.store, self.deployment, self.events)
         reader = DesiredStateReader(PlatformOperatorRows(), self.operator, self.events)
         self.feed = Feed(self.store, reader, self.events, FEED_WAIT_SECONDS)
@@ -112,8 +120,9 @@
 
     def _wave_runner(self) -> WaveRunner:
         host = self.deployment.identity.host
+        address = self.deployment.addresses.machines
         return WaveRunner(
-            PlatformMachineCalls(self.client, self.deployment.addresses.machines, host),
+            PlatformMachineCalls(self.client, address, host, self.events),
             PlatformWaveRows(),
             self.store,
             self.operator,
@@ -134,10 +143,12 @@
         )
         servers = self._servers()
         serving = [asyncio.create_task(server.serve()) for server in servers]
-        scheduler_task = self._start_task(run_while_leader(self.context), "scheduler")
-        lease_task = self._start_task(self.leadership.run(), "lease")
-        self._start_task(self.feed.follow(), "desired state")
-        self._start_task(self._watch_settings(reload), "settings")
+        scheduler_task = self._start_task(
+            "scheduler", partial(run_while_leader, self.context)
+        )
+        lease_task = self._start_task("lease", self.leadership.run)
+        self._start_task("desired state", self.feed.follow)
+        self._start_task("settings", partial(self._watch_settings, reload))
         stopping = asyncio.create_task(stop.wait())
         await asyncio.wait([*serving, stopping], return_when=asyncio.FIRST_COMPLETED)
         await self._stop(scheduler_task, lease_task)
@@ -184,21 +195,13 @@
         record = self.leadership.record
         return sum(record.pending.values()) if record is not None else 0
 
-    def _start_task(self, coroutine, name: str) -> asyncio.Task:
-        task = asyncio.create_task(self._log_failure(coroutine, name))
+    def _start_task(
+        self, name: str, run: Callable[[], Awaitable[None]]
+    ) -> asyncio.Task:
+        task = asyncio.create_task(self.supervisor.keep_running(name, run))
         self.tasks.append(task)
         return task
 
-    async def _log_failure(self, coroutine, name: str):
-        """Log the exception of a task that should run until it is cancelled."""
-        try:
-            await coroutine
-        except Exception as error:
-            self.events.write(
-                Event.TASK_FAILED, task=name, reason=f"{type(error).__name__}: {error}"
-            )
-            raise
-
     async def _watch_settings(self, reload: asyncio.Event):
         """Reload the settings file when it changes or on a signal."""
         while True:
@@ -244,7 +247,7 @@
             host=ip,
             port=port,
             loop="asyncio",
-            http="httptools",
+            http=HttpProtocol,
             ws="none",
             log_config=None,
             access_log=False,
--- a/src/zinniatrestle/scheduling/fleet.py
+++ b/src/zinniatrestle/scheduling/fleet.py
@@ -6,7 +6,8 @@
 
 from zinniatrestle.clock import boot_time
 from zinniatrestle.deployment import Deployment
-from zinniatrestle.events import Event, EventLog
+from zinniatrestle.errors import MalformedInputError
+from zinniatrestle.events import Event, EventLog, RejectionLog
 from zinniatrestle.ids import (
     BootSeconds,
     FailureDomainId,
@@ -17,7 +18,7 @@
     ServiceName,
     WorkerId,
 )
-from zinniatrestle.rows import Change, StoredRow
+from zinniatrestle.rows import Change
 from zinniatrestle.rows.feed import TableReader
 from zinniatrestle.scheduling.state import Worker
 from zinniatrestle.workers.interfaces import WorkerRows
@@ -71,6 +72,7 @@
         self.max_hold = deployment.bounds.max_hold
         self.listener = listener
         self.events = events
+        self.rejections = RejectionLog(events, f"table {self.table}")
         self.workers: dict[WorkerId, Worker] = {}
         # Instances that are not in the registry but on which tasks may still run.
         self.unregistered: list[Worker] = []
@@ -83,32 +85,31 @@
         # has ended, at the latest.
         self.former_deadlines_at: dict[WorkerId, BootSeconds] = {}
 
-    def snapshot(self, rows: list[StoredRow]):
-        """Replace the known entries by those of a full read."""
-        present = set()
-        for row in rows:
-            present.add(row.name)
-            self._apply_entry(row.name, row.value)
-        for name, worker in list(self.workers.items()):
-            if name not in present:
-                self._mark_missing(worker)
-
     def change(self, change: Change):
         """Apply a change of one entry."""
         if change.value is not None:
             self._apply_entry(change.name, change.value)
             return
+        self.rejections.accept(change.name)
         worker = self.workers.get(WorkerId(change.name))
         if worker is not None:
             self._mark_missing(worker)
 
+    def retain(self, names: set[RowName]):
+        """Handle that the registry lists no other entries than these."""
+        self.rejections.retain(names)
+        for name, worker in list(self.workers.items()):
+            if name not in names:
+                self._mark_missing(worker)
+
     def _apply_entry(self, name: RowName, value: bytes):
-        entry = self.rows.decode(name, value)
-        if entry is None:
-            self.events.write_deduplicated(
-                Event.WORKER_GONE, "damaged entry", worker=name
-            )
+        """Apply an entry; a damaged one names no worker, and replaces no valid one."""
+        try:
+            entry = self.rows.decode(name, value)
+        except MalformedInputError as error:
+            self.rejections.reject(name, error.detail)
             return
+        self.rejections.accept(name)
         worker = self.workers.get(entry.worker)
         if worker is None:
             if not self._has_been_replaced(entry):
--- a/src/zinniatrestle/scheduling/session.py
+++ b/src/zinniatrestle/scheduling/session.py
@@ -7,7 +7,7 @@
 from zinniatrestle.clock import boot_time
 from zinniatrestle.deployment import Bounds
 from zinniatrestle.errors import WorkerError
-from zinniatrestle.events import Event, EventLog
+from zinniatrestle.events import Event, EventLog, RejectionLog
 from zinniatrestle.ids import (
     BootSeconds,
     Generation,
@@ -16,9 +16,11 @@
     TaskId,
 )
 from zinniatrestle.scheduling.state import Task, TaskStatus, Worker
+from zinniatrestle.supervision import Supervisor
 from zinniatrestle.workers.interfaces import WorkerOrders
 from zinniatrestle.workers.messages import (
     HoldAnswer,
+    MalformedAnswerError,
     Refusal,
     RefusedOrderError,
     StartOrder,
@@ -33,6 +35,8 @@
 HOLD_WAIT_SECONDS = 0.7
 # Pause after a failed hold.
 RETRY_SECONDS = 0.3
+# Longest pause after an unexpected error: a hold finds that the worker answers again.
+MAX_FAILURE_PAUSE_SECONDS = 2.0
 # Consecutive holds without an answer after which a worker counts as silent.
 MISSES_UNTIL_SILENT = 2
 # Timeout of each try of an order. An order takes a round trip and some ms; one without
@@ -127,6 +131,8 @@
         self.hold_seconds = bounds.max_hold * HOLD_SHARE
         self.generation = generation
         self.events = events
+        self.rejections = RejectionLog(events, "answer of a worker")
+        self.supervisor = Supervisor(events)
         self.outbox: asyncio.Queue[Callable[[], Awaitable[None]]] = asyncio.Queue()
         # When a start was last left without an answer to any try.
         self.unanswered_at = BootSeconds(float("-inf"))
@@ -135,15 +141,18 @@
 
     async def hold(self):
         """Extend the leases at the worker until its instance has ended."""
-        while not self.worker.has_ended:
-            try:
-                await self._extend_leases()
-                return
-            except Exception as error:
-                self._log_failure("hold", error)
-            # Without reports the state of its runs is unknown: let their lease expire.
-            self.listener.mark_silent(self.worker, refused=False)
-            await asyncio.sleep(RETRY_SECONDS)
+        await self.supervisor.keep_running(
+            "session",
+            self._extend_leases,
+            after_failure=self._mark_failed,
+            longest_pause=MAX_FAILURE_PAUSE_SECONDS,
+            worker=self.worker.id,
+            part="hold",
+        )
+
+    def _mark_failed(self):
+        """Let the leases expire, since the state of runs is unknown without reports."""
+        self.listener.mark_silent(self.worker, refused=False)
 
     async def _extend_leases(self):
         worker = self.worker
@@ -172,7 +181,9 @@
                     return
                 await asyncio.sleep(RETRY_SECONDS)
                 continue
-            except UnansweredOrderError:
+            except UnansweredOrderError as error:
+                if isinstance(error, MalformedAnswerError):
+                    self.rejections.reject(worker.id, error.detail)
                 misses += 1
                 wait = 0.0
                 if misses >= MISSES_UNTIL_SILENT:
@@ -189,7 +200,15 @@
             if self._is_from_another_instance(answer):
                 self.listener.instance_replaced(worker, answer.instance)
                 return
+            if answer.damage:
+                self.rejections.reject(worker.id, answer.damage)
+            else:
+                self.rejections.accept(worker.id)
+            known_end = worker.save_requested_end
             self.listener.report(worker, answer, asked_at)
+            if answer.last_end <= known_end and boot_time() - asked_at < wait / 2:
+                # The worker has nothing new and doesn't wait for it either.
+                await asyncio.sleep(RETRY_SECONDS)
             if worker.save_task is not None:
                 # Until the ends are stored and acknowledged, the worker would answer
                 # the next hold with them at once.
@@ -243,7 +262,9 @@
             try:
                 await order()
             except Exception as error:
-                self._log_failure("order", error)
+                self.supervisor.log_failure(
+                    "session", error, worker=self.worker.id, part="order"
+                )
 
     def start(self, task: Task, run: RunNumber):
         """Queue the start of a run that is already stored."""
@@ -327,16 +348,6 @@
             self.unanswered_at = boot_time()
         self.listener.unanswered(task, run)
 
-    def _log_failure(self, part: str, error: Exception):
-        """Log an unexpected error; the session goes on without its effect."""
-        self.events.write(
-            Event.TASK_FAILED,
-            task="session",
-            worker=self.worker.id,
-            part=part,
-            reason=f"{type(error).__name__}: {error}",
-        )
-
     def _is_still_wanted(self, task: Task, run: RunNumber) -> bool:
         """Return whether the run is still to be started at this worker."""
         wanted = task.run == run and task.status is TaskStatus.PLACED
--- a/src/zinniatrestle/scheduling/tracker.py
+++ b/src/zinniatrestle/scheduling/tracker.py
@@ -69,13 +69,7 @@
         """Log the exception of a background task, if it has failed."""
         if task.cancelled() or task.exception() is None:
             return
-        error = task.exception()
-        self.events.write(
-            Event.TASK_FAILED,
-            task=name,
-            worker=worker,
-            reason=f"{type(error).__name__}: {error}",
-        )
+        self.supervisor.log_failure(name, task.exception(), worker=worker)
 
     def drain_started(self, worker: Worker):
         """Start a round, since a worker is draining."""
@@ -160,8 +154,10 @@
         session.forget_stops(asked_at)
         self._set_paces(session, loads, asked_at)
         worker.generation_confirmed = True
-        if answer.ended and answer.ended[-1].number > worker.save_requested_end:
-            self._save_ends(worker, changed, answer.ended[-1].number)
+        # An end that can't be read is acknowledged too, or the worker would list it for
+        # ever; its run is missing from the running ones.
+        if answer.last_end > worker.save_requested_end:
+            self._save_ends(worker, changed, answer.last_end)
 
     def _record_answer(self, worker: Worker):
         if worker.silent:
--- a/src/zinniatrestle/standins/wire.py
+++ b/src/zinniatrestle/standins/wire.py
@@ -6,6 +6,7 @@
 import socket
 from collections.abc import AsyncIterator
 from enum import Enum
+from typing import Any
 
 import msgspec
 import uvicorn
@@ -186,7 +187,8 @@
 
     def __init__(self):
         self.status = 200
-        self.body: dict = {"clockMs": 5000, "running": [], "ended": []}
+        # A `msgspec.Raw` is sent as it is.
+        self.body: Any = {"clockMs": 5000, "running": [], "ended": []}
         self.silent = False
         self.calls: list[tuple[str, dict, str]] = []
 
@@ -201,18 +203,19 @@
         self.calls.append((request.path_params["call"], body, expected))
         if self.silent:
             await asyncio.sleep(SILENCE_SECONDS)
-        data = msgspec.json.encode(self.body)
+        is_raw = isinstance(self.body, msgspec.Raw)
+        data = bytes(self.body) if is_raw else msgspec.json.encode(self.body)
         return Response(data, self.status, media_type="application/json")
 
 
 @contextlib.asynccontextmanager
-async def serve_app(app: Starlette) -> AsyncIterator[str]:
+async def serve_app(app: Starlette, http: type | str = "auto") -> AsyncIterator[str]:
     """Serve an application on a free loopback port; yields its `IP:PORT`."""
     listening = socket.socket()
     listening.bind(("127.0.0.1", 0))
     listening.listen()
     config = uvicorn.Config(
-        app, log_config=None, lifespan="off", timeout_graceful_shutdown=0
+        app, http=http, log_config=None, lifespan="off", timeout_graceful_shutdown=0
     )
     server = HttpServer(config)
     serving = asyncio.create_task(server.serve(sockets=[listening]))
