--- a/src/zinniatrestle/scheduling/tests/test_lost_orders.py
+++ b/src/zinniatrestle/scheduling/tests/test_lost_orders.py
@@ -17,6 +17,7 @@
 )
 from zinniatrestle.standins.checker import check_capacity, violations
 from zinniatrestle.standins.host_orders import HostOrders
+from zinniatrestle.standins.idle_waits import MAX_IDLE_SECONDS
 from zinniatrestle.standins.model import Model, run_virtual, step
 from zinniatrestle.standins.runs import EventKind, OrderMode, TaskScript
 from zinniatrestle.workers.lease import MIN_CLOCK_RATE
@@ -341,3 +342,35 @@
         return max(event.at for event in start_events(model)) - sent_at
 
     assert run_virtual(play()) <= BOUNDS.finish
+
+
+async def wait_beside_unanswered_starts(workers: int) -> float:
+    """Return how long a task waits of which workers leave the first starts unanswered.
+
+    They answer holds, and do nothing.
+    """
+    model = Model(1)
+    await model.start(workers=8, rack=8)
+    for number in range(workers):
+        model.fleet.workers[f"w{number}"].order_mode = OrderMode.DROPPED
+    await model.submit("usual", (step(gpus=8),), 2.0)
+    accepted_at = monotonic()
+    assert await model.wait_for_jobs(60.0)
+    assert violations(model) == []
+    unanswered = [
+        line
+        for line in model.lines
+        if line["event"] == "run_unanswered" and line["order"] == "start"
+    ]
+    assert len(unanswered) == workers
+    (start,) = start_events(model)
+    return start.at - accepted_at
+
+
+# Guards against a task that waits for the lease of a run that never started (LOST).
+def test_task_whose_start_gets_no_answer_starts_elsewhere_within_the_bound():
+    assert run_virtual(wait_beside_unanswered_starts(1)) <= MAX_IDLE_SECONDS
+
+
+def test_task_of_which_two_starts_get_no_answer_starts_within_the_bound():
+    assert run_virtual(wait_beside_unanswered_starts(2)) <= BOUNDS.finish
