Limit the wait of steps at their last attempt for workers that they prefer

What callers saw: a step that could run and didn't (LOST), beside free workers that it avoids or that are in quarantine.

Cause: the limits on waits left a step out, as a whole, as soon as one of its tasks was at its last attempt. A failure there is that of the job, so it waited for healthy workers on which it had not failed, even while these were busy without end, and for quarantines of up to 60 s. The tasks that had all their attempts left waited with it.

Why the fix works: which workers a step may use is a choice of four, from preferred to all permitted ones. Overdue steps may use sound workers on which they have failed: no fault of these is known, so the failure is as likely the task's. Tasks with attempts left may use all permitted ones, as before.

--- a/src/zinniatrestle/scheduling/placement.py
+++ b/src/zinniatrestle/scheduling/placement.py
@@ -3,6 +3,7 @@
 from abc import ABC, abstractmethod
 from collections.abc import Iterable
 from dataclasses import dataclass, field
+from enum import Enum
 
 from zinniatrestle.ids import (
     FailureDomainId,
@@ -24,6 +25,22 @@
 SPEED_CLASS_WIDTH = 0.2
 
 
+class WorkerChoice(Enum):
+    """Which of the permitted workers a step may use, from the strictest choice on."""
+
+    # Those not in quarantine. Slow ones, and ones that the step avoids, only if the
+    # others could not hold it.
+    PREFERRED = "preferred"
+    # Also slow ones and ones that the step avoids, if no fault of them is known.
+    SOUND = "sound"
+    # Also those in quarantine, but none on which the step has failed.
+    UNTRIED = "untried"
+    PERMITTED = "permitted"
+
+
+UNHEALTHY_CHOICES = frozenset({WorkerChoice.UNTRIED, WorkerChoice.PERMITTED})
+
+
 @dataclass
 class PlacementConstraints:
     """Where the tasks of a step may run."""
@@ -39,8 +56,7 @@
     time_critical: bool = False
     # Running away from the data, or on several racks, is better than waiting.
     ignore_locality: bool = False
-    # Running on a worker that may be slow or unhealthy is better than waiting.
-    requirements_only: bool = False
+    choice: WorkerChoice = WorkerChoice.PREFERRED
 
 
 Assignment = dict[Task, Worker]
@@ -72,14 +88,16 @@
 ) -> list[Worker]:
     """Return the workers to consider for a step, free capacity aside.
 
-    Slow workers, and workers on which a task of the step failed or stalled or was just
-    refused, are left out if the other healthy workers could hold the step when empty.
-    No permitted worker is left out if only the requirements of the step count.
+    A step avoids workers on which a task of it failed or stalled or was just refused.
     """
-    avoided = step.avoided_workers(constraints.now)
     usable = [worker for worker in workers if is_permitted(worker, step, constraints)]
-    if constraints.requirements_only:
+    if constraints.choice is WorkerChoice.PERMITTED:
         return usable
+    if constraints.choice is WorkerChoice.SOUND:
+        return [worker for worker in usable if worker.health is WorkerHealth.SOUND]
+    avoided = step.avoided_workers(constraints.now)
+    if constraints.choice is WorkerChoice.UNTRIED:
+        return [worker for worker in usable if worker.id not in avoided]
     usable = [
         worker for worker in usable if worker.health is not WorkerHealth.QUARANTINED
     ]
@@ -217,7 +235,8 @@
         found = self._place_in_best_group(
             step, tasks, usable, constraints, trust_canaries=False
         )
-        if found or not (step.shape.gang or constraints.requirements_only):
+        takes_unhealthy = constraints.choice in UNHEALTHY_CHOICES
+        if found or not (step.shape.gang or takes_unhealthy):
             return found
         # A gang may use canaries rather than wait until small tasks have shown that
         # each of them is healthy.
--- a/src/zinniatrestle/scheduling/rounds.py
+++ b/src/zinniatrestle/scheduling/rounds.py
@@ -246,8 +246,8 @@
             open_workers = workers
         applied = constraints
         for weaker in limits.relaxed(step, constraints):
-            applied = weaker
-            assignment = self.placement.place(step, waiting, open_workers, weaker)
+            applied = weaker.constraints
+            assignment = self.placement.place(step, weaker.tasks, open_workers, applied)
             if assignment:
                 break
         return assignment, applied
--- a/src/zinniatrestle/scheduling/wait_limits.py
+++ b/src/zinniatrestle/scheduling/wait_limits.py
@@ -1,11 +1,12 @@
 """Limit how long a step waits for the workers it prefers while others are free."""
 
-from dataclasses import replace
+from dataclasses import dataclass, replace
 
 from zinniatrestle.deployment import Bounds
 from zinniatrestle.ids import BootSeconds, ServiceName
 from zinniatrestle.scheduling.placement import (
     PlacementConstraints,
+    WorkerChoice,
     can_run_near_data,
     candidates,
 )
@@ -13,6 +14,7 @@
     ACCELERATOR_MILLICORES,
     Job,
     StepRun,
+    Task,
     TaskStatus,
     Worker,
 )
@@ -37,6 +39,14 @@
 )
 
 
+@dataclass
+class Relaxation:
+    """Weaker constraints, and the waiting tasks of a step that they are for."""
+
+    constraints: PlacementConstraints
+    tasks: list[Task]
+
+
 class WaitLimits:
     """Decide in one scheduling round which steps have to wait no longer.
 
@@ -86,25 +96,49 @@
             return None
         if reason is WaitReason.BACKFILL:
             return max(0.0, self._seconds_left_for_reserved(step))
-        if reason is not WaitReason.LOCALITY and not _can_afford_failure(step):
-            return None
-        return max(0.0, self._seconds_left(step))
+        left = self._seconds_left(step)
+        if reason is WaitReason.UNHEALTHY_WORKERS:
+            if not any(can_afford_failure(task) for task in step.waiting_tasks()):
+                left = max(left, self.max_wait - step.waited(self.now))
+        return max(0.0, left)
 
     def relaxed(
         self, step: StepRun, constraints: PlacementConstraints
-    ) -> list[PlacementConstraints]:
+    ) -> list[Relaxation]:
         """Return the weaker constraints to place a waiting step by, in this order."""
+        waiting = step.waiting_tasks()
         anywhere = replace(constraints, ignore_locality=True)
         if self.is_overdue(step, constraints.service):
-            if not _can_afford_failure(step):
-                return [anywhere]
-            return [anywhere, replace(anywhere, requirements_only=True)]
+            return [
+                Relaxation(anywhere, waiting),
+                Relaxation(replace(anywhere, choice=WorkerChoice.SOUND), waiting),
+                *self._with_unhealthy_workers(step, anywhere),
+            ]
         if constraints.ignore_locality or step.waited(self.now) < MIN_WAIT_SECONDS:
             return []
         if self._waits_for_lost_rack(step, constraints):
-            return [anywhere]
+            return [Relaxation(anywhere, waiting)]
         return []
 
+    def _with_unhealthy_workers(
+        self, step: StepRun, constraints: PlacementConstraints
+    ) -> list[Relaxation]:
+        """Return the constraints by which waiting tasks may use unhealthy workers.
+
+        The failure of a task at its last attempt is that of its job, so such tasks wait
+        longer, and don't return to where they have failed.
+        """
+        relaxed = []
+        waiting = step.waiting_tasks()
+        affordable = [task for task in waiting if can_afford_failure(task)]
+        if affordable:
+            permitted = replace(constraints, choice=WorkerChoice.PERMITTED)
+            relaxed.append(Relaxation(permitted, affordable))
+        if len(affordable) < len(waiting) and step.waited(self.now) >= self.max_wait:
+            untried = replace(constraints, choice=WorkerChoice.UNTRIED)
+            relaxed.append(Relaxation(untried, waiting))
+        return relaxed
+
     def _seconds_left(self, step: StepRun) -> float:
         """Return for how long a step may still wait; not positive if it may not."""
         left = MIN_WAIT_SECONDS - step.waited(self.now)
@@ -155,15 +189,12 @@
         return self.idle_services[service]
 
 
-def _can_afford_failure(step: StepRun) -> bool:
-    """Return whether none of a step's waiting tasks is at its last attempt."""
+def can_afford_failure(task: Task) -> bool:
+    """Return whether a task, or its gang, has more than one attempt left."""
+    step = task.step
     if step.shape.long_running:
         return True
-    attempts = step.job.submission.attempts
-    for task in step.waiting_tasks():
-        if step.failure_count(task) + 1 >= attempts:
-            return False
-    return True
+    return step.failure_count(task) + 1 < step.job.submission.attempts
 
 
 def is_idle(workers: list[Worker], service: ServiceName) -> bool:
