Hand over draining workers, so that a successor finds out that they have left

What callers saw: a second step that waits after all hosts were lost (LOST). A run of the first step ended while no host ran, and its worker, which had been draining, left; the task was repeated only 8.8 s after the hosts were back.

Cause: a running scheduler takes a draining worker for gone if nothing answers and its entry was removed sooner than it could have expired. A successor knows neither: the registry has no entry, the progress row only the worker's id and instance. So it assumed the longest lease, although nothing could run there any more. The wait had no owner that knew how to end it.

A worker that still serves keeps its runs, and one that is cut off and whose entry has expired is waited for as before: test_leaving_workers.py.

--- a/src/zinniatrestle/scheduling/fleet.py
+++ b/src/zinniatrestle/scheduling/fleet.py
@@ -196,13 +196,26 @@
         )
         self._join(entry, replaced=worker.entry)
 
+    def add_missing(self, entry: WorkerEntry, seen_at: BootSeconds):
+        """Add a worker that the registry listed at `seen_at` and no longer does."""
+        worker = Worker(entry, self._region_of(entry))
+        worker.entry_seen_at = seen_at
+        worker.missing_since = boot_time()
+        self._add(worker)
+
     def _join(self, entry: WorkerEntry, replaced: WorkerEntry | None = None):
-        region = self.regions.get(entry.domain, RegionId(""))
-        worker = Worker(entry, region)
+        worker = Worker(entry, self._region_of(entry))
         worker.entry_seen_at = boot_time()
         if replaced is not None:
             worker.replaced_entry = replaced
             worker.missing_since = boot_time()
+        self._add(worker)
+
+    def _region_of(self, entry: WorkerEntry) -> RegionId:
+        return self.regions.get(entry.domain, RegionId(""))
+
+    def _add(self, worker: Worker):
+        """Add a worker, and open a session with it."""
         self._update_drain_deadline(worker)
         self.transfer_tasks(worker)
         sent_at = self.former_deadlines_at.get(worker.id)
@@ -210,12 +223,12 @@
             # On the clock of this instance the deadlines may be far ahead, and a hold
             # extends the leases before its answer names the instance.
             worker.lease.assume_granted(sent_at, self.max_hold)
-        self.workers[entry.worker] = worker
+        self.workers[worker.id] = worker
         self.events.write(
             Event.WORKER_SEEN,
             worker=worker.id,
             domain=worker.domain,
-            born=entry.instance,
+            born=worker.entry.instance,
         )
         self.listener.joined(worker)
 
--- a/src/zinniatrestle/scheduling/messages.py
+++ b/src/zinniatrestle/scheduling/messages.py
@@ -10,6 +10,7 @@
     StoreMilliseconds,
     WorkerId,
 )
+from zinniatrestle.workers.messages import WorkerEntry
 
 
 class RunTimeStatistics(msgspec.Struct, frozen=True, array_like=True):
@@ -37,11 +38,18 @@
     speed: float | None
 
 
+class LeavingWorker(msgspec.Struct, frozen=True):
+    """The entry of a worker that drains, and when the registry last had it, in ms."""
+
+    entry: WorkerEntry
+    seen_at: StoreMilliseconds
+
+
 class Handover(msgspec.Struct, frozen=True):
     """What a leader has learned and leaves to its successor.
 
     `lease_expiries` has, for instances of workers that don't answer, the store's time
-    after which no lease there is valid.
+    after which no lease there is valid. `leaving` has the draining workers with tasks.
     """
 
     times: dict[QueueName, RunTimeStatistics] = {}
@@ -49,6 +57,7 @@
         name="doubts", default_factory=dict
     )
     lease_expiries: dict[WorkerId, dict[InstanceId, StoreMilliseconds]] = {}
+    leaving: dict[WorkerId, LeavingWorker] = {}
 
 
 class LeaseRecord(msgspec.Struct, frozen=True):
--- a/src/zinniatrestle/scheduling/scheduler.py
+++ b/src/zinniatrestle/scheduling/scheduler.py
@@ -29,6 +29,10 @@
 from zinniatrestle.scheduling.health_records import export_health_records
 from zinniatrestle.scheduling.leadership import LeadershipStatus
 from zinniatrestle.scheduling.lease_expiries import LeaseExpiries
+from zinniatrestle.scheduling.leaving_workers import (
+    export_leaving_workers,
+    restore_leaving_workers,
+)
 from zinniatrestle.scheduling.messages import Handover
 from zinniatrestle.scheduling.progress_writer import ProgressWriter
 from zinniatrestle.scheduling.rounds import Planner
@@ -263,7 +267,10 @@
     def _restore_assignments(self):
         """Assign the predecessor's tasks to the workers on which they may run."""
         self.tracker.fleet.inherited_lease_end = self._inherited_lease_end()
-        self.lease_expiries.restore(self.leadership.handover.lease_expiries)
+        handover = self.leadership.handover
+        self.lease_expiries.restore(handover.lease_expiries)
+        clock = self.context.store.clock
+        restore_leaving_workers(self.tracker.fleet, handover.leaving, clock)
         for job in self.tracker.jobs.values():
             if job.ended:
                 self.tracker.unsaved_jobs.add(job)
@@ -391,6 +398,7 @@
             times=self.tracker.durations.export(),
             health_records=export_health_records(workers, boot_time()),
             lease_expiries=self.lease_expiries.export(self.tracker.fleet),
+            leaving=export_leaving_workers(workers, self.context.store.clock),
         )
         for worker in workers:
             worker.expiry_recorded = not self.leadership.may_extend(worker.id)
