Take a worker's time that has passed for none left

A draining worker may serve for longer than it announced. If it wrote a negative time that is left, its entry would count as damaged and its state be ignored, so that tasks start there (DRAIN).

--- a/src/zinniatrestle/decoding.py
+++ b/src/zinniatrestle/decoding.py
@@ -27,6 +27,8 @@
 PositiveCounter = Annotated[int, Meta(ge=1, le=MAX_EXACT_INTEGER)]
 Capacity = Annotated[int, Meta(ge=0, le=MAX_CAPACITY)]
 Duration = Annotated[float, Meta(ge=0, le=MAX_EXACT_INTEGER)]
+# A time that is left; it may have passed.
+TimeLeft = Annotated[float, Meta(ge=-MAX_EXACT_INTEGER, le=MAX_EXACT_INTEGER)]
 Factor = Annotated[float, Meta(ge=0, le=MAX_EXACT_INTEGER)]
 PositiveFactor = Annotated[float, Meta(gt=0, le=MAX_EXACT_INTEGER)]
 Name = Annotated[str, Meta(max_length=MAX_NAME_LENGTH)]
--- a/src/zinniatrestle/platform/registry.py
+++ b/src/zinniatrestle/platform/registry.py
@@ -6,7 +6,14 @@
 import msgspec
 from msgspec import Meta
 
-from zinniatrestle.decoding import Capacity, Counter, Duration, Name, decode_json
+from zinniatrestle.decoding import (
+    Capacity,
+    Counter,
+    Duration,
+    Name,
+    TimeLeft,
+    decode_json,
+)
 from zinniatrestle.deployment import is_port
 from zinniatrestle.errors import MalformedInputError
 from zinniatrestle.ids import (
@@ -43,8 +50,8 @@
     capacity: WireCapacity
     labels: Annotated[list[Name], Meta(max_length=MAX_LABELS)] = []
     sequence: Counter = 0
-    coldRemainingMs: Duration = 0.0
-    remainingMs: Duration | None = None
+    coldRemainingMs: TimeLeft = 0.0
+    remainingMs: TimeLeft | None = None
     # Declared as a float, since not all writers send an integer.
     born: Duration = 0
 
@@ -61,7 +68,7 @@
         _check_address(wire.address)
         remaining = None
         if wire.remainingMs is not None:
-            remaining = wire.remainingMs / MS_PER_SECOND
+            remaining = max(0.0, wire.remainingMs / MS_PER_SECOND)
         return WorkerEntry(
             worker=WorkerId(name),
             service=ServiceName(wire.service),
@@ -76,7 +83,7 @@
             instance=InstanceId(int(wire.born)),
             sequence=wire.sequence,
             remaining=remaining,
-            cold_start_seconds=wire.coldRemainingMs / MS_PER_SECOND,
+            cold_start_seconds=max(0.0, wire.coldRemainingMs / MS_PER_SECOND),
         )
 
 
