Test the loss of all hosts at each call of the store and of workers

Hypothesis 3 of the incident: a state that a scheduler which starts from the store never resolves. All hosts of a model are killed at the n-th transaction, start, stop or answered hold of a scenario, before the call is carried out, after it, or with the call carried out 0.6 s (no host runs) or 3 s later (a successor has loaded its state), and are back after 1.2 s. From then on no job may run nothing for 3 s while its turn has come, as the workers see it; each job ends as it should, and no invariant is broken.

Scenarios: a two-step job beside one that is being cancelled, a job and a gang that fail once, starts that get no answer and come late, and the stop of a repetition.

--- a/tests/common/kill_points.py
+++ b/tests/common/kill_points.py
@@ -61,6 +61,7 @@
         if len(self.calls) - 1 != self.number:
             return await call()
         self.killed_at = monotonic()
+        self.model.disturbance_times.append(self.killed_at)
         if self.moment is KillMoment.AFTER:
             await carry_out()
         elif self.moment in LATE_SECONDS:
@@ -84,6 +85,7 @@
         for host in self.model.hosts:
             host.start()
         self.back_at = monotonic()
+        self.model.disturbance_times.append(self.back_at)
 
 
 async def _wait_to_be_killed() -> NoReturn:
