Test waits that begin anew with refusals, and starts behind unanswered stops

Found by reading for waits without an owner:

- A refused start restarts the time for which its task has waited, since that counts from the last change of its status.
A step whose rack is in use may run elsewhere after 1.5 s; if one worker refuses it the step waits another 1.5 s: 3.1 s in all, more than the 3 s of the rule, and 4.6 s with two such workers.
- A worker that refused for another reason than its health is avoided for the time of a stop and a hold, 1.6 s, and ranked first again then.
Two of them are tried by turns, and the step doesn't start in 60 s beside six workers that would take it.
With stops of 0.2 s, one near worker that refuses holds a step for 43 s.
- A start is queued behind the stops of a worker that doesn't answer them: 14.3 s behind 24 of them, at three in flight and 1.6 s each.
- WaitLimits takes the repetition of a lost run for work of its job, which the rule doesn't if that run was done.

--- a/src/zinniatrestle/scheduling/tests/test_lost_orders.py
+++ b/src/zinniatrestle/scheduling/tests/test_lost_orders.py
@@ -374,3 +374,24 @@
 
 def test_task_of_which_two_starts_get_no_answer_starts_within_the_bound():
     assert run_virtual(wait_beside_unanswered_starts(2)) <= BOUNDS.finish
+
+
+# Guards against a start that waits behind stops which get no answer (LOST).
+def test_start_does_not_wait_behind_stops_without_an_answer():
+    async def play():
+        model = Model(1)
+        await model.start(workers=4, rack=4)
+        small = step(24, cpu=500, gpus=0, memory_mb=100, seconds=60.0)
+        cancelled = await model.submit("usual", (small,), 60.0)
+        while len(start_events(model)) < small.count:
+            await asyncio.sleep(0.02)
+        (crowded,) = {event.worker for event in start_events(model)}
+        model.fleet.workers[crowded].order_mode = OrderMode.DROPPED
+        await model.cancel(cancelled)
+        job = await model.submit("usual", (step(gpus=0),), 2.0)
+        accepted_at = monotonic()
+        while not start_events(model, job):
+            await asyncio.sleep(0.02)
+        return monotonic() - accepted_at
+
+    assert run_virtual(play()) <= BOUNDS.finish
--- a/src/zinniatrestle/scheduling/tests/test_wait_limits.py
+++ b/src/zinniatrestle/scheduling/tests/test_wait_limits.py
@@ -1,6 +1,7 @@
 """A step waits for preferred workers only for a limited time while others are free."""
 
 import asyncio
+from unittest import mock
 
 import pytest
 from common.history import start_times
@@ -23,10 +24,10 @@
 
 from zinniatrestle.clock import monotonic
 from zinniatrestle.deployment import Bounds
-from zinniatrestle.ids import RackId, RunNumber
+from zinniatrestle.ids import BootSeconds, InstanceId, RackId, RunNumber, WorkerId
 from zinniatrestle.jobs.messages import JobState, Step
 from zinniatrestle.scheduling.placement import BestFit
-from zinniatrestle.scheduling.state import TaskStatus, WorkerHealth
+from zinniatrestle.scheduling.state import LostRun, TaskStatus, WorkerHealth
 from zinniatrestle.scheduling.wait_limits import (
     IDLE_SHARE,
     LIMITED_REASONS,
@@ -36,8 +37,10 @@
     is_idle,
 )
 from zinniatrestle.scheduling.waits import WaitReason
+from zinniatrestle.standins.host_orders import HostOrders
 from zinniatrestle.standins.model import Model, run_virtual, step
 from zinniatrestle.standins.runs import FaultMode
+from zinniatrestle.workers.messages import Refusal, RefusedOrderError
 
 BOUNDS = Bounds()
 MAX_WAIT = BOUNDS.finish * MAX_WAIT_SHARE
@@ -268,6 +271,17 @@
     assert len(place_relaxed(waiting, workers)) == 1
 
 
+# Guards against a job that waits for its rack while it only repeats what may be done.
+def test_a_job_of_which_only_a_repetition_of_a_lost_run_runs_is_overdue():
+    workers = workers_in_racks(4, size=1)
+    waiting = waiting_step(Step(count=2, gpus=8, data_rack=RackId("r0")), 3 * MAX_WAIT)
+    repeated = run_on(waiting.tasks[0], workers[0])
+    repeated.lost_run = LostRun(
+        RunNumber(1), WorkerId("lost"), InstanceId(1), BootSeconds(NOW - MAX_WAIT), ""
+    )
+    assert len(place_relaxed(waiting, workers)) == 1
+
+
 def test_a_job_of_which_a_task_was_placed_just_now_is_not_overdue():
     workers = workers_in_racks(4, size=1)
     waiting = waiting_step(Step(count=2, gpus=8, data_rack=RackId("r0")), 3 * MAX_WAIT)
@@ -277,6 +291,38 @@
     assert place_relaxed(waiting, workers) == {}
 
 
+# Guards against a wait for the rack of the data that begins anew with each refusal.
+@pytest.mark.parametrize("stop_seconds", [0.2, 0.9])
+def test_refusals_of_a_near_worker_do_not_extend_the_wait(stop_seconds):
+    start = HostOrders.start
+    refusing: set[WorkerId] = set()
+
+    async def refuse(self, target, *args):
+        if target.worker in refusing:
+            raise RefusedOrderError(Refusal.NO_ROOM)
+        return await start(self, target, *args)
+
+    async def play():
+        model = Model(1, bounds=Bounds(stop=stop_seconds))
+        await model.start(workers=3 * WORKERS_IN_RACK, rack=WORKERS_IN_RACK)
+        shape = step(gpus=8, seconds=60.0, data_rack="rack-0")
+        for _ in range(WORKERS_IN_RACK - 1):
+            await model.submit("usual", (shape,), 60.0)
+        await asyncio.sleep(1.0)
+        for target in model.fleet.workers.values():
+            if target.entry.rack == "rack-0" and not target.running:
+                refusing.add(target.entry.worker)
+        shape = step(gpus=8, seconds=20.0, data_rack="rack-0")
+        with mock.patch.object(HostOrders, "start", refuse):
+            job_id = await model.submit("patient", (shape,), 20.0)
+            accepted_at = monotonic()
+            while not start_times(model, job_id):
+                await asyncio.sleep(0.02)
+        return start_times(model, job_id)[0] - accepted_at
+
+    assert run_virtual(play()) <= BOUNDS.finish
+
+
 # Guards against overdue tasks that use up all their attempts on a faulty worker, the
 # only one with room, and so fail a job that others could have run.
 def test_a_job_does_not_fail_for_the_lack_of_room_on_healthy_workers():
