--- a/src/zinniatrestle/scheduling/tests/test_loss_of_all_hosts.py
+++ b/src/zinniatrestle/scheduling/tests/test_loss_of_all_hosts.py
@@ -13,7 +13,7 @@
 from zinniatrestle.ids import JobId
 from zinniatrestle.jobs import JobState
 from zinniatrestle.standins.checker import check_capacity, violations
-from zinniatrestle.standins.ended_tasks import EndedTasks
+from zinniatrestle.standins.ended_tasks import EndsAtWorkers
 from zinniatrestle.standins.idle_waits import IdleWaits
 from zinniatrestle.standins.model import Model, run_virtual, step
 
@@ -32,13 +32,6 @@
 STRIDES = {"answer": 16, "write leases": 4}
 
 
-class EndsAtWorkers(EndedTasks):
-    """The tasks that ended well at a worker, whether a host hears of it or not."""
-
-    def _confirm_ends(self):
-        self.done |= self.unconfirmed.keys()
-
-
 def two_steps(count: int, seconds: float, gang: bool = False):
     """Return a step of whole workers, and one that follows it."""
     first = step(count, gpus=8, gang=gang, seconds=seconds)
@@ -105,8 +98,7 @@
     """Kill all hosts at a call of a scenario, and return what went wrong then."""
     model = Model(1, bounds=BOUNDS)
     points = KillPoints(model, number, moment)
-    waits = IdleWaits(model, begins_at=math.inf)
-    waits.ended_tasks = EndsAtWorkers(model.fleet)
+    waits = IdleWaits(model, math.inf, EndsAtWorkers(model.fleet))
     found: list[str] = []
     with intercepted(points):
         await model.start(workers=8, rack=8)
