Send no start behind stops that its worker leaves without an answer

What callers saw: a task that waits for up to 20 s beside idle workers (LOST). Its start was queued at a worker that answers holds, behind the stops of a cancelled job that it left without an answer.

Cause: a start that was queued before another one went unanswered is given back at once, so that its task is placed elsewhere; unanswered stops didn't count. With three orders in flight, 24 stops of 1.6 s hold a start for 14 s.

Why the fix works: the worker shows the same by either order. The start hasn't been sent, so its task can be placed elsewhere without a risk of TWICE.

--- a/src/zinniatrestle/scheduling/session.py
+++ b/src/zinniatrestle/scheduling/session.py
@@ -134,7 +134,7 @@
         self.rejections = RejectionLog(events, "answer of a worker")
         self.supervisor = Supervisor(events)
         self.outbox: asyncio.Queue[Callable[[], Awaitable[None]]] = asyncio.Queue()
-        # When a start was last left without an answer to any try.
+        # When a start or a stop was last left without an answer to any try.
         self.unanswered_at = BootSeconds(float("-inf"))
         # Runs to be stopped, with the time at which the stop was answered, if it was.
         self.stops: dict[tuple[TaskId, RunNumber], BootSeconds | None] = {}
@@ -378,6 +378,7 @@
                 continue
             self.stops[(task_id, run)] = boot_time()
             return
+        self.unanswered_at = boot_time()
         self.events.write(
             Event.RUN_UNANSWERED,
             task=task_id,
