Don't take the repetition of a run that may be done for work of its job

What callers saw: tasks of a job that could run and didn't (LOST), while all that ran of the job was the repetition of a run that had been done and lost.

Cause: the limits on waits don't apply to a job that is at work, and any running task counted, also a repetition. The users count it only if the lost run wasn't done, which the scheduler can't know. So the other tasks of the step waited for their rack, or behind reservations, for as long as the repetition ran.

Why the fix works: a task with a lost run whose end isn't known counts as one that may be done. If it wasn't, the job gives up preferences for other tasks, and nothing else.

--- a/src/zinniatrestle/scheduling/state.py
+++ b/src/zinniatrestle/scheduling/state.py
@@ -165,6 +165,11 @@
         self.start_time_known = self.reported = False
         self.start_deadline_ms = None
 
+    @property
+    def may_be_done(self) -> bool:
+        """Return whether a run is done, or was lost and may have been done."""
+        return self.completed or self.lost_run is not None
+
     @property
     def has_run(self) -> bool:
         """Return whether a worker has confirmed the latest run."""
--- a/src/zinniatrestle/scheduling/wait_limits.py
+++ b/src/zinniatrestle/scheduling/wait_limits.py
@@ -160,9 +160,12 @@
         return self._is_idle(service) and not self._is_at_work(step.job)
 
     def _is_at_work(self, job: Job) -> bool:
-        """Return whether tasks of a job run, or are about to start or to move."""
+        """Return whether tasks of a job run, or are about to start or to move.
+
+        A repetition of a run that may be done doesn't count: it may bring nothing new.
+        """
         for task in job.allocated_tasks():
-            if task.worker.silent:
+            if task.worker.silent or task.may_be_done:
                 continue
             if task.status is TaskStatus.RUNNING:
                 return True
--- a/src/zinniatrestle/scheduling/waits.py
+++ b/src/zinniatrestle/scheduling/waits.py
@@ -309,7 +309,7 @@
     repeated: list[Task] = []
     for earlier in step.job.dependencies(step):
         for task in earlier.tasks:
-            if not _may_be_done(task):
+            if not task.may_be_done:
                 return None
             if not task.completed:
                 repeated.append(task)
@@ -334,11 +334,6 @@
     return FormerWorker.SILENT if registered.silent else FormerWorker.ANSWERS
 
 
-def _may_be_done(task: Task) -> bool:
-    """Return whether a run of a task is done, or was lost and may be."""
-    return task.completed or task.lost_run is not None
-
-
 def _lost_at(task: Task) -> float | None:
     """Return when a run is lost if nothing more is heard of it, or None if never."""
     worker = task.worker
@@ -391,7 +386,7 @@
 def does_new_work(step: StepRun) -> bool:
     """Return whether a task of a step runs of which no earlier run may be done."""
     for task in step.tasks:
-        if is_known_to_run(task) and not _may_be_done(task):
+        if is_known_to_run(task) and not task.may_be_done:
             return True
     return False
 
