Store checkpoints while runs go on, at a bounded rate

What callers saw: a second step that waits 30 s after all hosts were lost (LOST). The first step's run ended, or was lost, with its worker while no host ran, and was repeated from the start although its worker had reported checkpoints of nearly all of it.

Cause: a job's row has the latest checkpoints only as of its last change, which may be the start of its runs. The scheduler keeps newer ones in memory, and reads them again from the workers after a succession. If scheduler and worker are lost together, they are gone.

On the platform: a run of 27.6 s that ended 0.1 s after the loss of all hosts, on a worker that crashed, was repeated from 41.0 s on and was still running at 69.0 s.

Why the fix works: jobs whose checkpoints have changed are stored in turn, those first that were stored longest ago, at 64 tasks or some 4 KB a second in all.

Runs without checkpoints still have to be repeated whole: nobody can know of their end.

--- a/src/zinniatrestle/scheduling/cluster_state.py
+++ b/src/zinniatrestle/scheduling/cluster_state.py
@@ -155,6 +155,8 @@
 
     def record_checkpoint(self, task: Task, checkpoint: str):
         """Record a checkpoint of a task, or of its whole gang."""
+        if checkpoint != task.checkpoint:
+            task.step.job.checkpoints_changed = True
         if not task.step.shape.gang:
             task.checkpoint = checkpoint
             return
--- a/src/zinniatrestle/scheduling/rounds.py
+++ b/src/zinniatrestle/scheduling/rounds.py
@@ -14,6 +14,7 @@
 from zinniatrestle.jobs.messages import JobState
 from zinniatrestle.queues import Queue
 from zinniatrestle.scheduling.backfill import BackfillReservations, EarliestStart
+from zinniatrestle.scheduling.checkpoint_saves import CheckpointSaves
 from zinniatrestle.scheduling.context import Policy, SchedulerContext
 from zinniatrestle.scheduling.draining import has_room, interrupted_tasks, should_move
 from zinniatrestle.scheduling.forecast import Forecast
@@ -64,6 +65,7 @@
         )
         self.preemptor = Preemptor(context, tracker, self.policy)
         self.start_tasks: set[asyncio.Task] = set()
+        self.checkpoint_saves = CheckpointSaves()
         self.wait_log = WaitLog(context.events, context.metrics)
         self.unusable_workers = UnusableWorkers(context.events)
 
@@ -90,6 +92,8 @@
         for step in steps:
             placed.extend(self._schedule_step(step, workers, reservations, limits, now))
         self._stop_remote_runs(workers, reservations, now)
+        due_jobs = self.checkpoint_saves.due_jobs(tracker.jobs.values(), now)
+        tracker.unsaved_jobs.update(due_jobs)
         if placed:
             self._start(placed)
         elif tracker.unsaved_jobs:
--- a/src/zinniatrestle/scheduling/state.py
+++ b/src/zinniatrestle/scheduling/state.py
@@ -291,6 +291,10 @@
         self.next_occurrence = 0
         # The final progress is stored and the row of the submission is deleted.
         self.submission_deleted = False
+        # Whether a task has a newer checkpoint than when the job was last stored for
+        # checkpoints alone, and when that was.
+        self.checkpoints_changed = False
+        self.checkpoints_saved_at = BootSeconds(0.0)
         self.accepted_at = BootSeconds(0.0)
         self.due_at = BootSeconds(0.0)
         if not submission.timed:
