Call workers over kept connections with a small client on httptools

The host that schedules spent most of its processor time on holds: one long poll a worker each 0.7 s, each of them some 0.5 ms in the general HTTP client. On small hosts the processor was full, leases were renewed late and starts expired.

ConnectionPool keeps the connections of each address, parses answers with httptools, which the server side uses already, and has the same rules as before: a call that times out or is cancelled takes its connection along, and only a connection that could not be opened says that nothing was done. An order that is still unsent when its call times out is no longer sent later, since the connection is aborted.

--- a/src/zinniatrestle/platform/daemon.py
+++ b/src/zinniatrestle/platform/daemon.py
@@ -22,6 +22,7 @@
 from zinniatrestle.jobs import JobIntake
 from zinniatrestle.metrics import Metrics
 from zinniatrestle.platform.advice import PlatformAdviser
+from zinniatrestle.platform.connections import ConnectionPool
 from zinniatrestle.platform.http import HttpClient
 from zinniatrestle.platform.job_api import JobApi, ReadinessApi
 from zinniatrestle.platform.machines import PlatformMachineCalls, PlatformWaveRows
@@ -41,8 +42,6 @@
 from zinniatrestle.upkeep import WaveRunner
 from zinniatrestle.web import HttpProtocol, HttpServer
 
-# One connection serves the hold (a long poll), the others carry orders.
-CONNECTIONS_PER_WORKER = 4
 # Several times the longest list of runs: 500 ends and all running tasks.
 MAX_REPORT_BYTES = 4 * 2**20
 # The settings file may change without a signal, and a change must take effect as fast
@@ -86,7 +85,7 @@
         addresses = self.deployment.addresses
         self.supervisor = Supervisor(self.events)
         self.client = HttpClient()
-        self.worker_client = HttpClient(CONNECTIONS_PER_WORKER, MAX_REPORT_BYTES)
+        self.worker_client = ConnectionPool(MAX_REPORT_BYTES)
         self.store = PlatformStore(
             self.client, addresses.store, self.metrics, self.events
         )
--- a/src/zinniatrestle/platform/http.py
+++ b/src/zinniatrestle/platform/http.py
@@ -1,5 +1,6 @@
-"""HTTP client for all services of the platform."""
+"""HTTP clients for the services of the platform and for workers."""
 
+from abc import ABC, abstractmethod
 from enum import Enum
 from typing import Any
 
@@ -42,18 +43,33 @@
         self.body = body
 
 
-class HttpClient:
-    """HTTP client; a call that times out closes its connection.
+class HttpCaller(ABC):
+    """HTTP client; a call that times out closes its connection."""
+
+    @abstractmethod
+    async def call(
+        self,
+        method: str,
+        address: str,
+        path: str,
+        timeout: float,
+        body: bytes | None = None,
+        headers: dict[str, str] | None = None,
+    ) -> HttpAnswer:
+        """Make one call and wait up to `timeout` seconds; raises CallError."""
+
+    @abstractmethod
+    async def close(self):
+        """Close all connections."""
+
+
+class HttpClient(HttpCaller):
+    """HTTP client for services with large answers.
 
     Longer answers than `max_answer_bytes` are not read.
     """
 
-    def __init__(
-        self,
-        max_connections_per_address: int = 0,
-        max_answer_bytes: int = MAX_ANSWER_BYTES,
-    ):
-        self.max_connections_per_address = max_connections_per_address
+    def __init__(self, max_answer_bytes: int = MAX_ANSWER_BYTES):
         self.max_answer_bytes = max_answer_bytes
         self.session: aiohttp.ClientSession | None = None
 
@@ -64,8 +80,8 @@
         path: str,
         timeout: float,
         body: bytes | None = None,
-        query: dict[str, Any] | None = None,
         headers: dict[str, str] | None = None,
+        query: dict[str, Any] | None = None,
         extra_body_seconds: float = 0.0,
     ) -> HttpAnswer:
         """Make one call; raises CallError.
@@ -134,7 +150,6 @@
         if self.session is None:
             connector = aiohttp.TCPConnector(
                 limit=0,
-                limit_per_host=self.max_connections_per_address,
                 keepalive_timeout=KEEPALIVE_SECONDS,
                 use_dns_cache=False,
             )
--- a/src/zinniatrestle/platform/orders.py
+++ b/src/zinniatrestle/platform/orders.py
@@ -16,7 +16,7 @@
 )
 from zinniatrestle.errors import MalformedInputError
 from zinniatrestle.ids import Generation, InstanceId, RunNumber, TaskId
-from zinniatrestle.platform.http import CallEffect, CallError, HttpAnswer, HttpClient
+from zinniatrestle.platform.http import CallEffect, CallError, HttpAnswer, HttpCaller
 from zinniatrestle.workers.interfaces import WorkerOrders
 from zinniatrestle.workers.messages import (
     EndedRun,
@@ -165,7 +165,7 @@
 class PlatformWorkerOrders(WorkerOrders):
     """Send orders to workers at the addresses of their entries."""
 
-    def __init__(self, client: HttpClient):
+    def __init__(self, client: HttpCaller):
         self.client = client
 
     async def start(
--- a/src/zinniatrestle/platform/tests/test_orders.py
+++ b/src/zinniatrestle/platform/tests/test_orders.py
@@ -15,7 +15,7 @@
 
 from zinniatrestle.errors import WorkerError
 from zinniatrestle.ids import Generation, RowName, RunNumber, TaskId
-from zinniatrestle.platform.http import HttpClient
+from zinniatrestle.platform.connections import ConnectionPool
 from zinniatrestle.platform.orders import PlatformWorkerOrders, decode_hold_answer
 from zinniatrestle.platform.registry import PlatformWorkerRows
 from zinniatrestle.standins.wire import WireWorker, serve_app
@@ -53,7 +53,7 @@
 def run_with_worker(check):
     async def run():
         worker = WireWorker()
-        client = HttpClient()
+        client = ConnectionPool()
         async with serve_app(worker.app()) as address:
             try:
                 orders = PlatformWorkerOrders(client)
