Count answers of workers that arrived while the host was busy

Callers saw jobs wait and gangs break on small hosts, since starts and holds counted as unanswered although the answers were there.

Cause: a timer that fires in the same pass of the event loop as the answer cancelled the call, and the answer was dropped. A host that was busy for longer than the timeout of an order so took each answer of that time for missing, repeated the orders and marked workers as silent, which costs still more processor time.

The call now waits for its answer with a timeout and looks at the answer first. The new test blocks the loop for longer than the timeout; it failed before.

--- a/src/zinniatrestle/platform/connections.py
+++ b/src/zinniatrestle/platform/connections.py
@@ -155,18 +155,18 @@
         if connection is None:
             connection = await self._open(address, timeout)
         self.busy.add(connection)
-        answered = False
+        answer = None
         try:
-            async with asyncio.timeout(ends_at - monotonic()):
-                answer = await connection.send(request)
-            answered = True
-        except TimeoutError as error:
-            raise CallError(
-                CallEffect.UNKNOWN, "no answer before the timeout"
-            ) from error
+            pending = connection.send(request)
+            # An answer that has arrived counts, also if this host was too busy to read
+            # it before the timeout; a cancellation by a timer would drop it.
+            await asyncio.wait({pending}, timeout=ends_at - monotonic())
+            if not pending.done():
+                raise CallError(CallEffect.UNKNOWN, "no answer before the timeout")
+            answer = pending.result()
         finally:
             self.busy.discard(connection)
-            if not answered:
+            if answer is None:
                 connection.abort()
         self._keep(address, connection)
         return answer
--- a/src/zinniatrestle/platform/tests/test_connections.py
+++ b/src/zinniatrestle/platform/tests/test_connections.py
@@ -1,6 +1,9 @@
 """Client with kept connections: answers, failures and what a call may have done."""
 
 import asyncio
+import socket
+import threading
+import time
 
 import pytest
 
@@ -154,6 +157,33 @@
     assert server.connections == 2
 
 
+# Guards against orders repeated and workers taken for silent by a host that is busy.
+def test_an_answer_that_arrived_while_the_host_was_busy_counts():
+    def answer_one(listener: socket.socket):
+        accepted, _ = listener.accept()
+        with accepted:
+            accepted.recv(1000)
+            time.sleep(0.1)
+            accepted.sendall(OK)
+
+    async def run(port: int):
+        pool = ConnectionPool()
+        calling = asyncio.create_task(
+            pool.call("POST", f"127.0.0.1:{port}", "/x", 0.3, b"{}")
+        )
+        # The request is sent by then, and the answer arrives while nothing else runs.
+        await asyncio.sleep(0.05)
+        time.sleep(0.5)
+        assert (await calling).body == b"ok"
+        await pool.close()
+
+    with socket.create_server(("127.0.0.1", 0)) as listener:
+        thread = threading.Thread(target=answer_one, args=(listener,))
+        thread.start()
+        asyncio.run(run(listener.getsockname()[1]))
+        thread.join()
+
+
 def test_a_cancelled_call_takes_its_connection_along():
     server = AnswerServer([b"", OK])
 
