Let the scheduling host know that it is overloaded, and do less then

Callers of deployments with small hosts saw jobs lost from sight and gangs broken: each fault of a full processor made more orders, so that service broke off instead of falling slowly.

The scheduler now measures by how much its event loop runs late. On average over some tenths of a second this shows a full processor, a slow round and a frozen process alike; hysteresis keeps single late timers from counting. In overload, holds wait for up to 1.9 s (never more than a quarter of the longest lease) in place of 0.7 s. Rounds pause for three times as long as they take, at most 0.4 s, since a burst of reports used to start a round each 15 ms.

--- a/src/zinniatrestle/events/messages.py
+++ b/src/zinniatrestle/events/messages.py
@@ -33,6 +33,7 @@
     RUN_LOST = "run_lost"
     RUN_PREEMPTED = "run_preempted"
     RUN_PACED = "run_paced"
+    HOST_OVERLOADED = "host_overloaded"
     LEASE_TAKEN = "lease_taken"
     LEASE_LOST = "lease_lost"
     STATE_LOADED = "state_loaded"
--- a/src/zinniatrestle/metrics.py
+++ b/src/zinniatrestle/metrics.py
@@ -38,6 +38,9 @@
         self.completion = meter.create_histogram("job_completion_time", "s")
         self.acceptance = meter.create_histogram("acceptance_time", "s")
         self.rounds = meter.create_histogram("scheduling_round_time", "s")
+        # Average delay of the event loop while this host schedules.
+        self.loop_delay = 0.0
+        self.add_gauge("event_loop_delay", "s", lambda: self.loop_delay)
         # Waiting steps by reason, and those that wait although there is ample room;
         # counted by the scheduler while it decides.
         self.steps_waiting: dict[str, int] = {}
--- a/src/zinniatrestle/scheduling/cluster_state.py
+++ b/src/zinniatrestle/scheduling/cluster_state.py
@@ -13,6 +13,7 @@
 from zinniatrestle.scheduling.durations import Durations
 from zinniatrestle.scheduling.fleet import Fleet, FleetListener
 from zinniatrestle.scheduling.health import HealthMonitor
+from zinniatrestle.scheduling.load import LoadMeter
 from zinniatrestle.scheduling.pacing import PaceController
 from zinniatrestle.scheduling.preemption_costs import work_lost
 from zinniatrestle.scheduling.progress_writer import ProgressWriter
@@ -52,6 +53,9 @@
         self.health = HealthMonitor()
         self.pacing = PaceController()
         self.speeds = SpeedEstimator()
+        self.load = LoadMeter(
+            context.deployment.bounds, context.events, context.metrics
+        )
         self.wake = asyncio.Event()
         # None if there is no advice service.
         self.advice: AdviceCache | None = None
--- a/src/zinniatrestle/scheduling/scheduler.py
+++ b/src/zinniatrestle/scheduling/scheduler.py
@@ -3,7 +3,7 @@
 import asyncio
 from functools import partial
 
-from zinniatrestle.clock import boot_time, wait_for_event
+from zinniatrestle.clock import boot_time, monotonic, wait_for_event
 from zinniatrestle.errors import (
     HistoryLostError,
     MalformedInputError,
@@ -161,6 +161,7 @@
                 group.create_task(self.cancellations.follow())
                 group.create_task(self.fleet.follow())
                 group.create_task(self._run_rounds())
+                group.create_task(self.tracker.load.measure())
                 group.create_task(keep_running("purge", self._purge_ended_jobs))
                 for leader_task in self.context.leader_tasks:
                     run = partial(leader_task.run, self.tracker)
@@ -346,7 +347,7 @@
         while True:
             await wait_for_event(tracker.wake, MAX_ROUND_INTERVAL_SECONDS)
             tracker.wake.clear()
-            await asyncio.sleep(BATCH_SECONDS)
+            await asyncio.sleep(max(BATCH_SECONDS, tracker.load.round_pause()))
             for job in self.progress_writer.ended:
                 tracker.stop_job(job, f"job {job.state.value}")
                 tracker.unsaved_jobs.add(job)
@@ -357,7 +358,9 @@
             if reason:
                 self.events.write_deduplicated(Event.DECISIONS_PAUSED, reason)
                 continue
+            began_at = monotonic()
             self.planner.run_round(boot_time())
+            tracker.load.record_round(monotonic() - began_at)
 
     def _pause_reason(self) -> str:
         """Return why decisions have to pause, or an empty string."""
--- a/src/zinniatrestle/scheduling/session.py
+++ b/src/zinniatrestle/scheduling/session.py
@@ -15,6 +15,7 @@
     RunNumber,
     TaskId,
 )
+from zinniatrestle.scheduling.load import HOLD_WAIT_SECONDS
 from zinniatrestle.scheduling.state import Task, TaskStatus, Worker
 from zinniatrestle.supervision import Supervisor
 from zinniatrestle.workers.interfaces import WorkerOrders
@@ -31,8 +32,6 @@
 # that is cut off can be restarted elsewhere after this time, and a successor has to
 # take over within it.
 HOLD_SHARE = 0.65
-# Long-poll wait of a hold: a worker on which no run ends answers after this time.
-HOLD_WAIT_SECONDS = 0.7
 # Pause after a failed hold.
 RETRY_SECONDS = 0.3
 # Longest pause after an unexpected error: a hold finds that the worker answers again.
@@ -111,6 +110,13 @@
         They may not while their expiry is recorded for a successor.
         """
 
+    @abstractmethod
+    def hold_wait(self) -> float:
+        """Return the long-poll wait of holds in seconds.
+
+        A worker on which no run ends answers after this time.
+        """
+
 
 class WorkerSession:
     """Extend the leases at one worker and send it orders, until either side ends."""
@@ -228,7 +234,7 @@
             # Only the first answer carries the worker's clock, without which no
             # deadline can be set.
             return 0.0
-        return HOLD_WAIT_SECONDS
+        return self.listener.hold_wait()
 
     def _deadline(self, asked_at: BootSeconds, seconds: float) -> int | None:
         """Return the deadline of a hold or a start, in ms of the worker's clock.
--- a/src/zinniatrestle/scheduling/tracker.py
+++ b/src/zinniatrestle/scheduling/tracker.py
@@ -12,9 +12,9 @@
 from zinniatrestle.scheduling.fleet import FleetListener
 from zinniatrestle.scheduling.health_records import restore_health
 from zinniatrestle.scheduling.leadership import LeadershipStatus
+from zinniatrestle.scheduling.load import HOLD_WAIT_SECONDS
 from zinniatrestle.scheduling.placement import is_remote
 from zinniatrestle.scheduling.session import (
-    HOLD_WAIT_SECONDS,
     MAX_CONCURRENT_ORDERS,
     SessionListener,
     WorkerSession,
@@ -138,6 +138,10 @@
         """Return whether the leases at one worker may be extended."""
         return self.context.leadership.may_extend(worker.id)
 
+    def hold_wait(self) -> float:
+        """Return the long-poll wait of holds, which is longer in overload."""
+        return self.load.hold_wait()
+
     # Reports
 
     def report(self, worker: Worker, answer: HoldAnswer, asked_at: BootSeconds):
