Answer calls that outlast the shutdown with 504

Callers of a host that was stopped while the store didn't answer got a bare status 500 in plain text: neither a numbered result nor one of the answers after which clients may ask another host.

Cause: the server cancels calls that are still open 2 s after it began to shut down. The cancellation passed the handlers' error responses, which handle exceptions only, and the server answered by itself.

Handlers now answer in spite of the cancellation, with 504 and code 201: the submission may be stored.

--- a/src/zinniatrestle/platform/job_api.py
+++ b/src/zinniatrestle/platform/job_api.py
@@ -1,5 +1,6 @@
 """HTTP interface for callers: jobs under the paths of their queues, and readiness."""
 
+import asyncio
 import math
 from collections.abc import Awaitable, Callable
 
@@ -19,7 +20,7 @@
     UnknownOutcomeError,
     ZinniatrestleError,
 )
-from zinniatrestle.events import EventLog
+from zinniatrestle.events import Event, EventLog
 from zinniatrestle.ids import ApiKey, JobId, RackId
 from zinniatrestle.jobs.intake import JobRequest
 from zinniatrestle.jobs.messages import Step
@@ -27,9 +28,11 @@
 from zinniatrestle.supervision import Supervisor
 from zinniatrestle.web import (
     CODE_HEADER,
+    CUT_SHORT,
     DEFAULT_ERROR_STATUS,
     HTTP_STATUS,
     UNEXPECTED_ERROR,
+    answer_in_spite_of_cancellation,
     read_body,
 )
 
@@ -213,6 +216,10 @@
             return await handler(request)
         except ZinniatrestleError as error:
             return _error_response(error)
+        except asyncio.CancelledError:
+            events.write_deduplicated(Event.REQUEST_REFUSED, "cut short by shutdown")
+            answer_in_spite_of_cancellation()
+            return _error_response(UnknownOutcomeError(CUT_SHORT))
         except Exception as error:
             supervisor.log_failure("call", error, method=request.method)
             return _error_response(UnknownOutcomeError(UNEXPECTED_ERROR))
--- a/src/zinniatrestle/platform/tests/test_job_api.py
+++ b/src/zinniatrestle/platform/tests/test_job_api.py
@@ -1,9 +1,11 @@
 """The callers' interface: bad calls get a numbered error, and store nothing."""
 
 import asyncio
+import socket
 
 import msgspec
 import pytest
+import uvicorn
 from common.events import EventList
 from common.odd_input import (
     BEYOND_64_BITS,
@@ -45,7 +47,7 @@
 from zinniatrestle.serving import Frontend
 from zinniatrestle.standins.rows import HostRows, MemoryRows
 from zinniatrestle.standins.wire import serve_app
-from zinniatrestle.web import MAX_HEAD_BYTES, HttpProtocol
+from zinniatrestle.web import MAX_HEAD_BYTES, HttpProtocol, HttpServer
 
 HOST = "queue.example"
 PATH = "/q/00000000000000aa"
@@ -306,6 +308,35 @@
     run_with_callers(check)
 
 
+# Guards against a bare 500 from a host that is stopped while the store doesn't answer.
+def test_a_call_that_outlasts_the_shutdown_may_have_taken_effect():
+    async def check(callers):
+        async def never_answer(*args):
+            await asyncio.sleep(3600)
+
+        callers.frontend.accept = never_answer
+        listening = socket.create_server(("127.0.0.1", 0))
+        port = listening.getsockname()[1]
+        config = uvicorn.Config(
+            JobApi(callers.frontend).app(),
+            http=HttpProtocol,
+            log_config=None,
+            lifespan="off",
+            timeout_graceful_shutdown=0,
+        )
+        server = HttpServer(config)
+        serving = asyncio.create_task(server.serve(sockets=[listening]))
+        data = raw_call("POST", PATH, CALLER, changed())
+        calling = asyncio.create_task(exchange(f"127.0.0.1:{port}", data))
+        await asyncio.sleep(0.3)
+        server.should_exit = True
+        answer = await calling
+        await serving
+        assert (answer.status, answer.code) == (504, 201)
+
+    run_with_callers(check)
+
+
 def test_an_unexpected_error_may_have_taken_effect():
     async def check(callers):
         def fail(*args):
--- a/src/zinniatrestle/web.py
+++ b/src/zinniatrestle/web.py
@@ -50,6 +50,7 @@
 }
 DEFAULT_ERROR_STATUS = 503
 UNEXPECTED_ERROR = "The call failed unexpectedly, and may have taken effect."
+CUT_SHORT = "The host is stopping. The call may have taken effect; ask another host."
 # Bytes of a call's first line and headers, together.
 MAX_HEAD_BYTES = 65_536
 # Time for a caller to read why its call was refused.
@@ -161,6 +162,15 @@
     return Response(msgspec.json.encode(body), status, headers, "application/json")
 
 
+def answer_in_spite_of_cancellation():
+    """Undo the cancellation of this call, to be answered at once.
+
+    The server cancels calls that outlast its graceful shutdown, and would give a bare
+    status 500 as their answer.
+    """
+    asyncio.current_task().uncancel()
+
+
 def with_error_responses(handler: Handler) -> Handler:
     """Wrap a handler so that its errors become RFC 9457 responses."""
 
@@ -169,6 +179,10 @@
             return await handler(request)
         except ZinniatrestleError as error:
             return problem_response(error.code, error.detail)
+        except asyncio.CancelledError:
+            log.warning("%s %s was cut short.", request.method, request.scope["path"])
+            answer_in_spite_of_cancellation()
+            return problem_response(ResultCode.UNKNOWN, CUT_SHORT)
         except Exception as error:
             log.error(
                 "%s %s failed: %s: %s",
