Check the permission to send an order once its connection is open

What callers could have seen: after a pause or on a full processor, a host whose lease had run out still sent a start, a stop, a hold or the call that takes a machine down.

Cause: the lease was checked before the call. Workers refuse older generations, but only those that the successor has reached, and where fences aren't checked machines take calls of both.

The client asks for the permission between opening the connection and sending, without an await in between; what is not permitted is not sent, and says nothing about the worker. The permission is that of a generation, so that a host that leads again sends no orders of its former generation.

--- a/src/zinniatrestle/platform/connections.py
+++ b/src/zinniatrestle/platform/connections.py
@@ -5,6 +5,7 @@
 """
 
 import asyncio
+from collections.abc import Callable
 from typing import Any
 from urllib.parse import urlencode
 
@@ -162,11 +163,13 @@
         headers: dict[str, str] | None = None,
         query: dict[str, Any] | None = None,
         extra_body_seconds: float = 0.0,
+        may_send: Callable[[], bool] | None = None,
     ) -> HttpAnswer:
         """Make one call; raises CallError.
 
         `timeout` limits the wait for the answer, in seconds. Reading an answer whose
-        data keeps arriving may take `extra_body_seconds` more.
+        data keeps arriving may take `extra_body_seconds` more. `may_send` is asked once
+        the connection is open; if it returns False nothing is sent.
         """
         target = f"{path}?{urlencode(query)}" if query else path
         request = _encode(method, address, target, body, headers or {})
@@ -174,6 +177,11 @@
         connection = self._take_idle(address)
         if connection is None:
             connection = await self._open(address, timeout)
+        if may_send is not None and not may_send():
+            self._keep(address, connection)
+            raise CallError(
+                CallEffect.NO_EFFECT, "the permission ran out", permitted=False
+            )
         self.busy.add(connection)
         answer = None
         try:
--- a/src/zinniatrestle/platform/daemon.py
+++ b/src/zinniatrestle/platform/daemon.py
@@ -107,7 +107,7 @@
             deployment=self.deployment,
             store=self.store,
             worker_rows=PlatformWorkerRows(),
-            orders=PlatformWorkerOrders(self.worker_client),
+            orders=PlatformWorkerOrders(self.worker_client, self.leadership),
             operator=self.operator,
             leadership=self.leadership,
             metrics=self.metrics,
@@ -120,7 +120,9 @@
         host = self.deployment.identity.host
         address = self.deployment.addresses.machines
         return WaveRunner(
-            PlatformMachineCalls(self.client, address, host, self.events),
+            PlatformMachineCalls(
+                self.client, address, host, self.leadership, self.events
+            ),
             PlatformWaveRows(),
             self.store,
             self.operator,
--- a/src/zinniatrestle/platform/http.py
+++ b/src/zinniatrestle/platform/http.py
@@ -1,6 +1,7 @@
 """Abstract HTTP client, and what is known of a call that fails."""
 
 from abc import ABC, abstractmethod
+from collections.abc import Callable
 from enum import Enum
 from typing import Any
 
@@ -16,13 +17,19 @@
     """Signal a call that got no answer."""
 
     def __init__(
-        self, effect: CallEffect, detail: str, connection_refused: bool = False
+        self,
+        effect: CallEffect,
+        detail: str,
+        connection_refused: bool = False,
+        permitted: bool = True,
     ):
         super().__init__(detail)
         self.effect = effect
         self.detail = detail
         # Nothing listens at the address.
         self.connection_refused = connection_refused
+        # Whether the caller was permitted to send it.
+        self.permitted = permitted
 
 
 class HttpAnswer:
@@ -47,11 +54,13 @@
         headers: dict[str, str] | None = None,
         query: dict[str, Any] | None = None,
         extra_body_seconds: float = 0.0,
+        may_send: Callable[[], bool] | None = None,
     ) -> HttpAnswer:
         """Make one call; raises CallError.
 
         `timeout` limits the wait for the answer, in seconds. Reading an answer whose
-        data keeps arriving may take `extra_body_seconds` more.
+        data keeps arriving may take `extra_body_seconds` more. `may_send` is asked once
+        the connection is open; if it returns False nothing is sent.
         """
 
     @abstractmethod
--- a/src/zinniatrestle/platform/machines.py
+++ b/src/zinniatrestle/platform/machines.py
@@ -1,5 +1,6 @@
 """Client of the calls about machines, and the status rows of maintenance waves."""
 
+from functools import partial
 from typing import Any
 
 import msgspec
@@ -28,6 +29,7 @@
     UnansweredMachineError,
     WaveState,
 )
+from zinniatrestle.workers.interfaces import OrderPermission
 
 HOLDER_HEADER = "Zinniatrestle-Lease-Holder"
 GENERATION_HEADER = "Zinniatrestle-Fencing-Token"
@@ -94,9 +96,15 @@
     """Client of the platform; an empty `address` means that it has no such calls."""
 
     def __init__(
-        self, client: HttpCaller, address: str, host: HostId, events: EventLog
+        self,
+        client: HttpCaller,
+        address: str,
+        host: HostId,
+        permission: OrderPermission,
+        events: EventLog,
     ):
         self.client = client
+        self.permission = permission
         self.address = address
         self.host = host
         self.rejections = RejectionLog(events, "list of machines")
@@ -133,7 +141,10 @@
         body = msgspec.json.encode(WireUpkeep(machine, wave))
         headers = {HOLDER_HEADER: self.host, GENERATION_HEADER: str(generation)}
         path = "/-/machine-upkeep"
-        await self._call("POST", path, timeout, body=body, headers=headers)
+        may_send = partial(self.permission.permits_orders, generation)
+        await self._call(
+            "POST", path, timeout, body=body, headers=headers, may_send=may_send
+        )
 
     async def _call(
         self, method: str, path: str, timeout: float, **options: Any
--- a/src/zinniatrestle/platform/orders.py
+++ b/src/zinniatrestle/platform/orders.py
@@ -1,5 +1,7 @@
 """Client for orders to workers."""
 
+from collections.abc import Callable
+from functools import partial
 from typing import Annotated, Any
 
 import msgspec
@@ -17,7 +19,7 @@
 from zinniatrestle.errors import MalformedInputError
 from zinniatrestle.ids import Generation, InstanceId, RunNumber, TaskId
 from zinniatrestle.platform.http import CallEffect, CallError, HttpAnswer, HttpCaller
-from zinniatrestle.workers.interfaces import WorkerOrders
+from zinniatrestle.workers.interfaces import OrderPermission, WorkerOrders
 from zinniatrestle.workers.messages import (
     EndedRun,
     HoldAnswer,
@@ -165,8 +167,9 @@
 class PlatformWorkerOrders(WorkerOrders):
     """Send orders to workers at the addresses of their entries."""
 
-    def __init__(self, client: HttpCaller):
+    def __init__(self, client: HttpCaller, permission: OrderPermission):
         self.client = client
+        self.permission = permission
 
     async def start(
         self, worker: WorkerEntry, order: StartOrder, timeout: float
@@ -181,7 +184,8 @@
             order.checkpoint,
             order.ticket,
         )
-        answer = await self._call(worker, "/-/run-start", body, timeout)
+        may_send = partial(self.permission.permits_orders, order.generation)
+        answer = await self._call(worker, "/-/run-start", body, timeout, may_send)
         return _decode(answer.body, WireClock).clockMs
 
     async def stop(
@@ -194,7 +198,8 @@
     ):
         """Stop a run, or prevent its start if the start order has not arrived yet."""
         body = WireStop(task, run, generation)
-        await self._call(worker, "/-/run-stop", body, timeout)
+        may_send = partial(self.permission.permits_orders, generation)
+        await self._call(worker, "/-/run-stop", body, timeout, may_send)
 
     async def pace(
         self,
@@ -207,7 +212,8 @@
     ):
         """Let a run work at `percent` of its speed."""
         body = WirePace(task, run, percent, generation)
-        await self._call(worker, "/-/pace", body, timeout)
+        may_send = partial(self.permission.permits_orders, generation)
+        await self._call(worker, "/-/pace", body, timeout, may_send)
 
     async def hold(
         self,
@@ -222,11 +228,17 @@
         body = WireHold(
             generation, acknowledged_end, deadline_ms, int(wait * MS_PER_SECOND)
         )
-        answer = await self._call(worker, "/-/hold", body, wait + timeout)
+        may_send = partial(self.permission.permits_holds, generation)
+        answer = await self._call(worker, "/-/hold", body, wait + timeout, may_send)
         return decode_hold_answer(answer.body)
 
     async def _call(
-        self, worker: WorkerEntry, path: str, body: Any, timeout: float
+        self,
+        worker: WorkerEntry,
+        path: str,
+        body: Any,
+        timeout: float,
+        may_send: Callable[[], bool],
     ) -> HttpAnswer:
         try:
             answer = await self.client.call(
@@ -236,8 +248,11 @@
                 timeout,
                 msgspec.json.encode(body),
                 headers={INSTANCE_HEADER: worker.worker},
+                may_send=may_send,
             )
         except CallError as error:
+            if not error.permitted:
+                raise RefusedOrderError(Refusal.NOT_ORDERED) from error
             if error.connection_refused:
                 raise RefusedOrderError(Refusal.NOT_LISTENING) from error
             if error.effect is CallEffect.NO_EFFECT:
--- a/src/zinniatrestle/platform/tests/test_connections.py
+++ b/src/zinniatrestle/platform/tests/test_connections.py
@@ -302,3 +302,20 @@
         assert caught.value.effect is CallEffect.UNKNOWN
 
     run_with_server(AnswerServer([OK], pause=0.01), check)
+
+
+# Guards against a permission that runs out while a connection is opened.
+def test_a_call_that_is_no_longer_permitted_is_not_sent():
+    server = AnswerServer([OK])
+
+    async def check(pool, call):
+        with pytest.raises(CallError) as caught:
+            await call(may_send=lambda: False)
+        assert caught.value.effect is CallEffect.NO_EFFECT
+        assert not caught.value.permitted
+        assert server.requests == []
+        # The connection is kept for the next call.
+        await call(may_send=lambda: True)
+
+    run_with_server(server, check)
+    assert server.connections == 1
--- a/src/zinniatrestle/platform/tests/test_machines.py
+++ b/src/zinniatrestle/platform/tests/test_machines.py
@@ -5,6 +5,7 @@
 import msgspec
 import pytest
 from common.events import EventList
+from common.permission import Permission
 from starlette.applications import Starlette
 from starlette.requests import Request
 from starlette.responses import Response
@@ -71,7 +72,7 @@
         async with serve_app(service.app()) as address:
             try:
                 calls = PlatformMachineCalls(
-                    client, address, HostId("host-1"), EventList()
+                    client, address, HostId("host-1"), Permission(), EventList()
                 )
                 await check(service, calls)
             finally:
@@ -144,6 +145,17 @@
     run_with_service(check)
 
 
+# Guards against two hosts that take a machine down in turn.
+def test_no_machine_is_taken_down_once_the_permission_has_run_out():
+    async def check(service, calls):
+        calls.permission.is_given = False
+        with pytest.raises(MachineRefusedError):
+            await begin(calls)
+        assert service.requests == []
+
+    run_with_service(check)
+
+
 def test_a_call_without_an_answer_may_have_taken_effect():
     async def check(service, calls):
         service.silent = True
@@ -156,7 +168,7 @@
 def test_without_an_address_calls_are_refused():
     async def check():
         calls = PlatformMachineCalls(
-            ConnectionPool(), "", HostId("host-1"), EventList()
+            ConnectionPool(), "", HostId("host-1"), Permission(), EventList()
         )
         with pytest.raises(MachineRefusedError):
             await calls.machines(TIMEOUT_SECONDS)
--- a/src/zinniatrestle/platform/tests/test_odd_answers.py
+++ b/src/zinniatrestle/platform/tests/test_odd_answers.py
@@ -14,6 +14,7 @@
     deterministic,
     with_nested_field,
 )
+from common.permission import Permission
 from hypothesis import given
 
 from zinniatrestle.advice import AdviserError
@@ -177,7 +178,9 @@
 
 
 def new_calls(client: ConnectionPool, address: str) -> PlatformMachineCalls:
-    return PlatformMachineCalls(client, address, HostId("host"), EventList())
+    return PlatformMachineCalls(
+        client, address, HostId("host"), Permission(), EventList()
+    )
 
 
 def test_a_damaged_list_of_machines_is_no_answer(few_pages):
--- a/src/zinniatrestle/platform/tests/test_orders.py
+++ b/src/zinniatrestle/platform/tests/test_orders.py
@@ -11,6 +11,7 @@
     deterministic,
     with_nested_field,
 )
+from common.permission import Permission
 from hypothesis import given
 
 from zinniatrestle.errors import WorkerError
@@ -56,7 +57,7 @@
         client = ConnectionPool()
         async with serve_app(worker.app()) as address:
             try:
-                orders = PlatformWorkerOrders(client)
+                orders = PlatformWorkerOrders(client, Permission())
                 await check(worker, orders, entry(address=address))
             finally:
                 await client.close()
@@ -308,3 +309,28 @@
                 await orders.start(worker_entry, start_order(), TIMEOUT_SECONDS)
 
     run_with_worker(check)
+
+
+# Guards against orders of a host whose lease expired while it opened a connection.
+@pytest.mark.parametrize("order", ["start", "stop", "pace", "hold"])
+def test_no_order_is_sent_once_the_permission_has_run_out(order):
+    async def check(worker, orders, worker_entry):
+        orders.permission.is_given = False
+        calls = {
+            "start": lambda: orders.start(worker_entry, start_order(), TIMEOUT_SECONDS),
+            "stop": lambda: orders.stop(
+                worker_entry, TASK, RunNumber(2), GENERATION, TIMEOUT_SECONDS
+            ),
+            "pace": lambda: orders.pace(
+                worker_entry, TASK, RunNumber(2), 50, GENERATION, TIMEOUT_SECONDS
+            ),
+            "hold": lambda: orders.hold(
+                worker_entry, GENERATION, 0, None, 0.0, TIMEOUT_SECONDS
+            ),
+        }
+        with pytest.raises(RefusedOrderError) as caught:
+            await calls[order]()
+        assert caught.value.refusal is Refusal.NOT_ORDERED
+        assert worker.calls == []
+
+    run_with_worker(check)
--- a/src/zinniatrestle/scheduling/leadership.py
+++ b/src/zinniatrestle/scheduling/leadership.py
@@ -38,6 +38,7 @@
 from zinniatrestle.rows.retries import TIMER_RESOLUTION_SECONDS, transact_with_retries
 from zinniatrestle.scheduling.messages import Handover, LeaseRecord
 from zinniatrestle.supervision import Supervisor
+from zinniatrestle.workers.interfaces import OrderPermission
 
 LEASES = TableName("leases")
 LEASE_ROW = RowName("scheduler")
@@ -107,7 +108,7 @@
         self.leadership.on_fence_change(change.version, change.value)
 
 
-class Leadership:
+class Leadership(OrderPermission):
     """Contend for the scheduling lease, renew it, and track its holder."""
 
     def __init__(self, store: RowStore, deployment: Deployment, events: EventLog):
@@ -176,6 +177,14 @@
         latest = self.store.clock.latest(boot_time())
         return latest < self.record.until + self.hold_extension * MS_PER_SECOND
 
+    def permits_orders(self, generation: Generation) -> bool:
+        """Return whether orders of this generation may be sent now."""
+        return generation == self.generation and self.status is LeadershipStatus.HOLDER
+
+    def permits_holds(self, generation: Generation) -> bool:
+        """Return whether holds of this generation may be sent now."""
+        return generation == self.generation and self.may_hold()
+
     def may_extend(self, worker: WorkerId) -> bool:
         """Return whether the leases at a worker may be extended.
 
--- a/src/zinniatrestle/scheduling/session.py
+++ b/src/zinniatrestle/scheduling/session.py
@@ -181,6 +181,10 @@
                     timeout,
                 )
             except RefusedOrderError as error:
+                if error.refusal is Refusal.NOT_ORDERED:
+                    # That says nothing about the worker.
+                    await asyncio.sleep(RETRY_SECONDS)
+                    continue
                 misses += 1
                 wait = 0.0
                 if not self._handle_refused_hold(error):
--- a/src/zinniatrestle/scheduling/tests/test_failed_sessions.py
+++ b/src/zinniatrestle/scheduling/tests/test_failed_sessions.py
@@ -6,6 +6,7 @@
 
 from zinniatrestle.standins.host_orders import HostOrders
 from zinniatrestle.standins.model import Model, run_virtual, step
+from zinniatrestle.workers.messages import Refusal, RefusedOrderError
 
 
 def fail_once(model: Model, order: str):
@@ -43,3 +44,26 @@
 @pytest.mark.parametrize("order", ["hold", "start", "stop"])
 def test_jobs_end_after_an_order_fails_with_an_unexpected_error(order):
     assert run_virtual(run_jobs_with_failing(order))
+
+
+# Guards against a host that was busy and takes its workers for lost.
+def test_a_hold_that_was_not_permitted_does_not_make_a_worker_silent():
+    async def play():
+        model = Model(1)
+        await model.start(workers=1, rack=1)
+        await asyncio.sleep(1.0)
+        (orders,) = [host.orders for host in model.hosts if host.leadership.is_holder]
+        send = orders.hold
+        refusals = [Refusal.NOT_ORDERED] * 3
+
+        async def hold(*args):
+            if refusals:
+                raise RefusedOrderError(refusals.pop())
+            return await send(*args)
+
+        orders.hold = hold
+        await asyncio.sleep(3.0)
+        assert not refusals
+        assert not [line for line in model.lines if line["event"] == "worker_silent"]
+
+    run_virtual(play())
--- a/src/zinniatrestle/scheduling/tests/test_leadership.py
+++ b/src/zinniatrestle/scheduling/tests/test_leadership.py
@@ -103,6 +103,21 @@
         first_holder.store.reachability = Reachability.SILENT
         await seconds_until_successor(model, first_holder)
         assert first_holder.leadership.status is not LeadershipStatus.HOLDER
+        generation = first_holder.leadership.generation
+        assert not first_holder.leadership.permits_orders(generation)
+
+    with_model(check)
+
+
+# Guards against orders of a former generation of a host that leads again.
+def test_only_orders_of_the_current_generation_are_permitted():
+    async def check(model):
+        leadership = model.leader().leadership
+        generation = leadership.generation
+        assert leadership.permits_orders(generation)
+        assert leadership.permits_holds(generation)
+        assert not leadership.permits_orders(generation - 1)
+        assert not leadership.permits_holds(generation - 1)
 
     with_model(check)
 
--- a/src/zinniatrestle/workers/interfaces.py
+++ b/src/zinniatrestle/workers/interfaces.py
@@ -6,6 +6,22 @@
 from zinniatrestle.workers.messages import HoldAnswer, StartOrder, WorkerEntry
 
 
+class OrderPermission(ABC):
+    """Whether a host may still send orders under a generation.
+
+    It is asked right before an order is sent, since opening a connection takes time in
+    which the permission may run out.
+    """
+
+    @abstractmethod
+    def permits_orders(self, generation: Generation) -> bool:
+        """Return whether orders may be sent now."""
+
+    @abstractmethod
+    def permits_holds(self, generation: Generation) -> bool:
+        """Return whether leases at workers may be extended now."""
+
+
 class WorkerOrders(ABC):
     """Orders to workers; `timeout` bounds the wait for an answer, in seconds.
 
