Conclude nothing from a run that a full list of ends lacks

Cause: a worker lists at most 500 ends at a time. The tracker took each list for a complete one, so a run that had ended and was not listed yet counted as gone: as one whose start order had expired, or after a succession as one that was never started.

Why this works: an answer says whether it may lack ends, which a full list may. Ends are acknowledged once stored, so later lists have the others, and the conclusion is drawn from the first one that isn't full.

--- a/src/zinniatrestle/events/messages.py
+++ b/src/zinniatrestle/events/messages.py
@@ -31,6 +31,7 @@
     RUN_STOPPED = "run_stopped"
     RUN_ENDED = "run_ended"
     RUN_LOST = "run_lost"
+    ENDS_LISTED_IN_PART = "ends_listed_in_part"
     RUN_PREEMPTED = "run_preempted"
     RUN_PACED = "run_paced"
     HOST_OVERLOADED = "host_overloaded"
--- a/src/zinniatrestle/platform/orders.py
+++ b/src/zinniatrestle/platform/orders.py
@@ -35,6 +35,8 @@
 
 INSTANCE_HEADER = "Zinniatrestle-Expect-Instance"
 MS_PER_SECOND = 1000.0
+# A worker lists at most this many ends, the oldest first.
+MAX_LISTED_ENDS = 500
 # A job's row has to hold the checkpoints of its tasks.
 MAX_CHECKPOINT_LENGTH = 4000
 
@@ -301,6 +303,7 @@
         tuple(ended),
         tuple(unreadable),
         summarize(errors),
+        lists_all_ends=len(lists.ended) < MAX_LISTED_ENDS,
     )
 
 
--- a/src/zinniatrestle/platform/tests/test_orders.py
+++ b/src/zinniatrestle/platform/tests/test_orders.py
@@ -334,3 +334,17 @@
         assert worker.calls == []
 
     run_with_worker(check)
+
+
+# Guards against a list of ends that is cut off at its limit and taken for complete.
+@pytest.mark.parametrize(
+    ("listed", "all_listed"), [(0, True), (499, True), (500, False)]
+)
+def test_a_full_list_of_ends_may_lack_some(listed, all_listed):
+    ended = [[number, TASK, 1, "done", ""] for number in range(1, listed + 1)]
+    assert decode_hold_answer(changed(ended=ended)).lists_all_ends is all_listed
+
+
+def test_ends_that_cannot_be_read_count_as_listed():
+    ended = [[number, None] for number in range(1, 501)]
+    assert not decode_hold_answer(changed(ended=ended)).lists_all_ends
--- a/src/zinniatrestle/scheduling/tracker.py
+++ b/src/zinniatrestle/scheduling/tracker.py
@@ -276,7 +276,21 @@
     def _handle_unreported_runs(
         self, worker: Worker, answer: HoldAnswer, asked_at: BootSeconds
     ):
-        """Stop or mark as lost the runs that are missing from a report."""
+        """Stop or mark as lost the runs that are missing from a report.
+
+        Nothing follows from the absence of a run while ends are listed in parts: it may
+        have ended as done.
+        """
+        if not answer.lists_all_ends:
+            self.events.write_deduplicated(
+                Event.ENDS_LISTED_IN_PART,
+                f"worker {worker.id} has more ends than it lists at once",
+                worker=worker.id,
+                listed=len(answer.ended) + len(answer.unreadable_ends),
+                last=answer.last_end,
+                acknowledged=worker.acknowledged_end,
+            )
+            return
         session = self.sessions.get(worker)
         if session is None:
             return
--- a/src/zinniatrestle/standins/fleet.py
+++ b/src/zinniatrestle/standins/fleet.py
@@ -49,6 +49,8 @@
 # A wait counts as over when less than this remains.
 TIMER_TOLERANCE_SECONDS = 0.001
 CHECKPOINT_SECONDS = 2.0
+# A hold lists at most this many ends, the oldest first.
+MAX_LISTED_ENDS = 500
 # The registry removes an entry after this many missed heartbeats.
 EXPIRY_HEARTBEATS = 3
 
@@ -463,5 +465,6 @@
             target.clock_ms(),
             target.entry.instance,
             tuple(running),
-            tuple(target.ended),
+            tuple(target.ended[:MAX_LISTED_ENDS]),
+            lists_all_ends=len(target.ended) < MAX_LISTED_ENDS,
         )
--- a/src/zinniatrestle/workers/messages.py
+++ b/src/zinniatrestle/workers/messages.py
@@ -122,7 +122,8 @@
 
     `clock_ms` is a reading of the worker's own monotonic clock. `unreadable_ends` has
     the numbers of listed ends that can't be decoded, and `damage` says what is wrong
-    with the lists.
+    with the lists. Without `lists_all_ends` further runs may have ended, of which a
+    later answer tells once these ends are acknowledged.
     """
 
     clock_ms: int
@@ -131,6 +132,7 @@
     ended: tuple[EndedRun, ...]
     unreadable_ends: tuple[int, ...] = ()
     damage: str = ""
+    lists_all_ends: bool = True
 
     @property
     def last_end(self) -> int:
