--- /dev/null
+++ b/src/zinniatrestle/machines/__init__.py
@@ -0,0 +1,19 @@
+"""The platform's machines: calls about them, and which workers they no longer run."""
+
+from zinniatrestle.machines.interfaces import MachineCalls
+from zinniatrestle.machines.messages import (
+    Machine,
+    MachineRefusal,
+    MachineRefusedError,
+    MachineState,
+    UnansweredMachineError,
+)
+
+__all__ = [
+    "Machine",
+    "MachineCalls",
+    "MachineRefusal",
+    "MachineRefusedError",
+    "MachineState",
+    "UnansweredMachineError",
+]
--- a/src/zinniatrestle/platform/machines.py
+++ b/src/zinniatrestle/platform/machines.py
@@ -18,15 +18,18 @@
     TableName,
     WorkerId,
 )
-from zinniatrestle.platform.http import CallEffect, CallError, HttpAnswer, HttpCaller
-from zinniatrestle.rows import Write
-from zinniatrestle.upkeep.interfaces import MachineCalls, WaveRows
-from zinniatrestle.upkeep.messages import (
+from zinniatrestle.machines.interfaces import MachineCalls
+from zinniatrestle.machines.messages import (
     Machine,
     MachineRefusal,
     MachineRefusedError,
     MachineState,
     UnansweredMachineError,
+)
+from zinniatrestle.platform.http import CallEffect, CallError, HttpAnswer, HttpCaller
+from zinniatrestle.rows import Write
+from zinniatrestle.upkeep.interfaces import WaveRows
+from zinniatrestle.upkeep.messages import (
     WaveState,
 )
 from zinniatrestle.workers.interfaces import OrderPermission
--- a/src/zinniatrestle/platform/tests/test_machines.py
+++ b/src/zinniatrestle/platform/tests/test_machines.py
@@ -12,16 +12,16 @@
 from starlette.routing import Route
 
 from zinniatrestle.ids import Generation, HostId, MachineId
-from zinniatrestle.platform.connections import ConnectionPool
-from zinniatrestle.platform.machines import PlatformMachineCalls, PlatformWaveRows
-from zinniatrestle.standins.wire import serve_app
-from zinniatrestle.upkeep import (
+from zinniatrestle.machines import (
     MachineRefusal,
     MachineRefusedError,
     MachineState,
     UnansweredMachineError,
-    WaveState,
 )
+from zinniatrestle.platform.connections import ConnectionPool
+from zinniatrestle.platform.machines import PlatformMachineCalls, PlatformWaveRows
+from zinniatrestle.standins.wire import serve_app
+from zinniatrestle.upkeep import WaveState
 
 TIMEOUT_SECONDS = 1.0
 ENTRY = {
--- a/src/zinniatrestle/platform/tests/test_odd_answers.py
+++ b/src/zinniatrestle/platform/tests/test_odd_answers.py
@@ -28,6 +28,11 @@
     TableName,
     WorkerId,
 )
+from zinniatrestle.machines import (
+    MachineRefusedError,
+    MachineState,
+    UnansweredMachineError,
+)
 from zinniatrestle.metrics import Metrics
 from zinniatrestle.platform.advice import PlatformAdviser
 from zinniatrestle.platform.connections import ConnectionPool
@@ -35,11 +40,6 @@
 from zinniatrestle.platform.machines import PlatformMachineCalls, PlatformWaveRows
 from zinniatrestle.platform.store import PlatformStore
 from zinniatrestle.rows import Write
-from zinniatrestle.upkeep import (
-    MachineRefusedError,
-    MachineState,
-    UnansweredMachineError,
-)
 
 TIMEOUT_SECONDS = 2.0
 SERVERS = TableName("servers")
--- a/src/zinniatrestle/standins/machines.py
+++ b/src/zinniatrestle/standins/machines.py
@@ -16,15 +16,18 @@
     TableName,
     WorkerId,
 )
-from zinniatrestle.rows import Write
-from zinniatrestle.standins.fleet import SimulatedFleet
-from zinniatrestle.upkeep.interfaces import MachineCalls, WaveRows
-from zinniatrestle.upkeep.messages import (
+from zinniatrestle.machines.interfaces import MachineCalls
+from zinniatrestle.machines.messages import (
     Machine,
     MachineRefusal,
     MachineRefusedError,
     MachineState,
     UnansweredMachineError,
+)
+from zinniatrestle.rows import Write
+from zinniatrestle.standins.fleet import SimulatedFleet
+from zinniatrestle.upkeep.interfaces import WaveRows
+from zinniatrestle.upkeep.messages import (
     WaveState,
 )
 
--- a/src/zinniatrestle/upkeep/runner.py
+++ b/src/zinniatrestle/upkeep/runner.py
@@ -9,6 +9,12 @@
 from zinniatrestle.errors import StoreUnavailableError, StoreUncertainError
 from zinniatrestle.events import Event, EventLog
 from zinniatrestle.ids import BootSeconds, MachineId, RowName, RowVersion
+from zinniatrestle.machines.interfaces import MachineCalls
+from zinniatrestle.machines.messages import (
+    MachineRefusal,
+    MachineRefusedError,
+    UnansweredMachineError,
+)
 from zinniatrestle.queues import OperatorState, Wave
 from zinniatrestle.rows import ABSENT, Expect, RowStore, Write
 from zinniatrestle.rows.retries import transact_with_retries
@@ -19,12 +25,9 @@
 from zinniatrestle.scheduling.preemption_costs import PreemptionCosts
 from zinniatrestle.scheduling.state import Worker
 from zinniatrestle.supervision import Supervisor
-from zinniatrestle.upkeep.interfaces import MachineCalls, WaveRows
+from zinniatrestle.upkeep.interfaces import WaveRows
 from zinniatrestle.upkeep.messages import (
     WAVES,
-    MachineRefusal,
-    MachineRefusedError,
-    UnansweredMachineError,
     WaveRecord,
     WaveState,
 )
--- a/src/zinniatrestle/upkeep/state.py
+++ b/src/zinniatrestle/upkeep/state.py
@@ -1,8 +1,11 @@
 """Progress of a wave."""
 
 from zinniatrestle.ids import BootSeconds, MachineId, WorkerId
+from zinniatrestle.machines.messages import (
+    Machine,
+    MachineState,
+)
 from zinniatrestle.queues import Wave
-from zinniatrestle.upkeep.messages import Machine, MachineState
 
 # Number of consecutive lists without a machine after which it counts as removed.
 MAX_MISSED_LISTS = 3
--- a/src/zinniatrestle/upkeep/tests/test_planner.py
+++ b/src/zinniatrestle/upkeep/tests/test_planner.py
@@ -6,11 +6,14 @@
 from zinniatrestle.deployment import Bounds
 from zinniatrestle.ids import FailureDomainId, MachineId, ServiceName
 from zinniatrestle.jobs.messages import Step
+from zinniatrestle.machines.messages import (
+    Machine,
+    MachineState,
+)
 from zinniatrestle.queues import Wave
 from zinniatrestle.scheduling.durations import Durations
 from zinniatrestle.scheduling.forecast import Forecast
 from zinniatrestle.scheduling.preemption_costs import PreemptionCosts
-from zinniatrestle.upkeep.messages import Machine, MachineState
 from zinniatrestle.upkeep.planner import drain_timeout, next_machines, tasks_to_stop
 from zinniatrestle.upkeep.state import MAX_MISSED_LISTS, WaveProgress
 
