End runs of unreachable workers only with their leases or a proof

Cause: Fleet.mark_silent ended an instance if connections to it were refused and its registry entry was missing. One partition, or a cut with resets while the store is away, gives both signs, and the worker runs on.

Change: the branch is gone. To wait for the lease (up to 6.7 s) after each crash would throw service away, so the list of machines is read while a worker with tasks is out of reach: a machine is listed with the id of its worker for as long as that one lasts. Two readings that list the same machines have to lack the id. A list that is unavailable, damaged or changing proves nothing; unconfirmed runs wait for the lease.

Why it works: neither sign is used any more, alone or together. What is left as proof comes from the platform, which knows which machines run, or from an instance that answers in place of the former one.

Tests: an entry of a machine that can't be read, or with an unknown state, is listed as UNKNOWN in place of DOWN, since a machine that is down now proves an end; two tests expect that. It is still never taken down for maintenance. A crashed worker whose end is repeated 'once its entry is gone' keeps its bound, which the list of machines meets. All other tests of leases run without the list, as before.

--- a/src/zinniatrestle/machines/__init__.py
+++ b/src/zinniatrestle/machines/__init__.py
@@ -8,6 +8,7 @@
     MachineState,
     UnansweredMachineError,
 )
+from zinniatrestle.machines.watch import MachineWatch
 
 __all__ = [
     "Machine",
@@ -15,5 +16,6 @@
     "MachineRefusal",
     "MachineRefusedError",
     "MachineState",
+    "MachineWatch",
     "UnansweredMachineError",
 ]
--- a/src/zinniatrestle/machines/messages.py
+++ b/src/zinniatrestle/machines/messages.py
@@ -15,6 +15,8 @@
     MOVING = "moving"
     UPKEEP = "upkeep"
     DOWN = "down"
+    # The entry is damaged, or gives a state that isn't known here.
+    UNKNOWN = "unknown"
 
 
 class Machine(msgspec.Struct, frozen=True):
--- a/src/zinniatrestle/platform/daemon.py
+++ b/src/zinniatrestle/platform/daemon.py
@@ -20,6 +20,7 @@
 from zinniatrestle.events import Event, EventLog
 from zinniatrestle.events.log import BUFFERED_LINES
 from zinniatrestle.jobs import JobIntake
+from zinniatrestle.machines import MachineWatch
 from zinniatrestle.metrics import Metrics
 from zinniatrestle.platform.advice import PlatformAdviser
 from zinniatrestle.platform.connections import ConnectionPool
@@ -35,6 +36,7 @@
 from zinniatrestle.rows.feed import Feed
 from zinniatrestle.scheduling.context import SchedulerContext
 from zinniatrestle.scheduling.leader_loop import run_while_leader
+from zinniatrestle.scheduling.leader_task import LeaderTask
 from zinniatrestle.scheduling.leadership import Leadership
 from zinniatrestle.serving import Frontend
 from zinniatrestle.supervision import Supervisor
@@ -113,16 +115,17 @@
             metrics=self.metrics,
             events=self.events,
             adviser=PlatformAdviser(self.client, addresses.advice),
-            leader_tasks=[self._wave_runner()],
+            leader_tasks=self._leader_tasks(),
         )
 
-    def _wave_runner(self) -> WaveRunner:
+    def _leader_tasks(self) -> list[LeaderTask]:
         host = self.deployment.identity.host
         address = self.deployment.addresses.machines
-        return WaveRunner(
-            PlatformMachineCalls(
-                self.client, address, host, self.leadership, self.events
-            ),
+        calls = PlatformMachineCalls(
+            self.client, address, host, self.leadership, self.events
+        )
+        waves = WaveRunner(
+            calls,
             PlatformWaveRows(),
             self.store,
             self.operator,
@@ -130,6 +133,9 @@
             self.deployment.bounds,
             self.events,
         )
+        if not address:
+            return [waves]
+        return [waves, MachineWatch(calls, self.events)]
 
     async def run(self, stop: asyncio.Event, reload: asyncio.Event):
         """Serve until `stop` is set, then shut down gracefully."""
--- a/src/zinniatrestle/platform/machines.py
+++ b/src/zinniatrestle/platform/machines.py
@@ -193,7 +193,7 @@
 def _decode_machine(entry: msgspec.Raw, errors: list[MalformedInputError]) -> Machine:
     """Decode a machine; raises UnansweredMachineError if it has no name.
 
-    A machine with other damage, or in an unknown state, must not be taken down.
+    With other damage its state is unknown, so that it is not taken down.
     """
     try:
         wire = decode_json(entry, WireMachine, "A machine")
@@ -203,7 +203,7 @@
     try:
         state = MachineState(wire.state)
     except ValueError:
-        state = MachineState.DOWN
+        state = MachineState.UNKNOWN
     return Machine(
         MachineId(wire.machine),
         ServiceName(wire.pool or ""),
--- a/src/zinniatrestle/platform/tests/test_registry.py
+++ b/src/zinniatrestle/platform/tests/test_registry.py
@@ -167,6 +167,9 @@
     def lease_expired(self, worker):
         pass
 
+    def runs_ended(self, worker, reason):
+        pass
+
     def ended(self, worker, reason, replaced):
         pass
 
--- a/src/zinniatrestle/scheduling/fleet.py
+++ b/src/zinniatrestle/scheduling/fleet.py
@@ -45,6 +45,10 @@
     def lease_expired(self, worker: Worker):
         """Handle that the leases at an unreachable worker expired, ending its runs."""
 
+    @abstractmethod
+    def runs_ended(self, worker: Worker, reason: str):
+        """Handle that all runs that have begun on an unreachable worker have ended."""
+
     @abstractmethod
     def ended(self, worker: Worker, reason: str, replaced: bool):
         """Handle that a worker's instance has ended.
@@ -136,7 +140,6 @@
             and worker.entry.state is not WorkerState.DRAINING
         )
         worker.update_entry(entry)
-        worker.replaced_entry = None
         worker.entry_seen_at = boot_time()
         self._update_drain_deadline(worker)
         if worker.missing_since is not None:
@@ -194,7 +197,7 @@
         entry = msgspec.structs.replace(
             worker.entry, instance=instance, state=WorkerState.READY
         )
-        self._join(entry, replaced=worker.entry)
+        self._join(entry, listed=False)
 
     def add_missing(self, entry: WorkerEntry, seen_at: BootSeconds):
         """Add a worker that the registry listed at `seen_at` and no longer does."""
@@ -203,11 +206,10 @@
         worker.missing_since = boot_time()
         self._add(worker)
 
-    def _join(self, entry: WorkerEntry, replaced: WorkerEntry | None = None):
+    def _join(self, entry: WorkerEntry, listed: bool = True):
         worker = Worker(entry, self._region_of(entry))
         worker.entry_seen_at = boot_time()
-        if replaced is not None:
-            worker.replaced_entry = replaced
+        if not listed:
             worker.missing_since = boot_time()
         self._add(worker)
 
@@ -339,7 +341,12 @@
         self.unregistered.append(worker)
 
     def mark_silent(self, worker: Worker, refused: bool):
-        """Mark a worker as silent; end it if the registry confirms that it is gone."""
+        """Mark a worker as silent.
+
+        Its runs may go on until their leases have expired, also if connections are
+        `refused` and its entry is gone: a network partition that cuts it off from the
+        hosts and from the registry gives both signs.
+        """
         if not worker.silent:
             worker.silent = True
             self.events.write(
@@ -350,14 +357,23 @@
                 # Its runs are lost at the latest then.
                 until=round(max(0.0, worker.lease.expires_at - boot_time()), 2),
             )
-        # A network partition may look like a refused connection, so the instance ends
-        # only if its entry is gone as well.
-        is_gone = worker.missing_since is not None and worker.replaced_entry is None
-        if refused and is_gone:
-            self.end(worker, "nothing listens and its entry is gone")
-            return
         self._end_if_deregistered(worker)
 
+    def unreachable_with_tasks(self) -> list[Worker]:
+        """Return the instances out of reach on which tasks may still run."""
+        found = [worker for worker in self.workers.values() if worker.silent]
+        return [worker for worker in [*found, *self.unregistered] if worker.tasks]
+
+    def end_runs(self, worker: Worker, reason: str):
+        """End the runs of an instance that is out of reach and known to have ended."""
+        if worker not in self.unreachable_with_tasks():
+            # It has answered meanwhile.
+            return
+        if not worker.runs_ended:
+            worker.runs_ended = True
+            self.events.write(Event.WORKER_GONE, worker=worker.id, reason=reason)
+        self.listener.runs_ended(worker, reason)
+
     def expire_leases(self, now: BootSeconds):
         """End lost instances and their runs once their leases have expired."""
         for worker in [*self.workers.values(), *self.unregistered]:
--- a/src/zinniatrestle/scheduling/state.py
+++ b/src/zinniatrestle/scheduling/state.py
@@ -427,13 +427,13 @@
         self.entry_seen_at = BootSeconds(0.0)
         # The latest entry with an earlier instance than this one.
         self.earlier_entry: WorkerEntry | None = None
-        # Entry of the instance that this one replaced, until its own has been read.
-        self.replaced_entry: WorkerEntry | None = None
         # Since when the worker's entry has been missing from the registry.
         self.missing_since: BootSeconds | None = None
         # Earliest time at which a draining worker may shut down.
         self.drain_deadline: BootSeconds | None = None
         self.has_ended = False
+        # It is out of reach, and its runs are known to have ended.
+        self.runs_ended = False
         # Excluded from new work, for example while its machine is emptied.
         self.cordoned = False
         # Ends of runs up to this number are stored, so the worker may drop them.
--- a/src/zinniatrestle/scheduling/tracker.py
+++ b/src/zinniatrestle/scheduling/tracker.py
@@ -92,6 +92,18 @@
             self.release_reservation(task)
         self.wake.set()
 
+    def runs_ended(self, worker: Worker, reason: str):
+        """Mark the runs of an unreachable worker as lost, except unconfirmed ones.
+
+        These wait for the lease: their start orders may be under way, and a new
+        instance under the same id would carry them out. It refuses those of a
+        predecessor once a hold has reached it.
+        """
+        for task in list(worker.tasks.values()):
+            if task.has_run or task.inherited:
+                self._mark_lost(worker, task, reason)
+        self.wake.set()
+
     def lease_expired(self, worker: Worker):
         """Mark the runs of an unreachable worker as lost once its lease has expired."""
         self._mark_all_lost(worker, "lease expired while the worker was unreachable")
@@ -165,7 +177,7 @@
 
     def _record_answer(self, worker: Worker):
         if worker.silent:
-            worker.silent = False
+            worker.silent = worker.runs_ended = False
             self.events.write(Event.WORKER_SEEN, worker=worker.id, again=True)
         # The registry may list an instance with an earlier number than the one that a
         # predecessor assigned tasks to: its clock was set back.
--- a/src/zinniatrestle/standins/host_orders.py
+++ b/src/zinniatrestle/standins/host_orders.py
@@ -8,6 +8,7 @@
 from zinniatrestle.workers.interfaces import WorkerOrders
 from zinniatrestle.workers.messages import (
     HoldAnswer,
+    Refusal,
     RefusedOrderError,
     StartOrder,
     UnansweredOrderError,
@@ -74,6 +75,7 @@
     ) -> HoldAnswer:
         """Extend the lease of all runs; wait up to `wait` seconds for one to end."""
         await self._cross_network(worker, wait + timeout)
+        self._refuse_connection(worker)
         self._reset_some(worker)
         if self._are_answers_lost(worker):
             await self.fleet.hold(worker, generation, acknowledged_end, deadline_ms, 0)
@@ -98,10 +100,20 @@
             delay += self.fleet.random.uniform(0.0, self.fleet.traits.max_extra_delay)
         await asyncio.sleep(delay)
 
+    def _refuse_connection(self, worker: WorkerEntry):
+        """Raise RefusedOrderError if new connections to a worker are refused."""
+        target = self.fleet.workers.get(worker.worker)
+        if target is not None and target.refuses_connections:
+            raise RefusedOrderError(Refusal.NOT_LISTENING)
+
     def _reset_some(self, worker: WorkerEntry):
         """Raise UnansweredOrderError if the connection to a worker is reset now."""
         target = self.fleet.workers.get(worker.worker)
-        if target is None or not target.reset_share:
+        if target is None:
+            return
+        if target.refuses_connections:
+            raise UnansweredOrderError("The connection was reset.")
+        if not target.reset_share:
             return
         if self.fleet.random.random() < target.reset_share:
             raise UnansweredOrderError("The connection was reset.")
@@ -112,6 +124,7 @@
 
     async def _send_order(self, worker: WorkerEntry, timeout: float, execute):
         await self._cross_network(worker, timeout)
+        self._refuse_connection(worker)
         self._reset_some(worker)
         target = self.fleet.workers.get(worker.worker)
         mode = target.order_mode if target is not None else OrderMode.ANSWERED
--- a/src/zinniatrestle/standins/model.py
+++ b/src/zinniatrestle/standins/model.py
@@ -27,6 +27,7 @@
 from zinniatrestle.jobs import JobIntake, JobState, Step
 from zinniatrestle.jobs.intake import JobRequest
 from zinniatrestle.jobs.messages import PROGRESS, decode_progress, row_name
+from zinniatrestle.machines import MachineWatch
 from zinniatrestle.metrics import Metrics
 from zinniatrestle.queues import DesiredStateReader, OperatorState
 from zinniatrestle.rows.feed import Feed
@@ -147,9 +148,13 @@
             metrics=metrics,
             events=events,
         )
-        if self.model.machines is not None:
+        machines = self.model.machines
+        self.context.leader_tasks = []
+        if self.model.lists_machines:
+            self.context.leader_tasks.append(MachineWatch(machines, events))
+        if self.model.upkeep:
             runner = WaveRunner(
-                self.model.machines,
+                machines,
                 MemoryWaveRows(),
                 self.store,
                 self.operator,
@@ -157,7 +162,7 @@
                 self.model.bounds,
                 events,
             )
-            self.context.leader_tasks = [runner]
+            self.context.leader_tasks.append(runner)
         self.context.policy = self.model.policy
         self.context.adviser = self.model.adviser
         self.tasks = [
@@ -237,9 +242,11 @@
         adviser: Adviser | None = None,
         upkeep: bool = False,
         traits: FleetTraits | None = None,
+        lists_machines: bool = False,
     ):
         self.upkeep = upkeep
-        self.machines: SimulatedMachines | None = None
+        # Whether hosts learn from the list of machines which workers have ended.
+        self.lists_machines = lists_machines
         self.adviser = adviser
         self.seed = seed
         self.policy = policy
@@ -254,6 +261,7 @@
             self.bounds.far_factor,
             traits,
         )
+        self.machines = SimulatedMachines(self.fleet, self.bounds.upkeep)
         self.operator = MemoryOperator(self.rows)
         self.metrics = Metrics()
         self.hosts: list[ModelHost] = []
@@ -274,8 +282,7 @@
         for number in range(workers):
             domain = "abc"[number // rack % 3]
             self.fleet.add(f"w{number}", f"rack-{number // rack}", domain, **capacity)
-        if self.upkeep:
-            self.machines = SimulatedMachines(self.fleet, self.bounds.upkeep)
+        self.machines.add_machines()
         self.fleet_task = asyncio.create_task(self.fleet.run())
         for number in range(self.host_count):
             self.hosts.append(ModelHost(self, f"host-{number}", "r"))
--- a/src/zinniatrestle/standins/runs.py
+++ b/src/zinniatrestle/standins/runs.py
@@ -147,6 +147,8 @@
     max_lease_seconds: float
     alive: bool = True
     reachable: bool = True
+    # It runs on behind a cut at which new connections are refused and open ones reset.
+    refuses_connections: bool = False
     # Calls reach it, but its answers are lost.
     answers_lost: bool = False
     # The share of calls whose connection is reset before or after they are executed.
--- a/tests/common/faults.py
+++ b/tests/common/faults.py
@@ -6,12 +6,15 @@
 from collections.abc import Callable, Coroutine
 from typing import Any
 
+import msgspec
+
 from zinniatrestle.clock import monotonic
 from zinniatrestle.errors import StoreUnavailableError, StoreUncertainError
 from zinniatrestle.standins.fleet import EXPIRY_HEARTBEATS
 from zinniatrestle.standins.model import Model, ModelHost
 from zinniatrestle.standins.rows import Reachability
 from zinniatrestle.standins.runs import FaultMode, SimulatedWorker
+from zinniatrestle.workers.messages import WorkerState
 
 # The time from the start of a host's process until it serves.
 HOST_STARTUP_SECONDS = 0.6
@@ -156,6 +159,42 @@
     model.fleet.write(worker)
 
 
+async def cut_off_worker(model: Model, rng: random.Random):
+    """Cut a worker off with resets, until or after the registry removes its entry."""
+    worker = rng.choice(list(model.fleet.workers.values()))
+    if rng.random() < 0.3:
+        model.fleet.drain(worker, 20.0)
+    worker.refuses_connections = True
+    worker.heartbeats = False
+    await asyncio.sleep(rng.uniform(0.5, 4.5))
+    model.fleet.remove(worker)
+    await asyncio.sleep(rng.uniform(0.0, 4.0))
+    worker.refuses_connections = False
+    worker.heartbeats = True
+    worker.entry = msgspec.structs.replace(worker.entry, state=WorkerState.READY)
+    if worker.alive:
+        model.fleet.write(worker)
+
+
+async def lose_registry_entries(model: Model, rng: random.Random):
+    """Let the store fail and the entries of all workers expire meanwhile."""
+    outage = asyncio.create_task(store_outage(model, rng))
+    await asyncio.sleep(rng.uniform(0.5, 4.0))
+    for worker in model.fleet.workers.values():
+        model.fleet.remove(worker)
+    await outage
+    await asyncio.sleep(rng.uniform(0.0, 2.0))
+    for worker in model.fleet.workers.values():
+        if worker.alive:
+            model.fleet.write(worker)
+
+
+async def withhold_list_of_machines(model: Model, rng: random.Random):
+    model.machines.available = False
+    await asyncio.sleep(rng.uniform(0.5, 4.0))
+    model.machines.available = True
+
+
 async def drain_and_restart_worker(model: Model, rng: random.Random):
     worker = rng.choice(list(model.fleet.workers.values()))
     model.fleet.drain(worker, 2.0)
