Judge by when an entry was written whether a worker has removed it

Cause: an entry that is gone sooner than the registry expires one was removed by its worker. Its age was counted from when it was read, so an old entry that was read late, by a successor or from a slow feed, seemed to be removed when it expired. The handover passed that time on.

Change: the age is counted from the last answered read that didn't have the entry. A first read tells no more than that it is at most three heartbeats old, and a full read that lists the same entry again tells of no new heartbeat.

Why it works: the bound is an upper one on the time for which the entry was listed, so what is below the registry's limit was certainly not expired by it.

--- a/src/zinniatrestle/scheduling/fleet.py
+++ b/src/zinniatrestle/scheduling/fleet.py
@@ -24,9 +24,10 @@
 from zinniatrestle.workers.interfaces import WorkerRows
 from zinniatrestle.workers.messages import WorkerEntry, WorkerState
 
-# Least time in heartbeat intervals for which an entry stays listed without a new
-# heartbeat. The registry removes it after three, and the scheduler may have read it up
-# to half an interval late.
+# The registry removes an entry after this many heartbeat intervals without a new one.
+EXPIRY_HEARTBEATS = 3
+# An entry that was listed for less than this was removed by its worker. Heartbeats and
+# the registry's checks may be up to half an interval early.
 MIN_EXPIRY_HEARTBEATS = 2.5
 
 
@@ -78,6 +79,8 @@
         self.events = events
         self.rejections = RejectionLog(events, f"table {self.table}")
         self.workers: dict[WorkerId, Worker] = {}
+        # All entries that were written before this time have been applied.
+        self.caught_up_at = BootSeconds(float("-inf"))
         # Instances that are not in the registry but on which tasks may still run.
         self.unregistered: list[Worker] = []
         # Instances in whose place another one has answered. Their entries may still be
@@ -99,6 +102,10 @@
         if worker is not None:
             self._mark_missing(worker)
 
+    def caught_up(self, asked_at: BootSeconds):
+        """Record that all entries written before `asked_at` have been applied."""
+        self.caught_up_at = asked_at
+
     def retain(self, names: set[RowName]):
         """Handle that the registry lists no other entries than these."""
         self.rejections.retain(names)
@@ -139,6 +146,8 @@
             entry.state is WorkerState.DRAINING
             and worker.entry.state is not WorkerState.DRAINING
         )
+        if entry != worker.entry:
+            worker.entry_written_after = self._written_after()
         worker.update_entry(entry)
         worker.entry_seen_at = boot_time()
         self._update_drain_deadline(worker)
@@ -154,6 +163,14 @@
             )
             self.listener.drain_started(worker)
 
+    def _written_after(self) -> BootSeconds:
+        """Return a time before which an entry that is read now was not written.
+
+        One that was listed at the first read may be as old as entries get.
+        """
+        oldest = boot_time() - EXPIRY_HEARTBEATS * self.heartbeat
+        return BootSeconds(max(self.caught_up_at, oldest))
+
     def _has_been_replaced(self, entry: WorkerEntry) -> bool:
         """Return whether another instance has answered in place of an entry's.
 
@@ -199,16 +216,17 @@
         )
         self._join(entry, listed=False)
 
-    def add_missing(self, entry: WorkerEntry, seen_at: BootSeconds):
-        """Add a worker that the registry listed at `seen_at` and no longer does."""
+    def add_missing(self, entry: WorkerEntry, written_after: BootSeconds):
+        """Add a worker that is not listed; its entry was written after a time."""
         worker = Worker(entry, self._region_of(entry))
-        worker.entry_seen_at = seen_at
+        worker.entry_seen_at = worker.entry_written_after = written_after
         worker.missing_since = boot_time()
         self._add(worker)
 
     def _join(self, entry: WorkerEntry, listed: bool = True):
         worker = Worker(entry, self._region_of(entry))
         worker.entry_seen_at = boot_time()
+        worker.entry_written_after = self._written_after()
         if not listed:
             worker.missing_since = boot_time()
         self._add(worker)
@@ -303,8 +321,9 @@
             return
         if worker.entry.state is not WorkerState.DRAINING:
             return
-        # An entry that the registry expires after missed heartbeats lasts longer.
-        listed_seconds = worker.missing_since - worker.entry_seen_at
+        # An entry that the registry expires after missed heartbeats lasts longer. It
+        # may have been written long before it was read.
+        listed_seconds = worker.missing_since - worker.entry_written_after
         if listed_seconds < MIN_EXPIRY_HEARTBEATS * self.heartbeat:
             self.end(worker, "deregistered and silent")
 
--- a/src/zinniatrestle/scheduling/leaving_workers.py
+++ b/src/zinniatrestle/scheduling/leaving_workers.py
@@ -30,8 +30,10 @@
             break
         if worker.entry.state is not WorkerState.DRAINING or not worker.tasks:
             continue
-        seen_at = StoreMilliseconds(math.floor(clock.earliest(worker.entry_seen_at)))
-        records[worker.id] = LeavingWorker(worker.entry, seen_at)
+        written_after = clock.earliest(worker.entry_written_after)
+        records[worker.id] = LeavingWorker(
+            worker.entry, StoreMilliseconds(math.floor(written_after))
+        )
     return records
 
 
@@ -40,11 +42,11 @@
 ):
     """Add the workers of a predecessor's records that the registry no longer lists.
 
-    Their entries count as read at the earliest time that the records stand for.
+    Their entries count as written at the earliest time that the records stand for.
     """
     now = boot_time()
     for worker_id, record in records.items():
         if worker_id in fleet.workers:
             continue
-        age = (clock.latest(now) - record.seen_at) / MS_PER_SECOND
+        age = (clock.latest(now) - record.written_after) / MS_PER_SECOND
         fleet.add_missing(record.entry, BootSeconds(now - age))
--- a/src/zinniatrestle/scheduling/messages.py
+++ b/src/zinniatrestle/scheduling/messages.py
@@ -39,10 +39,11 @@
 
 
 class LeavingWorker(msgspec.Struct, frozen=True):
-    """The entry of a worker that drains, and when the registry last had it, in ms."""
+    """The entry of a worker that drains, and a time in ms that it was written after."""
 
     entry: WorkerEntry
-    seen_at: StoreMilliseconds
+    # The stored name is that of records which other versions read.
+    written_after: StoreMilliseconds = msgspec.field(name="seen_at")
 
 
 class Handover(msgspec.Struct, frozen=True):
--- a/src/zinniatrestle/scheduling/state.py
+++ b/src/zinniatrestle/scheduling/state.py
@@ -425,6 +425,8 @@
         # When the worker last answered a hold.
         self.reported_at = BootSeconds(0.0)
         self.entry_seen_at = BootSeconds(0.0)
+        # A time before which its latest entry was not written.
+        self.entry_written_after = BootSeconds(0.0)
         # The latest entry with an earlier instance than this one.
         self.earlier_entry: WorkerEntry | None = None
         # Since when the worker's entry has been missing from the registry.
--- a/src/zinniatrestle/scheduling/tests/test_cut_off_workers.py
+++ b/src/zinniatrestle/scheduling/tests/test_cut_off_workers.py
@@ -1,12 +1,15 @@
 """Workers that are cut off from hosts and registry run on until their leases end."""
 
 import asyncio
+from unittest import mock
 
 import pytest
 from common.history import lines_of, start_times
 
 from zinniatrestle.standins.checker import violations
+from zinniatrestle.standins.fleet import WORKER_TABLE
 from zinniatrestle.standins.model import Model, run_virtual, step
+from zinniatrestle.standins.rows import HostRows
 from zinniatrestle.standins.runs import SimulatedWorker
 
 HEARTBEAT_SECONDS = 1.5
@@ -89,3 +92,59 @@
         return violations(model)
 
     assert run_virtual(play()) == []
+
+
+# Guards against a draining worker that counts as gone since its entry was read late.
+@pytest.mark.parametrize("tenths", range(0, 40, 4))
+def test_an_entry_that_expires_soon_after_a_succession_does_not_end_a_run(tenths):
+    async def play():
+        model = Model(1)
+        worker = await start_run(model)
+        model.fleet.drain(worker, 30.0)
+        await asyncio.sleep(0.5)
+        cut_off(worker)
+        await asyncio.sleep(tenths / 10)
+        await model.leader().kill()
+        assert await model.wait_for_jobs(60.0)
+        return violations(model)
+
+    assert run_virtual(play()) == []
+
+
+# Guards against the same behind a feed that lags.
+@pytest.mark.parametrize("lag", [1.0, 2.0, 3.0, 4.0])
+def test_an_entry_that_expires_soon_after_a_late_read_does_not_end_a_run(lag):
+    async def play():
+        model = Model(1)
+        worker = await start_run(model)
+        follow = HostRows.changes
+
+        async def follow_late(self, table, *args):
+            changes = await follow(self, table, *args)
+            if table == WORKER_TABLE:
+                await asyncio.sleep(lag)
+            return changes
+
+        with mock.patch.object(HostRows, "changes", follow_late):
+            model.fleet.drain(worker, 30.0)
+            cut_off(worker)
+            await asyncio.sleep(3 * HEARTBEAT_SECONDS)
+        assert await model.wait_for_jobs(60.0)
+        return violations(model)
+
+    assert run_virtual(play()) == []
+
+
+def test_an_entry_that_a_full_read_lists_again_was_not_written_again():
+    async def play():
+        model = Model(1)
+        worker = await start_run(model)
+        model.fleet.drain(worker, 30.0)
+        await asyncio.sleep(0.5)
+        cut_off(worker)
+        await asyncio.sleep(2.5 * HEARTBEAT_SECONDS)
+        model.rows.drop_history()
+        assert await model.wait_for_jobs(60.0)
+        return violations(model)
+
+    assert run_virtual(play()) == []
--- a/src/zinniatrestle/scheduling/tests/test_leaving_workers.py
+++ b/src/zinniatrestle/scheduling/tests/test_leaving_workers.py
@@ -89,7 +89,7 @@
         model.fleet.drain(idle, 10.0)
         await asyncio.sleep(DETECTION_SECONDS)
         handover = model.leader().leadership.handover
-        seen_at = handover.leaving[worker.entry.worker].seen_at
+        seen_at = handover.leaving[worker.entry.worker].written_after
         return worker.entry.worker, set(handover.leaving), seen_at
 
     worker, leaving, seen_at = run_virtual(play())
