--- a/tests/common/faults.py
+++ b/tests/common/faults.py
@@ -160,13 +160,16 @@
 
 
 async def cut_off_worker(model: Model, rng: random.Random):
-    """Cut a worker off with resets, until or after the registry removes its entry."""
+    """Cut a worker off with resets, until after the registry removes its entry."""
     worker = rng.choice(list(model.fleet.workers.values()))
+    listed_seconds = rng.uniform(0.5, 4.5)
     if rng.random() < 0.3:
         model.fleet.drain(worker, 20.0)
+        # A worker that drains may remove its entry sooner, but then it has ended.
+        listed_seconds = EXPIRY_HEARTBEATS * model.bounds.heartbeat
     worker.refuses_connections = True
     worker.heartbeats = False
-    await asyncio.sleep(rng.uniform(0.5, 4.5))
+    await asyncio.sleep(listed_seconds)
     model.fleet.remove(worker)
     await asyncio.sleep(rng.uniform(0.0, 4.0))
     worker.refuses_connections = False
@@ -181,7 +184,8 @@
     outage = asyncio.create_task(store_outage(model, rng))
     await asyncio.sleep(rng.uniform(0.5, 4.0))
     for worker in model.fleet.workers.values():
-        model.fleet.remove(worker)
+        if worker.entry.state is WorkerState.READY:
+            model.fleet.remove(worker)
     await outage
     await asyncio.sleep(rng.uniform(0.0, 2.0))
     for worker in model.fleet.workers.values():
