Say in run_placed how the former run is known to be over

The users' record of two runs at once has the second start, but not why the first run was taken to be over: run_lost was not among the lines kept. The line of each further run says it now: whether its end was reported, or what it was concluded from.

--- a/src/zinniatrestle/scheduling/rounds.py
+++ b/src/zinniatrestle/scheduling/rounds.py
@@ -448,6 +448,7 @@
             stopped = task.status is not TaskStatus.PLACED
             if session is None or stopped or task.step.job.ended:
                 # No start order was sent, so the run doesn't exist.
+                task.latest_end = "not ordered"
                 tracker.unassign(task)
                 tracker.stop_gang(task.step)
                 continue
@@ -461,6 +462,7 @@
                 waited=round(boot_time() - task.step.job.due_at, 2),
                 desired_version=self.context.operator.desired.version,
                 checkpoint=task.checkpoint,
+                former=task.latest_end or None,
             )
             session.start(task, run)
 
--- a/src/zinniatrestle/scheduling/state.py
+++ b/src/zinniatrestle/scheduling/state.py
@@ -89,6 +89,8 @@
         self.free_since = BootSeconds(0.0)
         self.run = RunNumber(0)
         self.worker: Worker | None = None
+        # How the latest run is known to be over; empty if only a predecessor knows.
+        self.latest_end = ""
         self.failed_runs: set[RunNumber] = set()
         # The latest run that was lost while it may have been done, until its end is
         # known. A later run may repeat what is done.
--- a/src/zinniatrestle/scheduling/tests/test_lost_workers.py
+++ b/src/zinniatrestle/scheduling/tests/test_lost_workers.py
@@ -4,7 +4,7 @@
 from unittest import mock
 
 import pytest
-from common.history import start_times
+from common.history import lines_of, start_times
 
 from zinniatrestle.clock import monotonic
 from zinniatrestle.deployment import Bounds
@@ -272,3 +272,29 @@
         return monotonic() - back_at
 
     assert run_virtual(play()) < DETECTION_SECONDS
+
+
+# Guards against a further run of which the log doesn't tell why the former one is over.
+@pytest.mark.parametrize(
+    ("lose", "former"),
+    [
+        (partition, "lost: lease expired while the worker was unreachable"),
+        (drain_and_leave, "ended stopped"),
+        (restart, "lost: another instance answers"),
+    ],
+)
+def test_the_line_of_a_further_run_says_how_the_former_one_ended(lose, former):
+    model, _ = run_virtual(lose_worker(lose))
+    placed = lines_of(model, "run_placed")
+    assert [line["former"] for line in placed] == [None, former]
+
+
+def test_the_line_of_a_further_run_names_a_reported_end():
+    async def play():
+        model = Model(1)
+        await model.start(workers=2, rack=2)
+        await model.submit("usual", (step(1),), 1.0, failures=1)
+        assert await model.wait_for_jobs(30.0)
+        return [line["former"] for line in lines_of(model, "run_placed")]
+
+    assert run_virtual(play()) == [None, "ended failed"]
--- a/src/zinniatrestle/scheduling/tracker.py
+++ b/src/zinniatrestle/scheduling/tracker.py
@@ -365,6 +365,7 @@
             percent=task.percent if task.reported else None,
             reported=round(boot_time() - known_at, 2) if known_at else None,
         )
+        task.latest_end = f"lost: {reason}"
         self.unassign(task)
         self.stop_gang(task.step)
         self.wake.set()
@@ -392,6 +393,7 @@
             if end.outcome is RunOutcome.DONE
             else self.lost_core_seconds(task),
         )
+        task.latest_end = f"ended {end.outcome.value}"
         if end.checkpoint:
             self.record_checkpoint(task, end.checkpoint)
         if end.outcome is RunOutcome.DONE:
@@ -551,6 +553,7 @@
             self.advice.drop_ticket(task.step.id, worker.id)
         if refusal in (Refusal.NOT_LISTENING, Refusal.NOT_REACHED):
             self.mark_silent(worker, refusal is Refusal.NOT_LISTENING)
+        task.latest_end = f"refused: {refusal.value}"
         self.unassign(task)
         self.stop_gang(task.step)
         self.wake.set()
