--- a/src/zinniatrestle/platform/machines.py
+++ b/src/zinniatrestle/platform/machines.py
@@ -29,9 +29,7 @@
 from zinniatrestle.platform.http import CallEffect, CallError, HttpAnswer, HttpCaller
 from zinniatrestle.rows import Write
 from zinniatrestle.upkeep.interfaces import WaveRows
-from zinniatrestle.upkeep.messages import (
-    WaveState,
-)
+from zinniatrestle.upkeep.messages import WaveState
 from zinniatrestle.workers.interfaces import OrderPermission
 
 HOLDER_HEADER = "Zinniatrestle-Lease-Holder"
--- a/src/zinniatrestle/standins/machines.py
+++ b/src/zinniatrestle/standins/machines.py
@@ -27,9 +27,7 @@
 from zinniatrestle.rows import Write
 from zinniatrestle.standins.fleet import SimulatedFleet
 from zinniatrestle.upkeep.interfaces import WaveRows
-from zinniatrestle.upkeep.messages import (
-    WaveState,
-)
+from zinniatrestle.upkeep.messages import WaveState
 
 WAVE_STATUS = TableName("wave status")
 
--- a/src/zinniatrestle/upkeep/planner.py
+++ b/src/zinniatrestle/upkeep/planner.py
@@ -4,9 +4,7 @@
 
 from zinniatrestle.deployment import Bounds
 from zinniatrestle.ids import BootSeconds, MachineId
-from zinniatrestle.machines.messages import (
-    MachineState,
-)
+from zinniatrestle.machines.messages import MachineState
 from zinniatrestle.scheduling.preemption_costs import PreemptionCosts
 from zinniatrestle.scheduling.state import StepRun, Task, TaskStatus, Worker
 from zinniatrestle.upkeep.state import WaveProgress
