Test cut-off and crashed workers with real host processes

A worker refuses connections and is not listed while its run goes on; another one crashes, with and without the list of machines.

--- a/tests/common/platform_cluster.py
+++ b/tests/common/platform_cluster.py
@@ -9,13 +9,18 @@
 
 import aiohttp
 import msgspec
+from starlette.applications import Starlette
+from starlette.requests import Request
+from starlette.responses import Response
+from starlette.routing import Route
 
 from common.ports import PortReservations
 from zinniatrestle.events.explain import read_lines
 from zinniatrestle.ids import RowName, TableName, WorkerId
 from zinniatrestle.jobs.messages import Step
 from zinniatrestle.standins.fleet import SimulatedFleet
-from zinniatrestle.standins.relay import Relay
+from zinniatrestle.standins.machines import SimulatedMachines
+from zinniatrestle.standins.relay import LinkState, Relay
 from zinniatrestle.standins.rows import MemoryRows
 from zinniatrestle.standins.runs import EventKind, SimulatedWorker, TaskScript
 from zinniatrestle.standins.wire import (
@@ -53,7 +58,14 @@
 class Host:
     """An entry host that runs as a process of its own."""
 
-    def __init__(self, number: int, store: str, folder: Path, ports: PortReservations):
+    def __init__(
+        self,
+        number: int,
+        store: str,
+        folder: Path,
+        ports: PortReservations,
+        machines: str = "",
+    ):
         self.name = f"host-{number}"
         self.frontend_port = ports.reserve()
         self.readiness_port = ports.reserve()
@@ -74,6 +86,8 @@
             [platform]
             address = "{store}"
             form = "table"
+            [cloudApi]
+            address = "{machines}"
             """
         )
         self.relay: Relay | None = None
@@ -114,6 +128,8 @@
         self.folder = folder
         self.hosts: list[Host] = []
         self.worker_addresses: dict[WorkerId, str] = {}
+        # Links to the workers, if they are relayed.
+        self.worker_links: dict[WorkerId, WorkerLink] = {}
         self.session = aiohttp.ClientSession()
         # Submissions that were not accepted, with the status and body of the answer.
         self.refusals: list[tuple[str, int, dict | None]] = []
@@ -192,6 +208,45 @@
         ]
 
 
+class WorkerLink(Relay):
+    """A relay to a worker that can refuse connections and reset the open ones."""
+
+    async def listen(self):
+        """Accept connections, at the same address as before."""
+        self.server = await self.start("127.0.0.1", getattr(self, "port", 0))
+        self.port = self.server.sockets[0].getsockname()[1]
+
+    def refuse(self):
+        """Refuse new connections, and reset those that are open."""
+        self.server.close()
+        self.set_link(LinkState.RESET)
+
+    async def accept(self):
+        """Accept connections again."""
+        self.set_link(LinkState.HEALTHY)
+        await self.listen()
+
+
+def machines_app(machines: SimulatedMachines) -> Starlette:
+    """Return the list of machines over HTTP."""
+
+    async def list_machines(request: Request) -> Response:
+        listed = [
+            {
+                "machine": machine.machine,
+                "pool": machine.service,
+                "state": machine.state.value,
+                "zone": machine.domain,
+                "id": machine.worker,
+            }
+            for machine in await machines.machines(1.0)
+        ]
+        body = {"machines": listed, "nextPageToken": None}
+        return Response(msgspec.json.encode(body), media_type="application/json")
+
+    return Starlette(routes=[Route("/-/machines", list_machines, methods=["GET"])])
+
+
 async def start_store_relay(stack, store: str) -> tuple[Relay, str]:
     """Start a TCP relay to the store for one host; return it and its address."""
     ip, _, port = store.rpartition(":")
@@ -208,6 +263,8 @@
     hosts: int = HOSTS,
     workers: int = WORKERS,
     relayed: bool = False,
+    relayed_workers: bool = False,
+    lists_machines: bool = False,
 ):
     """Run a check on a new cluster, and end the processes afterwards."""
 
@@ -223,15 +280,26 @@
                 worker = cluster.fleet.add(f"i-{number}", "r1", "zone-a")
                 app = WireFleetWorker(cluster.fleet, worker.entry).app()
                 address = await stack.enter_async_context(serve_app(app))
+                if relayed_workers:
+                    ip, _, port = address.rpartition(":")
+                    link = WorkerLink(ip, int(port))
+                    await link.listen()
+                    stack.callback(lambda link=link: link.server.close())
+                    address = f"127.0.0.1:{link.port}"
+                    cluster.worker_links[worker.entry.worker] = link
                 cluster.worker_addresses[worker.entry.worker] = address
                 cluster.list_worker(worker)
+            machines = ""
+            if lists_machines:
+                app = machines_app(SimulatedMachines(cluster.fleet, 2.0))
+                machines = await stack.enter_async_context(serve_app(app))
             fleet_task = asyncio.create_task(cluster.fleet.run())
             try:
                 for number in range(hosts):
                     relay, address = None, store
                     if relayed:
                         relay, address = await start_store_relay(stack, store)
-                    host = Host(number, address, folder, ports)
+                    host = Host(number, address, folder, ports, machines)
                     host.relay = relay
                     cluster.hosts.append(host)
                     await host.start()
