Cut workers off in the soak while their runs go on

Connections to a worker are refused and reset for up to 6 s, in most cases while it is not registered; the hosts read the list of machines. Kept seeds draw as before, since the cuts have a generator of their own.

--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -41,6 +41,7 @@
         self.rng = random.Random(seed)
         # Separate, so that the draws of `rng` for a kept seed stay the same.
         self.further_rng = random.Random(f"{seed}-further")
+        self.cut_rng = random.Random(f"{seed}-cuts")
         self.accepted: set[str] = set()
         self.refused: set[str] = set()
         self.unknown: set[str] = set()
@@ -59,6 +60,7 @@
             self._inject_faults(deadline),
             self._inject_last_faults(deadline),
             self._restart_workers(deadline),
+            self._cut_off_workers(deadline),
         )
         while monotonic() < deadline:
             await asyncio.sleep(self.rng.expovariate(JOBS_PER_SECOND))
@@ -170,6 +172,25 @@
         fleet.restart(worker)
         self.cluster.list_worker(worker)
 
+    async def _cut_off_workers(self, deadline: float):
+        while monotonic() < deadline:
+            await asyncio.sleep(self.cut_rng.uniform(1.0, 4.0))
+            self.background_tasks.append(asyncio.create_task(self._cut_off_worker()))
+
+    async def _cut_off_worker(self):
+        """Refuse connections to a worker that runs on, registered meanwhile or not."""
+        worker = self.cut_rng.choice(list(self.cluster.fleet.workers.values()))
+        link = self.cluster.worker_links[worker.entry.worker]
+        if link.link is LinkState.RESET:
+            return
+        link.refuse()
+        if self.cut_rng.random() < 0.7:
+            self.cluster.unlist_worker(worker)
+        await asyncio.sleep(self.cut_rng.uniform(0.5, 6.0))
+        await link.accept()
+        if worker.alive:
+            self.cluster.list_worker(worker)
+
     async def _kill_host(self):
         host = self.rng.choice(self.cluster.hosts)
         await self._restart_host(host, signal.SIGKILL, self.rng.uniform(0.1, 2.0))
@@ -293,7 +314,15 @@
         relays = [host.relay for host in cluster.hosts]
         violations.extend(await Soak(cluster, relays, seed).run())
 
-    run_with_cluster(folder, check, hosts=3, workers=4, relayed=True)
+    run_with_cluster(
+        folder,
+        check,
+        hosts=3,
+        workers=4,
+        relayed=True,
+        relayed_workers=True,
+        lists_machines=True,
+    )
     return violations
 
 
