Place urgent gangs where their slowest worker is fastest

A gang ends with its slowest member, but the rack was chosen by its free accelerators alone, so that gangs with little slack ended on slow workers of a full rack while a faster rack had room.

--- a/src/zinniatrestle/scheduling/placement.py
+++ b/src/zinniatrestle/scheduling/placement.py
@@ -255,6 +255,8 @@
     ) -> Assignment:
         best: Assignment = {}
         best_free_gpus = 0
+        best_speed = 0
+        ranks_by_speed = step.shape.gang and constraints.time_critical
         for group in locality_groups(step, usable, constraints):
             slots = {
                 worker: _usable_slots(worker, step, trust_canaries) for worker in group
@@ -264,15 +266,22 @@
                 continue
             if not total_slots:
                 continue
+            if best and group is usable:
+                continue
             free_gpus = sum(worker.free_gpus for worker in group)
+            if ranks_by_speed:
+                found = _fill(tasks, slots, constraints)
+                speed = _slowest_speed_class(found, constraints)
+                if best and (speed, -free_gpus) <= (best_speed, -best_free_gpus):
+                    continue
+                best, best_free_gpus, best_speed = found, free_gpus, speed
+                continue
             if (
                 best
                 and len(best) >= min(total_slots, len(tasks))
                 and free_gpus >= best_free_gpus
             ):
                 continue
-            if best and group is usable:
-                continue
             best = _fill(tasks, slots, constraints)
             best_free_gpus = free_gpus
         return best
@@ -310,6 +319,13 @@
     return round(estimated_speed(worker, constraints.now) / SPEED_CLASS_WIDTH)
 
 
+def _slowest_speed_class(
+    assignment: Assignment, constraints: PlacementConstraints
+) -> int:
+    """Return the speed class of the slowest worker, at whose speed a gang ends."""
+    return min(_speed_class(worker, constraints) for worker in assignment.values())
+
+
 def _usable_slots(worker: Worker, step: StepRun, trust_canaries: bool) -> int:
     slots = worker.slots(step)
     if worker.health is not WorkerHealth.SOUND and not trust_canaries:
--- a/src/zinniatrestle/scheduling/tests/test_placement.py
+++ b/src/zinniatrestle/scheduling/tests/test_placement.py
@@ -266,3 +266,30 @@
         assert await model.wait_for_jobs(20.0)
 
     run_virtual(play())
+
+
+def set_speeds(workers, *speeds: float):
+    for target, speed in zip(workers, speeds, strict=True):
+        target.speed = speed
+        target.speed_measured_at = NOW
+
+
+def test_an_urgent_gang_takes_the_rack_in_which_its_slowest_worker_is_fastest():
+    """Guards against a late gang, since the slowest member decides when it ends."""
+    workers = workers_in_racks(3, size=3)
+    set_speeds(workers, 1.25, 0.8, 0.8, 1.0, 1.0, 0.8, 1.25, 0.8, 0.8)
+    # The first rack is fuller, by which it would be chosen at equal speeds.
+    occupy(workers[2], 8)
+    shape = Step(count=2, cpu=1000, gpus=8, gang=True, rack_bound=True)
+    assignment = place(shape, workers, time_critical=True, now=NOW)
+    assert {target.id for target in assignment.values()} == {"w03", "w04"}
+    assignment = place(shape, workers, now=NOW)
+    assert {target.rack for target in assignment.values()} == {"r0"}
+
+
+def test_an_urgent_gang_takes_the_fullest_rack_among_equally_fast_ones():
+    workers = workers_in_racks(2, size=3)
+    occupy(workers[5], 8)
+    shape = Step(count=2, cpu=1000, gpus=8, gang=True, rack_bound=True)
+    assignment = place(shape, workers, time_critical=True, now=NOW)
+    assert {target.rack for target in assignment.values()} == {"r1"}
