Leave fast workers to urgent gangs, and preempt for them on fast ones

Workers differ in speed, and a gang ends with its slowest member. Urgent gangs with a slack of about half of their run time were late on slow workers while less urgent work with ample slack ran on fast ones.

--- a/src/zinniatrestle/scheduling/placement.py
+++ b/src/zinniatrestle/scheduling/placement.py
@@ -23,6 +23,11 @@
 # Speeds are rounded to multiples of this before workers are ranked by them: they are
 # estimated from progress in whole percents, too coarse to tell smaller differences.
 SPEED_CLASS_WIDTH = 0.2
+# A worker below this speed is more likely impaired than slow by nature, and not one to
+# send work to that could run elsewhere.
+MIN_SOUND_SPEED = 0.7
+# Above the speed class of any worker.
+MAX_SPEED_RANK = 1000
 
 
 class WorkerChoice(Enum):
@@ -56,6 +61,8 @@
     slow: frozenset[Worker] | None = None
     # The step has less slack than run time, so that fast workers are preferred.
     time_critical: bool = False
+    # The step has slack and can leave the fast workers to urgent steps.
+    prefers_slow: bool = False
     # Running away from the data, or on several racks, is better than waiting.
     ignore_locality: bool = False
     choice: WorkerChoice = WorkerChoice.PREFERRED
@@ -319,6 +326,17 @@
     return round(estimated_speed(worker, constraints.now) / SPEED_CLASS_WIDTH)
 
 
+def _speed_rank(worker: Worker, constraints: PlacementConstraints) -> int:
+    """Return the rank of a worker by its speed; the lowest is preferred."""
+    if constraints.time_critical:
+        return -_speed_class(worker, constraints)
+    if not constraints.prefers_slow:
+        return 0
+    if estimated_speed(worker, constraints.now) < MIN_SOUND_SPEED:
+        return MAX_SPEED_RANK
+    return _speed_class(worker, constraints)
+
+
 def _slowest_speed_class(
     assignment: Assignment, constraints: PlacementConstraints
 ) -> int:
@@ -341,7 +359,8 @@
     """Assign tasks to workers, those in use and in the fullest racks first.
 
     Workers that the step avoids come after the others, and unhealthy ones and canaries
-    last. Time-critical steps go to the fastest workers first.
+    last. Time-critical steps go to the fastest workers first, and less urgent ones with
+    slack to the slowest.
     """
     avoided = tasks[0].step.avoided_workers(constraints.now)
     free_gpus_by_rack: dict[RackId, int] = {}
@@ -354,7 +373,7 @@
         key=lambda worker: (
             worker.health is not WorkerHealth.SOUND,
             worker.id in avoided,
-            -_speed_class(worker, constraints) if constraints.time_critical else 0,
+            _speed_rank(worker, constraints),
             not worker.tasks,
             free_gpus_by_rack[worker.rack],
             worker.free_gpus,
--- a/src/zinniatrestle/scheduling/preemption_plan.py
+++ b/src/zinniatrestle/scheduling/preemption_plan.py
@@ -11,6 +11,7 @@
     locality_groups,
 )
 from zinniatrestle.scheduling.preemption_costs import PreemptionCosts, PreemptionUnit
+from zinniatrestle.scheduling.speeds import is_below_usual
 from zinniatrestle.scheduling.state import (
     StepRun,
     Task,
@@ -101,9 +102,30 @@
         """Return the cheapest plan that places all tasks.
 
         Returns None if there is no plan that loses at most `limit` thousandths of
-        core-seconds.
+        core-seconds. A time-critical step gets workers below the usual speed only if
+        the others are not enough.
         """
         usable = candidates(step, workers, constraints)
+        if constraints.time_critical:
+            fast = [
+                worker for worker in usable if not is_below_usual(worker, costs.now)
+            ]
+            if len(fast) < len(usable):
+                plan = self._plan_within(step, tasks, fast, constraints, costs, limit)
+                if plan is not None:
+                    return plan
+        return self._plan_within(step, tasks, usable, constraints, costs, limit)
+
+    def _plan_within(
+        self,
+        step: StepRun,
+        tasks: list[Task],
+        usable: list[Worker],
+        constraints: PlacementConstraints,
+        costs: PreemptionCosts,
+        limit: float,
+    ) -> PreemptionPlan | None:
+        """Return the cheapest plan on the given workers."""
         best: PreemptionPlan | None = None
         for group in locality_groups(step, usable, constraints):
             if best is not None and group is usable:
--- a/src/zinniatrestle/scheduling/rounds.py
+++ b/src/zinniatrestle/scheduling/rounds.py
@@ -165,6 +165,8 @@
             and self.tracker.advice is not None
         ):
             tickets = self.tracker.advice.tickets(step.id, now)
+        run_seconds = durations.expected_seconds(submission.queue, step.shape)
+        is_urgent = submission.priority == HIGHEST_PRIORITY
         return PlacementConstraints(
             service=queue.service if queue else submission.service,
             regions=regions,
@@ -172,9 +174,8 @@
             tickets=tickets,
             now=now,
             slow=self.slow_workers,
-            time_critical=0
-            < slack
-            < durations.expected_seconds(submission.queue, step.shape),
+            time_critical=0 < slack < run_seconds,
+            prefers_slow=not is_urgent and slack >= run_seconds,
             ignore_locality=slack < 0,
         )
 
--- a/src/zinniatrestle/scheduling/speeds.py
+++ b/src/zinniatrestle/scheduling/speeds.py
@@ -26,6 +26,9 @@
 # A worker below this share of the usual speed is taken to be faulty.
 SLOW_SPEED = 0.5
 FULL_PACE_PERCENT = 100
+# A worker below this share of the usual speed takes half of the slack that an urgent
+# job usually has.
+USUAL_SPEED = 0.9
 # A run without progress can be judged only after this time.
 MIN_PROGRESS_SECONDS = 0.6
 # A run is restarted elsewhere if it takes at least this many times as long on its
@@ -130,6 +133,11 @@
     return estimated_speed(worker, now) < SLOW_SPEED
 
 
+def is_below_usual(worker: Worker, now: float) -> bool:
+    """Return whether a worker is noticeably slower than usual."""
+    return estimated_speed(worker, now) < USUAL_SPEED
+
+
 def slow_workers(workers: Iterable[Worker], now: float) -> frozenset[Worker]:
     """Return the slow ones of some workers."""
     return frozenset(worker for worker in workers if is_slow(worker, now))
--- a/src/zinniatrestle/scheduling/tests/test_placement.py
+++ b/src/zinniatrestle/scheduling/tests/test_placement.py
@@ -293,3 +293,20 @@
     shape = Step(count=2, cpu=1000, gpus=8, gang=True, rack_bound=True)
     assignment = place(shape, workers, time_critical=True, now=NOW)
     assert {target.rack for target in assignment.values()} == {"r1"}
+
+
+def test_less_urgent_work_with_slack_leaves_fast_workers_to_urgent_gangs():
+    """Guards against urgent gangs that end late on slow workers beside fast ones."""
+    workers = workers_in_racks(1, size=3)
+    set_speeds(workers, 1.25, 0.8, 1.0)
+    shape = Step(count=2, cpu=1000, gpus=8)
+    assignment = place(shape, workers, prefers_slow=True, now=NOW)
+    assert {target.id for target in assignment.values()} == {"w01", "w02"}
+
+
+def test_less_urgent_work_prefers_no_worker_that_is_likely_impaired():
+    workers = workers_in_racks(1, size=2)
+    set_speeds(workers, 0.6, 1.0)
+    shape = Step(count=1, cpu=1000, gpus=8)
+    assignment = place(shape, workers, prefers_slow=True, now=NOW)
+    assert {target.id for target in assignment.values()} == {"w01"}
--- a/src/zinniatrestle/scheduling/tests/test_reclaim.py
+++ b/src/zinniatrestle/scheduling/tests/test_reclaim.py
@@ -2,6 +2,7 @@
 
 import math
 
+import pytest
 from common.scheduling import (
     NOW,
     constraints,
@@ -187,3 +188,21 @@
     costs = PreemptionCosts(Forecast(Durations(), NOW), CHECKPOINT_SECONDS)
     found = PLANNER.plan(spread, spread.waiting_tasks(), workers, constraints(), costs)
     assert list(found.assignment.values()) == [workers[0]]
+
+
+# Guards against a gang that preempts in time and still ends late on a slow worker.
+@pytest.mark.parametrize("fast_workers", [1, 0])
+def test_an_urgent_gang_preempts_on_a_slow_worker_only_if_no_other_will_do(
+    fast_workers,
+):
+    workers = workers_in_racks(1, size=2)
+    on_slow = run_task("1", workers[0], 2, NOW - 1)
+    on_other = run_task("2", workers[1], 2, NOW - 9)
+    for number, target in enumerate(workers):
+        target.speed = 1.0 if number >= 2 - fast_workers else 0.8
+        target.speed_measured_at = NOW
+    step = first_step(job("a" * 16, Step(count=1, gpus=8, gang=True), priority=0))
+    costs = PreemptionCosts(Forecast(Durations(), NOW), CHECKPOINT_SECONDS)
+    urgent = constraints(time_critical=True, now=NOW)
+    found = PLANNER.plan(step, step.waiting_tasks(), workers, urgent, costs)
+    assert found.victims == [on_other if fast_workers else on_slow]
