Judge by failures alone whether a job or its worker is at fault

Cause: the rule that blames a job which failed on two workers counted all workers that a task avoids. A refusal or a stall elsewhere thus excused a faulty worker, and the failure was not recorded for it. Members of a gang were counted singly, so a gang that always fails had a sound worker quarantined for each run. A worker on which several jobs failed was excused each time, as each had failed elsewhere.

Ruled out: a count for each step. Tasks of a step that run alone may meet two faulty workers at once.

Change: workers on which runs failed are counted, for a gang over all its members. A worker on which another job has failed since its last success is quarantined although the job failed elsewhere.

--- a/src/zinniatrestle/scheduling/health.py
+++ b/src/zinniatrestle/scheduling/health.py
@@ -14,7 +14,7 @@
 TRUST_SECONDS = 5.0
 # A run that fails sooner has done no work, which is rarely the fault of its task.
 EARLY_FAILURE_SECONDS = 0.3
-# If a task fails on more workers than this, the task is taken to be faulty.
+# If a task, or a gang, fails on more workers than this, it is taken to be faulty.
 MAX_BLAMED_WORKERS = 1
 # A run that is expected to be short has stalled if its reports show no progress for
 # this time.
@@ -33,13 +33,17 @@
 
     def record_failure(self, worker: Worker, task: Task, now: BootSeconds) -> bool:
         """Record a failed run and return whether to quarantine the worker."""
+        job = task.step.job.id
         task.avoided_workers.add(worker.id)
-        if len(task.avoided_workers) > MAX_BLAMED_WORKERS:
-            self.blamed_jobs.add(task.step.job.id)
-            return False
+        task.failed_workers.add(worker.id)
+        others = worker.failed_jobs.keys() - {job}
+        worker.failed_jobs[job] = now
+        if len(task.step.failed_workers(task)) > MAX_BLAMED_WORKERS:
+            self.blamed_jobs.add(job)
+            # Without a success in between, other jobs have failed here as well.
+            return bool(others)
         if worker.health is WorkerHealth.CANARY:
             return True
-        worker.failed_jobs[task.step.job.id] = now
         if task.start_time_known and now - task.started_at < EARLY_FAILURE_SECONDS:
             return True
         if now - worker.last_success_at > TRUST_SECONDS:
--- a/src/zinniatrestle/scheduling/state.py
+++ b/src/zinniatrestle/scheduling/state.py
@@ -40,6 +40,7 @@
 ACCELERATOR_MILLICORES = 8000
 
 
+
 class TaskStatus(Enum):
     """Scheduling status of a task."""
 
@@ -131,6 +132,8 @@
         self.reported_at = BootSeconds(0.0)
         # Workers on which the task failed or made no progress.
         self.avoided_workers: set[WorkerId] = set()
+        # Workers on which a run of the task failed.
+        self.failed_workers: set[WorkerId] = set()
         # Workers that refused to start the task, and until when it avoids them.
         self.refused_until: dict[WorkerId, BootSeconds] = {}
         # Percentage of its full speed at which a best-effort run works.
@@ -251,6 +254,15 @@
                     avoided.add(worker)
         return avoided
 
+    def failed_workers(self, task: Task) -> set[WorkerId]:
+        """Return the workers on which runs of a task, or of its whole gang, failed."""
+        if not self.shape.gang:
+            return task.failed_workers
+        failed: set[WorkerId] = set()
+        for member in self.tasks:
+            failed |= member.failed_workers
+        return failed
+
     @property
     def completed(self) -> bool:
         """Return whether a run of each task has ended as done.
--- a/src/zinniatrestle/scheduling/tests/test_health.py
+++ b/src/zinniatrestle/scheduling/tests/test_health.py
@@ -120,3 +120,34 @@
     task = run_on(gang.tasks[0], workers[0])
     task.reported_at = NOW + 2.5
     assert not HealthMonitor().is_stalled(task, 2.0)
+
+
+def gang_of_three(name="1"):
+    return first_step(job(name * 16, Step(count=3, gpus=1, gang=True)))
+
+
+# Guards against a sound worker in quarantine for each run of a gang that always fails.
+def test_gang_that_fails_on_a_second_worker_is_blamed_itself():
+    monitor, workers, gang = HealthMonitor(), workers_in_racks(1), gang_of_three()
+    assert monitor.record_failure(workers[0], gang.tasks[0], NOW)
+    assert not monitor.record_failure(workers[1], gang.tasks[1], NOW)
+
+
+# Guards against a faulty worker that stays in use, since the task that fails there was
+# refused by another worker before.
+def test_refusal_elsewhere_does_not_excuse_a_worker_that_fails_a_task():
+    monitor, workers, gang = HealthMonitor(), workers_in_racks(1), gang_of_three()
+    gang.tasks[0].avoided_workers.add(workers[1].id)
+    assert monitor.record_failure(workers[0], gang.tasks[0], NOW)
+
+
+# Guards against a faulty worker that is recognized late, as each job that fails there
+# has failed elsewhere before.
+def test_failures_of_several_jobs_count_although_each_failed_elsewhere_before():
+    monitor, workers = HealthMonitor(), workers_in_racks(1)
+    first, second = gang_of_three("1"), gang_of_three("2")
+    monitor.record_failure(workers[1], first.tasks[0], NOW)
+    monitor.record_failure(workers[2], second.tasks[0], NOW)
+    # The first of these failures may be the fault of the job.
+    assert not monitor.record_failure(workers[0], first.tasks[0], NOW)
+    assert monitor.record_failure(workers[0], second.tasks[0], NOW)
