Keep the newest checkpoint of a gang that loses a member, and restart it sooner

Cause: each reported checkpoint replaced that of the whole gang, in the order of the reports. A member that reported late, or ended as aborted with the last checkpoint that it had saved while running, replaced the newer one of a stop. Checkpoints of runs that had been marked as lost were dropped, even if nothing had run since. The end of a last member out of reach was inferred only if all other members ended as aborted. One that had been stopped first, after the loss was known, made the gang wait for a lease.

Ruled out: an order of checkpoints by their values, which are opaque; the late checkpoint of a run after a further one has been placed, since the members would start from different ones; an inferred end for several members on one worker out of reach, which no rule of the platform proves.

Change: a checkpoint that a newer one has replaced in the same run is older, and no other one follows that of a stop. A late one counts while no further run is placed. A member that was stopped after an abort was known counts as aborted, if this scheduler started its run.

--- a/src/zinniatrestle/scheduling/cluster_state.py
+++ b/src/zinniatrestle/scheduling/cluster_state.py
@@ -78,6 +78,9 @@
             return
         task.status = TaskStatus.STOPPING
         task.status_at = boot_time()
+        # The order of a predecessor may have stopped a run that it has started.
+        if task.step.aborted_members and task.start_time_known:
+            task.step.stopped_members.add(task)
         self.events.write(
             Event.RUN_STOPPED,
             task=task.id,
@@ -157,15 +160,30 @@
             member.worker = None
             member.status = TaskStatus.WAITING
 
-    def record_checkpoint(self, task: Task, checkpoint: str):
-        """Record a checkpoint of a task, or of its whole gang."""
-        if checkpoint != task.checkpoint:
-            task.step.job.checkpoints_changed = True
-        if not task.step.shape.gang:
+    def record_checkpoint(self, task: Task, checkpoint: str, at_stop: bool = False):
+        """Record a checkpoint of the latest run of a task, or of its whole gang.
+
+        `at_stop` means that the run was stopped, which saves a checkpoint.
+        """
+        step = task.step
+        if checkpoint == task.checkpoint:
+            return
+        if not step.shape.gang:
             task.checkpoint = checkpoint
+            step.job.checkpoints_changed = True
             return
+        if checkpoint in step.replaced_checkpoints:
+            # Members report at different times, so this one is older.
+            return
+        if step.has_stop_checkpoint and not at_stop:
+            # A gang makes no progress after the stop of a member.
+            return
+        step.has_stop_checkpoint = at_stop
+        if task.checkpoint:
+            step.replaced_checkpoints.append(task.checkpoint)
+        step.job.checkpoints_changed = True
         # A checkpoint reported by any member covers the whole gang.
-        for member in task.step.tasks:
+        for member in step.tasks:
             member.checkpoint = checkpoint
 
     # Jobs
--- a/src/zinniatrestle/scheduling/rounds.py
+++ b/src/zinniatrestle/scheduling/rounds.py
@@ -369,7 +369,7 @@
         run = RunNumber(0)
         if step.shape.gang:
             run = RunNumber(max(task.run for task in step.tasks) + 1)
-            step.aborted_members.clear()
+            step.begin_run()
         placed_at = boot_time()
         for task, worker in assignment.items():
             task.run = run or RunNumber(task.run + 1)
--- a/src/zinniatrestle/scheduling/state.py
+++ b/src/zinniatrestle/scheduling/state.py
@@ -1,6 +1,7 @@
 """In-memory state of jobs, steps, tasks and workers in the scheduler."""
 
 import asyncio
+from collections import deque
 from dataclasses import dataclass
 from enum import Enum
 
@@ -38,7 +39,8 @@
 MIN_RATE_SECONDS = 0.05
 # Thousandths of a core to which one accelerator is equated in a task's weight.
 ACCELERATOR_MILLICORES = 8000
-
+# A member's report lags behind those of its gang by a few checkpoints at most.
+MAX_REPLACED_CHECKPOINTS = 32
 
 
 class TaskStatus(Enum):
@@ -222,8 +224,14 @@
         self.ready_at: BootSeconds | None = None
         # When preemption was last attempted for the step.
         self.preemption_tried_at = BootSeconds(float("-inf"))
-        # Gang members whose latest run ended because another member had ended.
+        # Gang members whose latest run ended because another member had ended, and
+        # those that were stopped only after such an end was known.
         self.aborted_members: set[Task] = set()
+        self.stopped_members: set[Task] = set()
+        # Checkpoints of a gang's latest run that newer ones have replaced.
+        self.replaced_checkpoints: deque[str] = deque(maxlen=MAX_REPLACED_CHECKPOINTS)
+        # The gang's checkpoint was saved at the stop of a member of its latest run.
+        self.has_stop_checkpoint = False
 
     @property
     def id(self) -> str:
@@ -263,6 +271,13 @@
             failed |= member.failed_workers
         return failed
 
+    def begin_run(self):
+        """Clear what is known of a gang's former run, as a new one is placed."""
+        self.aborted_members.clear()
+        self.stopped_members.clear()
+        self.replaced_checkpoints.clear()
+        self.has_stop_checkpoint = False
+
     @property
     def completed(self) -> bool:
         """Return whether a run of each task has ended as done.
--- a/src/zinniatrestle/scheduling/tracker.py
+++ b/src/zinniatrestle/scheduling/tracker.py
@@ -267,6 +267,8 @@
             and task.is_allocated
         )
         if not is_expected:
+            if task is not None:
+                self._record_late_checkpoint(task, running.run, running.checkpoint)
             if session is not None:
                 worker.unknown_runs.add(running.task)
                 session.stop(running.task, running.run)
@@ -395,14 +397,17 @@
         )
         task.latest_end = f"ended {end.outcome.value}"
         if end.checkpoint:
-            self.record_checkpoint(task, end.checkpoint)
+            at_stop = end.outcome is RunOutcome.STOPPED
+            self.record_checkpoint(task, end.checkpoint, at_stop)
         if end.outcome is RunOutcome.DONE:
             self._record_success(worker, task, now)
             return job
         self.unassign(task)
         if end.outcome is RunOutcome.FAILED:
             self._record_failure(worker, task, now)
-        if end.outcome is RunOutcome.MEMBER_ENDED:
+        if end.outcome is RunOutcome.MEMBER_ENDED or (
+            end.outcome is RunOutcome.STOPPED and task in task.step.stopped_members
+        ):
             task.step.aborted_members.add(task)
         self.stop_gang(task.step)
         self._infer_unreachable_end(task.step)
@@ -423,8 +428,26 @@
             task.failed_runs.add(end.run)
             self.fail_if_out_of_attempts(task)
             return job
+        at_stop = end.outcome is RunOutcome.STOPPED
+        if self._record_late_checkpoint(task, end.run, end.checkpoint, at_stop):
+            return job
         return self._unsaved_job_of(end.task)
 
+    def _record_late_checkpoint(
+        self, task: Task, run: RunNumber, checkpoint: str, at_stop: bool = False
+    ) -> bool:
+        """Record a checkpoint of a run that was marked as lost, and return whether.
+
+        Once a further run has been placed, its members start from the checkpoint that
+        was known then.
+        """
+        if not checkpoint or task.run != run or task.is_allocated:
+            return False
+        if task.completed or task.step.job.ended or task.step.shape.long_running:
+            return False
+        self.record_checkpoint(task, checkpoint, at_stop)
+        return True
+
     def _log_end_of_lost_run(self, worker: Worker, task: Task, end: EndedRun):
         self.metrics.late_ends.add(1, {"how": end.outcome.value})
         self.events.write(
@@ -453,8 +476,9 @@
     def _infer_unreachable_end(self, step: StepRun):
         """Mark the last member of a gang as lost if all others were aborted by its end.
 
-        All other members ended because a member had ended, so the remaining one must
-        have ended first. Its worker does not answer, so the end can't be reported.
+        All other members ended because a member had ended, or were stopped after such
+        an end was known, so the remaining one must have ended first. Its worker does
+        not answer, so the end can't be reported.
         """
         if not step.aborted_members or len(step.aborted_members) != len(step.tasks) - 1:
             return
