Stop the remaining members of a broken gang after a succession

Cause: a member that a predecessor had found to be refused or over is stored as waiting, and the others as assigned. A successor restored them so and stopped none of them: their stops had been the predecessor's orders. They held their workers until they gave up by themselves, and the gang could not start before.

Change: on loading, the remaining members of such a gang are stopped at once.

Measured: test_broken_gangs_after_succession.py fails without the change (three members lacked their gang for 20 s) and passes with it, as do the tests of late ends, lost workers and leadership.

--- a/src/zinniatrestle/scheduling/scheduler.py
+++ b/src/zinniatrestle/scheduling/scheduler.py
@@ -277,6 +277,7 @@
                 self.tracker.unsaved_jobs.add(job)
             for step in job.steps.values():
                 self._restore_step(step)
+                self._stop_broken_gang(step)
 
     def _log_loaded(self):
         """Log what the predecessor left: what is still assigned, and waited for."""
@@ -326,6 +327,14 @@
             worker.add_task(task)
             worker.lease.expires_at = max(worker.lease.expires_at, expires_at)
 
+    def _stop_broken_gang(self, step: StepRun):
+        """Stop the members of a gang of which the predecessor had lost others.
+
+        The stop orders of the predecessor may not have reached them.
+        """
+        if any(task.status is TaskStatus.WAITING for task in step.tasks):
+            self.tracker.stop_gang(step)
+
     def apply_cancellation(self, job_id: JobId, version: RowVersion):
         """Cancel a job and stop its tasks."""
         job = self.tracker.jobs.get(job_id)
