Place gangs on the workers of least risk

Cause: the loss of one member ends a whole gang, but placement knew only whether a worker was in quarantine. One that flaps, that was restarted, or that failed and whose quarantine was over was ranked by speed and fullness like any other.

Ruled out: a longer quarantine, which takes workers from single tasks too and is bounded to 0.3 of a service; exclusion of suspect workers, since a gang would wait for particular ones.

Change: reliability.py estimates for each worker the probability that a run of some seconds does not end well. Runs that end badly count against successes; silences and returns count by the time that a run takes. The blame for a job's failures shrinks with each worker on which nothing else fails. Gangs rank workers by it in steps of 0.1 after health and failures of the step, before speed and fullness; without evidence the ranking is unchanged. A single task that can afford a failure probes an idle suspect.

--- a/src/zinniatrestle/scheduling/cluster_state.py
+++ b/src/zinniatrestle/scheduling/cluster_state.py
@@ -17,6 +17,7 @@
 from zinniatrestle.scheduling.pacing import PaceController
 from zinniatrestle.scheduling.preemption_costs import work_lost
 from zinniatrestle.scheduling.progress_writer import ProgressWriter
+from zinniatrestle.scheduling.reliability import Evidence, Reliability
 from zinniatrestle.scheduling.session import WorkerSession
 from zinniatrestle.scheduling.speeds import SpeedEstimator
 from zinniatrestle.scheduling.state import (
@@ -51,6 +52,8 @@
         # Health records of the predecessor for workers that have not joined yet.
         self.health_records = dict(handover.health_records)
         self.health = HealthMonitor()
+        self.reliability = Reliability()
+        self.reliability.restore(handover.reliability, boot_time())
         self.pacing = PaceController()
         self.speeds = SpeedEstimator()
         self.load = LoadMeter(
@@ -264,8 +267,30 @@
                 worker=worker.id,
                 reason=reason,
                 seconds=round(worker.quarantined_until - now, 1),
+                evidence=self.reliability.evidence(worker.id, now),
             )
 
+    def suspect_stall(self, worker: Worker, task: Task, now: BootSeconds):
+        """Avoid and quarantine a worker that may be why a run makes no progress."""
+        task.avoided_workers.add(worker.id)
+        suspects = {worker.id}
+        if task.step.shape.gang:
+            # A member that is ahead of another one waits for it.
+            for member in task.step.tasks:
+                if member.worker is not None and member.percent <= task.percent:
+                    suspects.add(member.worker.id)
+        self.reliability.record(worker.id, Evidence.STALL, now, 1 / len(suspects))
+        self.quarantine(worker, f"task {task.id} makes no progress", now)
+
+    def risk(self, task: Task) -> float:
+        """Return the probability that the run of a task does not end well."""
+        step, worker = task.step, task.worker
+        seconds = self.durations.expected_seconds(step.job.submission.queue, step.shape)
+        risk = self.reliability.risk(
+            worker.id, seconds, boot_time(), worker.drain_deadline
+        )
+        return round(risk, 3)
+
     def _stalled(self, task: Task) -> bool:
         queue = task.step.job.submission.queue
         expected = self.durations.expected_seconds(queue, task.step.shape)
--- a/src/zinniatrestle/scheduling/messages.py
+++ b/src/zinniatrestle/scheduling/messages.py
@@ -38,6 +38,19 @@
     speed: float | None
 
 
+class ReliabilityRecord(msgspec.Struct, frozen=True, array_like=True):
+    """Decayed weights of the evidence about a worker (see `reliability.Evidence`)."""
+
+    successes: float = 0.0
+    failures: float = 0.0
+    stalls: float = 0.0
+    unanswered: float = 0.0
+    refusals: float = 0.0
+    joins: float = 0.0
+    silences: float = 0.0
+    returns: float = 0.0
+
+
 class LeavingWorker(msgspec.Struct, frozen=True):
     """The entry of a worker that drains, and a time in ms that it was written after."""
 
@@ -50,7 +63,8 @@
     """What a leader has learned and leaves to its successor.
 
     `lease_expiries` has, for instances of workers that don't answer, the store's time
-    after which no lease there is valid. `leaving` has the draining workers with tasks.
+    after which no lease there is valid. `leaving` has the draining workers with tasks,
+    `reliability` those with the most evidence against them.
     """
 
     times: dict[QueueName, RunTimeStatistics] = {}
@@ -59,6 +73,7 @@
     )
     lease_expiries: dict[WorkerId, dict[InstanceId, StoreMilliseconds]] = {}
     leaving: dict[WorkerId, LeavingWorker] = {}
+    reliability: dict[WorkerId, ReliabilityRecord] = {}
 
 
 class LeaseRecord(msgspec.Struct, frozen=True):
--- a/src/zinniatrestle/scheduling/placement.py
+++ b/src/zinniatrestle/scheduling/placement.py
@@ -12,6 +12,7 @@
     ServiceName,
     WorkerId,
 )
+from zinniatrestle.scheduling.reliability import Reliability
 from zinniatrestle.scheduling.speeds import estimated_speed, slow_workers
 from zinniatrestle.scheduling.state import (
     StepRun,
@@ -59,6 +60,10 @@
     # Running away from the data, or on several racks, is better than waiting.
     ignore_locality: bool = False
     choice: WorkerChoice = WorkerChoice.PREFERRED
+    # What is known of the workers' reliability; None: nothing.
+    reliability: Reliability | None = None
+    # How long a run of the step is expected to take.
+    run_seconds: float = 0.0
 
 
 Assignment = dict[Task, Worker]
@@ -319,15 +324,64 @@
     return slots
 
 
+def _risk_class(
+    worker: Worker, step: StepRun, constraints: PlacementConstraints
+) -> int:
+    """Return the risk class of a worker for a gang, which one lost member ends."""
+    reliability = constraints.reliability
+    if reliability is None or not step.shape.gang or step.shape.count == 1:
+        return 0
+    return reliability.risk_class(
+        worker.id, constraints.run_seconds, constraints.now, worker.drain_deadline
+    )
+
+
+def _probe_suspects(
+    tasks: list[Task],
+    ranked: list[Worker],
+    avoided: set[WorkerId],
+    constraints: PlacementConstraints,
+) -> Assignment:
+    """Assign a single task to each idle worker whose runs ended badly.
+
+    Whether such a worker has recovered shows at little cost. A task at its last attempt
+    and one that may become late by a failure are not used for that.
+    """
+    reliability = constraints.reliability
+    step = tasks[0].step
+    if reliability is None or not reliability.suspects:
+        return {}
+    if step.shape.gang or step.shape.long_running or constraints.time_critical:
+        return {}
+    attempts = step.job.submission.attempts
+    able = [task for task in tasks if step.failure_count(task) + 1 < attempts]
+    remaining_tasks = iter(able)
+    found: Assignment = {}
+    for worker in ranked:
+        if worker.tasks or worker.reserved_tasks or worker.id in avoided:
+            continue
+        if worker.health is not WorkerHealth.SOUND:
+            continue
+        if not reliability.needs_probe(worker.id, constraints.now):
+            continue
+        task = next(remaining_tasks, None)
+        if task is None:
+            break
+        found[task] = worker
+    return found
+
+
 def _fill(
     tasks: list[Task], slots: dict[Worker, int], constraints: PlacementConstraints
 ) -> Assignment:
     """Assign tasks to workers, those in use and in the fullest racks first.
 
     Workers that the step avoids come after the others, and unhealthy ones and canaries
-    last. Time-critical steps go to the fastest workers first.
+    last. Gangs go to the workers of least risk first, time-critical steps to the
+    fastest ones. A single task probes an idle worker whose runs ended badly.
     """
-    avoided = tasks[0].step.avoided_workers(constraints.now)
+    step = tasks[0].step
+    avoided = step.avoided_workers(constraints.now)
     free_gpus_by_rack: dict[RackId, int] = {}
     for worker in slots:
         free_gpus_by_rack[worker.rack] = (
@@ -338,6 +392,7 @@
         key=lambda worker: (
             worker.health is not WorkerHealth.SOUND,
             worker.id in avoided,
+            _risk_class(worker, step, constraints),
             -_speed_class(worker, constraints) if constraints.time_critical else 0,
             not worker.tasks,
             free_gpus_by_rack[worker.rack],
@@ -346,10 +401,11 @@
             worker.id,
         ),
     )
-    remaining_tasks = iter(tasks)
-    found: Assignment = {}
+    found = _probe_suspects(tasks, ranked, avoided, constraints)
+    remaining_tasks = iter([task for task in tasks if task not in found])
+    probed = set(found.values())
     for worker in ranked:
-        for _ in range(slots[worker]):
+        for _ in range(slots[worker] - (worker in probed)):
             task = next(remaining_tasks, None)
             if task is None:
                 return found
--- a/src/zinniatrestle/scheduling/rounds.py
+++ b/src/zinniatrestle/scheduling/rounds.py
@@ -158,6 +158,7 @@
         durations = self.tracker.durations
         deadlines = start_deadlines(step, durations)
         slack = deadlines.latest_on_time_start - now
+        run_seconds = durations.expected_seconds(submission.queue, step.shape)
         tickets = None
         if (
             queue is not None
@@ -172,10 +173,10 @@
             tickets=tickets,
             now=now,
             slow=self.slow_workers,
-            time_critical=0
-            < slack
-            < durations.expected_seconds(submission.queue, step.shape),
+            time_critical=0 < slack < run_seconds,
             ignore_locality=slack < 0,
+            reliability=self.tracker.reliability,
+            run_seconds=run_seconds,
         )
 
     def _schedule_step(
@@ -463,6 +464,7 @@
                 desired_version=self.context.operator.desired.version,
                 checkpoint=task.checkpoint,
                 former=task.latest_end or None,
+                risk=tracker.risk(task),
             )
             session.start(task, run)
 
@@ -477,8 +479,7 @@
         for task in tracker.stalled_tasks():
             worker = task.worker
             if tracker.health.may_be_at_fault(worker, task):
-                task.avoided_workers.add(worker.id)
-                tracker.quarantine(worker, f"task {task.id} makes no progress", now)
+                tracker.suspect_stall(worker, task, now)
             tracker.stop(task, "no progress")
             tracker.stop_gang(task.step)
 
--- a/src/zinniatrestle/scheduling/scheduler.py
+++ b/src/zinniatrestle/scheduling/scheduler.py
@@ -411,6 +411,7 @@
             health_records=export_health_records(workers, boot_time()),
             lease_expiries=self.lease_expiries.export(self.tracker.fleet),
             leaving=export_leaving_workers(workers, self.context.store.clock),
+            reliability=self.tracker.reliability.export(boot_time()),
         )
         for worker in workers:
             worker.expiry_recorded = not self.leadership.may_extend(worker.id)
--- a/src/zinniatrestle/scheduling/tests/test_placement.py
+++ b/src/zinniatrestle/scheduling/tests/test_placement.py
@@ -14,7 +14,7 @@
     workers_in_racks,
 )
 
-from zinniatrestle.ids import RackId, RegionId
+from zinniatrestle.ids import JobId, RackId, RegionId
 from zinniatrestle.jobs.messages import Step
 from zinniatrestle.scheduling.context import Policy
 from zinniatrestle.scheduling.placement import (
@@ -23,6 +23,7 @@
     WorkerChoice,
     has_free_slots,
 )
+from zinniatrestle.scheduling.reliability import Reliability
 from zinniatrestle.scheduling.state import StepRun, WorkerHealth
 from zinniatrestle.standins.model import Model, run_virtual, step
 from zinniatrestle.workers.messages import WorkerState
@@ -266,3 +267,99 @@
         assert await model.wait_for_jobs(20.0)
 
     run_virtual(play())
+
+
+def known_to_fail(*failing) -> Reliability:
+    reliability = Reliability()
+    for failing_worker in failing:
+        for number in range(2):
+            job_id = JobId(f"{failing_worker.id}-{number}")
+            reliability.record_failure(failing_worker.id, job_id, NOW)
+    return reliability
+
+
+def place_by(reliability, step, workers, **values):
+    limits = constraints(now=NOW, reliability=reliability, run_seconds=5.0, **values)
+    return BestFit().place(step, step.tasks, workers, limits)
+
+
+# Guards against a gang that is lost with one member on a worker that fails its runs.
+def test_a_gang_takes_workers_with_a_proven_record():
+    workers = workers_in_racks(1)
+    for used in workers[:2]:
+        run_on(first_step(job(used.id * 5, Step(gpus=2))).tasks[0], used)
+    gang = first_step(job("a" * 16, Step(count=2, gpus=6, gang=True)))
+    without = place_by(Reliability(), gang, workers)
+    assert set(without.values()) == set(workers[:2])
+    found = place_by(known_to_fail(workers[0]), gang, workers)
+    assert set(found.values()) == {workers[1], workers[2]}
+
+
+def test_a_gang_does_not_wait_for_workers_with_a_proven_record():
+    workers = workers_in_racks(1)
+    gang = first_step(job("a" * 16, Step(count=4, gpus=8, gang=True)))
+    found = place_by(known_to_fail(*workers), gang, workers)
+    assert set(found.values()) == set(workers)
+
+
+def test_a_gang_takes_fast_workers_of_the_same_risk_first():
+    workers = workers_in_racks(1)
+    workers[0].speed = workers[2].speed = 1.5
+    gang = first_step(job("a" * 16, Step(count=2, gpus=8, gang=True)))
+    found = place_by(known_to_fail(workers[0]), gang, workers, time_critical=True)
+    assert set(found.values()) == {workers[1], workers[2]}
+
+
+# Guards against a worker that no gang uses again, as nothing runs there any more.
+def test_a_single_task_probes_an_idle_worker_whose_runs_ended_badly():
+    workers = workers_in_racks(1)
+    run_on(first_step(job("b" * 16, Step(gpus=1))).tasks[0], workers[1])
+    step = first_step(job("a" * 16, Step(count=3, gpus=1)))
+    found = list(place_by(known_to_fail(workers[3]), step, workers).values())
+    assert found == [workers[3], workers[1], workers[1]]
+
+
+@pytest.mark.parametrize("reason", ["last attempt", "urgent", "avoided", "in use"])
+def test_no_task_probes_a_worker_if_it_can_not_afford_to_fail(reason):
+    workers = workers_in_racks(1)
+    run_on(first_step(job("b" * 16, Step(gpus=1))).tasks[0], workers[1])
+    step = first_step(job("a" * 16, Step(gpus=1)))
+    if reason == "last attempt":
+        step.tasks[0].failed_runs = {1, 2}
+    if reason == "avoided":
+        step.tasks[0].avoided_workers.add(workers[3].id)
+    if reason == "in use":
+        run_on(first_step(job("c" * 16, Step(gpus=1))).tasks[0], workers[3])
+        workers[3].free_gpus = 8
+    reliability = known_to_fail(workers[3])
+    urgent = reason == "urgent"
+    found = place_by(reliability, step, workers, time_critical=urgent)
+    assert list(found.values()) == [workers[1]]
+
+
+def test_a_probed_worker_takes_further_tasks_that_fit_nowhere_else():
+    workers = workers_in_racks(1, size=1)
+    step = first_step(job("a" * 16, Step(count=3, gpus=4)))
+    found = place_by(known_to_fail(workers[0]), step, workers)
+    assert list(found.values()) == [workers[0], workers[0]]
+
+
+# Guards against a placement that differs although no worker has given cause for it.
+@pytest.mark.parametrize("gang", [False, True])
+@pytest.mark.parametrize("time_critical", [False, True])
+def test_without_bad_evidence_workers_are_ranked_as_without_estimates(
+    gang, time_critical
+):
+    rng = random.Random(7)
+    workers = workers_in_racks(6)
+    reliability = Reliability()
+    for number, used in enumerate(workers):
+        reliability.record_success(used.id, NOW)
+        used.speed = rng.choice([0.6, 1.0, 1.4])
+        shape = Step(cpu=1000, gpus=rng.randrange(8))
+        run_on(first_step(job(f"{number:016}", shape)).tasks[0], used)
+    step = first_step(job("a" * 16, Step(count=6, gpus=2, gang=gang)))
+    without = place_by(None, step, workers, time_critical=time_critical)
+    found = place_by(reliability, step, workers, time_critical=time_critical)
+    assert list(found.items()) == list(without.items())
+    assert len(found) == 6
--- a/src/zinniatrestle/scheduling/tracker.py
+++ b/src/zinniatrestle/scheduling/tracker.py
@@ -14,6 +14,7 @@
 from zinniatrestle.scheduling.leadership import LeadershipStatus
 from zinniatrestle.scheduling.load import HOLD_WAIT_SECONDS
 from zinniatrestle.scheduling.placement import is_remote
+from zinniatrestle.scheduling.reliability import Evidence
 from zinniatrestle.scheduling.session import (
     MAX_CONCURRENT_ORDERS,
     SessionListener,
@@ -49,6 +50,9 @@
         record = self.health_records.pop(worker.id, None)
         if record is not None:
             restore_health(worker, record, boot_time())
+        if self.fleet.caught_up_at > 0:
+            # Workers that were there before this scheduler may have proven themselves.
+            self.reliability.record(worker.id, Evidence.JOIN, boot_time())
         session = WorkerSession(
             worker,
             self.context.orders,
@@ -82,6 +86,8 @@
         start order may have reached the new instance.
         """
         self.sessions.pop(worker, None)
+        if replaced:
+            self.reliability.record(worker.id, Evidence.RETURN, boot_time())
         if self.advice is not None:
             self.advice.drop_worker(worker.id)
         for running in self.session_tasks.pop(worker, ()):
@@ -119,6 +125,8 @@
 
     def mark_silent(self, worker: Worker, refused: bool):
         """Mark a worker as silent and start a round."""
+        if not worker.silent:
+            self.reliability.record(worker.id, Evidence.SILENCE, boot_time())
         self.fleet.mark_silent(worker, refused)
         for task in list(worker.tasks.values()):
             self._infer_unreachable_end(task.step)
@@ -178,6 +186,7 @@
     def _record_answer(self, worker: Worker):
         if worker.silent:
             worker.silent = worker.runs_ended = False
+            self.reliability.record(worker.id, Evidence.RETURN, boot_time())
             self.events.write(Event.WORKER_SEEN, worker=worker.id, again=True)
         # The registry may list an instance with an earlier number than the one that a
         # predecessor assigned tasks to: its clock was set back.
@@ -345,6 +354,7 @@
     def _avoid_unresponsive(self, worker: Worker, task: Task):
         """Avoid a worker that answers holds and left a start without an answer."""
         task.avoided_workers.add(worker.id)
+        self.reliability.record(worker.id, Evidence.UNANSWERED, boot_time())
         reason = f"the start of task {task.id} got no answer"
         self.quarantine(worker, reason, boot_time())
 
@@ -426,6 +436,7 @@
         # The failure still counts as an attempt.
         if end.outcome is RunOutcome.FAILED and end.run not in task.failed_runs:
             task.failed_runs.add(end.run)
+            self.reliability.record_failure(worker.id, job.id, boot_time())
             self.fail_if_out_of_attempts(task)
             return job
         at_stop = end.outcome is RunOutcome.STOPPED
@@ -498,10 +509,9 @@
     def _record_success(self, worker: Worker, task: Task, now: BootSeconds):
         step = task.step
         finished = step.tasks if step.shape.gang else [task]
-        self._restore_health(worker, now)
-        for member in finished:
-            if member.worker is not None:
-                self._restore_health(member.worker, now)
+        workers = [worker, *(member.worker for member in finished if member.worker)]
+        for proven in dict.fromkeys(workers):
+            self._restore_health(proven, now)
         if task.start_time_known and not task.resumed and not is_remote(step):
             self.durations.learn(task, now - task.started_at)
         if step.shape.long_running:
@@ -516,11 +526,13 @@
 
     def _restore_health(self, worker: Worker, now: BootSeconds):
         """Record a success of a worker, which ends its quarantine or canary run."""
+        self.reliability.record_success(worker.id, now)
         if self.health.record_success(worker, now):
             self.events.write(Event.WORKER_RESTORED, worker=worker.id)
 
     def _record_failure(self, worker: Worker, task: Task, now: BootSeconds):
         task.failed_runs.add(task.run)
+        self.reliability.record_failure(worker.id, task.step.job.id, now)
         if self.health.record_failure(worker, task, now):
             self.quarantine(worker, f"task {task.id} failed", now)
         self.fail_if_out_of_attempts(task)
@@ -572,6 +584,7 @@
             task.refused_until[worker.id] = BootSeconds(boot_time() + seconds)
         if refusal is Refusal.UNHEALTHY:
             task.avoided_workers.add(worker.id)
+            self.reliability.record(worker.id, Evidence.REFUSAL, boot_time())
             self.quarantine(worker, "it rejects starts as unhealthy", boot_time())
         if refusal is Refusal.BAD_TICKET and self.advice is not None:
             self.advice.drop_ticket(task.step.id, worker.id)
