Count broken gangs and lost work by cause

Cause: the lines of stops and ends each name an amount of lost work, and the same run may have both, so that sums of them count it twice. What ended a gang first had to be gathered from the lines of all its members.

Change: gangs_broken counts a gang once, when no member is assigned any more, by the first loss that is known; work_lost counts each run once, at its end.

--- a/src/zinniatrestle/metrics.py
+++ b/src/zinniatrestle/metrics.py
@@ -32,6 +32,9 @@
         self.lost_runs = meter.create_counter("runs_lost", "1")
         self.late_ends = meter.create_counter("late_ends", "1")
         self.preemptions = meter.create_counter("runs_preempted", "1")
+        self.gangs_broken = meter.create_counter("gangs_broken", "1")
+        # In core-seconds.
+        self.work_lost = meter.create_counter("work_lost", "1")
         self.quarantines = meter.create_counter("workers_quarantined", "1")
         self.store_time = meter.create_histogram("store_call_time", "s")
         self.waiting = meter.create_histogram("job_waiting_time", "s")
--- a/src/zinniatrestle/scheduling/cluster_state.py
+++ b/src/zinniatrestle/scheduling/cluster_state.py
@@ -29,6 +29,12 @@
     Worker,
 )
 from zinniatrestle.supervision import Supervisor
+from zinniatrestle.workers.messages import RunOutcome
+
+# The reason for the stop of the other members once a gang has lost one.
+MEMBER_LOST = "another gang member no longer runs"
+# Causes that say only that another member was lost before, not why.
+GANG_CAUSES = frozenset({MEMBER_LOST, RunOutcome.MEMBER_ENDED.value})
 
 
 class ClusterState(FleetListener, ABC):
@@ -75,12 +81,50 @@
         lost = work_lost(task, self.durations, interval, boot_time())
         return round(lost / MILLICORES_PER_CORE, 1)
 
+    def record_loss(self, task: Task, cause: str):
+        """Count the unsaved work of a run that is over without being done.
+
+        A run that was stopped counts by the reason of that, and one whose gang has lost
+        a member by the cause of that loss.
+        """
+        step = task.step
+        if task.status is TaskStatus.STOPPING:
+            # A member that is stopped because of others may be the one at fault.
+            if task.stop_reason not in GANG_CAUSES or cause == RunOutcome.STOPPED.value:
+                cause = task.stop_reason
+        self._record_break(step, cause)
+        if cause in GANG_CAUSES:
+            cause = step.break_cause or cause
+        self.metrics.work_lost.add(self.lost_core_seconds(task), {"cause": cause})
+
+    def _record_break(self, step: StepRun, cause: str):
+        """Record why a gang is over; the first cause but the loss of a member counts.
+
+        A member may report that its gang has ended before the one that ended first.
+        """
+        if len(step.tasks) == 1 or not step.shape.gang:
+            return
+        if step.completed or step.job.ended:
+            return
+        if not step.break_cause or step.break_cause in GANG_CAUSES:
+            step.break_cause = cause
+
+    def _count_broken_gang(self, step: StepRun):
+        """Count a gang that is over without being done, once no member is assigned."""
+        if not step.break_cause or any(member.is_allocated for member in step.tasks):
+            return
+        if not step.completed:
+            self.metrics.gangs_broken.add(1, {"cause": step.break_cause})
+        step.break_cause = ""
+
     def stop(self, task: Task, reason: str):
         """Stop a run, unless it is being stopped already."""
         if not task.is_allocated or task.status is TaskStatus.STOPPING:
             return
         task.status = TaskStatus.STOPPING
+        task.stop_reason = reason
         task.status_at = boot_time()
+        self._record_break(task.step, reason)
         # The order of a predecessor may have stopped a run that it has started.
         if task.step.aborted_members and task.start_time_known:
             task.step.stopped_members.add(task)
@@ -103,7 +147,7 @@
         for member in step.tasks:
             if member.status is TaskStatus.RESERVED:
                 self.release_reservation(member)
-            self.stop(member, "another gang member no longer runs")
+            self.stop(member, MEMBER_LOST)
 
     def unassign(self, task: Task):
         """Remove a task from its worker, where it is known not to run."""
@@ -118,6 +162,7 @@
         task.pace = 100
         task.status = TaskStatus.DONE if task.completed else TaskStatus.WAITING
         self.unsaved_jobs.add(task.step.job)
+        self._count_broken_gang(task.step)
         if task.completed:
             self._finish_if_done(task.step)
 
--- a/src/zinniatrestle/scheduling/state.py
+++ b/src/zinniatrestle/scheduling/state.py
@@ -92,6 +92,8 @@
         self.free_since = BootSeconds(0.0)
         self.run = RunNumber(0)
         self.worker: Worker | None = None
+        # Why the latest run is being stopped or was; empty if it wasn't stopped.
+        self.stop_reason = ""
         # How the latest run is known to be over; empty if only a predecessor knows.
         self.latest_end = ""
         self.failed_runs: set[RunNumber] = set()
@@ -171,6 +173,7 @@
         self.started_at = self.baseline_at = self.window_at = BootSeconds(0.0)
         self.start_time_known = self.reported = False
         self.start_deadline_ms = None
+        self.stop_reason = ""
 
     @property
     def may_be_done(self) -> bool:
@@ -230,6 +233,8 @@
         self.stopped_members: set[Task] = set()
         # Checkpoints of a gang's latest run that newer ones have replaced.
         self.replaced_checkpoints: deque[str] = deque(maxlen=MAX_REPLACED_CHECKPOINTS)
+        # Why a gang's latest run is over without being done; empty if it isn't known.
+        self.break_cause = ""
         # The gang's checkpoint was saved at the stop of a member of its latest run.
         self.has_stop_checkpoint = False
 
@@ -277,6 +282,7 @@
         self.stopped_members.clear()
         self.replaced_checkpoints.clear()
         self.has_stop_checkpoint = False
+        self.break_cause = ""
 
     @property
     def completed(self) -> bool:
--- a/src/zinniatrestle/scheduling/tracker.py
+++ b/src/zinniatrestle/scheduling/tracker.py
@@ -378,6 +378,7 @@
             reported=round(boot_time() - known_at, 2) if known_at else None,
         )
         task.latest_end = f"lost: {reason}"
+        self.record_loss(task, reason)
         self.unassign(task)
         self.stop_gang(task.step)
         self.wake.set()
@@ -412,6 +413,7 @@
         if end.outcome is RunOutcome.DONE:
             self._record_success(worker, task, now)
             return job
+        self.record_loss(task, end.outcome.value)
         self.unassign(task)
         if end.outcome is RunOutcome.FAILED:
             self._record_failure(worker, task, now)
@@ -591,6 +593,7 @@
         if refusal in (Refusal.NOT_LISTENING, Refusal.NOT_REACHED):
             self.mark_silent(worker, refusal is Refusal.NOT_LISTENING)
         task.latest_end = f"refused: {refusal.value}"
+        self.record_loss(task, task.latest_end)
         self.unassign(task)
         self.stop_gang(task.step)
         self.wake.set()
