--- a/src/zinniatrestle/scheduling/reliability.py
+++ b/src/zinniatrestle/scheduling/reliability.py
@@ -21,9 +21,9 @@
 LEFT_AFTER_SUCCESS = 0.5
 # Evidence of less weight is dropped.
 MIN_WEIGHT = 0.02
-# Workers are ranked by their risk in multiples of this: the estimates are too coarse to
-# tell smaller differences.
-RISK_CLASS_WIDTH = 0.1
+# Workers are ranked by their risk in multiples of this, so that one that flapped within
+# half a minute ranks last even for runs of 2 s, and smaller differences do not count.
+RISK_CLASS_WIDTH = 0.05
 # Least weight of the evidence against a worker's runs for a run that probes it.
 MIN_PROBED_WEIGHT = 0.1
 # The worst workers are handed over in the lease's row, which is written several times a
--- a/src/zinniatrestle/scheduling/tests/test_reliability.py
+++ b/src/zinniatrestle/scheduling/tests/test_reliability.py
@@ -263,3 +263,11 @@
     reliability = Reliability()
     reliability.record(WORKER, Evidence.JOIN, at(), share=MIN_WEIGHT)
     assert not reliability.suspects
+
+
+# Guards against urgent gangs, whose runs take 2 s, on a worker that has just flapped.
+def test_one_recent_silence_ranks_a_worker_last_even_for_short_runs():
+    reliability = Reliability()
+    reliability.record(WORKER, Evidence.SILENCE, at())
+    reliability.record(WORKER, Evidence.RETURN, at(2))
+    assert reliability.risk_class(WORKER, SHORT, at(2)) > 0
