Keep the estimates cheap in rounds, and leave joined workers to placement

Cause: each estimate summed up the evidence anew and let it decay, for each worker and placement; records for a successor were made in each round. A worker that had just joined was probed by a single task as if its runs had ended badly, which takes whole workers from the gangs that need them.

Change: rates are kept with the weights and brought up to date every 0.25 s, records are made every 0.5 s, and a join alone calls for no probe.

--- a/src/zinniatrestle/scheduling/placement.py
+++ b/src/zinniatrestle/scheduling/placement.py
@@ -331,6 +331,8 @@
     reliability = constraints.reliability
     if reliability is None or not step.shape.gang or step.shape.count == 1:
         return 0
+    if not reliability.suspects and worker.drain_deadline is None:
+        return 0
     return reliability.risk_class(
         worker.id, constraints.run_seconds, constraints.now, worker.drain_deadline
     )
--- a/src/zinniatrestle/scheduling/reliability.py
+++ b/src/zinniatrestle/scheduling/reliability.py
@@ -14,6 +14,11 @@
 # a minute, and the longest quarantine takes 60 s.
 HALF_LIFE_SECONDS = 30.0
 DECAY_RATE = math.log(2) / HALF_LIFE_SECONDS
+# Weights are brought up to date no more often than this, in which they lose 0.6%: a
+# placement looks at all workers, and a round may place many steps.
+DECAY_STEP_SECONDS = 0.25
+# Records are made no more often than this, as the lease's row is written less often.
+EXPORT_SECONDS = 0.5
 # Runs that are assumed to have ended well on each worker. A worker on which the only
 # run failed has a risk of a half.
 ASSUMED_SUCCESSES = 1.0
@@ -87,11 +92,14 @@
         self.decayed_at = now
         # Jobs of which runs failed here since the last success, the oldest first.
         self.failed_jobs: dict[JobId, None] = {}
+        # Share of its runs that ends badly, and its interruptions per second.
+        self.bad_share = 0.0
+        self.interruption_rate = 0.0
 
     def decay(self, now: BootSeconds):
         """Let the evidence decay up to a time."""
         seconds = now - self.decayed_at
-        if seconds <= 0:
+        if seconds < DECAY_STEP_SECONDS:
             return
         factor = math.exp(-DECAY_RATE * seconds)
         self.decayed_at = now
@@ -100,6 +108,15 @@
             if weight:
                 weight *= factor
                 self.weights[kind] = weight if weight >= MIN_WEIGHT else 0.0
+        self.update_rates()
+
+    def update_rates(self):
+        """Compute the rates anew, after a change of the weights."""
+        bad = self.run_weight()
+        self.bad_share = bad / (bad + self.successes + ASSUMED_SUCCESSES)
+        interruptions = sum(self.weights[kind] for kind in INTERRUPTIONS)
+        # Events at a steady rate r add up to r / DECAY_RATE under the decay.
+        self.interruption_rate = interruptions * DECAY_RATE
 
     def run_weight(self) -> float:
         """Return the weight of the evidence against the worker's runs."""
@@ -111,12 +128,8 @@
 
     def risk(self, seconds: float) -> float:
         """Return the probability that a run of some seconds does not end well."""
-        bad = self.run_weight()
-        bad_share = bad / (bad + self.successes + ASSUMED_SUCCESSES)
-        interruptions = sum(self.weights[kind] for kind in INTERRUPTIONS)
-        # Events at a steady rate r add up to r / DECAY_RATE under the decay.
-        expected = interruptions * DECAY_RATE * seconds
-        return 1.0 - (1.0 - bad_share) * math.exp(-expected)
+        uninterrupted = math.exp(-self.interruption_rate * seconds)
+        return 1.0 - (1.0 - self.bad_share) * uninterrupted
 
 
 class Reliability:
@@ -136,6 +149,10 @@
             JobId, dict[WorkerId, tuple[float, BootSeconds] | None]
         ] = {}
 
+        # The latest records for a successor, and when they were made.
+        self.exported: dict[WorkerId, ReliabilityRecord] = {}
+        self.exported_at = BootSeconds(float("-inf"))
+
     # Evidence
 
     def record(
@@ -175,6 +192,7 @@
         for kind in RUN_EVIDENCE:
             history.weights[kind] *= LEFT_AFTER_SUCCESS
         history.weights[Evidence.JOIN] = 0.0
+        history.update_rates()
         if history.total_weight() < MIN_WEIGHT:
             self.suspects.pop(worker, None)
 
@@ -203,6 +221,7 @@
     def _add(self, worker: WorkerId, kind: Evidence, weight: float, now: BootSeconds):
         history = self._history(worker, now)
         history.weights[kind] = max(0.0, history.weights[kind] + weight)
+        history.update_rates()
         if history.total_weight() >= MIN_WEIGHT:
             self.suspects[worker] = history
         else:
@@ -261,12 +280,17 @@
         return round(self.risk(worker, seconds, now, leaves_at) / RISK_CLASS_WIDTH)
 
     def needs_probe(self, worker: WorkerId, now: BootSeconds) -> bool:
-        """Return whether a run may show that the runs of a worker end well again."""
+        """Return whether a run may show that the runs of a worker end well again.
+
+        One that has only joined is left to ordinary placement, so that it stays whole
+        for gangs that need whole workers.
+        """
         history = self.suspects.get(worker)
         if history is None:
             return False
         history.decay(now)
-        return history.run_weight() >= MIN_PROBED_WEIGHT
+        weight = history.run_weight() - history.weights[Evidence.JOIN]
+        return weight >= MIN_PROBED_WEIGHT
 
     def evidence(self, worker: WorkerId, now: BootSeconds) -> dict[str, float]:
         """Return the weights of the evidence against a worker, by its names."""
@@ -283,7 +307,10 @@
     # Handover
 
     def export(self, now: BootSeconds) -> dict[WorkerId, ReliabilityRecord]:
-        """Return records of the worst workers, and drop what has decayed."""
+        """Return recent records of the worst workers, and drop what has decayed."""
+        if now - self.exported_at < EXPORT_SECONDS:
+            return self.exported
+        self.exported_at = now
         for worker, history in list(self.suspects.items()):
             history.decay(now)
             if history.total_weight() < MIN_WEIGHT:
@@ -294,7 +321,8 @@
                 self.suspects,
                 key=lambda worker: (-self.suspects[worker].total_weight(), worker),
             )[:MAX_HANDED_OVER]
-        return {worker: _to_record(self.suspects[worker]) for worker in worst}
+        self.exported = {worker: _to_record(self.suspects[worker]) for worker in worst}
+        return self.exported
 
     def restore(self, records: dict[WorkerId, ReliabilityRecord], now: BootSeconds):
         """Restore what a predecessor handed over."""
--- a/src/zinniatrestle/scheduling/tests/test_reliability.py
+++ b/src/zinniatrestle/scheduling/tests/test_reliability.py
@@ -90,6 +90,7 @@
 def test_a_success_proves_a_worker_that_joined():
     reliability = Reliability()
     reliability.record(WORKER, Evidence.JOIN, at())
+    assert not reliability.needs_probe(WORKER, at())
     succeed(reliability, WORKER, 1)
     assert reliability.risk(WORKER, LONG, at()) == 0.0
 
