Choose the rack of a gang by risk too

Cause: a rack-bound gang got the fullest rack that could hold it, also if that meant a worker which fails its runs while another rack had room.

Change: of the racks that hold the gang, one with less risk is preferred; without evidence the choice is unchanged.

Measured: test_a_rack_bound_gang_takes_the_rack_of_least_risk fails without the change and passes with it, with the other 92 tests of placement.

--- a/src/zinniatrestle/scheduling/placement.py
+++ b/src/zinniatrestle/scheduling/placement.py
@@ -259,7 +259,7 @@
         trust_canaries: bool,
     ) -> Assignment:
         best: Assignment = {}
-        best_free_gpus = 0
+        best_free_gpus = best_risk = 0
         for group in locality_groups(step, usable, constraints):
             slots = {
                 worker: _usable_slots(worker, step, trust_canaries) for worker in group
@@ -274,12 +274,18 @@
                 best
                 and len(best) >= min(total_slots, len(tasks))
                 and free_gpus >= best_free_gpus
+                and not best_risk
             ):
                 continue
             if best and group is usable:
                 continue
-            best = _fill(tasks, slots, constraints)
-            best_free_gpus = free_gpus
+            found = _fill(tasks, slots, constraints)
+            risk = max(
+                _risk_class(worker, step, constraints) for worker in found.values()
+            )
+            if best and risk and (risk, free_gpus) >= (best_risk, best_free_gpus):
+                continue
+            best, best_free_gpus, best_risk = found, free_gpus, risk
         return best
 
 
--- a/src/zinniatrestle/scheduling/tests/test_placement.py
+++ b/src/zinniatrestle/scheduling/tests/test_placement.py
@@ -363,3 +363,20 @@
     found = place_by(reliability, step, workers, time_critical=time_critical)
     assert list(found.items()) == list(without.items())
     assert len(found) == 6
+
+
+# Guards against a gang that is lost with one member in the fullest rack.
+def test_a_rack_bound_gang_takes_the_rack_of_least_risk():
+    workers = workers_in_racks(3, size=2)
+    for used in workers[:4]:
+        run_on(first_step(job(used.id * 5, Step(gpus=2))).tasks[0], used)
+    shape = Step(count=2, gpus=6, gang=True, rack_bound=True)
+    gang = first_step(job("a" * 16, shape))
+    without = place_by(Reliability(), gang, workers)
+    assert set(without.values()) == set(workers[:2])
+    found = place_by(known_to_fail(workers[0]), gang, workers)
+    assert set(found.values()) == set(workers[2:4])
+    found = place_by(known_to_fail(workers[0], workers[3]), gang, workers)
+    assert set(found.values()) == set(workers[4:])
+    found = place_by(known_to_fail(*workers), gang, workers)
+    assert set(found.values()) == set(workers[:2])
