--- a/src/zinniatrestle/scheduling/cluster_state.py
+++ b/src/zinniatrestle/scheduling/cluster_state.py
@@ -17,6 +17,7 @@
 from zinniatrestle.scheduling.pacing import PaceController
 from zinniatrestle.scheduling.preemption_costs import work_lost
 from zinniatrestle.scheduling.progress_writer import ProgressWriter
+from zinniatrestle.scheduling.reliability import Evidence, Reliability
 from zinniatrestle.scheduling.session import WorkerSession
 from zinniatrestle.scheduling.speeds import SpeedEstimator
 from zinniatrestle.scheduling.state import (
@@ -28,6 +29,12 @@
     Worker,
 )
 from zinniatrestle.supervision import Supervisor
+from zinniatrestle.workers.messages import RunOutcome
+
+# The reason for the stop of the other members once a gang has lost one.
+MEMBER_LOST = "another gang member no longer runs"
+# Causes that say only that another member was lost before, not why.
+GANG_CAUSES = frozenset({MEMBER_LOST, RunOutcome.MEMBER_ENDED.value})
 
 
 class ClusterState(FleetListener, ABC):
@@ -51,6 +58,8 @@
         # Health records of the predecessor for workers that have not joined yet.
         self.health_records = dict(handover.health_records)
         self.health = HealthMonitor()
+        self.reliability = Reliability()
+        self.reliability.restore(handover.reliability, boot_time())
         self.pacing = PaceController()
         self.speeds = SpeedEstimator()
         self.load = LoadMeter(
@@ -72,12 +81,53 @@
         lost = work_lost(task, self.durations, interval, boot_time())
         return round(lost / MILLICORES_PER_CORE, 1)
 
+    def record_loss(self, task: Task, cause: str):
+        """Count the unsaved work of a run that is over without being done.
+
+        A run that was stopped counts by the reason of that, and one whose gang has lost
+        a member by the cause of that loss.
+        """
+        step = task.step
+        if task.status is TaskStatus.STOPPING:
+            # A member that is stopped because of others may be the one at fault.
+            if task.stop_reason not in GANG_CAUSES or cause == RunOutcome.STOPPED.value:
+                cause = task.stop_reason
+        self._record_break(step, cause)
+        if cause in GANG_CAUSES:
+            cause = step.break_cause or cause
+        self.metrics.work_lost.add(self.lost_core_seconds(task), {"cause": cause})
+
+    def _record_break(self, step: StepRun, cause: str):
+        """Record why a gang is over; the first cause but the loss of a member counts.
+
+        A member may report that its gang has ended before the one that ended first.
+        """
+        if len(step.tasks) == 1 or not step.shape.gang:
+            return
+        if step.completed or step.job.ended:
+            return
+        if not step.break_cause or step.break_cause in GANG_CAUSES:
+            step.break_cause = cause
+
+    def _count_broken_gang(self, step: StepRun):
+        """Count a gang that is over without being done, once no member is assigned."""
+        if not step.break_cause or any(member.is_allocated for member in step.tasks):
+            return
+        if not step.completed:
+            self.metrics.gangs_broken.add(1, {"cause": step.break_cause})
+        step.break_cause = ""
+
     def stop(self, task: Task, reason: str):
         """Stop a run, unless it is being stopped already."""
         if not task.is_allocated or task.status is TaskStatus.STOPPING:
             return
         task.status = TaskStatus.STOPPING
+        task.stop_reason = reason
         task.status_at = boot_time()
+        self._record_break(task.step, reason)
+        # The order of a predecessor may have stopped a run that it has started.
+        if task.step.aborted_members and task.start_time_known:
+            task.step.stopped_members.add(task)
         self.events.write(
             Event.RUN_STOPPED,
             task=task.id,
@@ -97,7 +147,7 @@
         for member in step.tasks:
             if member.status is TaskStatus.RESERVED:
                 self.release_reservation(member)
-            self.stop(member, "another gang member no longer runs")
+            self.stop(member, MEMBER_LOST)
 
     def unassign(self, task: Task):
         """Remove a task from its worker, where it is known not to run."""
@@ -112,6 +162,7 @@
         task.pace = 100
         task.status = TaskStatus.DONE if task.completed else TaskStatus.WAITING
         self.unsaved_jobs.add(task.step.job)
+        self._count_broken_gang(task.step)
         if task.completed:
             self._finish_if_done(task.step)
 
@@ -157,15 +208,30 @@
             member.worker = None
             member.status = TaskStatus.WAITING
 
-    def record_checkpoint(self, task: Task, checkpoint: str):
-        """Record a checkpoint of a task, or of its whole gang."""
-        if checkpoint != task.checkpoint:
-            task.step.job.checkpoints_changed = True
-        if not task.step.shape.gang:
+    def record_checkpoint(self, task: Task, checkpoint: str, at_stop: bool = False):
+        """Record a checkpoint of the latest run of a task, or of its whole gang.
+
+        `at_stop` means that the run was stopped, which saves a checkpoint.
+        """
+        step = task.step
+        if checkpoint == task.checkpoint:
+            return
+        if not step.shape.gang:
             task.checkpoint = checkpoint
+            step.job.checkpoints_changed = True
+            return
+        if checkpoint in step.replaced_checkpoints:
+            # Members report at different times, so this one is older.
             return
+        if step.has_stop_checkpoint and not at_stop:
+            # A gang makes no progress after the stop of a member.
+            return
+        step.has_stop_checkpoint = at_stop
+        if task.checkpoint:
+            step.replaced_checkpoints.append(task.checkpoint)
+        step.job.checkpoints_changed = True
         # A checkpoint reported by any member covers the whole gang.
-        for member in task.step.tasks:
+        for member in step.tasks:
             member.checkpoint = checkpoint
 
     # Jobs
@@ -246,8 +312,30 @@
                 worker=worker.id,
                 reason=reason,
                 seconds=round(worker.quarantined_until - now, 1),
+                evidence=self.reliability.evidence(worker.id, now),
             )
 
+    def suspect_stall(self, worker: Worker, task: Task, now: BootSeconds):
+        """Avoid and quarantine a worker that may be why a run makes no progress."""
+        task.avoided_workers.add(worker.id)
+        suspects = {worker.id}
+        if task.step.shape.gang:
+            # A member that is ahead of another one waits for it.
+            for member in task.step.tasks:
+                if member.worker is not None and member.percent <= task.percent:
+                    suspects.add(member.worker.id)
+        self.reliability.record(worker.id, Evidence.STALL, now, 1 / len(suspects))
+        self.quarantine(worker, f"task {task.id} makes no progress", now)
+
+    def risk(self, task: Task) -> float:
+        """Return the probability that the run of a task does not end well."""
+        step, worker = task.step, task.worker
+        seconds = self.durations.expected_seconds(step.job.submission.queue, step.shape)
+        risk = self.reliability.risk(
+            worker.id, seconds, boot_time(), worker.drain_deadline
+        )
+        return round(risk, 3)
+
     def _stalled(self, task: Task) -> bool:
         queue = task.step.job.submission.queue
         expected = self.durations.expected_seconds(queue, task.step.shape)
--- a/src/zinniatrestle/scheduling/state.py
+++ b/src/zinniatrestle/scheduling/state.py
@@ -1,6 +1,7 @@
 """In-memory state of jobs, steps, tasks and workers in the scheduler."""
 
 import asyncio
+from collections import deque
 from dataclasses import dataclass
 from enum import Enum
 
@@ -38,6 +39,8 @@
 MIN_RATE_SECONDS = 0.05
 # Thousandths of a core to which one accelerator is equated in a task's weight.
 ACCELERATOR_MILLICORES = 8000
+# A member's report lags behind those of its gang by a few checkpoints at most.
+MAX_REPLACED_CHECKPOINTS = 32
 
 
 class TaskStatus(Enum):
@@ -89,6 +92,8 @@
         self.free_since = BootSeconds(0.0)
         self.run = RunNumber(0)
         self.worker: Worker | None = None
+        # Why the latest run is being stopped or was; empty if it wasn't stopped.
+        self.stop_reason = ""
         # How the latest run is known to be over; empty if only a predecessor knows.
         self.latest_end = ""
         self.failed_runs: set[RunNumber] = set()
@@ -131,6 +136,8 @@
         self.reported_at = BootSeconds(0.0)
         # Workers on which the task failed or made no progress.
         self.avoided_workers: set[WorkerId] = set()
+        # Workers on which a run of the task failed.
+        self.failed_workers: set[WorkerId] = set()
         # Workers that refused to start the task, and until when it avoids them.
         self.refused_until: dict[WorkerId, BootSeconds] = {}
         # Percentage of its full speed at which a best-effort run works.
@@ -166,6 +173,7 @@
         self.started_at = self.baseline_at = self.window_at = BootSeconds(0.0)
         self.start_time_known = self.reported = False
         self.start_deadline_ms = None
+        self.stop_reason = ""
 
     @property
     def may_be_done(self) -> bool:
@@ -219,8 +227,16 @@
         self.ready_at: BootSeconds | None = None
         # When preemption was last attempted for the step.
         self.preemption_tried_at = BootSeconds(float("-inf"))
-        # Gang members whose latest run ended because another member had ended.
+        # Gang members whose latest run ended because another member had ended, and
+        # those that were stopped only after such an end was known.
         self.aborted_members: set[Task] = set()
+        self.stopped_members: set[Task] = set()
+        # Checkpoints of a gang's latest run that newer ones have replaced.
+        self.replaced_checkpoints: deque[str] = deque(maxlen=MAX_REPLACED_CHECKPOINTS)
+        # Why a gang's latest run is over without being done; empty if it isn't known.
+        self.break_cause = ""
+        # The gang's checkpoint was saved at the stop of a member of its latest run.
+        self.has_stop_checkpoint = False
 
     @property
     def id(self) -> str:
@@ -251,6 +267,23 @@
                     avoided.add(worker)
         return avoided
 
+    def failed_workers(self, task: Task) -> set[WorkerId]:
+        """Return the workers on which runs of a task, or of its whole gang, failed."""
+        if not self.shape.gang:
+            return task.failed_workers
+        failed: set[WorkerId] = set()
+        for member in self.tasks:
+            failed |= member.failed_workers
+        return failed
+
+    def begin_run(self):
+        """Clear what is known of a gang's former run, as a new one is placed."""
+        self.aborted_members.clear()
+        self.stopped_members.clear()
+        self.replaced_checkpoints.clear()
+        self.has_stop_checkpoint = False
+        self.break_cause = ""
+
     @property
     def completed(self) -> bool:
         """Return whether a run of each task has ended as done.
