scheduling: hold capacity back for urgent jobs about to arrive

Cause: urgent gangs of whole workers were late although on average 0.39 of the capacity was idle: less urgent tasks took each worker that came free, so that the idle capacity was fragmented, and a preemption takes most of the time in which an urgent job is on time.

Change: ArrivalForecast learns intervals and task shapes of urgent jobs by account and queue. Once urgent steps had to wait for capacity or to preempt, Headroom chooses the workers that less urgent steps don't see, up to 0.15 of a service, less what urgent runs leave within the time of a stop and a start. A step whose job has run nothing for 0.7 of finish sees all workers. State is handed over in the lease's row; a row without it is read as before.

--- a/src/zinniatrestle/events/messages.py
+++ b/src/zinniatrestle/events/messages.py
@@ -34,6 +34,7 @@
     ENDS_LISTED_IN_PART = "ends_listed_in_part"
     RUN_PREEMPTED = "run_preempted"
     RUN_PACED = "run_paced"
+    HEADROOM = "headroom"
     HOST_OVERLOADED = "host_overloaded"
     LEASE_TAKEN = "lease_taken"
     LEASE_LOST = "lease_lost"
--- a/src/zinniatrestle/metrics.py
+++ b/src/zinniatrestle/metrics.py
@@ -35,6 +35,7 @@
         self.quarantines = meter.create_counter("workers_quarantined", "1")
         self.store_time = meter.create_histogram("store_call_time", "s")
         self.waiting = meter.create_histogram("job_waiting_time", "s")
+        self.urgent_wait = meter.create_histogram("urgent_wait", "s")
         self.completion = meter.create_histogram("job_completion_time", "s")
         self.acceptance = meter.create_histogram("acceptance_time", "s")
         self.rounds = meter.create_histogram("scheduling_round_time", "s")
@@ -50,6 +51,12 @@
             "steps_waiting_despite_room", "1", lambda: self.steps_waiting_despite_room
         )
 
+        # Capacity held back for urgent jobs; set by the scheduler while it decides.
+        self.headroom_workers = 0
+        self.headroom_accelerators = 0
+        self.add_gauge("headroom_workers", "1", lambda: self.headroom_workers)
+        self.add_gauge("headroom_accelerators", "1", lambda: self.headroom_accelerators)
+
     def _observe_waiting(self, options: CallbackOptions) -> list[Observation]:
         return [
             Observation(count, {"reason": reason})
--- a/src/zinniatrestle/scheduling/messages.py
+++ b/src/zinniatrestle/scheduling/messages.py
@@ -3,6 +3,7 @@
 import msgspec
 
 from zinniatrestle.ids import (
+    ClientAccountId,
     Generation,
     HostId,
     InstanceId,
@@ -46,11 +47,42 @@
     written_after: StoreMilliseconds = msgspec.field(name="seen_at")
 
 
+class ArrivalShapeRecord(msgspec.Struct, frozen=True, array_like=True):
+    """Urgent tasks with `gpus` accelerators: their share of the steps, mean values.
+
+    `cpu` is in thousandths of a core, `tasks` is per step.
+    """
+
+    gpus: int
+    share: float
+    cpu: int
+    memory_mb: int
+    tasks: float
+
+
+class ArrivalRecord(msgspec.Struct, frozen=True, array_like=True):
+    """Arrivals of urgent jobs of one account and queue.
+
+    `interval` and `squared_interval` are means over the `intervals` between jobs, in
+    seconds; `silent_seconds` have passed since the last job.
+    """
+
+    account: ClientAccountId
+    queue: QueueName
+    intervals: int
+    steps: int
+    interval: float
+    squared_interval: float
+    silent_seconds: float
+    shapes: tuple[ArrivalShapeRecord, ...] = ()
+
+
 class Handover(msgspec.Struct, frozen=True):
     """What a leader has learned and leaves to its successor.
 
     `lease_expiries` has, for instances of workers that don't answer, the store's time
     after which no lease there is valid. `leaving` has the draining workers with tasks.
+    `headroom_pressure` and `headroom_active` are the state of `Headroom`.
     """
 
     times: dict[QueueName, RunTimeStatistics] = {}
@@ -59,6 +91,9 @@
     )
     lease_expiries: dict[WorkerId, dict[InstanceId, StoreMilliseconds]] = {}
     leaving: dict[WorkerId, LeavingWorker] = {}
+    arrivals: tuple[ArrivalRecord, ...] = ()
+    headroom_pressure: float = 0.0
+    headroom_active: bool = False
 
 
 class LeaseRecord(msgspec.Struct, frozen=True):
--- a/src/zinniatrestle/scheduling/rounds.py
+++ b/src/zinniatrestle/scheduling/rounds.py
@@ -18,6 +18,7 @@
 from zinniatrestle.scheduling.context import Policy, SchedulerContext
 from zinniatrestle.scheduling.draining import has_room, interrupted_tasks, should_move
 from zinniatrestle.scheduling.forecast import Forecast
+from zinniatrestle.scheduling.headroom_control import HeadroomControl
 from zinniatrestle.scheduling.order import (
     OrderPolicy,
     PriorityDeadlineOrder,
@@ -42,6 +43,7 @@
 from zinniatrestle.scheduling.wait_log import WaitLog
 from zinniatrestle.scheduling.waits import (
     Wait,
+    WaitReason,
     assigned_wait,
     former_worker_of,
     placement_wait,
@@ -68,6 +70,7 @@
             tracker.durations
         )
         self.preemptor = Preemptor(context, tracker, self.policy)
+        self.headroom = HeadroomControl(context)
         self.start_tasks: set[asyncio.Task] = set()
         self.checkpoint_saves = CheckpointSaves()
         self.wait_log = WaitLog(context.events, context.metrics)
@@ -98,10 +101,12 @@
         reservations = BackfillReservations(forecast)
         limits = WaitLimits(self.bounds, workers, now, self._last_accepted_at())
         self.preemptor.begin_round(forecast)
+        self.headroom.begin_round(workers, forecast)
         placed: list[Task] = []
         for step in steps:
-            placed.extend(self._schedule_step(step, workers, reservations, limits, now))
-        self._stop_remote_runs(workers, reservations, now)
+            placed.extend(self._schedule_step(step, reservations, limits, now))
+        self._stop_remote_runs(reservations, limits, now)
+        self.headroom.end_round()
         due_jobs = self.checkpoint_saves.due_jobs(tracker.jobs.values(), now)
         tracker.unsaved_jobs.update(due_jobs)
         if placed:
@@ -181,12 +186,12 @@
     def _schedule_step(
         self,
         step: StepRun,
-        workers: list[Worker],
         reservations: BackfillReservations,
         limits: WaitLimits,
         now: BootSeconds,
     ) -> list[Task]:
         constraints = self.constraints(step, now)
+        workers = self.headroom.workers_for(step, limits, constraints.service)
         placed = self._place_reserved(step, workers, reservations, constraints, now)
         if any(task.status is TaskStatus.RESERVED for task in step.tasks):
             return placed
@@ -207,11 +212,18 @@
         if self.policy.reserves_workers:
             earliest = reservations.earliest_start(step, unplaced, workers, constraints)
         if self.preemptor.preempt_for(step, workers, constraints, earliest, now):
+            self.headroom.record_wait(step)
             return placed
+        if not has_free_slots(step, unplaced, workers):
+            self.headroom.record_wait(step)
         if self.wait_log.is_due(step):
-            wait = placement_wait(step, workers, constraints, reservations, earliest)
+            wait = self._placement_wait(
+                step, workers, constraints, reservations, earliest
+            )
             limit = limits.remaining(step, constraints.service, wait.reason)
-            self._log_wait(step, wait, workers, constraints, earliest, limit)
+            self._log_wait(
+                step, wait, self.headroom.workers, constraints, earliest, limit
+            )
         if earliest is not None:
             reservations.reserve(earliest)
         return placed
@@ -303,6 +315,21 @@
 
     # Reasons of waits
 
+    def _placement_wait(
+        self,
+        step: StepRun,
+        workers: list[Worker],
+        constraints: PlacementConstraints,
+        reservations: BackfillReservations,
+        earliest: EarliestStart | None,
+    ) -> Wait:
+        """Return why a step that sees `workers` could not be placed."""
+        everywhere = self.headroom.workers
+        wait = placement_wait(step, everywhere, constraints, reservations, earliest)
+        if workers is not everywhere and wait.reason is WaitReason.UNKNOWN:
+            return Wait(WaitReason.HEADROOM)
+        return wait
+
     def _log_reserved(
         self,
         step: StepRun,
@@ -371,6 +398,7 @@
             run = RunNumber(max(task.run for task in step.tasks) + 1)
             step.aborted_members.clear()
         placed_at = boot_time()
+        self.headroom.record_placed(step, placed_at)
         for task, worker in assignment.items():
             task.run = run or RunNumber(task.run + 1)
             task.worker = worker
@@ -508,8 +536,8 @@
 
     def _stop_remote_runs(
         self,
-        workers: list[Worker],
         reservations: BackfillReservations,
+        limits: WaitLimits,
         now: BootSeconds,
     ):
         """Stop runs that end sooner near their data, where no waiting step needs room.
@@ -522,8 +550,9 @@
             for step in job.steps.values():
                 if not is_remote(step):
                     continue
-                open_workers = reservations.eligible_workers(step, workers)
                 constraints = self.constraints(step, now)
+                workers = self.headroom.workers_for(step, limits, constraints.service)
+                open_workers = reservations.eligible_workers(step, workers)
                 for task in tasks_to_move_near(
                     step, open_workers, constraints, self.bounds
                 ):
--- a/src/zinniatrestle/scheduling/scheduler.py
+++ b/src/zinniatrestle/scheduling/scheduler.py
@@ -174,6 +174,7 @@
 
     async def _close(self):
         self.planner.wait_log.close()
+        self.planner.headroom.close()
         running = [*self.planner.start_tasks, *self.tracker.save_tasks]
         for tasks in self.tracker.session_tasks.values():
             running.extend(tasks)
@@ -241,6 +242,7 @@
             job.version = max(job.version, cancellation_version)
             self.tracker.unsaved_jobs.add(job)
         self.tracker.jobs[job.id] = job
+        self.planner.headroom.learn_arrival(job)
         self.tracker.wake.set()
 
     def _restore(self, job: Job, progress: JobProgress, version: RowVersion):
@@ -402,6 +404,7 @@
             health_records=export_health_records(workers, boot_time()),
             lease_expiries=self.lease_expiries.export(self.tracker.fleet),
             leaving=export_leaving_workers(workers, self.context.store.clock),
+            **self.planner.headroom.export(),
         )
         for worker in workers:
             worker.expiry_recorded = not self.leadership.may_extend(worker.id)
--- a/src/zinniatrestle/scheduling/state.py
+++ b/src/zinniatrestle/scheduling/state.py
@@ -219,6 +219,8 @@
         self.ready_at: BootSeconds | None = None
         # When preemption was last attempted for the step.
         self.preemption_tried_at = BootSeconds(float("-inf"))
+        # It had to wait for capacity or to preempt other work.
+        self.lacked_capacity = False
         # Gang members whose latest run ended because another member had ended.
         self.aborted_members: set[Task] = set()
 
--- a/src/zinniatrestle/scheduling/wait_limits.py
+++ b/src/zinniatrestle/scheduling/wait_limits.py
@@ -35,6 +35,7 @@
         WaitReason.AVOIDED_WORKERS,
         WaitReason.LOCALITY,
         WaitReason.BACKFILL,
+        WaitReason.HEADROOM,
     }
 )
 
@@ -88,10 +89,23 @@
             return False
         return self._is_limited(step, service)
 
+    def may_use_headroom(self, step: StepRun, service: ServiceName) -> bool:
+        """Return whether a step may use capacity that is held for urgent jobs.
+
+        Headroom must not keep a job from running, however busy the service is.
+        """
+        if self._seconds_left(step) > 0:
+            return False
+        return step.shape.long_running or not self._is_at_work(step.job)
+
     def remaining(
         self, step: StepRun, service: ServiceName, reason: WaitReason
     ) -> float | None:
         """Return the seconds after which a limit ends a wait, or None if none does."""
+        if reason is WaitReason.HEADROOM:
+            if not step.shape.long_running and self._is_at_work(step.job):
+                return None
+            return max(0.0, self._seconds_left(step))
         if reason not in LIMITED_REASONS or not self._is_limited(step, service):
             return None
         if reason is WaitReason.BACKFILL:
--- a/src/zinniatrestle/scheduling/waits.py
+++ b/src/zinniatrestle/scheduling/waits.py
@@ -49,6 +49,8 @@
     LOCALITY = "locality"
     # The workers with room are reserved for a gang that ranks before it.
     BACKFILL = "backfill"
+    # The workers with room are held back for urgent jobs that are about to arrive.
+    HEADROOM = "headroom"
     # Its workers are reserved, and preempted runs on them have not ended yet.
     PREEMPTION = "preemption"
     # Members of the gang are still assigned to workers.
