Pack workers in every resource while they are short

Cause: placement ranked workers in use by free accelerators and then by free cores. Small tasks took the room of tasks with many cores or much memory, and short tasks kept workers in use that were about to be empty, so gangs that want all accelerators of a worker waited beside idle capacity.

Ruled out: ranking by the fragmentation that a placement adds, and by the similarity of need and free capacity; both left fewer workers empty in the packing experiment.

Change: while half of a resource of a service is allocated and large and other tasks are in demand, workers in use are ranked by the capacity that is left unusable for the mix of shapes and by how much later they are empty again. Otherwise placement is as before.

--- a/src/zinniatrestle/scheduling/placement.py
+++ b/src/zinniatrestle/scheduling/placement.py
@@ -1,5 +1,6 @@
 """Choose workers for the tasks of a step."""
 
+import heapq
 from abc import ABC, abstractmethod
 from collections.abc import Iterable
 from dataclasses import dataclass, field
@@ -12,6 +13,12 @@
     ServiceName,
     WorkerId,
 )
+from zinniatrestle.scheduling.packing import (
+    Packing,
+    free_capacity,
+    needs_of,
+    total_capacity,
+)
 from zinniatrestle.scheduling.speeds import estimated_speed, slow_workers
 from zinniatrestle.scheduling.state import (
     StepRun,
@@ -59,6 +66,8 @@
     # Running away from the data, or on several racks, is better than waiting.
     ignore_locality: bool = False
     choice: WorkerChoice = WorkerChoice.PREFERRED
+    # Ranks workers by fragmentation; None: the measured state doesn't call for it.
+    packing: Packing | None = None
 
 
 Assignment = dict[Task, Worker]
@@ -328,23 +337,34 @@
     last. Time-critical steps go to the fastest workers first.
     """
     avoided = tasks[0].step.avoided_workers(constraints.now)
+    usable = [worker for worker, count in slots.items() if count]
     free_gpus_by_rack: dict[RackId, int] = {}
     for worker in slots:
         free_gpus_by_rack[worker.rack] = (
             free_gpus_by_rack.get(worker.rack, 0) + worker.free_gpus
         )
-    ranked = sorted(
-        (worker for worker, count in slots.items() if count),
-        key=lambda worker: (
+
+    def preference(worker: Worker) -> tuple:
+        return (
             worker.health is not WorkerHealth.SOUND,
             worker.id in avoided,
             -_speed_class(worker, constraints) if constraints.time_critical else 0,
-            not worker.tasks,
+        )
+
+    def fullness(worker: Worker) -> tuple:
+        return (
             free_gpus_by_rack[worker.rack],
             worker.free_gpus,
             worker.free_cpu,
             worker.id,
-        ),
+        )
+
+    keys = {worker: (preference(worker), fullness(worker)) for worker in usable}
+    if constraints.packing is not None:
+        return _fill_packed(tasks, slots, keys, constraints)
+    ranked = sorted(
+        usable,
+        key=lambda worker: (keys[worker][0], not worker.tasks, keys[worker][1]),
     )
     remaining_tasks = iter(tasks)
     found: Assignment = {}
@@ -355,3 +375,46 @@
                 return found
             found[task] = worker
     return found
+
+
+def _fill_packed(
+    tasks: list[Task],
+    slots: dict[Worker, int],
+    keys: dict[Worker, tuple[tuple, tuple]],
+    constraints: PlacementConstraints,
+) -> Assignment:
+    """Assign each task to a worker in use at the lowest cost, else to an empty one.
+
+    `keys` holds what ranks each worker before and after the cost.
+    """
+    packing, now = constraints.packing, constraints.now
+    step = tasks[0].step
+    needs = needs_of(step.shape)
+    free = {worker: free_capacity(worker) for worker in keys}
+    left = {worker: slots[worker] for worker in keys}
+
+    def rank(worker: Worker) -> tuple:
+        first, last = keys[worker]
+        is_chosen = left[worker] < slots[worker]
+        delay = 0.0
+        if worker.tasks and not is_chosen:
+            delay = packing.occupancy.delay(worker, step, now)
+        cost = packing.cost(free[worker], total_capacity(worker), needs, delay)
+        return (first, not (worker.tasks or is_chosen), cost, last)
+
+    # The last key ends with the unique id, so workers are never compared.
+    ranked = [(rank(worker), worker) for worker in keys]
+    heapq.heapify(ranked)
+    found: Assignment = {}
+    for task in tasks:
+        if not ranked:
+            break
+        worker = ranked[0][1]
+        found[task] = worker
+        free[worker] = free[worker].minus(needs)
+        left[worker] -= 1
+        if left[worker]:
+            heapq.heapreplace(ranked, (rank(worker), worker))
+        else:
+            heapq.heappop(ranked)
+    return found
--- a/src/zinniatrestle/scheduling/rounds.py
+++ b/src/zinniatrestle/scheduling/rounds.py
@@ -23,6 +23,7 @@
     PriorityDeadlineOrder,
     start_deadlines,
 )
+from zinniatrestle.scheduling.packing import Demand
 from zinniatrestle.scheduling.placement import (
     Assignment,
     BestFit,
@@ -70,6 +71,7 @@
         self.preemptor = Preemptor(context, tracker, self.policy)
         self.start_tasks: set[asyncio.Task] = set()
         self.checkpoint_saves = CheckpointSaves()
+        self.demand = Demand(tracker.durations)
         self.wait_log = WaitLog(context.events, context.metrics)
         # Those of the current round.
         self.slow_workers: frozenset[Worker] = frozenset()
@@ -98,6 +100,7 @@
         reservations = BackfillReservations(forecast)
         limits = WaitLimits(self.bounds, workers, now, self._last_accepted_at())
         self.preemptor.begin_round(forecast)
+        self.demand.begin_round(workers, now)
         placed: list[Task] = []
         for step in steps:
             placed.extend(self._schedule_step(step, workers, reservations, limits, now))
@@ -132,6 +135,7 @@
                     continue
                 if step.ready_at is None:
                     step.ready_at = now
+                self.demand.count(step, now)
                 if self._has_tasks_to_place(step):
                     waiting.append(step)
                 elif self.wait_log.is_surveying:
@@ -176,6 +180,7 @@
             < slack
             < durations.expected_seconds(submission.queue, step.shape),
             ignore_locality=slack < 0,
+            packing=self.demand.packing(submission.service),
         )
 
     def _schedule_step(
--- a/src/zinniatrestle/scheduling/state.py
+++ b/src/zinniatrestle/scheduling/state.py
@@ -217,6 +217,8 @@
         self.tasks = [Task(self, index) for index in range(self.shape.count)]
         self.done = False
         self.ready_at: BootSeconds | None = None
+        # Its tasks are counted in the demand that placements pack for.
+        self.demand_counted = False
         # When preemption was last attempted for the step.
         self.preemption_tried_at = BootSeconds(float("-inf"))
         # Gang members whose latest run ended because another member had ended.
