--- a/src/zinniatrestle/scheduling/rounds.py
+++ b/src/zinniatrestle/scheduling/rounds.py
@@ -24,6 +24,7 @@
     PriorityDeadlineOrder,
     start_deadlines,
 )
+from zinniatrestle.scheduling.packing import Demand
 from zinniatrestle.scheduling.placement import (
     Assignment,
     BestFit,
@@ -73,6 +74,7 @@
         self.headroom = HeadroomControl(context)
         self.start_tasks: set[asyncio.Task] = set()
         self.checkpoint_saves = CheckpointSaves()
+        self.demand = Demand(tracker.durations)
         self.wait_log = WaitLog(context.events, context.metrics)
         # Those of the current round.
         self.slow_workers: frozenset[Worker] = frozenset()
@@ -102,6 +104,7 @@
         limits = WaitLimits(self.bounds, workers, now, self._last_accepted_at())
         self.preemptor.begin_round(forecast)
         self.headroom.begin_round(workers, forecast)
+        self.demand.begin_round(workers, now)
         placed: list[Task] = []
         for step in steps:
             placed.extend(self._schedule_step(step, reservations, limits, now))
@@ -137,6 +140,7 @@
                     continue
                 if step.ready_at is None:
                     step.ready_at = now
+                self.demand.count(step, now)
                 if self._has_tasks_to_place(step):
                     waiting.append(step)
                 elif self.wait_log.is_surveying:
@@ -185,6 +189,7 @@
             ignore_locality=slack < 0,
             reliability=self.tracker.reliability,
             run_seconds=run_seconds,
+            packing=self.demand.packing(submission.service),
         )
 
     def _schedule_step(
