Move runs to make room for gangs that wait beside idle capacity

Cause: small runs with checkpoints keep workers from being whole, so a gang waits until they end although most of the capacity is idle.

Change: once at the end of a round, runs with checkpoints are stopped that fit elsewhere, if the earlier start of a gang is worth more than the work that is lost. The workers are reserved as for preemption. One attempt at a time, one move for each run, a budget of lost work, and a pause after an attempt whose gang did not start.

--- a/src/zinniatrestle/events/messages.py
+++ b/src/zinniatrestle/events/messages.py
@@ -33,6 +33,7 @@
     RUN_LOST = "run_lost"
     ENDS_LISTED_IN_PART = "ends_listed_in_part"
     RUN_PREEMPTED = "run_preempted"
+    RUN_MOVED = "run_moved"
     RUN_PACED = "run_paced"
     HOST_OVERLOADED = "host_overloaded"
     LEASE_TAKEN = "lease_taken"
--- a/src/zinniatrestle/metrics.py
+++ b/src/zinniatrestle/metrics.py
@@ -32,6 +32,8 @@
         self.lost_runs = meter.create_counter("runs_lost", "1")
         self.late_ends = meter.create_counter("late_ends", "1")
         self.preemptions = meter.create_counter("runs_preempted", "1")
+        self.moves_to_make_room = meter.create_counter("moves_to_make_room", "1")
+        self.work_moved = meter.create_counter("work_moved", "1")
         self.quarantines = meter.create_counter("workers_quarantined", "1")
         self.store_time = meter.create_histogram("store_call_time", "s")
         self.waiting = meter.create_histogram("job_waiting_time", "s")
--- a/src/zinniatrestle/scheduling/packing.py
+++ b/src/zinniatrestle/scheduling/packing.py
@@ -19,6 +19,8 @@
 MAX_SHAPES = 16
 # Time between updates of the mix that placements use, which drop cached fragmentation.
 MIX_SECONDS = 2.0
+# Time between checks of the load, which add up the capacities of all workers.
+CHECK_SECONDS = 0.5
 # Packing begins once this share of a resource of a service is allocated, and ends below
 # the second one, so that it does not alternate.
 BEGIN_ALLOCATED_SHARE = 0.5
@@ -296,6 +298,7 @@
         self.durations = durations
         self.occupancy = Occupancy(durations)
         self.services: dict[ServiceName, ServiceDemand] = {}
+        self.checked_at = BootSeconds(float("-inf"))
 
     def count(self, step: StepRun, now: BootSeconds):
         """Count the tasks of a step that is ready, once."""
@@ -310,7 +313,10 @@
         demand.count(needs_of(step.shape), seconds * step.shape.count, now)
 
     def begin_round(self, workers: list[Worker], now: BootSeconds):
-        """Decide for each service whether its workers are packed in this round."""
+        """Decide for each service whether its workers are packed from now on."""
+        if now - self.checked_at < CHECK_SECONDS:
+            return
+        self.checked_at = now
         self.occupancy.retain(workers)
         for service, demand in self.services.items():
             load = ServiceLoad()
--- a/src/zinniatrestle/scheduling/preemption.py
+++ b/src/zinniatrestle/scheduling/preemption.py
@@ -131,13 +131,7 @@
             plan = self.planner.plan(step, waiting, workers, anywhere, self.costs)
         if plan is None:
             return False
-        for task, worker in plan.assignment.items():
-            task.worker = worker
-            task.status = TaskStatus.RESERVED
-            if constraints.tickets:
-                task.ticket = constraints.tickets[worker.id]
-            task.confirmed_at = now
-            worker.reserve(task)
+        self.reserve(plan.assignment, constraints, now)
         for victim in plan.victims:
             self.context.metrics.preemptions.add(1)
             self.context.events.write(
@@ -236,6 +230,21 @@
             self.urgent_needs = urgent_needs(self.tracker.jobs.values())
         return self.urgent_needs[account].until(step.job.due_at) <= guaranteed
 
+    def reserve(
+        self,
+        assignment: Assignment,
+        constraints: PlacementConstraints,
+        now: BootSeconds,
+    ):
+        """Reserve the workers of an assignment, whose capacity is being freed."""
+        for task, worker in assignment.items():
+            task.worker = worker
+            task.status = TaskStatus.RESERVED
+            if constraints.tickets:
+                task.ticket = constraints.tickets[worker.id]
+            task.confirmed_at = now
+            worker.reserve(task)
+
     def take_reserved(
         self,
         step: StepRun,
--- a/src/zinniatrestle/scheduling/rounds.py
+++ b/src/zinniatrestle/scheduling/rounds.py
@@ -18,6 +18,7 @@
 from zinniatrestle.scheduling.context import Policy, SchedulerContext
 from zinniatrestle.scheduling.draining import has_room, interrupted_tasks, should_move
 from zinniatrestle.scheduling.forecast import Forecast
+from zinniatrestle.scheduling.moves import Mover
 from zinniatrestle.scheduling.order import (
     OrderPolicy,
     PriorityDeadlineOrder,
@@ -69,6 +70,7 @@
             tracker.durations
         )
         self.preemptor = Preemptor(context, tracker, self.policy)
+        self.mover = Mover(context, tracker, self.preemptor)
         self.start_tasks: set[asyncio.Task] = set()
         self.checkpoint_saves = CheckpointSaves()
         self.demand = Demand(tracker.durations)
@@ -101,10 +103,14 @@
         limits = WaitLimits(self.bounds, workers, now, self._last_accepted_at())
         self.preemptor.begin_round(forecast)
         self.demand.begin_round(workers, now)
+        self.mover.begin_round(now)
         placed: list[Task] = []
         for step in steps:
             placed.extend(self._schedule_step(step, workers, reservations, limits, now))
         self._stop_remote_runs(workers, reservations, now)
+        self.mover.make_room(
+            workers, partial(self._targets, workers, reservations, now), now
+        )
         due_jobs = self.checkpoint_saves.due_jobs(tracker.jobs.values(), now)
         tracker.unsaved_jobs.update(due_jobs)
         if placed:
@@ -218,6 +224,7 @@
             limit = limits.remaining(step, constraints.service, wait.reason)
             self._log_wait(step, wait, workers, constraints, earliest, limit)
         if earliest is not None:
+            self.mover.note_waiting(earliest, workers, constraints, reservations)
             reservations.reserve(earliest)
         return placed
 
@@ -535,6 +542,17 @@
                     task.moves += 1
                     self.tracker.stop(task, "there is room near its data")
 
+    def _targets(
+        self,
+        workers: list[Worker],
+        reservations: BackfillReservations,
+        now: BootSeconds,
+        step: StepRun,
+    ) -> list[Worker]:
+        """Return the workers on which a moved run of a step may continue."""
+        open_workers = reservations.eligible_workers(step, workers)
+        return candidates(step, open_workers, self.constraints(step, now))
+
     # Timed jobs
 
     def _add_due_occurrences(self):
--- a/src/zinniatrestle/scheduling/state.py
+++ b/src/zinniatrestle/scheduling/state.py
@@ -137,6 +137,8 @@
         self.pace = 100
         # How often it was stopped to run nearer to its data.
         self.moves = 0
+        # It was stopped to make room for a gang, which happens once at most.
+        self.made_room = False
 
     def record_progress(self, percent: float, at: BootSeconds):
         """Record the progress of the run that its worker reported."""
