--- a/src/zinniatrestle/metrics.py
+++ b/src/zinniatrestle/metrics.py
@@ -35,6 +35,8 @@
         self.gangs_broken = meter.create_counter("gangs_broken", "1")
         # In core-seconds.
         self.work_lost = meter.create_counter("work_lost", "1")
+        self.moves_to_make_room = meter.create_counter("moves_to_make_room", "1")
+        self.work_moved = meter.create_counter("work_moved", "1")
         self.quarantines = meter.create_counter("workers_quarantined", "1")
         self.store_time = meter.create_histogram("store_call_time", "s")
         self.waiting = meter.create_histogram("job_waiting_time", "s")
--- a/src/zinniatrestle/scheduling/rounds.py
+++ b/src/zinniatrestle/scheduling/rounds.py
@@ -19,6 +19,7 @@
 from zinniatrestle.scheduling.draining import has_room, interrupted_tasks, should_move
 from zinniatrestle.scheduling.forecast import Forecast
 from zinniatrestle.scheduling.headroom_control import HeadroomControl
+from zinniatrestle.scheduling.moves import Mover
 from zinniatrestle.scheduling.order import (
     OrderPolicy,
     PriorityDeadlineOrder,
@@ -72,6 +73,7 @@
         )
         self.preemptor = Preemptor(context, tracker, self.policy)
         self.headroom = HeadroomControl(context)
+        self.mover = Mover(context, tracker, self.preemptor)
         self.start_tasks: set[asyncio.Task] = set()
         self.checkpoint_saves = CheckpointSaves()
         self.demand = Demand(tracker.durations)
@@ -105,10 +107,14 @@
         self.preemptor.begin_round(forecast)
         self.headroom.begin_round(workers, forecast)
         self.demand.begin_round(workers, now)
+        self.mover.begin_round(now)
         placed: list[Task] = []
         for step in steps:
             placed.extend(self._schedule_step(step, reservations, limits, now))
         self._stop_remote_runs(reservations, limits, now)
+        self.mover.make_room(
+            workers, partial(self._targets, reservations, limits, now), now
+        )
         self.headroom.end_round()
         due_jobs = self.checkpoint_saves.due_jobs(tracker.jobs.values(), now)
         tracker.unsaved_jobs.update(due_jobs)
@@ -235,6 +241,7 @@
                 step, wait, self.headroom.workers, constraints, earliest, limit
             )
         if earliest is not None:
+            self.mover.note_waiting(earliest, workers, constraints, reservations)
             reservations.reserve(earliest)
         return placed
 
@@ -569,6 +576,19 @@
                     task.moves += 1
                     self.tracker.stop(task, "there is room near its data")
 
+    def _targets(
+        self,
+        reservations: BackfillReservations,
+        limits: WaitLimits,
+        now: BootSeconds,
+        step: StepRun,
+    ) -> list[Worker]:
+        """Return the workers on which a moved run of a step may continue."""
+        constraints = self.constraints(step, now)
+        workers = self.headroom.workers_for(step, limits, constraints.service)
+        open_workers = reservations.eligible_workers(step, workers)
+        return candidates(step, open_workers, constraints)
+
     # Timed jobs
 
     def _add_due_occurrences(self):
