Run nothing where a queue and its account permit no common region

An empty intersection of the regions was taken for no restriction, as an empty set stands for all regions. The same code was in two places; it is a function of the slice of queues now, and None stands for all.

--- a/src/zinniatrestle/queues/__init__.py
+++ b/src/zinniatrestle/queues/__init__.py
@@ -8,6 +8,7 @@
     Queue,
     Service,
     Wave,
+    permitted_regions,
 )
 from zinniatrestle.queues.state import Freshness, OperatorState
 
@@ -21,4 +22,5 @@
     "Queue",
     "Service",
     "Wave",
+    "permitted_regions",
 ]
--- a/src/zinniatrestle/queues/messages.py
+++ b/src/zinniatrestle/queues/messages.py
@@ -63,6 +63,19 @@
     regions: frozenset[RegionId] = frozenset()
 
 
+def permitted_regions(
+    queue: Queue | None, account: Account | None
+) -> frozenset[RegionId] | None:
+    """Return the regions in which an account's jobs of a queue may run.
+
+    None stands for all. There may be none, if the two permit different regions.
+    """
+    regions = queue.regions if queue is not None else frozenset()
+    if account is None or not account.regions:
+        return regions or None
+    return regions & account.regions if regions else account.regions
+
+
 class DesiredState(msgspec.Struct, frozen=True):
     """One version of the configuration set by operators; `largest_body` is in bytes."""
 
--- a/src/zinniatrestle/scheduling/headroom.py
+++ b/src/zinniatrestle/scheduling/headroom.py
@@ -44,16 +44,20 @@
 class UrgentDemand:
     """Urgent tasks of one shape about to arrive; `cpu` is in millicores.
 
-    Empty `regions` stand for all.
+    `regions` are None for all.
     """
 
     service: ServiceName
-    regions: frozenset[RegionId]
+    regions: frozenset[RegionId] | None
     gpus: int
     cpu: int
     memory_mb: int
     tasks: int
 
+    def permits(self, region: RegionId) -> bool:
+        """Return whether the tasks may run in a region."""
+        return self.regions is None or region in self.regions
+
     @property
     def weight(self) -> int:
         """Return the capacity for one task in thousandths of a core."""
@@ -228,7 +232,7 @@
             worker = room.worker
             if worker.entry.service != demand.service:
                 continue
-            if demand.regions and worker.region not in demand.regions:
+            if not demand.permits(worker.region):
                 continue
             slots = room.slots(demand)
             if slots:
@@ -291,7 +295,7 @@
             for room in others:
                 if room.worker.entry.service != demand.service:
                     continue
-                if demand.regions and room.worker.region not in demand.regions:
+                if not demand.permits(room.worker.region):
                     continue
                 slots += room.slots(demand)
             if slots < AMPLE_FACTOR * demand.tasks:
--- a/src/zinniatrestle/scheduling/headroom_control.py
+++ b/src/zinniatrestle/scheduling/headroom_control.py
@@ -6,6 +6,7 @@
 from zinniatrestle.clock import boot_time
 from zinniatrestle.events import Event
 from zinniatrestle.ids import BootSeconds, RegionId, ServiceName
+from zinniatrestle.queues import permitted_regions
 from zinniatrestle.scheduling.arrivals import ArrivalForecast, ArrivalPair
 from zinniatrestle.scheduling.context import SchedulerContext
 from zinniatrestle.scheduling.forecast import Forecast
@@ -181,17 +182,14 @@
 
     def _target_of(
         self, pair: ArrivalPair
-    ) -> tuple[ServiceName, frozenset[RegionId]] | None:
+    ) -> tuple[ServiceName, frozenset[RegionId] | None] | None:
         """Return the service and the permitted regions of an account's jobs."""
         operator = self.context.operator
         queue = operator.queues.get(pair.queue)
         if queue is None:
             return None
-        regions = queue.regions
         account = operator.accounts.get(pair.account)
-        if account is not None and account.regions:
-            regions = regions & account.regions if regions else account.regions
-        return queue.service, regions
+        return queue.service, permitted_regions(queue, account)
 
     def _log(self, now: float, plan: HeadroomPlan):
         phase = self.headroom.phase
--- a/src/zinniatrestle/scheduling/placement.py
+++ b/src/zinniatrestle/scheduling/placement.py
@@ -59,7 +59,8 @@
     """Where the tasks of a step may run."""
 
     service: ServiceName
-    regions: frozenset[RegionId] = frozenset()
+    # None: all.
+    regions: frozenset[RegionId] | None = None
     evacuated: set[FailureDomainId] = field(default_factory=set)
     # Tickets of the workers that an advice service allows; None: all are allowed.
     tickets: dict[WorkerId, str] | None = None
@@ -92,7 +93,7 @@
     entry = worker.entry
     if entry.service != constraints.service or entry.domain in constraints.evacuated:
         return False
-    if constraints.regions and worker.region not in constraints.regions:
+    if constraints.regions is not None and worker.region not in constraints.regions:
         return False
     return not step.shape.label or step.shape.label in entry.labels
 
--- a/src/zinniatrestle/scheduling/rounds.py
+++ b/src/zinniatrestle/scheduling/rounds.py
@@ -12,7 +12,7 @@
 from zinniatrestle.ids import BootSeconds, RunNumber
 from zinniatrestle.jobs.intake import MAX_TASKS
 from zinniatrestle.jobs.messages import JobState
-from zinniatrestle.queues import Queue
+from zinniatrestle.queues import Queue, permitted_regions
 from zinniatrestle.scheduling.backfill import BackfillReservations, EarliestStart
 from zinniatrestle.scheduling.checkpoint_saves import CheckpointSaves
 from zinniatrestle.scheduling.context import Policy, SchedulerContext
@@ -167,9 +167,6 @@
         submission = step.job.submission
         queue: Queue | None = operator.queues.get(submission.queue)
         account = operator.accounts.get(submission.account)
-        regions = queue.regions if queue else frozenset()
-        if account and account.regions:
-            regions = regions & account.regions if regions else account.regions
         durations = self.tracker.durations
         deadlines = start_deadlines(step, durations)
         slack = deadlines.latest_on_time_start - now
@@ -185,7 +182,7 @@
         is_urgent = submission.priority == HIGHEST_PRIORITY
         return PlacementConstraints(
             service=queue.service if queue else submission.service,
-            regions=regions,
+            regions=permitted_regions(queue, account),
             evacuated=operator.evacuated,
             tickets=tickets,
             now=now,
--- a/src/zinniatrestle/scheduling/tests/test_headroom.py
+++ b/src/zinniatrestle/scheduling/tests/test_headroom.py
@@ -21,7 +21,7 @@
 LONG = 5 * PRESSURE_DECAY_SECONDS
 
 
-def demand(tasks=2, gpus=8, cpu=8000, memory_mb=1000, regions=frozenset()):
+def demand(tasks=2, gpus=8, cpu=8000, memory_mb=1000, regions=None):
     return UrgentDemand(SERVICE, regions, gpus, cpu, memory_mb, tasks)
 
 
--- a/src/zinniatrestle/scheduling/tests/test_placement.py
+++ b/src/zinniatrestle/scheduling/tests/test_placement.py
@@ -117,6 +117,7 @@
         place(Step(gpus=1), workers_in_racks(1), regions=frozenset({RegionId("far")}))
         == {}
     )
+    assert place(Step(gpus=1), workers_in_racks(1), regions=frozenset()) == {}
 
 
 def test_a_step_that_needs_tickets_runs_only_on_workers_with_a_ticket():
