Place a step whose tasks all probe suspect workers

When packing and probes met, a step without further tasks ended the round, and with it the scheduler, with an IndexError.

--- a/src/zinniatrestle/scheduling/placement.py
+++ b/src/zinniatrestle/scheduling/placement.py
@@ -464,7 +464,7 @@
     probed = set(found.values())
     remaining = [task for task in tasks if task not in found]
     slots_left = {worker: slots[worker] - (worker in probed) for worker in ranked}
-    if constraints.packing is not None:
+    if constraints.packing is not None and remaining:
         open_keys = {worker: keys[worker] for worker in ranked if slots_left[worker]}
         found.update(_fill_packed(remaining, slots_left, open_keys, constraints))
         return found
--- a/src/zinniatrestle/scheduling/tests/test_packing.py
+++ b/src/zinniatrestle/scheduling/tests/test_packing.py
@@ -12,6 +12,7 @@
     worker,
 )
 
+from zinniatrestle.ids import JobId
 from zinniatrestle.jobs.messages import Step
 from zinniatrestle.scheduling.durations import Durations
 from zinniatrestle.scheduling.packing import (
@@ -26,6 +27,7 @@
     Packing,
 )
 from zinniatrestle.scheduling.placement import BestFit
+from zinniatrestle.scheduling.reliability import Reliability
 from zinniatrestle.scheduling.state import StepRun, Worker, WorkerHealth
 
 CORES = 128
@@ -271,3 +273,20 @@
     assert after > sum(outcome.whole_before for outcome in found)
     refused = sum(outcome.refused_after for outcome in found)
     assert refused <= sum(outcome.refused_before for outcome in found)
+
+
+# Guards against a round that ends with an error, and with it the scheduler, once all
+# tasks of a step probe suspect workers while the service is packed.
+@pytest.mark.parametrize("tasks", [1, 2, 4])
+def test_workers_are_probed_and_packed_in_the_same_placement(tasks):
+    suspect, others = large_worker("a"), [large_worker("b"), large_worker("c")]
+    reliability = Reliability()
+    for number in range(2):
+        reliability.record_failure(suspect.id, JobId(f"{number}"), NOW)
+    step = first_step(job("2" * 16, shape_of(SMALL, count=tasks)))
+    limits = constraints(
+        now=NOW, packing=packing_for(SMALL, ALL_GPUS), reliability=reliability
+    )
+    found = BestFit().place(step, step.tasks, [suspect, *others], limits)
+    assert len(found) == tasks
+    assert list(found.values()).count(suspect) == 1
