--- a/src/zinniatrestle/scheduling/headroom_control.py
+++ b/src/zinniatrestle/scheduling/headroom_control.py
@@ -101,8 +101,10 @@
             self.headroom.record_wait(self.forecast.now)
 
     def record_placed(self, step: StepRun, now: BootSeconds):
-        """Record how long an urgent step has waited until it was placed."""
-        if _is_urgent(step.job) and step.ready_at is not None:
+        """Record how long an urgent step has waited until it was placed at first."""
+        if not _is_urgent(step.job) or step.ready_at is None:
+            return
+        if not any(task.run for task in step.tasks):
             self.context.metrics.urgent_wait.record(max(0.0, now - step.ready_at))
 
     def end_round(self):
--- a/src/zinniatrestle/scheduling/tests/test_urgent_load.py
+++ b/src/zinniatrestle/scheduling/tests/test_urgent_load.py
@@ -6,7 +6,7 @@
 from unittest import mock
 
 import msgspec
-from common.history import start_times
+from common.history import lines_of, start_times
 from common.scheduling import NOW, SERVICE, first_step, job, run_on, workers_in_racks
 
 from zinniatrestle.clock import monotonic
@@ -225,3 +225,6 @@
     # Without headroom half of them start that soon, and 0.99 of the workers are busy.
     assert at_once >= 0.85
     assert busy >= 1 - MAX_HEADROOM_SHARE
+    assert lines_of(model, "headroom", phase="active")
+    assert lines_of(model, "job_waits", reason="headroom", priority=2)
+    assert not lines_of(model, "job_waits", reason="headroom", priority=0)
