--- a/src/zinniatrestle/scheduling/placement.py
+++ b/src/zinniatrestle/scheduling/placement.py
@@ -464,8 +464,14 @@
     probed = set(found.values())
     remaining = [task for task in tasks if task not in found]
     slots_left = {worker: slots[worker] - (worker in probed) for worker in ranked}
+    # A worker that is probed takes a further task only if no other has room for it.
+    ranked.sort(key=lambda worker: worker in probed)
     if constraints.packing is not None and remaining:
-        open_keys = {worker: keys[worker] for worker in ranked if slots_left[worker]}
+        open_keys = {}
+        for worker in ranked:
+            first, last = keys[worker]
+            if slots_left[worker]:
+                open_keys[worker] = ((worker in probed, *first), last)
         found.update(_fill_packed(remaining, slots_left, open_keys, constraints))
         return found
     remaining_tasks = iter(remaining)
