--- a/tests/common/platform_cluster.py
+++ b/tests/common/platform_cluster.py
@@ -65,6 +65,7 @@
         folder: Path,
         ports: PortReservations,
         machines: str = "",
+        settings: str = "",
     ):
         self.name = f"host-{number}"
         self.frontend_port = ports.reserve()
@@ -88,6 +89,7 @@
             form = "table"
             [cloudApi]
             address = "{machines}"
+            {settings}
             """
         )
         self.relay: Relay | None = None
@@ -265,8 +267,12 @@
     relayed: bool = False,
     relayed_workers: bool = False,
     lists_machines: bool = False,
+    settings: str = "",
 ):
-    """Run a check on a new cluster, and end the processes afterwards."""
+    """Run a check on a new cluster, and end the processes afterwards.
+
+    `settings` is added to the settings file of each host.
+    """
 
     async def run():
         cluster = PlatformCluster(folder)
@@ -299,7 +305,7 @@
                     relay, address = None, store
                     if relayed:
                         relay, address = await start_store_relay(stack, store)
-                    host = Host(number, address, folder, ports, machines)
+                    host = Host(number, address, folder, ports, machines, settings)
                     host.relay = relay
                     cluster.hosts.append(host)
                     await host.start()
