Read the limits of heads and idle connections from the desired state

Cause: `limits.maxHeaderBytes`, `headerTimeoutMs` and `idleTimeoutMs` were ignored.

Change: the desired state has them, in bytes and seconds; 0 if none is set. A negative one makes the row invalid, as for `maxBodyBytes`.

--- a/src/zinniatrestle/platform/operator.py
+++ b/src/zinniatrestle/platform/operator.py
@@ -94,9 +94,12 @@
 
 
 class WireLimits(msgspec.Struct, frozen=True):
-    """Limits of a request; 0 means no limit."""
+    """Limits of requests and connections; 0 means that none is set."""
 
     maxBodyBytes: Counter = 0
+    maxHeaderBytes: Counter = 0
+    headerTimeoutMs: Duration = 0.0
+    idleTimeoutMs: Duration = 0.0
 
 
 class WireConfig(msgspec.Struct, frozen=True):
@@ -152,6 +155,9 @@
         ),
         accounts=tuple(_decode_account(tenant) for tenant in config.tenants),
         largest_body=config.limits.maxBodyBytes,
+        max_header_bytes=config.limits.maxHeaderBytes,
+        header_timeout=config.limits.headerTimeoutMs / MS_PER_SECOND,
+        idle_timeout=config.limits.idleTimeoutMs / MS_PER_SECOND,
     )
 
 
--- a/src/zinniatrestle/platform/tests/test_operator.py
+++ b/src/zinniatrestle/platform/tests/test_operator.py
@@ -37,7 +37,12 @@
     ],
     "services": [{"name": "s", "enforcesCapacity": True}],
     "tenants": [{"name": "t", "apiKeys": ["k"], "guaranteed": {"gpus": 32}}],
-    "limits": {"maxBodyBytes": 1000},
+    "limits": {
+        "maxBodyBytes": 1000,
+        "maxHeaderBytes": 16_384,
+        "headerTimeoutMs": 3000,
+        "idleTimeoutMs": 15_000,
+    },
 }
 
 
@@ -59,6 +64,8 @@
     assert queue.advice.validity == 3.0
     assert state.accounts["t"].guaranteed == 32
     assert state.desired.largest_body == 1000
+    assert state.desired.max_header_bytes == 16_384
+    assert (state.desired.header_timeout, state.desired.idle_timeout) == (3.0, 15.0)
 
 
 def test_an_evacuation_lasts_as_long_as_its_row():
@@ -106,6 +113,9 @@
     "a negative stretch": with_route(stretch=-1),
     "advice for ever": with_route(advice={"decisionMs": 1e300}),
     "a negative body": changed(CONFIG, limits={"maxBodyBytes": -1}),
+    "a negative head": changed(CONFIG, limits={"maxHeaderBytes": -1}),
+    "a head time that is no number": changed(CONFIG, limits={"headerTimeoutMs": "x"}),
+    "a negative idle time": changed(CONFIG, limits={"idleTimeoutMs": -1}),
     "a negative guarantee": changed(
         CONFIG, tenants=[{"name": "t", "guaranteed": {"gpus": -1}}]
     ),
--- a/src/zinniatrestle/queues/messages.py
+++ b/src/zinniatrestle/queues/messages.py
@@ -64,13 +64,20 @@
 
 
 class DesiredState(msgspec.Struct, frozen=True):
-    """One version of the configuration set by operators; `largest_body` is in bytes."""
+    """One version of the configuration set by operators.
+
+    `largest_body` and `max_header_bytes` are in bytes, `header_timeout` and
+    `idle_timeout` in seconds; 0 if no limit is set.
+    """
 
     version: int
     queues: tuple[Queue, ...] = ()
     services: tuple[Service, ...] = ()
     accounts: tuple[Account, ...] = ()
     largest_body: int = 0
+    max_header_bytes: int = 0
+    header_timeout: float = 0.0
+    idle_timeout: float = 0.0
 
 
 class Wave(msgspec.Struct, frozen=True):
