Limit what clients can make a host hold

Cause: each read of up to 256 KB was parsed completely, so every pipelined request in it became objects before reading was paused, and nothing bounded the total over all connections, nor their number.

Ruled out: a limit of concurrent requests, which bounds neither pipelined requests nor unread responses; timers for each limit, which each request would set and cancel.

Change: the slice `ingress` with the protocol and the server, which were in `web.py`. The parser is fed up to the end of one request; later bytes, at most one read of 16 KB, stay unparsed until the response is written. Heads, bodies, idle connections and unread responses have time limits. Each listener of both daemons has a budget of memory and connections, from `limits.memoryMb` and `limits.maxFds`, and evicts first the connections whose loss costs clients least. A call that isn't complete in time gets 408 with the new code 107, and no answer if it may have begun. New settings, metrics, and the log event `connection_limit`.

A request that asks for another protocol and has a body gets 400; the application got an empty body before.

--- a/src/zinniatrestle/deployment.py
+++ b/src/zinniatrestle/deployment.py
@@ -4,6 +4,7 @@
 
 from zinniatrestle.errors import SettingsError
 from zinniatrestle.ids import FailureDomainId, HostId, RegionId
+from zinniatrestle.ingress.limits import Resources
 
 MAX_PORT = 65535
 MAX_PORT_DIGITS = 5
@@ -97,6 +98,7 @@
     regions: dict[FailureDomainId, RegionId] = field(default_factory=dict)
     bounds: Bounds = field(default_factory=Bounds)
     store: StoreLimits = field(default_factory=StoreLimits)
+    resources: Resources = field(default_factory=Resources)
 
     def check(self):
         """Validate the addresses and bounds that a host needs; raises SettingsError."""
--- a/src/zinniatrestle/entry/app.py
+++ b/src/zinniatrestle/entry/app.py
@@ -1,5 +1,7 @@
 """The HTTP application of an entry host."""
 
+from dataclasses import replace
+
 import uvicorn
 from starlette.applications import Starlette
 from starlette.requests import Request as HttpRequest
@@ -9,11 +11,24 @@
 from zinniatrestle.entry.host import EntryHost
 from zinniatrestle.errors import ResultCode
 from zinniatrestle.gangs.routes import JobRoutes
+from zinniatrestle.ingress import (
+    Cause,
+    ClientListener,
+    ConnectionLimits,
+    HttpProtocol,
+    HttpServer,
+    IngressCounters,
+    Listener,
+    Resources,
+    client_limits,
+    descriptor_limit,
+)
+from zinniatrestle.ingress.interfaces import LimitLog
+from zinniatrestle.logs import ComponentLog
 from zinniatrestle.operators.routes import OperatorRoutes
 from zinniatrestle.requests.routes import RequestRoutes
+from zinniatrestle.settings import HostSettings
 from zinniatrestle.web import (
-    HttpProtocol,
-    HttpServer,
     json_response,
     problem_response,
 )
@@ -21,6 +36,16 @@
 NOT_FOUND = 404
 METHOD_NOT_ALLOWED = 405
 
+log = ComponentLog("http")
+
+
+class LimitLines(LimitLog):
+    """Log lines of connections that reached a limit."""
+
+    def write(self, cause: Cause, count: int):
+        """Write that `count` connections reached limits, most of them for `cause`."""
+        log.warning("connection_limit: cause=%s count=%d", cause.value, count)
+
 
 def build_app(host: EntryHost) -> Starlette:
     """Return the application with all routes of a host."""
@@ -50,7 +75,15 @@
         server_header=False,
         timeout_graceful_shutdown=int(settings.drain_seconds) + 1,
     )
-    return HttpServer(config)
+    host.listener = ClientListener(
+        _connection_limits(settings), Listener.CALLERS, IngressCounters(LimitLines())
+    )
+    return HttpServer(config, host.listener)
+
+
+def _connection_limits(settings: HostSettings) -> ConnectionLimits:
+    limits = client_limits(settings.ingress_settings(), Resources(), descriptor_limit())
+    return replace(limits, max_body=settings.largest_body)
 
 
 async def _healthz(http: HttpRequest) -> Response:
--- a/src/zinniatrestle/entry/host.py
+++ b/src/zinniatrestle/entry/host.py
@@ -17,6 +17,7 @@
 from zinniatrestle.gangs.planner import Planner
 from zinniatrestle.ids import FailureDomainId, HostId, RegionId
 from zinniatrestle.in_progress import InProgress
+from zinniatrestle.ingress import ClientListener
 from zinniatrestle.logs import ComponentLog
 from zinniatrestle.peers import PeerIdentity, PeerMesh
 from zinniatrestle.requests import RequestHandler
@@ -114,6 +115,8 @@
         self.prover = RetirementProver(
             host, self.follower, collector, platform.objects, clock
         )
+        # Replaced by the listener of the HTTP server.
+        self.listener = ClientListener()
         self.metrics: Callable[[], dict[str, float]] = dict
         self.tasks: list[asyncio.Task] = []
 
--- a/src/zinniatrestle/entry/metrics.py
+++ b/src/zinniatrestle/entry/metrics.py
@@ -46,6 +46,18 @@
             ("peers.cross_region", "By", lambda: host.mesh.cross_region_bytes),
             ("gangs.running", "1", lambda: len(host.scheduler.gang_table.holding())),
             ("gangs.queued", "1", lambda: len(host.scheduler.gang_table.queued())),
+            ("connections.open", "1", lambda: len(host.listener.connections)),
+            (
+                "connections.closed",
+                "1",
+                lambda: host.listener.counters.closed.total(),
+            ),
+            (
+                "calls.refused_at_ingress",
+                "1",
+                lambda: host.listener.counters.refused.total(),
+            ),
+            ("ingress.buffer_bytes", "By", lambda: host.listener.budget.bytes),
             ("process.memory", "By", resident_bytes),
             ("process.cpu", "s", time.process_time),
         ):
--- a/src/zinniatrestle/errors.py
+++ b/src/zinniatrestle/errors.py
@@ -15,6 +15,7 @@
     BAD_SETTING = 104
     BAD_TEMPLATE = 105
     NO_SUCH_JOB = 106
+    REQUEST_TIMEOUT = 107
     # 2xx: requests.
     NOT_RUN = 200
     UNKNOWN = 201
--- a/src/zinniatrestle/events/messages.py
+++ b/src/zinniatrestle/events/messages.py
@@ -49,4 +49,5 @@
     MACHINE_EMPTIED = "machine_emptied"
     UPKEEP_BEGUN = "upkeep_begun"
     UPKEEP_REFUSED = "upkeep_refused"
+    CONNECTION_LIMIT = "connection_limit"
     LINES_DROPPED = "lines_dropped"
--- /dev/null
+++ b/src/zinniatrestle/ingress/server.py
@@ -0,0 +1,47 @@
+"""HTTP server whose connections are limited."""
+
+import asyncio
+import contextlib
+import os
+import socket
+
+import uvicorn
+
+from zinniatrestle.ingress.listener import ClientListener
+
+# uvicorn ticks ten times a second.
+SWEEP_TICKS = 5
+# Connections that the event loop accepts at once, before any of them can be refused.
+ACCEPT_BATCH = 16
+# Connections that the system keeps until they are accepted.
+LISTEN_BACKLOG = 1024
+
+
+class HttpServer(uvicorn.Server):
+    """HTTP server that leaves signals to the daemon and limits its clients."""
+
+    def __init__(self, config: uvicorn.Config, listener: ClientListener | None = None):
+        super().__init__(config)
+        self.listener = listener or ClientListener()
+        # The protocol finds it here, since uvicorn passes it the configuration only.
+        config.listener = self.listener
+        config.backlog = ACCEPT_BATCH
+
+    @contextlib.contextmanager
+    def capture_signals(self):
+        """Install no signal handlers."""
+        yield
+
+    async def startup(self, sockets: list[socket.socket] | None = None):
+        """Listen, with a longer queue of the system than of the event loop."""
+        await super().startup(sockets)
+        for server in self.servers:
+            for listening in server.sockets:
+                with socket.socket(fileno=os.dup(listening.fileno())) as same:
+                    same.listen(LISTEN_BACKLOG)
+
+    async def on_tick(self, counter: int) -> bool:
+        """Apply the time limits twice a second."""
+        if counter % SWEEP_TICKS == 0:
+            self.listener.sweep(asyncio.get_running_loop().time())
+        return await super().on_tick(counter)
--- a/src/zinniatrestle/metrics.py
+++ b/src/zinniatrestle/metrics.py
@@ -8,6 +8,8 @@
 from opentelemetry.sdk.metrics.view import ExplicitBucketHistogramAggregation, View
 from prometheus_client import REGISTRY, generate_latest
 
+from zinniatrestle.ingress.listener import ClientListener, IngressCounters
+
 METER_NAME = "zinniatrestle"
 # From one network round trip up to the longest job.
 BUCKET_BOUNDS_SECONDS = (0.01, 0.03, 0.1, 0.3, 1.0, 3.0, 10.0, 30.0, 100.0)
@@ -50,6 +52,42 @@
             "steps_waiting_despite_room", "1", lambda: self.steps_waiting_despite_room
         )
 
+        # Connections of clients, and what was closed or refused of them.
+        self.listeners: list[ClientListener] = []
+        self.ingress = IngressCounters()
+        meter.create_observable_gauge(
+            "connections_open", [self._observe_connections], "1"
+        )
+        meter.create_observable_counter(
+            "connections_closed", [self._observe_closed], "1"
+        )
+        meter.create_observable_counter(
+            "calls_refused_at_ingress", [self._observe_refused], "1"
+        )
+        self.add_gauge(
+            "ingress_buffer_bytes",
+            "By",
+            lambda: sum(listener.budget.bytes for listener in self.listeners),
+        )
+
+    def _observe_connections(self, options: CallbackOptions) -> list[Observation]:
+        return [
+            Observation(len(listener.connections), {"listener": listener.name.value})
+            for listener in self.listeners
+        ]
+
+    def _observe_closed(self, options: CallbackOptions) -> list[Observation]:
+        return [
+            Observation(count, {"cause": cause.value})
+            for cause, count in self.ingress.closed.items()
+        ]
+
+    def _observe_refused(self, options: CallbackOptions) -> list[Observation]:
+        return [
+            Observation(count, {"cause": cause.value})
+            for cause, count in self.ingress.refused.items()
+        ]
+
     def _observe_waiting(self, options: CallbackOptions) -> list[Observation]:
         return [
             Observation(count, {"reason": reason})
--- a/src/zinniatrestle/platform/__main__.py
+++ b/src/zinniatrestle/platform/__main__.py
@@ -6,6 +6,7 @@
 import cyclopts
 
 from zinniatrestle.errors import SettingsError
+from zinniatrestle.ingress.limits import IngressSettings
 from zinniatrestle.platform.daemon import DaemonSettings, serve_on_platform
 from zinniatrestle.platform.settings import SETTINGS_VARIABLE
 
@@ -22,6 +23,10 @@
     settings: cyclopts.types.ExistingFile | None = None,
     metrics_port: int = DaemonSettings.metrics_port,
     log_lines: int = DaemonSettings.log_lines,
+    client_memory_share: float = IngressSettings.memory_share,
+    body_timeout: float = IngressSettings.body_timeout,
+    write_timeout: float = IngressSettings.write_timeout,
+    max_connections: int = IngressSettings.max_connections,
 ):
     """Serve until SIGTERM.
 
@@ -34,11 +39,22 @@
         Port on which metrics are served.
     log_lines
         Log lines buffered while their reader is stalled; further ones are dropped.
+    client_memory_share
+        Share of the machine's memory for the connections of clients.
+    body_timeout
+        Time for the body of a request to arrive, in seconds.
+    write_timeout
+        Time after which a connection is closed whose peer reads nothing, in seconds.
+    max_connections
+        Maximum number of connections of clients; 0: derived from the descriptors.
     """
     import os
 
     path = settings or Path(os.environ.get(SETTINGS_VARIABLE, ""))
-    await serve_on_platform(DaemonSettings(path, metrics_port, log_lines))
+    ingress = IngressSettings(
+        client_memory_share, body_timeout, write_timeout, max_connections
+    )
+    await serve_on_platform(DaemonSettings(path, metrics_port, log_lines, ingress))
 
 
 def main():
--- a/src/zinniatrestle/platform/daemon.py
+++ b/src/zinniatrestle/platform/daemon.py
@@ -19,6 +19,19 @@
 from zinniatrestle.errors import PlatformError, SettingsError
 from zinniatrestle.events import Event, EventLog
 from zinniatrestle.events.log import BUFFERED_LINES
+from zinniatrestle.ingress import (
+    Cause,
+    ClientListener,
+    HttpProtocol,
+    HttpServer,
+    IngressCounters,
+    IngressSettings,
+    Listener,
+    client_limits,
+    descriptor_limit,
+    probe_limits,
+)
+from zinniatrestle.ingress.interfaces import LimitLog
 from zinniatrestle.jobs import JobIntake
 from zinniatrestle.machines import MachineWatch
 from zinniatrestle.metrics import Metrics
@@ -39,9 +52,9 @@
 from zinniatrestle.scheduling.leader_task import LeaderTask
 from zinniatrestle.scheduling.leadership import Leadership
 from zinniatrestle.serving import Frontend
+from zinniatrestle.settings import setting_error
 from zinniatrestle.supervision import Supervisor
 from zinniatrestle.upkeep import WaveRunner
-from zinniatrestle.web import HttpProtocol, HttpServer
 
 # Several times the longest list of runs: 500 ends and all running tasks.
 MAX_REPORT_BYTES = 4 * 2**20
@@ -62,15 +75,28 @@
     settings: Path
     metrics_port: int = 9464
     log_lines: int = BUFFERED_LINES
+    ingress: IngressSettings = field(default_factory=IngressSettings)
 
     def check(self):
         """Check the settings; raises SettingsError."""
+        self.ingress.check(setting_error)
         if self.log_lines < 1:
             raise SettingsError(
                 "log-lines must be at least 1, since log lines need a buffer."
             )
 
 
+class LimitEvents(LimitLog):
+    """Log events of connections that reached a limit."""
+
+    def __init__(self, events: EventLog):
+        self.events = events
+
+    def write(self, cause: Cause, count: int):
+        """Write that `count` connections reached limits, most of them for `cause`."""
+        self.events.write(Event.CONNECTION_LIMIT, cause=cause.value, count=count)
+
+
 @dataclass
 class Daemon:
     """Parts of an entry host and the asyncio tasks that run them."""
@@ -85,6 +111,9 @@
     def __post_init__(self):
         addresses = self.deployment.addresses
         self.supervisor = Supervisor(self.events)
+        self.ingress_counters = self.metrics.ingress = IngressCounters(
+            LimitEvents(self.events)
+        )
         self.client = ConnectionPool()
         self.worker_client = ConnectionPool(MAX_REPORT_BYTES)
         self.store = PlatformStore(
@@ -239,20 +268,22 @@
 
     def _servers(self) -> list[HttpServer]:
         addresses = self.deployment.addresses
-        callers = JobApi(self.frontend).app()
-        readiness = ReadinessApi(self.frontend).app()
-        servers = []
-        for name, address, app in (
-            ("callers", addresses.callers, callers),
-            ("readiness", addresses.readiness, readiness),
-        ):
-            ip, port = split_address(name, address)
-            servers.append(self._server(ip, port, app))
         ip = self.deployment.identity.address
-        servers.append(self._server(ip, self.options.metrics_port, self._metrics_app()))
-        return servers
+        callers = split_address("callers", addresses.callers)
+        readiness = split_address("readiness", addresses.readiness)
+        metrics = (ip, self.options.metrics_port)
+        return [
+            self._server(Listener.CALLERS, callers, JobApi(self.frontend).app()),
+            self._server(
+                Listener.READINESS, readiness, ReadinessApi(self.frontend).app()
+            ),
+            self._server(Listener.METRICS, metrics, self._metrics_app()),
+        ]
 
-    def _server(self, ip: str, port: int, app: Starlette) -> HttpServer:
+    def _server(
+        self, name: Listener, address: tuple[str, int], app: Starlette
+    ) -> HttpServer:
+        ip, port = address
         config = uvicorn.Config(
             app,
             host=ip,
@@ -267,7 +298,15 @@
             date_header=False,
             timeout_graceful_shutdown=2,
         )
-        return HttpServer(config)
+        derive = client_limits if name is Listener.CALLERS else probe_limits
+        limits = derive(
+            self.options.ingress, self.deployment.resources, descriptor_limit()
+        )
+        listener = ClientListener(
+            limits, name, self.ingress_counters, lambda: self.operator.desired
+        )
+        self.metrics.listeners.append(listener)
+        return HttpServer(config, listener)
 
     def _metrics_app(self) -> Starlette:
         async def show_metrics(request: Request) -> Response:
--- a/src/zinniatrestle/platform/settings.py
+++ b/src/zinniatrestle/platform/settings.py
@@ -7,6 +7,8 @@
 import msgspec
 
 from zinniatrestle.decoding import (
+    Capacity,
+    Counter,
     Duration,
     Factor,
     PositiveCounter,
@@ -22,6 +24,7 @@
 )
 from zinniatrestle.errors import MalformedInputError, SettingsError
 from zinniatrestle.ids import FailureDomainId, HostId, RegionId
+from zinniatrestle.ingress.limits import Resources
 
 SETTINGS_VARIABLE = "ZINNIATRESTLE_BOOT"
 MS_PER_SECOND = 1000.0
@@ -36,10 +39,16 @@
 
 
 class WireLimits(msgspec.Struct, frozen=True):
-    """CPU of the machine: `cpuShare` of one core that is as fast as `cores` cores."""
+    """Resources of the machine.
+
+    Its CPU is `cpuShare` of one core that is as fast as `cores` cores. `memoryMb` and
+    `maxFds` are 0 if they are not known.
+    """
 
     cpuShare: PositiveFactor = 1.0
     cores: PositiveFactor = 1.0
+    memoryMb: Capacity = 0
+    maxFds: Counter = 0
 
 
 class WireBounds(msgspec.Struct, frozen=True):
@@ -173,6 +182,7 @@
             file.platform.readsPerS,
             file.platform.rowBytes,
         ),
+        resources=Resources(file.limits.memoryMb, file.limits.maxFds),
     )
     deployment.check()
     return deployment
--- a/src/zinniatrestle/platform/tests/test_job_api.py
+++ b/src/zinniatrestle/platform/tests/test_job_api.py
@@ -32,6 +32,8 @@
     ServiceName,
     StoreMilliseconds,
 )
+from zinniatrestle.ingress import HttpProtocol, HttpServer
+from zinniatrestle.ingress.limits import DEFAULT_MAX_HEAD_BYTES
 from zinniatrestle.jobs import JobIntake
 from zinniatrestle.jobs.messages import (
     PROGRESS,
@@ -47,7 +49,6 @@
 from zinniatrestle.serving import Frontend
 from zinniatrestle.standins.rows import HostRows, MemoryRows
 from zinniatrestle.standins.wire import serve_app
-from zinniatrestle.web import MAX_HEAD_BYTES, HttpProtocol, HttpServer
 
 HOST = "queue.example"
 PATH = "/q/00000000000000aa"
@@ -229,7 +230,7 @@
     assert decode_submission(encode_submission(submission)) == submission
 
 
-LONG = "a" * (MAX_HEAD_BYTES + 1)
+LONG = "a" * (DEFAULT_MAX_HEAD_BYTES + 1)
 
 
 @pytest.mark.parametrize(
@@ -287,7 +288,7 @@
 
 def test_a_body_may_be_longer_than_a_head():
     async def check(callers):
-        body = changed() + b" " * (3 * MAX_HEAD_BYTES)
+        body = changed() + b" " * (3 * DEFAULT_MAX_HEAD_BYTES)
         assert (await callers.call(body=body)).status == 200
 
     run_with_callers(check)
--- a/src/zinniatrestle/platform/tests/test_settings.py
+++ b/src/zinniatrestle/platform/tests/test_settings.py
@@ -7,6 +7,7 @@
 from hypothesis import given
 
 from zinniatrestle.errors import ResultCode, SettingsError
+from zinniatrestle.ingress import Resources
 from zinniatrestle.platform.settings import decode, load
 
 GOOD = {
@@ -28,6 +29,12 @@
     assert deployment.bounds.lease == 3.0
     assert deployment.identity.speed == 1.0
     assert deployment.regions == {"zone-a": "region-a"}
+    assert deployment.resources == Resources()
+
+
+def test_memory_and_descriptors_of_the_machine_are_read():
+    limits = {**GOOD["limits"], "memoryMb": 160, "maxFds": 4100}
+    assert decode({**GOOD, "limits": limits}).resources == Resources(160, 4100)
 
 
 @pytest.mark.parametrize(
@@ -55,6 +62,11 @@
         {"bounds": {"graceS": "1e400"}},
         {"limits": {"cpuShare": 0}},
         {"limits": {"cores": math.nan}},
+        {"limits": {"memoryMb": -1}},
+        {"limits": {"memoryMb": "much"}},
+        {"limits": {"memoryMb": BEYOND_64_BITS}},
+        {"limits": {"maxFds": -1}},
+        {"limits": {"maxFds": 0.5}},
     ],
 )
 def test_a_bad_setting_is_refused_with_its_code(change):
--- a/src/zinniatrestle/settings.py
+++ b/src/zinniatrestle/settings.py
@@ -4,6 +4,7 @@
 
 from zinniatrestle.errors import SettingsError
 from zinniatrestle.ids import FailureDomainId, HostId, RegionId
+from zinniatrestle.ingress.limits import IngressSettings
 from zinniatrestle.peers.state import PeerAddress
 
 ENVIRONMENT_PREFIX = "ZINNIATRESTLE_"
@@ -71,6 +72,24 @@
     largest_body: int = field(
         default=262_144, metadata=about("Largest request body, in bytes.")
     )
+    client_memory_share: float = field(
+        default=IngressSettings.memory_share,
+        metadata=about("Share of 512 MB of memory for the connections of clients."),
+    )
+    body_timeout: float = field(
+        default=IngressSettings.body_timeout,
+        metadata=about("Time for the body of a request to arrive, in seconds."),
+    )
+    write_timeout: float = field(
+        default=IngressSettings.write_timeout,
+        metadata=about("Longest wait for a peer that reads nothing, in seconds."),
+    )
+    max_connections: int = field(
+        default=IngressSettings.max_connections,
+        metadata=about(
+            "Connections of clients at most; 0: derived from the descriptors."
+        ),
+    )
     longest_timeout: float = field(
         default=60.0, metadata=about("Longest deadline of a request, in seconds.")
     )
@@ -106,8 +125,18 @@
         for name in ("minion_slots", "claim_batch", "claim_lanes", "largest_body"):
             if getattr(self, name) < 1:
                 raise setting_error(name, f"The {name} must be at least 1.")
+        self.ingress_settings().check(setting_error)
         self.peer_addresses()
 
+    def ingress_settings(self) -> IngressSettings:
+        """Return the settings of the limits for clients."""
+        return IngressSettings(
+            self.client_memory_share,
+            self.body_timeout,
+            self.write_timeout,
+            self.max_connections,
+        )
+
     def peer_addresses(self) -> list[PeerAddress]:
         """Parse `peers` into addresses; raises SettingsError."""
         addresses = []
--- a/src/zinniatrestle/standins/wire.py
+++ b/src/zinniatrestle/standins/wire.py
@@ -18,10 +18,10 @@
 from zinniatrestle.clock import boot_time
 from zinniatrestle.errors import HistoryLostError
 from zinniatrestle.ids import RowName, RowVersion, TableName
+from zinniatrestle.ingress import HttpServer
 from zinniatrestle.rows import Expect, Write
 from zinniatrestle.standins.fleet import SimulatedFleet
 from zinniatrestle.standins.rows import HostRows, MemoryRows
-from zinniatrestle.web import HttpServer
 from zinniatrestle.workers.messages import (
     Refusal,
     RefusedOrderError,
--- a/src/zinniatrestle/web.py
+++ b/src/zinniatrestle/web.py
@@ -1,17 +1,14 @@
 """Helpers shared by all HTTP routes: error responses, bearer tokens, bodies."""
 
 import asyncio
-import contextlib
 import hashlib
 import hmac
 from collections.abc import Awaitable, Callable
 from typing import Any
 
 import msgspec
-import uvicorn
 from starlette.requests import ClientDisconnect, Request
 from starlette.responses import Response
-from uvicorn.protocols.http.httptools_impl import STATUS_LINE, HttpToolsProtocol
 
 from zinniatrestle.decoding import decode_json
 from zinniatrestle.errors import (
@@ -29,6 +26,7 @@
     ResultCode.BAD_INPUT: 400,
     ResultCode.UNAUTHENTICATED: 401,
     ResultCode.TOO_LARGE: 413,
+    ResultCode.REQUEST_TIMEOUT: 408,
     ResultCode.NO_SUCH_THING: 404,
     ResultCode.BAD_SETTING: 400,
     ResultCode.BAD_TEMPLATE: 400,
@@ -51,89 +49,12 @@
 DEFAULT_ERROR_STATUS = 503
 UNEXPECTED_ERROR = "The call failed unexpectedly, and may have taken effect."
 CUT_SHORT = "The host is stopping. The call may have taken effect; ask another host."
-# Bytes of a call's first line and headers, together.
-MAX_HEAD_BYTES = 65_536
-# Time for a caller to read why its call was refused.
-LINGER_SECONDS = 1.0
 
 log = ComponentLog("http")
 
 Handler = Callable[[Request], Awaitable[Response]]
 
 
-class HttpServer(uvicorn.Server):
-    """HTTP server that leaves signal handling to the daemon."""
-
-    @contextlib.contextmanager
-    def capture_signals(self):
-        """Install no signal handlers."""
-        yield
-
-
-class HttpProtocol(HttpToolsProtocol):
-    """HTTP protocol of a server that numbers its errors and bounds heads of calls."""
-
-    def connection_made(self, transport: asyncio.BaseTransport):
-        """Begin to count the bytes of a head."""
-        super().connection_made(transport)
-        # Bytes of a head that is not complete yet.
-        self.head_bytes = 0
-        self.refused = False
-
-    def data_received(self, data: bytes):
-        """Parse data, and refuse a head that is too large."""
-        if self.refused:
-            return
-        self.head_bytes += len(data)
-        super().data_received(data)
-        if self.head_bytes > MAX_HEAD_BYTES and not self.refused:
-            self._refuse_head()
-
-    def on_headers_complete(self):
-        """Handle the call, whose head has ended."""
-        self.head_bytes = 0
-        size = len(self.url)
-        for name, value in self.headers:
-            size += len(name) + len(value)
-        if size > MAX_HEAD_BYTES:
-            self._refuse_head()
-            # Ends the parsing of this connection.
-            raise ValueError("The head is too large.")
-        super().on_headers_complete()
-
-    def on_body(self, body: bytes):
-        """Handle a part of the body, which doesn't count for the head."""
-        self.head_bytes = 0
-        super().on_body(body)
-
-    def send_400_response(self, msg: str):
-        """Refuse a call that is no valid HTTP, unless it is refused already."""
-        if not self.refused:
-            self._refuse(ResultCode.BAD_INPUT, msg)
-
-    def _refuse_head(self):
-        self._refuse(
-            ResultCode.TOO_LARGE,
-            f"The headers and the path must have up to {MAX_HEAD_BYTES} bytes.",
-        )
-
-    def _refuse(self, code: ResultCode, detail: str):
-        """Answer with an error, and close the connection, which can't be parsed on.
-
-        It is closed later, since unread data would reset it before the answer is read.
-        """
-        self.refused = True
-        response = problem_response(code, detail)
-        lines = [STATUS_LINE[response.status_code]]
-        for name, value in response.raw_headers:
-            lines.append(name + b": " + value + b"\r\n")
-        lines.append(b"connection: close\r\n\r\n")
-        self.transport.write(b"".join(lines) + response.body)
-        if self.transport.can_write_eof():
-            self.transport.write_eof()
-        self.loop.call_later(LINGER_SECONDS, self.transport.close)
-
-
 class Problem(msgspec.Struct, frozen=True):
     """Problem details of an error (RFC 9457), extended by the result code."""
 
--- a/tests/common/platform_cluster.py
+++ b/tests/common/platform_cluster.py
@@ -66,7 +66,9 @@
         ports: PortReservations,
         machines: str = "",
         settings: str = "",
+        environment: dict[str, str] | None = None,
     ):
+        self.environment = environment or {}
         self.name = f"host-{number}"
         self.frontend_port = ports.reserve()
         self.readiness_port = ports.reserve()
@@ -97,7 +99,11 @@
 
     async def start(self, *flags: str, stdout: int | None = None):
         """Start the process; `stdout` replaces the log file for its event log."""
-        environment = {**os.environ, "ZINNIATRESTLE_BOOT": str(self.settings)}
+        environment = {
+            **os.environ,
+            **self.environment,
+            "ZINNIATRESTLE_BOOT": str(self.settings),
+        }
         with self.log.open("ab") as log:
             self.process = await asyncio.create_subprocess_exec(
                 sys.executable,
@@ -268,10 +274,12 @@
     relayed_workers: bool = False,
     lists_machines: bool = False,
     settings: str = "",
+    environment: dict[str, str] | None = None,
 ):
     """Run a check on a new cluster, and end the processes afterwards.
 
-    `settings` is added to the settings file of each host.
+    `settings` is added to the settings file of each host, `environment` to its
+    environment variables.
     """
 
     async def run():
@@ -305,7 +313,9 @@
                     relay, address = None, store
                     if relayed:
                         relay, address = await start_store_relay(stack, store)
-                    host = Host(number, address, folder, ports, machines, settings)
+                    host = Host(
+                        number, address, folder, ports, machines, settings, environment
+                    )
                     host.relay = relay
                     cluster.hosts.append(host)
                     await host.start()
