Close connections without losing the last response

Cause: a response that ends a connection before the end of the request's body closed it with unread data, which resets it, so that the client may not read why it was refused. A connection on which a body over the limit had arrived in one read was not read any more.

An application that waits for more of a body over the limit, as its own limit is higher, is not waited for.

--- a/src/zinniatrestle/ingress/protocol.py
+++ b/src/zinniatrestle/ingress/protocol.py
@@ -71,6 +71,28 @@
             self.awaited = False
 
 
+class LingeringTransport:
+    """Transport of the response to a call whose body may not be complete.
+
+    Closing a connection with unread data resets it, so that the response may be lost.
+    """
+
+    def __init__(self, protocol: "HttpProtocol"):
+        self.protocol = protocol
+
+    def write(self, data: bytes):
+        """Write a part of the response."""
+        self.protocol.transport.write(data)
+
+    def is_closing(self) -> bool:
+        """Return whether the connection is closing."""
+        return self.protocol.transport.is_closing()
+
+    def close(self):
+        """Close the connection once the peer has had time to read the response."""
+        self.protocol.close_after_response()
+
+
 class HttpProtocol(HttpToolsProtocol, asyncio.BufferedProtocol, ClientConnection):
     """HTTP protocol that numbers its errors and limits what a connection can hold.
 
@@ -79,6 +101,29 @@
     paused.
     """
 
+    # Initial values of what changes with the requests of a connection.
+    part = MessagePart.START
+    refused = False
+    close_cause = Cause.ENDED
+    # The body was larger than allowed, so its request is the last one.
+    oversized = False
+    unparsed = b""
+    # The last bytes of a piece of a head, since its end may be in two pieces.
+    tail = b""
+    chunk_line = b""
+    is_chunk_size = False
+    # Bytes of the head and its trailers, of the body and of its framing.
+    head_bytes = 0
+    body_bytes = 0
+    framing_bytes = 0
+    # Bytes of the body, or of a chunk of it, that are still to come.
+    remaining = 0
+    # Bytes of the request with its objects, and of the response.
+    held_bytes = 0
+    unsent_bytes = 0
+    # When the size of the response's unsent part last changed.
+    written_at = 0.0
+
     def connection_made(self, transport: asyncio.BaseTransport):
         """Begin to serve a connection, or close it if there is no room for it."""
         super().connection_made(transport)
@@ -86,26 +131,6 @@
         self.flow = PausableFlow(transport)
         self.listener: ClientListener = self.config.listener
         self.limits: ConnectionLimits = self.listener.current_limits()
-        self.part = MessagePart.START
-        self.refused = False
-        self.close_cause = Cause.ENDED
-        # The body was larger than allowed, so its request is the last one.
-        self.oversized = False
-        self.unparsed = b""
-        # The last bytes of a piece of a head, since its end may be in two pieces.
-        self.tail = b""
-        self.chunk_line = b""
-        self.is_chunk_size = False
-        # Bytes of the head and its trailers, of the body and of its framing.
-        self.head_bytes = 0
-        self.body_bytes = 0
-        self.framing_bytes = 0
-        # Bytes of the body, or of a chunk of it, that are still to come.
-        self.remaining = 0
-        # Bytes of the request with its objects, and of the response.
-        self.held_bytes = 0
-        self.unsent_bytes = 0
-        self.written_at = 0.0
         self.deadline = self.loop.time() + self.limits.idle_timeout
         self.number = self.listener.admit(self)
         if self.number is None:
@@ -214,6 +239,7 @@
         if self.cycle.message_event.is_set():
             event.set()
         self.cycle.message_event = event
+        self.cycle.transport = LingeringTransport(self)
         self.deadline = self.loop.time() + self.limits.body_timeout
 
     def _parse_body(self, data: bytes) -> bytes:
@@ -283,7 +309,7 @@
             self.deadline = NEVER
             phase = ConnectionPhase.IN_PROGRESS
         elif self.oversized and self.cycle.response_complete:
-            self._end_oversized()
+            self.close_after_response()
             return
         else:
             phase = ConnectionPhase.INCOMPLETE
@@ -332,6 +358,8 @@
         """Parse the next request, or what follows of this one's body."""
         self.server_state.total_requests += 1
         self.written_at = self.loop.time()
+        if self.refused:
+            return
         if self.transport.is_closing():
             self.held_bytes = 0
             self.unsent_bytes = self.transport.get_write_buffer_size()
@@ -340,13 +368,17 @@
         elif self.part is MessagePart.COMPLETE:
             self._finish_request()
         elif self.oversized:
-            self._end_oversized()
+            self.close_after_response()
         else:
             self.flow.resume_reading()
 
-    def _end_oversized(self):
-        """End the connection after the answer to a call whose body is too large."""
-        self.close_cause = Cause.BODY_TOO_LARGE
+    def close_after_response(self):
+        """Close the connection after the last response, also before a body's end."""
+        if self.part is MessagePart.COMPLETE:
+            self.transport.close()
+            return
+        if self.oversized:
+            self.close_cause = Cause.BODY_TOO_LARGE
         self._linger()
 
     def _finish_request(self):
@@ -364,6 +396,7 @@
         """Wait for a request, and parse the bytes of it that have arrived."""
         self.part = MessagePart.START
         self.head_bytes = self.body_bytes = self.framing_bytes = 0
+        self.oversized = False
         self.deadline = self.loop.time() + self.limits.idle_timeout
         self.listener.move(self.number, ConnectionPhase.IDLE)
         data, self.unparsed = self.unparsed, b""
@@ -407,6 +440,12 @@
                 f"The headers didn't arrive within {self.limits.head_timeout:g} s.",
                 Cause.HEAD_TIMEOUT,
             )
+        elif self.oversized:
+            self._refuse(
+                ResultCode.TOO_LARGE,
+                f"The body is larger than {self.limits.max_body} bytes.",
+                Cause.BODY_TOO_LARGE,
+            )
         elif not self.flow.read_paused:
             self._refuse(
                 ResultCode.REQUEST_TIMEOUT,
--- a/src/zinniatrestle/ingress/tests/test_protocol.py
+++ b/src/zinniatrestle/ingress/tests/test_protocol.py
@@ -237,15 +237,19 @@
     run_with_server(check)
 
 
-# Guards against bodies without an end, whoever answers the call.
+# Guards against bodies without an end, whoever answers the call, and against answers
+# that a reset of the connection takes back.
 @pytest.mark.parametrize("path, status", [("body", 413), ("early", 401)])
 @pytest.mark.parametrize("is_chunked", [False, True])
-def test_a_body_over_the_limit_ends_the_connection(path, status, is_chunked):
+@pytest.mark.parametrize("is_last", [False, True])
+def test_a_body_over_the_limit_ends_the_connection(path, status, is_chunked, is_last):
     async def check(server):
         reader, writer = await server.connect()
-        data = post("a", b"x" * 4 * MAX_BODY_BYTES, path=path)
+        data = post("a", b"x" * 40 * MAX_BODY_BYTES, path=path)
         if is_chunked:
-            data = chunked("a", *[b"x" * 1000] * 80).replace(b"body", path.encode(), 1)
+            data = chunked("a", *[b"x" * 1000] * 800).replace(b"body", path.encode(), 1)
+        if is_last:
+            data = data.replace(HOST, HOST + b"Connection: close\r\n", 1)
         writer.write(data)
         assert (await read_response(reader))[0] == status
         assert await ended(reader)
@@ -255,6 +259,31 @@
     run_with_server(check)
 
 
+# Guards against a connection that is stuck after a body that came whole.
+def test_a_connection_goes_on_after_a_whole_body_over_the_limit():
+    async def check(server):
+        reader, writer = await server.connect()
+        for name in "ab":
+            writer.write(post(name, b"x" * 6000, path="early"))
+            assert await read_response(reader) == (401, name.encode())
+        writer.close()
+
+    run_with_server(check, replace(LIMITS, max_body=5000))
+
+
+# Guards against an application whose own limit is higher, and that waits for the rest.
+def test_a_body_over_the_limit_is_refused_in_time_whatever_the_application_allows():
+    async def check(server):
+        reader, writer = await server.connect()
+        writer.write(post("a", b"x" * 19_000)[:-1])
+        assert (await read_response(reader))[0] == 413
+        assert await ended(reader)
+        assert server.seen == []
+        writer.close()
+
+    run_with_server(check, replace(LIMITS, max_body=5000, body_timeout=0.3))
+
+
 def test_a_body_at_the_limit_is_served_in_chunks_of_one_byte():
     async def check(server):
         reader, writer = await server.connect()
