Free what an evicted connection holds at once

Cause: many connections are evicted in one turn of the event loop and each is lost only in the next, so their parsed headers added up: 300 clients with heads of 60,000 bytes in headers of five bytes let the memory grow by 51.6 MB, with such trailers by 81.9 MB, where 24 MB are allowed. Further, a body that was late or malformed after its call had been answered got a second response, and an application could go on after its call was refused in the same read.

Ruled out: a limit of the number of headers, which refuses requests of an allowed size.

Change: the headers, the parser and the body are dropped when the connection is closed or refused, and an application that has not been called yet is not called. Trailers are not kept. The rest of a body whose call is answered gets no other response. Each byte of a body may be framed by 16 bytes, no longer by 8.

--- a/src/zinniatrestle/ingress/protocol.py
+++ b/src/zinniatrestle/ingress/protocol.py
@@ -31,8 +31,9 @@
 HIGH_WATER_BYTES = 16_384
 # Longest line that states the size of a chunk, with its extensions.
 MAX_CHUNK_LINE_BYTES = 1024
-# Bytes that may frame each byte of a body in chunks; a chunk of one byte has five.
-MAX_FRAMING_FACTOR = 8
+# Bytes that may frame each byte of a body in chunks; a chunk of one byte has at least
+# five, more with leading zeros or extensions.
+MAX_FRAMING_FACTOR = 16
 # Time for a caller to read why its call was refused.
 LINGER_SECONDS = 1.0
 NEVER = float("inf")
@@ -275,10 +276,11 @@
                 or self.framing_bytes > max_bytes
             ):
                 raise MalformedMessageError
+        headers = len(self.headers)
         self._feed(piece)
-        if self.part is MessagePart.TRAILERS:
-            self.held_bytes += len(piece) + HEADER_BYTES
-        elif end and self.part is MessagePart.CHUNK_LINE:
+        # Trailers are no headers, and nothing reads them.
+        del self.headers[headers:]
+        if end and self.part is MessagePart.CHUNK_LINE:
             if self.is_chunk_size:
                 size = self.chunk_line.partition(b";")[0]
                 self.remaining = int(size, 16)
@@ -457,9 +459,29 @@
         """Close the connection at once, without a response."""
         self.refused = True
         self.close_cause = cause
-        self.unparsed = b""
+        self._release()
         self.transport.abort()
 
+    def _release(self):
+        """Free what the connection holds, at the latest once its application ends.
+
+        Many connections may be closed in one turn of the event loop, and each is lost
+        only in the next.
+        """
+        self.unparsed = b""
+        self.parser = None
+        if self.cycle is not None and not self.cycle.response_complete:
+            self.cycle.body = bytearray()
+            if not self._is_call_pending():
+                return
+            self.task.cancel()
+        if self.headers:
+            self.headers.clear()
+
+    def _is_call_pending(self) -> bool:
+        """Return whether the application has not been called yet."""
+        return inspect.getcoroutinestate(self.task.get_coro()) == inspect.CORO_CREATED
+
     def _abort(self, cause: Cause):
         self.listener.remove(self.number, cause)
         self.close_now(cause)
@@ -482,12 +504,16 @@
         There is no answer if the application may have begun to handle the call, since
         an error would say that it hasn't.
         """
-        self.listener.counters.refuse(cause)
         self.close_cause = cause
-        if self.cycle is not None and not self.cycle.response_complete:
-            if not self._withdraw_call():
-                self._abort(cause)
-                return
+        is_open = self.cycle is not None and not self.cycle.response_complete
+        if not is_open and self.part not in (MessagePart.START, MessagePart.HEAD):
+            # Only the rest of a body is refused, whose call is answered.
+            self._linger()
+            return
+        self.listener.counters.refuse(cause)
+        if is_open and not self._withdraw_call():
+            self._abort(cause)
+            return
         response = problem_response(code, detail)
         lines = [STATUS_LINE[response.status_code]]
         for name, value in response.raw_headers:
@@ -501,7 +527,7 @@
 
         An application that waits for the body has not begun to handle the call.
         """
-        if inspect.getcoroutinestate(self.task.get_coro()) == inspect.CORO_CREATED:
+        if self._is_call_pending():
             self.task.cancel()
             return True
         event = self.cycle.message_event
@@ -518,7 +544,7 @@
         """
         self.refused = True
         self.deadline = NEVER
-        self.unparsed = b""
+        self._release()
         self.held_bytes = 0
         self.flow.held = False
         self.flow.resume_reading()
--- a/src/zinniatrestle/ingress/tests/test_protocol.py
+++ b/src/zinniatrestle/ingress/tests/test_protocol.py
@@ -358,6 +358,21 @@
     run_with_server(check, replace(LIMITS, head_timeout=0.3, body_timeout=0.3))
 
 
+# Guards against a second response, which the client takes for that to its next call.
+@pytest.mark.parametrize("ending", [b"", b"not a chunk\r\n"])
+def test_a_body_that_breaks_off_after_its_answer_gets_no_other(ending):
+    async def check(server):
+        reader, writer = await server.connect()
+        data = chunked("a", b"x").replace(b"body", b"early", 1)
+        writer.write(data[:-5])
+        assert await read_response(reader) == (401, b"a")
+        writer.write(ending)
+        assert await ended(reader)
+        writer.close()
+
+    run_with_server(check, replace(LIMITS, body_timeout=0.3))
+
+
 # Guards against a false answer for a call that has begun without its body.
 def test_a_call_that_has_begun_gets_no_error_for_its_late_body():
     async def check(server):
--- a/tests/end_to_end/test_unbounded_clients.py
+++ b/tests/end_to_end/test_unbounded_clients.py
@@ -123,6 +123,18 @@
     check_clients(tmp_path, "frontend_port", 500, head, FILLER, 60_000)
 
 
+# Guards against headers whose objects weigh many times more than their bytes.
+def test_heads_of_very_short_headers(tmp_path):
+    head = b"GET / HTTP/1.1\r\n" + QUEUE
+    check_clients(tmp_path, "frontend_port", 300, head, b"a:b\r\n" * 100, 60_000)
+
+
+def test_trailers_of_very_short_headers(tmp_path):
+    head = b"POST /q/00000000000000f2 HTTP/1.1\r\n" + QUEUE
+    head += b"Transfer-Encoding: chunked\r\n\r\n0\r\n"
+    check_clients(tmp_path, "frontend_port", 300, head, b"a:b\r\n" * 100, 60_000)
+
+
 # Guards against empty lines that count for no head.
 def test_endless_empty_lines(tmp_path):
     lines = b"\r\n" * 2048
