--- a/tests/common/platform_cluster.py
+++ b/tests/common/platform_cluster.py
@@ -65,7 +65,10 @@
         folder: Path,
         ports: PortReservations,
         machines: str = "",
+        settings: str = "",
+        environment: dict[str, str] | None = None,
     ):
+        self.environment = environment or {}
         self.name = f"host-{number}"
         self.frontend_port = ports.reserve()
         self.readiness_port = ports.reserve()
@@ -88,6 +91,7 @@
             form = "table"
             [cloudApi]
             address = "{machines}"
+            {settings}
             """
         )
         self.relay: Relay | None = None
@@ -95,7 +99,11 @@
 
     async def start(self, *flags: str, stdout: int | None = None):
         """Start the process; `stdout` replaces the log file for its event log."""
-        environment = {**os.environ, "ZINNIATRESTLE_BOOT": str(self.settings)}
+        environment = {
+            **os.environ,
+            **self.environment,
+            "ZINNIATRESTLE_BOOT": str(self.settings),
+        }
         with self.log.open("ab") as log:
             self.process = await asyncio.create_subprocess_exec(
                 sys.executable,
@@ -265,8 +273,14 @@
     relayed: bool = False,
     relayed_workers: bool = False,
     lists_machines: bool = False,
+    settings: str = "",
+    environment: dict[str, str] | None = None,
 ):
-    """Run a check on a new cluster, and end the processes afterwards."""
+    """Run a check on a new cluster, and end the processes afterwards.
+
+    `settings` is added to the settings file of each host, `environment` to its
+    environment variables.
+    """
 
     async def run():
         cluster = PlatformCluster(folder)
@@ -299,7 +313,9 @@
                     relay, address = None, store
                     if relayed:
                         relay, address = await start_store_relay(stack, store)
-                    host = Host(number, address, folder, ports, machines)
+                    host = Host(
+                        number, address, folder, ports, machines, settings, environment
+                    )
                     host.relay = relay
                     cluster.hosts.append(host)
                     await host.start()
