Let no request cross the shutdown of a host without an answer

A keep-alive connection was closed at once at a shutdown, and a request that its client sent at that moment got a reset in place of an answer. It showed once in test_a_planned_stop_answers_open_calls_and_exits_with_zero beside other load. While a host stops its responses end their connections now, idle ones stay open a little longer, and connections that the system has already accepted are served.

Ruled out: more time for the notice, since the reset came at its end.

--- a/src/zinniatrestle/ingress/listener.py
+++ b/src/zinniatrestle/ingress/listener.py
@@ -77,6 +77,8 @@
         self.budget = ConnectionBudget(self.base.memory, self.base.connections)
         self.connections: dict[ConnectionId, ClientConnection] = {}
         self.numbers = count()
+        # The host stops, so that each response ends its connection.
+        self.stopping = False
         # Shared by all connections, as each read is parsed or copied at once.
         self.buffer = memoryview(bytearray(READ_BYTES))
 
--- a/src/zinniatrestle/ingress/protocol.py
+++ b/src/zinniatrestle/ingress/protocol.py
@@ -36,6 +36,9 @@
 MAX_FRAMING_FACTOR = 16
 # Time for a caller to read why its call was refused.
 LINGER_SECONDS = 1.0
+# Time at a shutdown in which a request on an idle connection is still served, since it
+# may have been sent before the client could see that the connection closes.
+SHUTDOWN_IDLE_SECONDS = 0.3
 NEVER = float("inf")
 
 
@@ -351,6 +354,12 @@
         """Note that a line states the size of a chunk."""
         self.is_chunk_size = True
 
+    def on_headers_complete(self):
+        """Begin to serve a request; the last one of its connection at a shutdown."""
+        super().on_headers_complete()
+        if self.listener.stopping:
+            self.cycle.keep_alive = False
+
     def on_message_complete(self):
         """Note the end of a request."""
         self.part = MessagePart.COMPLETE
@@ -419,6 +428,18 @@
         if self.part is MessagePart.COMPLETE and self.cycle.response_complete:
             self._finish_request()
 
+    def shutdown(self):
+        """Close the connection once it is idle, as the server shuts down."""
+        self.listener.stopping = True
+        if self.cycle is not None and not self.cycle.response_complete:
+            self.cycle.keep_alive = False
+            return
+        self.loop.call_later(SHUTDOWN_IDLE_SECONDS, self._close_if_idle)
+
+    def _close_if_idle(self):
+        if self.part is MessagePart.START and not self.transport.is_closing():
+            self.transport.close()
+
     def check_time(self, now: float):
         """Close the connection if a time limit has passed."""
         unsent = self.transport.get_write_buffer_size()
--- a/src/zinniatrestle/ingress/server.py
+++ b/src/zinniatrestle/ingress/server.py
@@ -13,6 +13,8 @@
 SWEEP_TICKS = 5
 # Connections that the event loop accepts at once, before any of them can be refused.
 ACCEPT_BATCH = 16
+# Turns of the event loop in which a server that stops accepts connections.
+ACCEPT_ROUNDS = 4
 # Connections that the system keeps until they are accepted.
 LISTEN_BACKLOG = 1024
 
@@ -40,6 +42,14 @@
                 with socket.socket(fileno=os.dup(listening.fileno())) as same:
                     same.listen(LISTEN_BACKLOG)
 
+    async def shutdown(self, sockets: list[socket.socket] | None = None):
+        """Serve the connections that clients have opened, and close them."""
+        self.listener.stopping = True
+        # Those that the system has not handed over yet would be reset.
+        for _ in range(ACCEPT_ROUNDS):
+            await asyncio.sleep(0)
+        await super().shutdown(sockets)
+
     async def on_tick(self, counter: int) -> bool:
         """Apply the time limits twice a second."""
         if counter % SWEEP_TICKS == 0:
--- a/src/zinniatrestle/ingress/tests/test_protocol.py
+++ b/src/zinniatrestle/ingress/tests/test_protocol.py
@@ -39,6 +39,7 @@
         self.waiting = asyncio.Event()
         self.go_on = asyncio.Event()
         self.port = 0
+        self.http: HttpServer | None = None
 
     def app(self) -> Starlette:
         return Starlette(
@@ -89,7 +90,7 @@
             date_header=False,
             timeout_graceful_shutdown=1,
         )
-        http = HttpServer(config, server.listener)
+        http = server.http = HttpServer(config, server.listener)
         serving = asyncio.create_task(http.serve(sockets=[listening]))
         try:
             async with asyncio.timeout(TIMEOUT_SECONDS):
@@ -464,3 +465,38 @@
         writer.close()
 
     run_with_server(check, replace(LIMITS, memory=200_000))
+
+
+# Guards against clients of a stopping host whose next request meets a connection that
+# the host is closing, so that they don't know whether it has run.
+def test_a_response_of_a_stopping_host_ends_its_connection():
+    async def check(server):
+        reader, writer = await server.connect()
+        writer.write(post("a", b"x"))
+        assert await read_response(reader) == (200, b"a")
+        server.listener.stopping = True
+        writer.write(post("b", b"x"))
+        head = await reader.readuntil(b"\r\n\r\n")
+        assert b"connection: close" in head.lower()
+        assert await reader.read() == b"b"
+        writer.close()
+
+    run_with_server(check)
+
+
+def test_a_request_that_crosses_the_shutdown_of_the_host_is_answered():
+    async def check(server):
+        reader, writer = await server.connect()
+        writer.write(post("a", b"x"))
+        assert await read_response(reader) == (200, b"a")
+        _, idle = await server.connect()
+        server.http.should_exit = True
+        await eventually(lambda: not server.http.servers[0].is_serving())
+        writer.write(post("b", b"x"))
+        assert await read_response(reader) == (200, b"b")
+        assert await ended(reader)
+        writer.close()
+        idle.close()
+        await idle.wait_closed()
+
+    run_with_server(check)
--- a/src/zinniatrestle/platform/daemon.py
+++ b/src/zinniatrestle/platform/daemon.py
@@ -200,6 +200,9 @@
     async def _stop(self, scheduler_task: asyncio.Task, lease_task: asyncio.Task):
         """Release the lease, and serve until the platform sends no more callers."""
         self.frontend.stopping = True
+        # Clients go to another host with their next request.
+        for listener in self.metrics.listeners:
+            listener.stopping = True
         self.events.write(Event.STOPPING, holder=self.leadership.is_holder)
         self.leadership.released = True
         scheduler_task.cancel()
