Tell clients that a body over the limit ends the connection

Cause: the answer to such a call had no `Connection: close`, so clients that keep connections sent their next call on one that had ended. Seen in test_odd_input.py (test_a_host_goes_on_after_bad_calls_and_bad_settings) and test_signals.py (test_invalid_input_gets_its_result_code_and_runs_nothing), which failed in the whole suite.

Ruled out: reading the rest of such bodies, which has no end if they are in chunks.

Change: the answer has the header if the stated length is over the limit, or once as much of the body has arrived.

--- a/src/zinniatrestle/ingress/protocol.py
+++ b/src/zinniatrestle/ingress/protocol.py
@@ -234,6 +234,8 @@
         elif b"content-length" in fields:
             self.part = MessagePart.BODY
             self.remaining = int(fields[b"content-length"])
+            if self.remaining > self.limits.max_body:
+                self.cycle.keep_alive = False
         else:
             raise MalformedMessageError
         event = BodyEvent()
@@ -252,6 +254,8 @@
         self._feed(piece)
         if self.body_bytes > self.limits.max_body:
             self.oversized = True
+            # Tells the client that the connection takes no further call.
+            self.cycle.keep_alive = False
         if not self.remaining and self.part is MessagePart.CHUNK_DATA:
             self.part = MessagePart.CHUNK_LINE
         elif not self.remaining and self.part is MessagePart.BODY:
