Accept fractions of `limits.memoryMb`

Cause: the field was ignored before, so a fraction of a MB in the settings file must not keep a host from starting.

Change: it is a number from 0 on; negative ones and texts that are no number are refused with code 104.

Measured: test_settings.py, test_unbounded_clients.py and test_client_limits.py pass (61).

--- a/src/zinniatrestle/ingress/limits.py
+++ b/src/zinniatrestle/ingress/limits.py
@@ -38,7 +38,7 @@
 class Resources:
     """Memory in MB and file descriptors of the machine; 0 if they are not known."""
 
-    memory_mb: int = 0
+    memory_mb: float = 0
     max_descriptors: int = 0
 
 
--- a/src/zinniatrestle/platform/settings.py
+++ b/src/zinniatrestle/platform/settings.py
@@ -7,7 +7,6 @@
 import msgspec
 
 from zinniatrestle.decoding import (
-    Capacity,
     Counter,
     Duration,
     Factor,
@@ -47,7 +46,7 @@
 
     cpuShare: PositiveFactor = 1.0
     cores: PositiveFactor = 1.0
-    memoryMb: Capacity = 0
+    memoryMb: Factor = 0
     maxFds: Counter = 0
 
 
