Don't pack while rack-bound gangs are in demand

Cause: packing ranks workers in use of all racks by their own capacity, so a rack-bound gang finds fewer racks with room.

Ruled out: ranking full racks before the cost; the same gang was moved.

The policy without preemption has no moves to make room either. A test checks that rounds pack under load and after a succession.

--- a/src/zinniatrestle/scheduling/moves.py
+++ b/src/zinniatrestle/scheduling/moves.py
@@ -50,7 +50,7 @@
         self, workers: list[Worker], find_targets: FindTargets, now: BootSeconds
     ):
         """Stop runs that continue elsewhere, for one of the gangs that wait."""
-        if not self.waiting:
+        if not self.waiting or not self.preemptor.policy.preempts:
             return
         costs = self.preemptor.costs
         plan = self.decision.plan(self.waiting, workers, costs, find_targets, now)
--- a/src/zinniatrestle/scheduling/packing.py
+++ b/src/zinniatrestle/scheduling/packing.py
@@ -235,6 +235,8 @@
     def __init__(self, occupancy: Occupancy):
         self.occupancy = occupancy
         self.task_seconds: dict[Capacity, DecayingSum] = {}
+        # The part of the demand that is for rack-bound gangs.
+        self.rack_bound = DecayingSum()
         self.packing: Packing | None = None
         self.updated_at = BootSeconds(float("-inf"))
 
@@ -264,6 +266,12 @@
 
     def _build_packing(self, load: ServiceLoad, now: BootSeconds) -> Packing | None:
         """Return the packing for a mix of large and other shapes, else None."""
+        demanded_seconds = sum(
+            demand.at_time(now) for demand in self.task_seconds.values()
+        )
+        if self.rack_bound.at_time(now) > MIN_DEMAND_SHARE * demanded_seconds:
+            # The rank by racks keeps whole ones free for these.
+            return None
         mix: dict[Capacity, float] = {}
         by_resource = [0.0, 0.0, 0.0]
         for shape, demand in self.task_seconds.items():
@@ -310,7 +318,10 @@
         demand = self.services.get(submission.service)
         if demand is None:
             demand = self.services[submission.service] = ServiceDemand(self.occupancy)
-        demand.count(needs_of(step.shape), seconds * step.shape.count, now)
+        task_seconds = seconds * step.shape.count
+        demand.count(needs_of(step.shape), task_seconds, now)
+        if step.shape.rack_bound and step.shape.count > 1:
+            demand.rack_bound.add(task_seconds, now)
 
     def begin_round(self, workers: list[Worker], now: BootSeconds):
         """Decide for each service whether its workers are packed from now on."""
--- a/src/zinniatrestle/scheduling/tests/test_packing.py
+++ b/src/zinniatrestle/scheduling/tests/test_packing.py
@@ -1,5 +1,7 @@
 """Packing: tasks fill workers in every resource and leave whole ones for gangs."""
 
+import asyncio
+
 import pytest
 from common.packing import SITES, JobClass, Site, compare
 from common.scheduling import (
@@ -13,6 +15,7 @@
 )
 
 from zinniatrestle.jobs.messages import Step
+from zinniatrestle.scheduling.context import Policy
 from zinniatrestle.scheduling.durations import Durations
 from zinniatrestle.scheduling.packing import (
     BEGIN_ALLOCATED_SHARE,
@@ -27,6 +30,8 @@
 )
 from zinniatrestle.scheduling.placement import BestFit
 from zinniatrestle.scheduling.state import StepRun, Worker, WorkerHealth
+from zinniatrestle.standins.checker import violations
+from zinniatrestle.standins.model import Model, run_virtual, step
 
 CORES = 128
 MEMORY_GB = 256
@@ -146,6 +151,17 @@
     assert place(step, workers, packing) == [in_use, beside]
 
 
+# Guards against partly used workers in all racks, which leave no rack with room for a
+# rack-bound gang.
+@pytest.mark.parametrize("rack_bound", [False, True])
+def test_nothing_is_packed_while_rack_bound_gangs_are_in_demand(rack_bound):
+    demand = demand_of(SMALL, ALL_GPUS)
+    shape = shape_of(ALL_GPUS, count=3, gang=True, rack_bound=rack_bound)
+    demand.count(first_step(job("3" * 16, shape)), NOW)
+    demand.begin_round(loaded_workers(0.9), NOW)
+    assert (demand.packing(SERVICE) is None) is rack_bound
+
+
 def test_health_and_avoidance_rank_before_packing():
     packed, other = large_worker("a"), large_worker("b")
     occupy(packed, "1", SMALL)
@@ -271,3 +287,42 @@
     assert after > sum(outcome.whole_before for outcome in found)
     refused = sum(outcome.refused_after for outcome in found)
     assert refused <= sum(outcome.refused_before for outcome in found)
+
+
+class RecordingFit(BestFit):
+    """Record whether the constraints of each placement call for packing."""
+
+    def __init__(self):
+        self.packs: list[bool] = []
+
+    def place(self, step, tasks, workers, constraints):
+        self.packs.append(constraints.packing is not None)
+        return super().place(step, tasks, workers, constraints)
+
+
+# Guards against rounds that don't pass the measured state on to placement, and a
+# successor that knows the mix only once new jobs arrive.
+def test_rounds_pack_under_load_and_after_a_succession():
+    async def play():
+        placement = RecordingFit()
+        model = Model(1, policy=Policy(placement=placement))
+        await model.start(workers=4, rack=4)
+        await model.submit("usual", (step(gpus=1),), 60.0)
+        await asyncio.sleep(0.5)
+        assert placement.packs
+        assert not any(placement.packs)
+        await model.submit("usual", (step(3, gpus=8),), 60.0)
+        await asyncio.sleep(1.0)
+        await model.submit("usual", (step(gpus=1),), 60.0)
+        await asyncio.sleep(0.5)
+        assert placement.packs[-1]
+        await model.leader().kill()
+        await asyncio.sleep(8.0)
+        placement.packs.clear()
+        await model.submit("usual", (step(gpus=1),), 60.0)
+        await asyncio.sleep(0.5)
+        assert placement.packs[0]
+        await model.stop()
+        assert violations(model) == []
+
+    run_virtual(play())
