--- a/src/zinniatrestle/scheduling/headroom_control.py
+++ b/src/zinniatrestle/scheduling/headroom_control.py
@@ -38,6 +38,9 @@
 
     def __init__(self, context: SchedulerContext):
         self.context = context
+        # Headroom bridges the time in which preemption makes room, so that a policy
+        # without preemption gets none.
+        self.is_enabled = context.policy is None or context.policy.preempts
         self.arrivals = ArrivalForecast()
         self.headroom = Headroom(context.deployment.bounds)
         handover = context.leadership.handover
@@ -93,6 +96,8 @@
 
     def may_record_wait(self, step: StepRun) -> bool:
         """Return whether a step is urgent and no wait of it has been recorded."""
+        if not self.is_enabled:
+            return False
         return _is_urgent(step.job) and not step.lacked_capacity
 
     def record_wait(self, step: StepRun):
--- a/src/zinniatrestle/scheduling/tests/test_urgent_load.py
+++ b/src/zinniatrestle/scheduling/tests/test_urgent_load.py
@@ -15,6 +15,7 @@
 from zinniatrestle.jobs.messages import Step
 from zinniatrestle.metrics import Metrics
 from zinniatrestle.queues import OperatorState
+from zinniatrestle.scheduling.context import Policy
 from zinniatrestle.scheduling.durations import Durations
 from zinniatrestle.scheduling.forecast import Forecast
 from zinniatrestle.scheduling.headroom import MAX_HEADROOM_SHARE, HeadroomPhase
@@ -31,12 +32,13 @@
 MAX_WAIT = BOUNDS.finish * MAX_WAIT_SHARE
 
 
-def control_of(handover=None) -> HeadroomControl:
+def control_of(handover=None, policy=None) -> HeadroomControl:
     """Return the headroom of a scheduler that starts at NOW."""
     operator = OperatorState()
     operator.queues = {"urgent": SimpleNamespace(service=SERVICE, regions=frozenset())}
     context = SimpleNamespace(
         deployment=SimpleNamespace(bounds=BOUNDS),
+        policy=policy,
         leadership=SimpleNamespace(handover=handover or Handover()),
         operator=operator,
         metrics=Metrics(),
@@ -50,9 +52,9 @@
     return job(name, URGENT, priority=0, queue="urgent", arrived=arrived)
 
 
-def control_under_load() -> HeadroomControl:
+def control_under_load(policy=None) -> HeadroomControl:
     """Return the headroom after 20 urgent jobs in 20 s, of which three had to wait."""
-    control = control_of()
+    control = control_of(policy=policy)
     for number in range(1, 21):
         arrived = urgent_job(f"u{number}", NOW + number)
         control.learn_arrival(arrived)
@@ -86,6 +88,14 @@
     assert visible(control, urgent, workers) == workers
 
 
+# Guards against capacity held for the time until a preemption, where nothing is
+# preempted.
+def test_a_policy_without_preemption_holds_no_capacity_back():
+    control = control_under_load(Policy(preempts=False))
+    workers = workers_in_racks(10, size=4)
+    assert visible(control, background_step(), workers) == workers
+
+
 # Guards against accepted work that never runs because capacity is held for other work.
 def test_a_background_step_whose_wait_limit_has_expired_uses_headroom():
     control = control_under_load()
