Mend what a review of placement, moves and health has shown

- An urgent step gets the workers that are reserved for a less urgent gang while runs are moved off them; it could not even preempt there.
- Failures of faulty jobs count against a worker for 30 s only.
- Less urgent work takes workers in use first, and slow ones among them.
- The checkpoint of a stop counts although an older one had replaced it.
- An unanswered start counts once, pauses and quarantines don't overflow, and the search for moves is bounded while there is too little room.
- A guarantee takes the cheapest plan, on workers of any speed.

--- a/src/zinniatrestle/scheduling/cluster_state.py
+++ b/src/zinniatrestle/scheduling/cluster_state.py
@@ -220,7 +220,8 @@
             task.checkpoint = checkpoint
             step.job.checkpoints_changed = True
             return
-        if checkpoint in step.replaced_checkpoints:
+        is_newest = at_stop and not step.has_stop_checkpoint
+        if checkpoint in step.replaced_checkpoints and not is_newest:
             # Members report at different times, so this one is older.
             return
         if step.has_stop_checkpoint and not at_stop:
--- a/src/zinniatrestle/scheduling/defragmentation.py
+++ b/src/zinniatrestle/scheduling/defragmentation.py
@@ -29,7 +29,7 @@
     WorkerHealth,
 )
 
-# A gang waits in vain if the idle capacity would hold it this many times.
+# A gang is blocked by fragmentation if the idle capacity would hold it this many times.
 IDLE_FACTOR = 2
 # Runs are moved only for gangs that have waited for so long, since runs that end anyway
 # often make room.
@@ -50,6 +50,8 @@
 # doubles with each further one in a row.
 FIRST_PAUSE_SECONDS = 5.0
 MAX_PAUSE_SECONDS = 60.0
+# More doublings than these reach the maximum anyway, and their power overflows a float.
+MAX_DOUBLINGS = 10
 # Plans for one gang are limited, since runs that fit nowhere else are excluded from
 # each and another plan is made.
 MAX_PLANS = 2
@@ -148,12 +150,12 @@
         # budget was last added to; it begins full.
         self.budget: float | None = None
         self.budget_at = BootSeconds(0.0)
-        # The gangs for which moves were looked for lately, and when.
+        # The gangs for which moves were searched recently, and when.
         self.tried_at: dict[StepRun, BootSeconds] = {}
         self.searched_at = BootSeconds(float("-inf"))
 
     def begin_round(self, now: BootSeconds):
-        """Note how the latest attempt went on; a failed one suspends moves."""
+        """Record the result of the latest attempt; a failed one suspends moves."""
         step = self.attempt
         if step is None or any(
             task.status is TaskStatus.RESERVED for task in step.tasks
@@ -166,7 +168,7 @@
             self.failures = 0
             return
         self.failures += 1
-        pause = FIRST_PAUSE_SECONDS * 2 ** (self.failures - 1)
+        pause = FIRST_PAUSE_SECONDS * 2 ** min(self.failures - 1, MAX_DOUBLINGS)
         self.paused_until = BootSeconds(now + min(pause, MAX_PAUSE_SECONDS))
 
     def plan(
@@ -189,6 +191,7 @@
         for gang in waiting:
             if gang.step in self.tried_at or not self._may_need_moves(gang, now):
                 continue
+            self.tried_at[gang.step] = now
             sound = [
                 worker
                 for worker in candidates(gang.step, gang.workers, gang.constraints)
@@ -196,7 +199,7 @@
             ]
             if not _would_hold(gang.step, sound):
                 continue
-            self.tried_at[gang.step] = self.searched_at = now
+            self.searched_at = now
             self._add_to_budget(gang, workers, now)
             searched = sound if gang.step.shape.rack_bound else _most_idle(sound)
             found = self._plan_for(gang, searched, costs, find_targets, now)
--- a/src/zinniatrestle/scheduling/health.py
+++ b/src/zinniatrestle/scheduling/health.py
@@ -6,12 +6,17 @@
 # The quarantine after a first failure; it doubles with each further one in a row.
 FIRST_QUARANTINE_SECONDS = 4.0
 MAX_QUARANTINE_SECONDS = 60.0
+# More doublings than these reach the maximum anyway, and their power overflows a float.
+MAX_DOUBLINGS = 10
 # Share of a service's workers that may be in quarantine at the same time. If more of
 # them fail, the cause is more likely the tasks.
 MAX_QUARANTINED_SHARE = 0.3
 # A success within this time makes a single failure on the same worker count against the
 # task rather than the worker.
 TRUST_SECONDS = 5.0
+# Failures of different jobs within this time, without a success in between, count
+# against the worker although each job has failed elsewhere as well.
+FAILURE_MEMORY_SECONDS = 30.0
 # A run that fails sooner has done no work, which is rarely the fault of its task.
 EARLY_FAILURE_SECONDS = 0.3
 # If a task, or a gang, fails on more workers than this, it is taken to be faulty.
@@ -36,7 +41,12 @@
         job = task.step.job.id
         task.avoided_workers.add(worker.id)
         task.failed_workers.add(worker.id)
-        others = worker.failed_jobs.keys() - {job}
+        others = []
+        for failed_job, failed_at in list(worker.failed_jobs.items()):
+            if now - failed_at > FAILURE_MEMORY_SECONDS:
+                del worker.failed_jobs[failed_job]
+            elif failed_job != job:
+                others.append(failed_job)
         worker.failed_jobs[job] = now
         if len(task.step.failed_workers(task)) > MAX_BLAMED_WORKERS:
             self.blamed_jobs.add(job)
@@ -77,7 +87,8 @@
         if quarantined + 1 > MAX_QUARANTINED_SHARE * len(peers):
             return False
         seconds = min(
-            FIRST_QUARANTINE_SECONDS * 2**worker.quarantines, MAX_QUARANTINE_SECONDS
+            FIRST_QUARANTINE_SECONDS * 2 ** min(worker.quarantines, MAX_DOUBLINGS),
+            MAX_QUARANTINE_SECONDS,
         )
         worker.quarantines += 1
         worker.quarantined_until = BootSeconds(now + seconds)
--- a/src/zinniatrestle/scheduling/moves.py
+++ b/src/zinniatrestle/scheduling/moves.py
@@ -11,8 +11,13 @@
     WaitingGang,
 )
 from zinniatrestle.scheduling.placement import PlacementConstraints
-from zinniatrestle.scheduling.preemption import Preemptor
-from zinniatrestle.scheduling.state import MILLICORES_PER_CORE, Worker
+from zinniatrestle.scheduling.preemption import HIGHEST_PRIORITY, Preemptor
+from zinniatrestle.scheduling.state import (
+    MILLICORES_PER_CORE,
+    StepRun,
+    TaskStatus,
+    Worker,
+)
 from zinniatrestle.scheduling.tracker import Tracker
 
 
@@ -46,6 +51,23 @@
         open_workers = reservations.eligible_workers(step, workers)
         self.waiting.append(WaitingGang(step, constraints, open_workers, earliest.at))
 
+    def make_way(self, step: StepRun) -> bool:
+        """Release what is reserved for the gang of an attempt, for an urgent step.
+
+        Returns whether anything was released. Preemption doesn't count reservations,
+        and the urgent step may be late before the moved runs have stopped.
+        """
+        gang = self.decision.attempt
+        if gang is None or step.job.submission.priority != HIGHEST_PRIORITY:
+            return False
+        if gang.job.submission.priority == HIGHEST_PRIORITY:
+            return False
+        for task in gang.tasks:
+            if task.status is TaskStatus.RESERVED:
+                self.tracker.release_reservation(task)
+                return True
+        return False
+
     def make_room(
         self, workers: list[Worker], find_targets: FindTargets, now: BootSeconds
     ):
--- a/src/zinniatrestle/scheduling/placement.py
+++ b/src/zinniatrestle/scheduling/placement.py
@@ -20,7 +20,11 @@
     total_capacity,
 )
 from zinniatrestle.scheduling.reliability import Reliability
-from zinniatrestle.scheduling.speeds import estimated_speed, slow_workers
+from zinniatrestle.scheduling.speeds import (
+    SPEED_VALID_SECONDS,
+    estimated_speed,
+    slow_workers,
+)
 from zinniatrestle.scheduling.state import (
     StepRun,
     Task,
@@ -34,8 +38,6 @@
 # A worker below this speed is more likely impaired than slow by nature, and not one to
 # send work to that could run elsewhere.
 MIN_SOUND_SPEED = 0.7
-# Above the speed class of any worker.
-MAX_SPEED_RANK = 1000
 
 
 class WorkerChoice(Enum):
@@ -345,14 +347,15 @@
 
 
 def _speed_rank(worker: Worker, constraints: PlacementConstraints) -> int:
-    """Return the rank of a worker by its speed; the lowest is preferred."""
+    """Return the rank of a worker by its speed, before whether it is in use.
+
+    Time-critical steps prefer the fastest; less urgent ones avoid impaired workers.
+    """
     if constraints.time_critical:
         return -_speed_class(worker, constraints)
-    if not constraints.prefers_slow:
+    if not constraints.prefers_slow or worker.speed >= MIN_SOUND_SPEED:
         return 0
-    if estimated_speed(worker, constraints.now) < MIN_SOUND_SPEED:
-        return MAX_SPEED_RANK
-    return _speed_class(worker, constraints)
+    return constraints.now - worker.speed_measured_at <= SPEED_VALID_SECONDS
 
 
 def _slowest_speed_class(
@@ -427,8 +430,9 @@
 
     Workers that the step avoids come after the others, and unhealthy ones and canaries
     last. Gangs go to the workers of least risk first, time-critical steps to the
-    fastest ones, and less urgent ones with slack to the slowest. A single task probes
-    an idle worker whose runs ended badly.
+    fastest ones; less urgent ones with slack take workers in use first, the slowest
+    among them and among empty ones. A single task probes an idle worker whose runs
+    ended badly.
     """
     step = tasks[0].step
     avoided = step.avoided_workers(constraints.now)
@@ -449,6 +453,7 @@
 
     def fullness(worker: Worker) -> tuple:
         return (
+            _speed_class(worker, constraints) if constraints.prefers_slow else 0,
             free_gpus_by_rack[worker.rack],
             worker.free_gpus,
             worker.free_cpu,
--- a/src/zinniatrestle/scheduling/preemption_plan.py
+++ b/src/zinniatrestle/scheduling/preemption_plan.py
@@ -107,7 +107,7 @@
         enough.
         """
         usable = candidates(step, workers, constraints)
-        if constraints.time_critical:
+        if constraints.time_critical and limit < math.inf:
             fast = [
                 worker for worker in usable if not is_below_usual(worker, costs.now)
             ]
--- a/src/zinniatrestle/scheduling/rounds.py
+++ b/src/zinniatrestle/scheduling/rounds.py
@@ -178,10 +178,10 @@
             and self.tracker.advice is not None
         ):
             tickets = self.tracker.advice.tickets(step.id, now)
-        run_seconds = durations.expected_seconds(submission.queue, step.shape)
         is_urgent = submission.priority == HIGHEST_PRIORITY
+        service = queue.service if queue else submission.service
         return PlacementConstraints(
-            service=queue.service if queue else submission.service,
+            service=service,
             regions=permitted_regions(queue, account),
             evacuated=operator.evacuated,
             tickets=tickets,
@@ -192,7 +192,7 @@
             ignore_locality=slack < 0,
             reliability=self.tracker.reliability,
             run_seconds=run_seconds,
-            packing=self.demand.packing(submission.service),
+            packing=self.demand.packing(service),
         )
 
     def _schedule_step(
@@ -213,6 +213,10 @@
         assignment, applied = self._find_workers(
             step, workers, reservations, limits, constraints
         )
+        if not assignment and self.mover.make_way(step):
+            assignment, applied = self._find_workers(
+                step, workers, reservations, limits, constraints
+            )
         self._assign_tickets(assignment, constraints)
         placed.extend(self._place(step, assignment))
         unplaced = len(waiting) - len(assignment)
--- a/src/zinniatrestle/scheduling/tests/test_gangs_that_lose_members.py
+++ b/src/zinniatrestle/scheduling/tests/test_gangs_that_lose_members.py
@@ -118,3 +118,15 @@
     report(tracker, workers[0], ended=(ended(first, RunOutcome.MEMBER_ENDED),))
     report(tracker, workers[1], ended=(ended(second, RunOutcome.STOPPED),))
     assert third.status is TaskStatus.STOPPING
+
+
+# Guards against a successor that knows the newest checkpoint, takes an older one of a
+# member that lags, and then refuses the one that a stop has saved.
+def test_checkpoint_of_a_stop_counts_although_an_older_one_has_replaced_it():
+    tracker, gang, workers = gang_of_three()
+    first, second, _ = gang.tasks
+    for member in gang.tasks:
+        member.checkpoint = "c6"
+    report(tracker, workers[1], (running(second, "c5"),))
+    report(tracker, workers[0], ended=(ended(first, RunOutcome.STOPPED, "c6"),))
+    assert checkpoints(gang) == {"c6"}
--- a/src/zinniatrestle/scheduling/tests/test_health.py
+++ b/src/zinniatrestle/scheduling/tests/test_health.py
@@ -1,11 +1,13 @@
 """Detection of faulty workers, told apart from jobs that fail everywhere."""
 
 import pytest
-from common.scheduling import NOW, first_step, job, run_on, workers_in_racks
+from common.scheduling import NOW, first_step, job, run_on, worker, workers_in_racks
 
 from zinniatrestle.jobs.messages import Step
 from zinniatrestle.scheduling.health import (
+    FAILURE_MEMORY_SECONDS,
     FIRST_QUARANTINE_SECONDS,
+    MAX_QUARANTINE_SECONDS,
     MAX_QUARANTINED_SHARE,
     HealthMonitor,
 )
@@ -151,3 +153,21 @@
     # The first of these failures may be the fault of the job.
     assert not monitor.record_failure(workers[0], first.tasks[0], NOW)
     assert monitor.record_failure(workers[0], second.tasks[0], NOW)
+
+
+# Guards against sound workers in quarantine because faulty jobs met there over time.
+def test_failures_of_faulty_jobs_long_ago_do_not_count_against_a_worker():
+    monitor = HealthMonitor()
+    target, other = worker("w1"), worker("w2")
+    for name, at in (("1", NOW), ("2", NOW + FAILURE_MEMORY_SECONDS + 1.0)):
+        task = failing_task(other, name)
+        monitor.record_failure(other, task, at)
+        other.failed_jobs.clear()
+        assert not monitor.record_failure(target, task, at)
+
+
+def test_a_quarantine_after_very_many_failures_has_the_maximum_length():
+    target = worker("w1")
+    target.quarantines = 5000
+    assert HealthMonitor().quarantine(target, [target] * 10, NOW)
+    assert target.quarantined_until == NOW + MAX_QUARANTINE_SECONDS
--- a/src/zinniatrestle/scheduling/tests/test_moves.py
+++ b/src/zinniatrestle/scheduling/tests/test_moves.py
@@ -1,19 +1,27 @@
 """Moves that make room for a gang, with late stops, lost targets and successions."""
 
 import asyncio
+from functools import partial
+from types import SimpleNamespace
 
 from common.history import start_times
+from common.scheduling import first_step, workers_in_racks
+from common.scheduling import job as build_job
 
 from zinniatrestle.clock import monotonic
 from zinniatrestle.deployment import Bounds
 from zinniatrestle.ids import JobId
-from zinniatrestle.jobs.messages import JobState
+from zinniatrestle.jobs.messages import JobState, Step
+from zinniatrestle.scheduling.cluster_state import ClusterState
 from zinniatrestle.scheduling.defragmentation import (
     FIRST_PAUSE_SECONDS,
     MIN_WAIT_SECONDS,
     RETRY_SECONDS,
 )
 from zinniatrestle.scheduling.draining import ORDER_LATENCY_SECONDS
+from zinniatrestle.scheduling.durations import Durations
+from zinniatrestle.scheduling.moves import Mover
+from zinniatrestle.scheduling.state import TaskStatus
 from zinniatrestle.standins.checker import check_capacity, violations
 from zinniatrestle.standins.model import Model, run_virtual, step
 from zinniatrestle.standins.runs import FleetTraits
@@ -206,3 +214,25 @@
             assert model.state(job) is JobState.COMPLETED
 
     run_virtual(play())
+
+
+# Guards against urgent jobs that are late beside workers that are kept for a less
+# urgent gang until moved runs have stopped.
+def test_an_urgent_step_gets_the_workers_that_a_less_urgent_gang_has_reserved():
+    workers = workers_in_racks(1, size=2)
+    gang = first_step(build_job("a" * 16, Step(count=2, cpu=1000, gpus=8, gang=True)))
+    for task, target in zip(gang.tasks, workers, strict=True):
+        task.status, task.worker = TaskStatus.RESERVED, target
+        target.reserve(task)
+    tracker = SimpleNamespace(durations=Durations())
+    tracker.release_reservation = partial(ClusterState.release_reservation, tracker)
+    deployment = SimpleNamespace(bounds=BOUNDS)
+    mover = Mover(SimpleNamespace(deployment=deployment), tracker, None)
+    mover.decision.attempt = gang
+    other = first_step(build_job("b" * 16, Step(gpus=8), priority=1))
+    assert not mover.make_way(other)
+    urgent = first_step(build_job("c" * 16, Step(gpus=8), priority=0))
+    assert mover.make_way(urgent)
+    assert [target.free_gpus for target in workers] == [8, 8]
+    assert {task.status for task in gang.tasks} == {TaskStatus.WAITING}
+    assert not mover.make_way(urgent)
--- a/src/zinniatrestle/scheduling/tests/test_placement.py
+++ b/src/zinniatrestle/scheduling/tests/test_placement.py
@@ -425,3 +425,20 @@
     assert set(found.values()) == set(workers[4:])
     found = place_by(known_to_fail(*workers), gang, workers)
     assert set(found.values()) == set(workers[:2])
+
+
+# Guards against the last whole worker broken up for a task that fits beside others.
+def test_less_urgent_work_prefers_workers_in_use_to_slower_empty_ones():
+    workers = workers_in_racks(1, size=2)
+    set_speeds(workers, 1.0, 0.8)
+    occupy(workers[0], 1)
+    assignment = place(Step(gpus=1), workers, prefers_slow=True, now=NOW)
+    assert list(assignment.values()) == [workers[0]]
+
+
+def test_a_worker_is_not_avoided_as_impaired_for_longer_than_its_speed_is_valid():
+    workers = workers_in_racks(1, size=2)
+    set_speeds(workers, 0.6, 1.0)
+    now = NOW + 9.0
+    assignment = place(Step(gpus=8), workers, prefers_slow=True, now=now)
+    assert list(assignment.values()) == [workers[0]]
--- a/src/zinniatrestle/scheduling/tests/test_reclaim.py
+++ b/src/zinniatrestle/scheduling/tests/test_reclaim.py
@@ -204,8 +204,12 @@
     step = first_step(job("a" * 16, Step(count=1, gpus=8, gang=True), priority=0))
     costs = PreemptionCosts(Forecast(Durations(), NOW), RESTORE_SECONDS)
     urgent = constraints(time_critical=True, now=NOW)
-    found = PLANNER.plan(step, step.waiting_tasks(), workers, urgent, costs)
+    waiting = step.waiting_tasks()
+    found = PLANNER.plan(step, waiting, workers, urgent, costs, limit=1e9)
     assert found.victims == [on_other if fast_workers else on_slow]
+    # A guarantee, which has no limit on lost work, takes the cheapest plan.
+    found = PLANNER.plan(step, waiting, workers, urgent, costs)
+    assert found.victims == [on_slow]
 
 
 # Guards against urgent jobs that are late because runs which save a checkpoint at their
--- a/src/zinniatrestle/scheduling/tracker.py
+++ b/src/zinniatrestle/scheduling/tracker.py
@@ -353,8 +353,9 @@
 
     def _avoid_unresponsive(self, worker: Worker, task: Task):
         """Avoid a worker that answers holds and left a start without an answer."""
+        if worker.id not in task.avoided_workers:
+            self.reliability.record(worker.id, Evidence.UNANSWERED, boot_time())
         task.avoided_workers.add(worker.id)
-        self.reliability.record(worker.id, Evidence.UNANSWERED, boot_time())
         reason = f"the start of task {task.id} got no answer"
         self.quarantine(worker, reason, boot_time())
 
