Mend what a review of the limits for clients and of headroom has shown

- An evicted request could run with an empty body in place of its own.
- A head that is not complete held up a shutdown until its time limit.
- The forecast handed over is bounded in bytes, whatever names are in use.
- Headroom is a share of the workers that can be used, and a step of which nothing runs may use it although other steps of its job run.
- Progress of a slow reader counts until the response is written, and a number of connections above the descriptors is not accepted.

--- a/src/zinniatrestle/ingress/limits.py
+++ b/src/zinniatrestle/ingress/limits.py
@@ -64,7 +64,7 @@
             )
         for name in ("body_timeout", "write_timeout"):
             if not 0 < getattr(self, name) < float("inf"):
-                raise error(name, f"The {name} must be greater than 0.")
+                raise error(name, f"The {name} must be finite and greater than 0.")
         if self.max_connections < 0:
             raise error("max_connections", "The max_connections can't be negative.")
 
@@ -111,11 +111,12 @@
     The readiness and the metrics listener have theirs besides, from `probe_limits`.
     """
     memory = _memory(settings, resources)
-    connections = settings.max_connections
-    if not connections:
-        usable = _usable_descriptors(resources, descriptors)
-        connections = int(usable * (1 - OWN_DESCRIPTOR_SHARE))
-        connections = max(MIN_CONNECTIONS, min(connections, MAX_CONNECTIONS))
+    usable = _usable_descriptors(resources, descriptors)
+    connections = int(usable * (1 - OWN_DESCRIPTOR_SHARE))
+    connections = max(MIN_CONNECTIONS, min(connections, MAX_CONNECTIONS))
+    if settings.max_connections:
+        # A larger number would take the descriptors of the store and the workers.
+        connections = min(connections, settings.max_connections)
     return ConnectionLimits(
         memory=int(memory * (1 - 2 * PROBE_MEMORY_SHARE)),
         connections=connections,
--- a/src/zinniatrestle/ingress/protocol.py
+++ b/src/zinniatrestle/ingress/protocol.py
@@ -399,7 +399,10 @@
     def _finish_request(self):
         """Release a request, and begin the next one once its response is written."""
         self.held_bytes = 0
-        self.unsent_bytes = self.transport.get_write_buffer_size()
+        unsent = self.transport.get_write_buffer_size()
+        if unsent != self.unsent_bytes:
+            self.unsent_bytes = unsent
+            self.written_at = self.loop.time()
         if self.flow.write_paused:
             self.deadline = NEVER
             self.listener.move(self.number, ConnectionPhase.UNREAD)
@@ -441,7 +444,14 @@
         self.loop.call_later(SHUTDOWN_IDLE_SECONDS, self._close_if_idle)
 
     def _close_if_idle(self):
-        if self.part is MessagePart.START and not self.transport.is_closing():
+        """Close the connection, unless a request on it is in progress.
+
+        A request whose head is not complete has not been handled.
+        """
+        if self.transport.is_closing():
+            return
+        is_answered = self.cycle is None or self.cycle.response_complete
+        if is_answered or self.part is MessagePart.HEAD:
             self.transport.close()
 
     def check_time(self, now: float):
@@ -496,7 +506,10 @@
         self.unparsed = b""
         self.parser = None
         if self.cycle is not None and not self.cycle.response_complete:
+            # The application must not take what is left of a body for all of it.
+            self.cycle.disconnected = True
             self.cycle.body = bytearray()
+            self.cycle.message_event.set()
             if not self._is_call_pending():
                 return
             self.task.cancel()
--- a/src/zinniatrestle/ingress/tests/test_protocol.py
+++ b/src/zinniatrestle/ingress/tests/test_protocol.py
@@ -509,3 +509,35 @@
         await idle.wait_closed()
 
     run_with_server(check)
+
+
+# Guards against a request that runs with an empty body, as its connection was evicted
+# in the turn in which the body was complete.
+def test_an_evicted_request_is_not_run_with_a_part_of_its_body():
+    async def check(server):
+        reader, writer = await server.connect()
+        data = post("a", b"x" * 10_000)
+        writer.write(data[:-10_000])
+        await asyncio.sleep(0.1)
+        writer.write(data[-10_000:])
+        assert await ended(reader)
+        writer.close()
+        await eventually(lambda: not server.listener.connections)
+        assert server.seen == []
+
+    run_with_server(check, replace(LIMITS, memory=16_384))
+
+
+# Guards against a shutdown that waits for a request that may never be complete.
+@pytest.mark.parametrize("data", [b"GET / HT", b""])
+def test_a_shutdown_does_not_wait_for_a_head_that_is_not_complete(data):
+    async def check(server):
+        reader, writer = await server.connect()
+        writer.write(data)
+        await asyncio.sleep(0.1)
+        server.http.config.timeout_graceful_shutdown = None
+        server.http.should_exit = True
+        assert await ended(reader)
+        writer.close()
+
+    run_with_server(check)
--- a/src/zinniatrestle/scheduling/arrivals.py
+++ b/src/zinniatrestle/scheduling/arrivals.py
@@ -13,6 +13,12 @@
 # Bounds on the state, which is part of the lease's row.
 MAX_PAIRS = 64
 MAX_SHAPES = 5
+# Bytes of the lease's row for the records of a handover, of which the row may hold
+# 49,000, most of them for expiries of leases. Names may take 200 bytes each.
+MAX_EXPORTED_BYTES = 6000
+# Encoded sizes of a record without names and shapes, and of a shape.
+RECORD_BYTES = 60
+SHAPE_BYTES = 30
 # Intervals between jobs that have to be known before more are expected.
 MIN_INTERVALS = 3
 # Jobs are no longer expected after this many mean intervals without one. If they arrive
@@ -168,9 +174,18 @@
         return expected
 
     def export(self, now: float) -> tuple[ArrivalRecord, ...]:
-        """Return the statistics for a successor."""
+        """Return the statistics for a successor, as far as there is room for them.
+
+        Pairs with the most recent arrivals come first.
+        """
         records = []
-        for pair, statistics in self.pairs.items():
+        size = 0
+        recent = sorted(self.pairs.items(), key=lambda known: -known[1].last_at)
+        for pair, statistics in recent:
+            size += RECORD_BYTES + SHAPE_BYTES * len(statistics.shapes)
+            size += len(pair.account.encode()) + len(pair.queue.encode())
+            if size > MAX_EXPORTED_BYTES:
+                break
             shapes = tuple(
                 ArrivalShapeRecord(
                     gpus,
--- a/src/zinniatrestle/scheduling/headroom.py
+++ b/src/zinniatrestle/scheduling/headroom.py
@@ -171,12 +171,12 @@
         capacity: dict[ServiceName, int] = {}
         for worker in workers:
             entry = worker.entry
-            weight = entry.cpu + entry.gpus * ACCELERATOR_MILLICORES
-            capacity[entry.service] = capacity.get(entry.service, 0) + weight
             if entry.domain in evacuated or not worker.usable():
                 continue
             if worker.health is not WorkerHealth.SOUND:
                 continue
+            weight = entry.cpu + entry.gpus * ACCELERATOR_MILLICORES
+            capacity[entry.service] = capacity.get(entry.service, 0) + weight
             rooms.append(self._room(worker, forecast))
         plan = self._choose(demands, rooms, capacity)
         self._update_phase(now, pressure, demands, rooms, plan)
--- a/src/zinniatrestle/scheduling/headroom_control.py
+++ b/src/zinniatrestle/scheduling/headroom_control.py
@@ -46,7 +46,10 @@
         handover = context.leadership.handover
         now = boot_time()
         self.arrivals.restore(handover.arrivals, now)
-        self.headroom.restore(handover.headroom_pressure, handover.headroom_active, now)
+        if self.is_enabled:
+            self.headroom.restore(
+                handover.headroom_pressure, handover.headroom_active, now
+            )
         self.forecast: Forecast | None = None
         self.workers: list[Worker] = []
         # The workers that less urgent steps see in this round; None: not planned yet.
--- a/src/zinniatrestle/scheduling/tests/test_arrivals.py
+++ b/src/zinniatrestle/scheduling/tests/test_arrivals.py
@@ -9,6 +9,7 @@
 from zinniatrestle.ids import ClientAccountId, QueueName
 from zinniatrestle.jobs.messages import Step
 from zinniatrestle.scheduling.arrivals import (
+    MAX_EXPORTED_BYTES,
     MAX_PAIRS,
     MAX_SHAPES,
     MIN_INTERVALS,
@@ -104,9 +105,24 @@
     assert set(forecast.pairs) == set(pairs[10:])
     for statistics in forecast.pairs.values():
         assert len(statistics.shapes) == MAX_SHAPES
-    record = msgspec.msgpack.encode(Handover(arrivals=forecast.export(NOW)))
-    # A quarter of the value that a row can hold, which is stored in base64.
-    assert len(record) < 65_536 * 3 / 4 / 4
+
+
+# Guards against a lease that can't be renewed as its row is too large for the store.
+@pytest.mark.parametrize("name_bytes", [8, 200])
+def test_the_handover_is_bounded_whatever_the_length_of_names(name_bytes):
+    forecast = ArrivalForecast()
+    for number, pair in enumerate(accounts(MAX_PAIRS)):
+        long_pair = ArrivalPair(
+            pair.account.ljust(name_bytes, "x"), pair.queue.ljust(name_bytes, "x")
+        )
+        for gpus in range(MAX_SHAPES):
+            at = NOW + number + gpus / 10
+            forecast.learn(long_pair, at, [Step(count=5, gpus=gpus, cpu=50_000)])
+    exported = forecast.export(NOW)
+    assert exported
+    record = msgspec.msgpack.encode(Handover(arrivals=exported))
+    assert len(record) < MAX_EXPORTED_BYTES + 200
+    assert max(record.silent_seconds for record in exported) <= MAX_PAIRS
 
 
 # Guards against a successor that starts without a forecast.
--- a/src/zinniatrestle/scheduling/tests/test_headroom.py
+++ b/src/zinniatrestle/scheduling/tests/test_headroom.py
@@ -200,3 +200,12 @@
     damaged = Headroom(BOUNDS)
     damaged.restore(float("nan"), True, NOW)
     assert not plan(damaged, workers, demand()).workers
+
+
+# Guards against headroom that leaves next to nothing once regions are lost.
+def test_workers_that_can_not_be_used_do_not_add_to_what_is_held():
+    workers = workers_in_racks(4, size=5)
+    for lost in workers[:16]:
+        lost.silent = True
+    found = plan(under_pressure(), workers, demand(tasks=3))
+    assert found.workers == frozenset()
--- a/src/zinniatrestle/scheduling/wait_limits.py
+++ b/src/zinniatrestle/scheduling/wait_limits.py
@@ -12,7 +12,6 @@
 )
 from zinniatrestle.scheduling.state import (
     ACCELERATOR_MILLICORES,
-    Job,
     StepRun,
     Task,
     TaskStatus,
@@ -96,14 +95,14 @@
         """
         if self._seconds_left(step) > 0:
             return False
-        return step.shape.long_running or not self._is_at_work(step.job)
+        return step.shape.long_running or not self._is_at_work(_allocated(step))
 
     def remaining(
         self, step: StepRun, service: ServiceName, reason: WaitReason
     ) -> float | None:
         """Return the seconds after which a limit ends a wait, or None if none does."""
         if reason is WaitReason.HEADROOM:
-            if not step.shape.long_running and self._is_at_work(step.job):
+            if not step.shape.long_running and self._is_at_work(_allocated(step)):
                 return None
             return max(0.0, self._seconds_left(step))
         if reason not in LIMITED_REASONS or not self._is_limited(step, service):
@@ -171,14 +170,16 @@
         """Return whether the time for which a step may wait is limited now."""
         if step.shape.long_running:
             return True
-        return self._is_idle(service) and not self._is_at_work(step.job)
+        return self._is_idle(service) and not self._is_at_work(
+            step.job.allocated_tasks()
+        )
 
-    def _is_at_work(self, job: Job) -> bool:
-        """Return whether tasks of a job run, or are about to start or to move.
+    def _is_at_work(self, tasks: list[Task]) -> bool:
+        """Return whether some of the tasks run, or are about to start or to move.
 
         A repetition of a run that may be done doesn't count: it may bring nothing new.
         """
-        for task in job.allocated_tasks():
+        for task in tasks:
             if task.worker.silent or task.may_be_done:
                 continue
             if task.status is TaskStatus.RUNNING:
@@ -241,3 +242,8 @@
             used += 0 if shape.best_effort else shape.cpu
             used += shape.gpus * ACCELERATOR_MILLICORES
     return used < IDLE_SHARE * capacity
+
+
+def _allocated(step: StepRun) -> list[Task]:
+    """Return the tasks of a step to which resources of a worker are allocated."""
+    return [task for task in step.tasks if task.is_allocated]
