--- a/src/zinniatrestle/entry/app.py
+++ b/src/zinniatrestle/entry/app.py
@@ -16,8 +16,8 @@
     ClientListener,
     ConnectionLimits,
     HttpProtocol,
-    HttpServer,
     IngressCounters,
+    LimitedServer,
     Listener,
     Resources,
     client_limits,
@@ -61,7 +61,7 @@
     return Starlette(routes=routes, exception_handlers=handlers)
 
 
-def build_server(host: EntryHost) -> HttpServer:
+def build_server(host: EntryHost) -> LimitedServer:
     """Return the HTTP server of a host."""
     settings = host.settings
     config = uvicorn.Config(
@@ -78,7 +78,7 @@
     host.listener = ClientListener(
         _connection_limits(settings), Listener.CALLERS, IngressCounters(LimitLines())
     )
-    return HttpServer(config, host.listener)
+    return LimitedServer(config, host.listener)
 
 
 def _connection_limits(settings: HostSettings) -> ConnectionLimits:
--- a/src/zinniatrestle/ingress/__init__.py
+++ b/src/zinniatrestle/ingress/__init__.py
@@ -10,7 +10,7 @@
 )
 from zinniatrestle.ingress.listener import ClientListener, IngressCounters
 from zinniatrestle.ingress.protocol import HttpProtocol
-from zinniatrestle.ingress.server import HttpServer
+from zinniatrestle.ingress.server import LimitedServer
 from zinniatrestle.ingress.states import Cause, Listener
 
 __all__ = [
@@ -18,7 +18,7 @@
     "ClientListener",
     "ConnectionLimits",
     "HttpProtocol",
-    "HttpServer",
+    "LimitedServer",
     "IngressCounters",
     "IngressSettings",
     "Listener",
--- a/src/zinniatrestle/ingress/server.py
+++ b/src/zinniatrestle/ingress/server.py
@@ -1,13 +1,13 @@
 """HTTP server whose connections are limited."""
 
 import asyncio
-import contextlib
 import os
 import socket
 
 import uvicorn
 
 from zinniatrestle.ingress.listener import ClientListener
+from zinniatrestle.web import HttpServer
 
 # uvicorn ticks ten times a second.
 SWEEP_TICKS = 5
@@ -19,8 +19,8 @@
 LISTEN_BACKLOG = 1024
 
 
-class HttpServer(uvicorn.Server):
-    """HTTP server that leaves signals to the daemon and limits its clients."""
+class LimitedServer(HttpServer):
+    """HTTP server that limits its clients."""
 
     def __init__(self, config: uvicorn.Config, listener: ClientListener | None = None):
         super().__init__(config)
@@ -29,11 +29,6 @@
         config.listener = self.listener
         config.backlog = ACCEPT_BATCH
 
-    @contextlib.contextmanager
-    def capture_signals(self):
-        """Install no signal handlers."""
-        yield
-
     async def startup(self, sockets: list[socket.socket] | None = None):
         """Listen, with a longer queue of the system than of the event loop."""
         await super().startup(sockets)
--- a/src/zinniatrestle/ingress/tests/test_protocol.py
+++ b/src/zinniatrestle/ingress/tests/test_protocol.py
@@ -17,7 +17,7 @@
     ClientListener,
     ConnectionLimits,
     HttpProtocol,
-    HttpServer,
+    LimitedServer,
 )
 from zinniatrestle.ingress.states import ConnectionPhase
 from zinniatrestle.web import problem_response, read_body
@@ -39,7 +39,7 @@
         self.waiting = asyncio.Event()
         self.go_on = asyncio.Event()
         self.port = 0
-        self.http: HttpServer | None = None
+        self.http: LimitedServer | None = None
 
     def app(self) -> Starlette:
         return Starlette(
@@ -90,7 +90,7 @@
             date_header=False,
             timeout_graceful_shutdown=1,
         )
-        http = server.http = HttpServer(config, server.listener)
+        http = server.http = LimitedServer(config, server.listener)
         serving = asyncio.create_task(http.serve(sockets=[listening]))
         try:
             async with asyncio.timeout(TIMEOUT_SECONDS):
--- a/src/zinniatrestle/platform/daemon.py
+++ b/src/zinniatrestle/platform/daemon.py
@@ -23,9 +23,9 @@
     Cause,
     ClientListener,
     HttpProtocol,
-    HttpServer,
     IngressCounters,
     IngressSettings,
+    LimitedServer,
     Listener,
     client_limits,
     descriptor_limit,
@@ -269,7 +269,7 @@
             self.frontend.bounds = deployment.bounds
             self.events.write(Event.RELOADED, changed=True)
 
-    def _servers(self) -> list[HttpServer]:
+    def _servers(self) -> list[LimitedServer]:
         addresses = self.deployment.addresses
         ip = self.deployment.identity.address
         callers = split_address("callers", addresses.callers)
@@ -285,7 +285,7 @@
 
     def _server(
         self, name: Listener, address: tuple[str, int], app: Starlette
-    ) -> HttpServer:
+    ) -> LimitedServer:
         ip, port = address
         config = uvicorn.Config(
             app,
@@ -309,7 +309,7 @@
             limits, name, self.ingress_counters, lambda: self.operator.desired
         )
         self.metrics.listeners.append(listener)
-        return HttpServer(config, listener)
+        return LimitedServer(config, listener)
 
     def _metrics_app(self) -> Starlette:
         async def show_metrics(request: Request) -> Response:
--- a/src/zinniatrestle/platform/tests/test_job_api.py
+++ b/src/zinniatrestle/platform/tests/test_job_api.py
@@ -32,7 +32,7 @@
     ServiceName,
     StoreMilliseconds,
 )
-from zinniatrestle.ingress import HttpProtocol, HttpServer
+from zinniatrestle.ingress import HttpProtocol, LimitedServer
 from zinniatrestle.ingress.limits import DEFAULT_MAX_HEAD_BYTES
 from zinniatrestle.jobs import JobIntake
 from zinniatrestle.jobs.messages import (
@@ -325,7 +325,7 @@
             lifespan="off",
             timeout_graceful_shutdown=0,
         )
-        server = HttpServer(config)
+        server = LimitedServer(config)
         serving = asyncio.create_task(server.serve(sockets=[listening]))
         data = raw_call("POST", PATH, CALLER, changed())
         calling = asyncio.create_task(exchange(f"127.0.0.1:{port}", data))
--- a/src/zinniatrestle/standins/wire.py
+++ b/src/zinniatrestle/standins/wire.py
@@ -18,7 +18,7 @@
 from zinniatrestle.clock import boot_time
 from zinniatrestle.errors import HistoryLostError
 from zinniatrestle.ids import RowName, RowVersion, TableName
-from zinniatrestle.ingress import HttpServer
+from zinniatrestle.ingress import LimitedServer
 from zinniatrestle.rows import Expect, Write
 from zinniatrestle.standins.fleet import SimulatedFleet
 from zinniatrestle.standins.rows import HostRows, MemoryRows
@@ -217,7 +217,7 @@
     config = uvicorn.Config(
         app, http=http, log_config=None, lifespan="off", timeout_graceful_shutdown=0
     )
-    server = HttpServer(config)
+    server = LimitedServer(config)
     serving = asyncio.create_task(server.serve(sockets=[listening]))
     try:
         yield f"127.0.0.1:{listening.getsockname()[1]}"
--- a/src/zinniatrestle/web.py
+++ b/src/zinniatrestle/web.py
@@ -1,12 +1,14 @@
 """Helpers shared by all HTTP routes: error responses, bearer tokens, bodies."""
 
 import asyncio
+import contextlib
 import hashlib
 import hmac
 from collections.abc import Awaitable, Callable
 from typing import Any
 
 import msgspec
+import uvicorn
 from starlette.requests import ClientDisconnect, Request
 from starlette.responses import Response
 
@@ -55,6 +57,15 @@
 Handler = Callable[[Request], Awaitable[Response]]
 
 
+class HttpServer(uvicorn.Server):
+    """HTTP server that leaves signal handling to the daemon."""
+
+    @contextlib.contextmanager
+    def capture_signals(self):
+        """Install no signal handlers."""
+        yield
+
+
 class Problem(msgspec.Struct, frozen=True):
     """Problem details of an error (RFC 9457), extended by the result code."""
 
