--- a/src/zinniatrestle/scheduling/defragmentation.py
+++ b/src/zinniatrestle/scheduling/defragmentation.py
@@ -36,7 +36,7 @@
 MIN_WAIT_SECONDS = 0.5
 # A smaller gain in time is within the error of the estimated ends of runs.
 MIN_SECONDS_GAINED = 0.5
-# Time until moves for a gang are looked for again when there were none, and for any.
+# Time until moves are searched again for the same gang, and for any gang.
 RETRY_SECONDS = 0.5
 SEARCH_INTERVAL_SECONDS = 0.25
 # Workers that a search looks at, the most idle ones first. A search among 176 made a
--- a/src/zinniatrestle/scheduling/packing.py
+++ b/src/zinniatrestle/scheduling/packing.py
@@ -31,8 +31,7 @@
 # Shapes with a smaller share of the demand don't call for packing.
 MIN_DEMAND_SHARE = 0.02
 # Fragmentation, in shares of a worker, to which a delay of 1 s is equated until a
-# worker is empty again. From 0.1 to 1.0 the packing experiment kept about equally many
-# workers empty, at 0.03 fewer, and at 0 it had less than half of the gain.
+# worker is empty again. Without it short tasks keep workers in use that would be whole.
 DELAY_WEIGHT_PER_SECOND = 0.1
 # Ranks are rounded to multiples of this, in shares of a worker. Smaller differences
 # matter less than keeping racks free.
