--- a/src/zinniatrestle/platform/daemon.py
+++ b/src/zinniatrestle/platform/daemon.py
@@ -1,6 +1,7 @@
 """Daemon of an entry host on the platform, which assembles all its parts."""
 
 import asyncio
+import math
 import signal
 from collections.abc import Awaitable, Callable
 from contextlib import suppress
@@ -223,15 +224,13 @@
             )
         await readiness_notice
 
-    def _jobs_waiting(self) -> int:
-        """Return the number of jobs that have not begun.
+    def _jobs_waiting(self) -> float:
+        """Return the number of jobs that have not begun, NaN while it is unknown.
 
         The lease holder counts them; other hosts read its last count from the lease.
         """
-        if self.leadership.is_holder:
-            return sum(self.leadership.pending.values())
-        record = self.leadership.record
-        return sum(record.pending.values()) if record is not None else 0
+        total = self.leadership.pending_counts.total
+        return total if total is not None else math.nan
 
     def _start_task(
         self, name: str, run: Callable[[], Awaitable[None]]
--- a/src/zinniatrestle/platform/job_api.py
+++ b/src/zinniatrestle/platform/job_api.py
@@ -155,7 +155,8 @@
         admission = self.frontend.admit(host, path, ApiKey(key) if key else None)
         job_path = path[len(admission.queue.path) :]
         if request.method == "GET" and not job_path:
-            return _json_response(WirePending(self.frontend.pending(admission.queue)))
+            pending = await self.frontend.pending(admission.queue)
+            return _json_response(WirePending(pending))
         job = _job_id(job_path)
         if request.method == "POST":
             body = await read_body(
--- a/src/zinniatrestle/scheduling/leadership.py
+++ b/src/zinniatrestle/scheduling/leadership.py
@@ -19,7 +19,6 @@
     BootSeconds,
     Generation,
     HostId,
-    QueueName,
     RowName,
     RowVersion,
     TableName,
@@ -37,6 +36,11 @@
 from zinniatrestle.rows.feed import Feed, TableReader
 from zinniatrestle.rows.retries import TIMER_RESOLUTION_SECONDS, transact_with_retries
 from zinniatrestle.scheduling.messages import Handover, LeaseRecord
+from zinniatrestle.scheduling.pending_counts import (
+    CountSource,
+    PendingCountCache,
+    PendingCounts,
+)
 from zinniatrestle.supervision import Supervisor
 from zinniatrestle.workers.interfaces import OrderPermission
 
@@ -108,7 +112,7 @@
         self.leadership.on_fence_change(change.version, change.value)
 
 
-class Leadership(OrderPermission):
+class Leadership(OrderPermission, CountSource):
     """Contend for the scheduling lease, renew it, and track its holder."""
 
     def __init__(self, store: RowStore, deployment: Deployment, events: EventLog):
@@ -143,7 +147,8 @@
         # Until then this host doesn't contend for the lease.
         self.abstains_until = BootSeconds(0.0)
         self.supervisor = Supervisor(events)
-        self.pending: dict[QueueName, int] = {}
+        # Until a holder has counted, it publishes what its predecessor had counted.
+        self.pending_counts = PendingCountCache(self, store.clock, events)
         self.handover = Handover()
         # Workers with lease expiries in a handover that is stored or may be stored yet.
         self.recorded_workers: set[WorkerId] = set()
@@ -199,19 +204,18 @@
         """Return the fence check that each of the holder's transactions carries."""
         return Expect(FENCES, FENCE_ROW, self.own_fence)
 
-    def pending_counts(
-        self, now: BootSeconds, longest_age: float
-    ) -> dict[QueueName, int] | None:
-        """Return the number of waiting jobs of each queue.
-
-        Return None if the last known numbers are older than `longest_age` seconds.
-        """
+    async def read_counts(self) -> PendingCounts | None:
+        """Return the counts in the lease's row; raises StoreUnavailableError."""
         if self.is_holder:
-            return self.pending
-        if self.record is None:
             return None
-        age = (self.store.clock.latest(now) - self.record.written_at) / MS_PER_SECOND
-        return self.record.pending if age <= longest_age else None
+        row = await self.store.row(LEASES, LEASE_ROW)
+        if row is None:
+            return None
+        try:
+            return decode_msgpack(row.value, LeaseRecord, "The lease").counts
+        except MalformedInputError as error:
+            self.rejections.reject(LEASE_ROW, error.detail)
+            return None
 
     async def run(self):
         """Track the holder, contend for the lease and renew it, until cancelled."""
@@ -325,6 +329,7 @@
             self.record = decode_msgpack(row.value, LeaseRecord, "The lease")
             self.damaged_at = None
             self.rejections.accept(LEASE_ROW)
+            self.pending_counts.update(self.record.counts)
         except MalformedInputError as error:
             self.rejections.reject(LEASE_ROW, error.detail)
             if self.damaged_at is None or self.version != row.version:
@@ -397,7 +402,13 @@
         self.is_holder = True
         self.lost.clear()
         self.acquired.set()
-        self.events.write(Event.LEASE_TAKEN, generation=generation)
+        counts = self.pending_counts
+        self.events.write(
+            Event.LEASE_TAKEN,
+            generation=generation,
+            waiting=counts.total,
+            counts_age_s=round(counts.age, 2) if counts.counts is not None else None,
+        )
 
     def _hold_end(self, record: LeaseRecord | None) -> float:
         """Return the store time in ms until which a former holder may hold workers.
@@ -451,14 +462,16 @@
     def _extended_record(
         self, requested_at: float, generation: Generation, handover: Handover
     ) -> LeaseRecord:
+        counts = self.pending_counts.counts
         return LeaseRecord(
             holder=self.identity.host,
             address=self.identity.address,
             until=requested_at + self.lease_seconds * MS_PER_SECOND,
             generation=generation,
             written_at=requested_at,
-            pending=self.pending,
+            pending=counts.jobs if counts is not None else {},
             handover=handover,
+            counted_at=counts.counted_at if counts is not None else 0.0,
         )
 
     def _fence_write(self, generation: Generation) -> Write:
--- a/src/zinniatrestle/scheduling/messages.py
+++ b/src/zinniatrestle/scheduling/messages.py
@@ -11,6 +11,7 @@
     StoreMilliseconds,
     WorkerId,
 )
+from zinniatrestle.scheduling.pending_counts import PendingCounts
 from zinniatrestle.workers.messages import WorkerEntry
 
 
@@ -114,8 +115,9 @@
 class LeaseRecord(msgspec.Struct, frozen=True):
     """The scheduling lease: its holder, its expiry and what the holder publishes.
 
-    `until` and `written_at` are in ms of the store's clock, `pending` is the number of
-    waiting jobs of each queue.
+    `until`, `written_at` and `counted_at` are in ms of the store's clock, `pending` is
+    the number of waiting jobs of each queue at `counted_at`. That is 0 if no host has
+    counted them, and missing in records of former versions.
     """
 
     holder: HostId
@@ -125,3 +127,13 @@
     written_at: float
     pending: dict[QueueName, int] = {}
     handover: Handover = msgspec.field(name="learned", default=Handover())
+    counted_at: float | None = None
+
+    @property
+    def counts(self) -> PendingCounts | None:
+        """Return the published counts of waiting jobs, or None if there are none."""
+        if self.counted_at is None:
+            return PendingCounts(self.pending, self.written_at)
+        if not self.counted_at:
+            return None
+        return PendingCounts(self.pending, self.counted_at)
--- a/src/zinniatrestle/scheduling/scheduler.py
+++ b/src/zinniatrestle/scheduling/scheduler.py
@@ -34,6 +34,7 @@
     restore_leaving_workers,
 )
 from zinniatrestle.scheduling.messages import Handover
+from zinniatrestle.scheduling.pending_counts import PendingCounts
 from zinniatrestle.scheduling.progress_writer import ProgressWriter
 from zinniatrestle.scheduling.rounds import Planner
 from zinniatrestle.scheduling.session import HOLD_SHARE
@@ -406,7 +407,9 @@
         for job in self.tracker.waiting_jobs():
             queue = job.submission.queue
             counts[queue] = counts.get(queue, 0) + 1
-        self.leadership.pending = counts
+        # Jobs that the feed has not confirmed since then may be missing.
+        counted_at = self.context.store.clock.earliest(self.submissions.confirmed_at)
+        self.leadership.pending_counts.update(PendingCounts(counts, counted_at))
         workers = self.tracker.fleet.workers.values()
         self.leadership.handover = Handover(
             times=self.tracker.durations.export(),
--- a/src/zinniatrestle/serving/frontend.py
+++ b/src/zinniatrestle/serving/frontend.py
@@ -21,10 +21,8 @@
 from zinniatrestle.queues import Freshness, OperatorState, Queue
 from zinniatrestle.scheduling.leadership import Leadership
 
-# Maximum age of the pending counts that callers get. Counts are written each second,
-# and after a failure of the leader a successor writes them within the time of the
-# lease and one second.
-MAX_COUNTS_AGE_SECONDS = 5.0
+# Maximum age of the pending counts that callers get, by the promise made to them.
+MAX_COUNTS_AGE_SECONDS = 2.0
 # Maximum age of the desired state, as a share of the time in which a revoked key must
 # stop working; the rest covers the latency of the answer and clock errors.
 FRESH_SHARE = 0.6
@@ -138,12 +136,15 @@
         await self.intake.cancel(job, give_up_at)
         self.metrics.cancelled.add(1)
 
-    def pending(self, queue: Queue) -> int:
+    async def pending(self, queue: Queue) -> int:
         """Return the number of waiting jobs of a queue.
 
-        Raises RetryLaterError if the counts are older than MAX_COUNTS_AGE_SECONDS.
+        Raises RetryLaterError if there are no counts of the last
+        MAX_COUNTS_AGE_SECONDS, for example while a new leader has not counted yet.
         """
-        counts = self.leadership.pending_counts(boot_time(), MAX_COUNTS_AGE_SECONDS)
+        counts = await self.leadership.pending_counts.recent(
+            MAX_COUNTS_AGE_SECONDS, may_read=self.is_store_reachable()
+        )
         if counts is None:
             self._record_refusal(ResultCode.STORE_UNAVAILABLE, queue=queue.name)
             raise RetryLaterError(
--- a/src/zinniatrestle/serving/tests/test_frontend.py
+++ b/src/zinniatrestle/serving/tests/test_frontend.py
@@ -2,6 +2,7 @@
 
 import asyncio
 
+import msgspec
 import pytest
 
 from zinniatrestle.clock import boot_time, monotonic
@@ -14,6 +15,7 @@
 from zinniatrestle.ids import ApiKey, JobId
 from zinniatrestle.jobs import JobState
 from zinniatrestle.jobs.intake import MAX_STORE_SECONDS, STORE_TIME_SHARE, JobRequest
+from zinniatrestle.scheduling.leadership import LEASE_ROW, LEASES
 from zinniatrestle.scheduling.messages import LeaseRecord
 from zinniatrestle.serving import RetryLaterError
 from zinniatrestle.serving.frontend import FRESH_SHARE, MAX_COUNTS_AGE_SECONDS
@@ -199,12 +201,15 @@
     async def check(model, host):
         queue = admit(host).queue
         follower = next(other for other in model.hosts if other is not model.leader())
-        assert follower.frontend.pending(queue) == 0
+        assert await follower.frontend.pending(queue) == 0
         now = follower.store.clock.latest(boot_time())
         old = now - MAX_COUNTS_AGE_SECONDS * 1000 - 1
-        follower.leadership.record = LeaseRecord("h", "h", 0.0, 1, old, {})
+        await model.leader().kill()
+        record = LeaseRecord("h", "h", now + 60_000, 99, now, {}, counted_at=old)
+        model.rows.put(LEASES, LEASE_ROW, msgspec.msgpack.encode(record))
+        follower.leadership.pending_counts.counts = record.counts
         with pytest.raises(RetryLaterError):
-            follower.frontend.pending(queue)
+            await follower.frontend.pending(queue)
 
     run_with_host(check)
 
