--- a/src/zinniatrestle/errors.py
+++ b/src/zinniatrestle/errors.py
@@ -31,6 +31,8 @@
     UPSTREAM_FAILED = 211
     STOPPING = 212
     OUTCOMES_FULL = 213
+    JOB_WITHDRAWN = 214
+    TOO_MANY_CANCELLATIONS = 215
     # 3xx: configuration.
     CONFLICT = 300
     GUARANTEE_NOT_HELD = 301
--- a/src/zinniatrestle/events/explain.py
+++ b/src/zinniatrestle/events/explain.py
@@ -109,6 +109,12 @@
 
 
 def _refusal(job_events: list[Line]) -> str:
+    withdrawn = [
+        line for line in job_events if line["event"] == Event.JOB_WITHDRAWN.value
+    ]
+    if withdrawn:
+        host = withdrawn[-1]["host"]
+        return f"It was cancelled at {host} before any host had accepted it."
     refusals = [
         line for line in job_events if line["event"] == Event.REQUEST_REFUSED.value
     ]
--- a/src/zinniatrestle/events/messages.py
+++ b/src/zinniatrestle/events/messages.py
@@ -24,6 +24,8 @@
     JOB_WAITS = "job_waits"
     DECISIONS_PAUSED = "decisions_paused"
     JOB_CANCELLED = "job_cancelled"
+    JOB_WITHDRAWN = "job_withdrawn"
+    WITHDRAWALS_PURGED = "withdrawals_purged"
     JOB_ENDED = "job_ended"
     RUN_PLACED = "run_placed"
     RUN_REFUSED = "run_refused"
--- a/src/zinniatrestle/events/tests/test_explain.py
+++ b/src/zinniatrestle/events/tests/test_explain.py
@@ -6,6 +6,7 @@
 from common.odd_input import UNREADABLE
 
 from zinniatrestle.clock import monotonic
+from zinniatrestle.errors import NotFoundError
 from zinniatrestle.events.explain import (
     cause,
     first_line,
@@ -47,6 +48,18 @@
     assert explain(scenario) == "It was refused by host-0: STORE_UNAVAILABLE."
 
 
+def test_a_cancellation_before_the_acceptance_is_explained():
+    async def scenario(model):
+        host = model.hosts[1]
+        admission = host.frontend.admit("queues.example", "/usual/x", "key-first")
+        with pytest.raises(NotFoundError):
+            await host.frontend.cancel(admission, JOB, monotonic() + 3.0)
+        return JOB
+
+    expected = "It was cancelled at host-1 before any host had accepted it."
+    assert explain(scenario) == expected
+
+
 def test_delay_without_a_leader_is_explained():
     async def scenario(model):
         await model.leader().kill()
--- a/src/zinniatrestle/jobs/__init__.py
+++ b/src/zinniatrestle/jobs/__init__.py
@@ -8,12 +8,15 @@
     Submission,
     TaskProgress,
 )
+from zinniatrestle.jobs.withdrawals import IntakeSettings, WithdrawalError
 
 __all__ = [
+    "IntakeSettings",
     "JobIntake",
     "JobProgress",
     "JobState",
     "Step",
     "Submission",
     "TaskProgress",
+    "WithdrawalError",
 ]
--- a/src/zinniatrestle/jobs/intake.py
+++ b/src/zinniatrestle/jobs/intake.py
@@ -3,7 +3,7 @@
 import asyncio
 
 from zinniatrestle.clock import boot_time, monotonic
-from zinniatrestle.deployment import StoreLimits
+from zinniatrestle.deployment import Deployment
 from zinniatrestle.errors import (
     CallerError,
     DamagedRowError,
@@ -16,7 +16,7 @@
     UnknownOutcomeError,
 )
 from zinniatrestle.events import Event, EventLog, RejectionLog
-from zinniatrestle.ids import ClientAccountId, JobId, StoreMilliseconds
+from zinniatrestle.ids import ClientAccountId, JobId, RowName, StoreMilliseconds
 from zinniatrestle.jobs.messages import (
     CANCELLATIONS,
     PROGRESS,
@@ -30,8 +30,14 @@
     encode_submission,
     row_name,
 )
+from zinniatrestle.jobs.withdrawals import (
+    WITHDRAWALS,
+    IntakeEpoch,
+    IntakeSettings,
+    Withdrawals,
+)
 from zinniatrestle.queues import Queue
-from zinniatrestle.rows import Expect, RowStore, StoredRow, Write
+from zinniatrestle.rows import Expect, RowStore, StoredRow, TransactionResult, Write
 from zinniatrestle.rows.retries import RETRY_SECONDS, transact_with_retries
 
 # Tasks of a job: a single progress row has to hold them all, at about 40 bytes each.
@@ -90,10 +96,20 @@
 class JobIntake:
     """Accept, show and cancel jobs from the store alone, so that all hosts agree."""
 
-    def __init__(self, store: RowStore, events: EventLog, limits: StoreLimits):
+    def __init__(
+        self,
+        store: RowStore,
+        events: EventLog,
+        deployment: Deployment,
+        settings: IntakeSettings | None = None,
+    ):
         self.store = store
         self.events = events
-        self.limits = limits
+        self.limits = deployment.store
+        self.epoch = IntakeEpoch()
+        self.withdrawals = Withdrawals(
+            store, events, deployment, settings or IntakeSettings()
+        )
         self.rejections = RejectionLog(events, f"table {PROGRESS}")
 
     async def accept(
@@ -107,8 +123,9 @@
         """Store a job; accepting a job that is stored already has no effect.
 
         Raises CallerError for an invalid request, NotRunError if the job is certain not
-        to have been stored, and UnknownOutcomeError if that is still unknown at
-        `deadline`, a time of the monotonic clock.
+        to have been stored, WithdrawnError among them if it was cancelled before, and
+        UnknownOutcomeError if that is still unknown at `deadline`, a time of the
+        monotonic clock.
         """
         job_request.check()
         now = StoreMilliseconds(int(self.store.clock.earliest(boot_time())))
@@ -141,12 +158,8 @@
             Write(SUBMISSIONS, name, encoded),
         ]
         try:
-            result = await transact_with_retries(
-                self.store,
-                [Expect(PROGRESS, name)],
-                writes,
-                _store_deadline(deadline),
-                max_refusal_seconds=REFUSAL_RETRY_SECONDS,
+            result = await self._store_submission(
+                name, writes, _store_deadline(deadline)
             )
         except StoreUnavailableError as error:
             self.events.write_deduplicated(
@@ -156,6 +169,8 @@
         except StoreUncertainError as error:
             self.events.write(Event.REQUEST_REFUSED, job=job, reason="answer lost")
             raise UnknownOutcomeError(error.detail) from error
+        if (WITHDRAWALS, name) in result.current:
+            raise self.withdrawals.refusal()
         event = Event.JOB_ACCEPTED if result.applied else Event.JOB_REPEATED
         self.events.write(
             event,
@@ -166,6 +181,38 @@
             tasks=sum(step.count for step in job_request.steps),
         )
 
+    async def _store_submission(
+        self, name: RowName, writes: list[Write], give_up_at: float
+    ) -> TransactionResult:
+        """Store a submission under the present epoch, or return why it does not apply.
+
+        Raises StoreUnavailableError and StoreUncertainError.
+        """
+        began_at = boot_time()
+        seconds = give_up_at - monotonic()
+        while True:
+            expects = [
+                Expect(PROGRESS, name),
+                Expect(WITHDRAWALS, name),
+                self.epoch.expectation(),
+            ]
+            result = await transact_with_retries(
+                self.store,
+                expects,
+                writes,
+                give_up_at,
+                max_refusal_seconds=REFUSAL_RETRY_SECONDS,
+            )
+            is_new_epoch = not result.applied and self.epoch.update(result)
+            exists = {(PROGRESS, name), (WITHDRAWALS, name)} & result.current.keys()
+            if not is_new_epoch or exists:
+                return result
+            # Nothing sent under the former epoch can be applied any more. The clock
+            # includes the time for which this host was suspended, since a cancellation
+            # counts on the end of this wait.
+            if boot_time() - began_at >= seconds:
+                raise StoreUnavailableError("The epoch of the intake has changed.")
+
     async def state(self, job: JobId) -> JobState:
         """Return a job's state; raises NotFoundError, StoreUnavailableError."""
         row = await self.store.row(PROGRESS, row_name(job))
@@ -184,10 +231,12 @@
             self.rejections.accept(row.name)
         return progress
 
-    async def cancel(self, job: JobId, deadline: float):
-        """Cancel a job permanently.
+    async def cancel(self, job: JobId, account: ClientAccountId, deadline: float):
+        """Cancel a job permanently, for a caller of a client account.
 
-        Raises NotFoundError, UnknownOutcomeError and DamagedRowError.
+        Raises NotFoundError, UnknownOutcomeError, TooManyWithdrawalsError and
+        DamagedRowError. After NotFoundError no acceptance of the job that began before
+        can be applied.
 
         The state is written to the progress row, which every start of the job's tasks
         is checked against. After this returns, no task starts except those whose start
@@ -198,11 +247,13 @@
         while monotonic() < deadline:
             try:
                 row = await self.store.row(PROGRESS, name)
+                if row is None:
+                    if not await self.withdrawals.withdraw(job, account, deadline):
+                        continue
+                    raise NotFoundError("No such job.", ResultCode.NO_SUCH_JOB)
             except StoreUnavailableError:
                 await asyncio.sleep(RETRY_SECONDS)
                 continue
-            if row is None:
-                raise NotFoundError("No such job.", ResultCode.NO_SUCH_JOB)
             progress = self._decode_progress(row)
             if progress.state.ended:
                 return
--- a/src/zinniatrestle/jobs/tests/test_rows.py
+++ b/src/zinniatrestle/jobs/tests/test_rows.py
@@ -5,10 +5,19 @@
 import pytest
 
 from zinniatrestle.clock import monotonic
-from zinniatrestle.deployment import StoreLimits
+from zinniatrestle.deployment import Addresses, Deployment, Identity, StoreLimits
 from zinniatrestle.errors import CallerError, ResultCode
 from zinniatrestle.events import EventLog
-from zinniatrestle.ids import ClientAccountId, InstanceId, JobId, RunNumber, WorkerId
+from zinniatrestle.ids import (
+    ClientAccountId,
+    FailureDomainId,
+    HostId,
+    InstanceId,
+    JobId,
+    RegionId,
+    RunNumber,
+    WorkerId,
+)
 from zinniatrestle.jobs import JobIntake, JobProgress, JobState, Step, TaskProgress
 from zinniatrestle.jobs.intake import BASE64_FACTOR, MAX_TASKS, JobRequest
 from zinniatrestle.jobs.messages import (
@@ -72,8 +81,13 @@
     rows = MemoryRows()
 
     async def accept():
-        limits = StoreLimits(row_bytes=row_bytes)
-        intake = JobIntake(HostRows(rows), EventLog(), limits)
+        identity = Identity(
+            HostId("h"), "127.0.0.1", FailureDomainId("a"), RegionId("r")
+        )
+        deployment = Deployment(
+            identity, Addresses("", "", ""), store=StoreLimits(row_bytes=row_bytes)
+        )
+        intake = JobIntake(HostRows(rows), EventLog(), deployment)
         await intake.accept(
             JOB, job_request, QUEUE, ClientAccountId("a"), monotonic() + 3
         )
--- a/src/zinniatrestle/metrics.py
+++ b/src/zinniatrestle/metrics.py
@@ -27,6 +27,7 @@
         self.accepted = meter.create_counter("jobs_accepted", "1")
         self.refused = meter.create_counter("requests_refused", "1")
         self.cancelled = meter.create_counter("jobs_cancelled", "1")
+        self.withdrawn = meter.create_counter("jobs_withdrawn", "1")
         self.ended = meter.create_counter("jobs_ended", "1")
         self.starts = meter.create_counter("runs_started", "1")
         self.start_failures = meter.create_counter("runs_not_started", "1")
@@ -63,6 +64,9 @@
         self.headroom_accelerators = 0
         self.add_gauge("headroom_workers", "1", lambda: self.headroom_workers)
         self.add_gauge("headroom_accelerators", "1", lambda: self.headroom_accelerators)
+        # Marks of cancelled jobs in the store, as the scheduler has read them last.
+        self.withdrawals_stored = 0
+        self.add_gauge("withdrawals_stored", "1", lambda: self.withdrawals_stored)
         # Connections of clients, and what was closed or refused of them.
         self.listeners: list[ClientListener] = []
         self.ingress = IngressCounters()
--- a/src/zinniatrestle/platform/__main__.py
+++ b/src/zinniatrestle/platform/__main__.py
@@ -7,6 +7,7 @@
 
 from zinniatrestle.errors import SettingsError
 from zinniatrestle.ingress.limits import IngressSettings
+from zinniatrestle.jobs import IntakeSettings
 from zinniatrestle.platform.daemon import DaemonSettings, serve_on_platform
 from zinniatrestle.platform.settings import SETTINGS_VARIABLE
 
@@ -27,6 +28,7 @@
     body_timeout: float = IngressSettings.body_timeout,
     write_timeout: float = IngressSettings.write_timeout,
     max_connections: int = IngressSettings.max_connections,
+    unknown_cancel_rate: float = IntakeSettings.unknown_cancel_rate,
 ):
     """Serve until SIGTERM.
 
@@ -47,6 +49,9 @@
         Time after which a connection is closed whose peer reads nothing, in seconds.
     max_connections
         Maximum number of connections of clients; 0: derived from the descriptors.
+    unknown_cancel_rate
+        Cancellations of unknown jobs that this host stores, in calls a second; others
+        are refused with 429.
     """
     import os
 
@@ -54,7 +59,10 @@
     ingress = IngressSettings(
         client_memory_share, body_timeout, write_timeout, max_connections
     )
-    await serve_on_platform(DaemonSettings(path, metrics_port, log_lines, ingress))
+    intake = IntakeSettings(unknown_cancel_rate)
+    await serve_on_platform(
+        DaemonSettings(path, metrics_port, log_lines, ingress, intake)
+    )
 
 
 def main():
--- a/src/zinniatrestle/platform/daemon.py
+++ b/src/zinniatrestle/platform/daemon.py
@@ -33,7 +33,7 @@
     probe_limits,
 )
 from zinniatrestle.ingress.interfaces import LimitLog
-from zinniatrestle.jobs import JobIntake
+from zinniatrestle.jobs import IntakeSettings, JobIntake
 from zinniatrestle.machines import MachineWatch
 from zinniatrestle.metrics import Metrics
 from zinniatrestle.platform.advice import PlatformAdviser
@@ -77,10 +77,12 @@
     metrics_port: int = 9464
     log_lines: int = BUFFERED_LINES
     ingress: IngressSettings = field(default_factory=IngressSettings)
+    intake: IntakeSettings = field(default_factory=IntakeSettings)
 
     def check(self):
         """Check the settings; raises SettingsError."""
         self.ingress.check(setting_error)
+        self.intake.check(setting_error)
         if self.log_lines < 1:
             raise SettingsError(
                 "log-lines must be at least 1, since log lines need a buffer."
@@ -126,7 +128,7 @@
         self.frontend = Frontend(
             self.deployment.bounds,
             self.operator,
-            JobIntake(self.store, self.events, self.deployment.store),
+            JobIntake(self.store, self.events, self.deployment, self.options.intake),
             self.leadership,
             self.metrics,
             self.events,
--- a/src/zinniatrestle/platform/job_api.py
+++ b/src/zinniatrestle/platform/job_api.py
@@ -167,7 +167,7 @@
             )
             return _json_response({})
         if request.method == "DELETE":
-            await self.frontend.cancel(job, give_up_at)
+            await self.frontend.cancel(admission, job, give_up_at)
             return _json_response({})
         state = await self.frontend.show(job)
         return _json_response(WireState(state.value))
--- a/src/zinniatrestle/platform/tests/test_job_api.py
+++ b/src/zinniatrestle/platform/tests/test_job_api.py
@@ -161,7 +161,7 @@
         frontend = Frontend(
             Bounds(),
             operator,
-            JobIntake(store, events, deployment.store),
+            JobIntake(store, events, deployment),
             Leadership(store, deployment, events),
             Metrics(),
             events,
--- a/src/zinniatrestle/scheduling/scheduler.py
+++ b/src/zinniatrestle/scheduling/scheduler.py
@@ -40,6 +40,7 @@
 from zinniatrestle.scheduling.session import HOLD_SHARE
 from zinniatrestle.scheduling.state import Job, StepRun, TaskStatus, occurrence_of
 from zinniatrestle.scheduling.tracker import Tracker
+from zinniatrestle.scheduling.withdrawal_purge import WithdrawalPurge
 from zinniatrestle.supervision import Supervisor
 from zinniatrestle.workers.lease import MIN_CLOCK_RATE, TIMER_SLACK_SECONDS
 
@@ -164,6 +165,8 @@
                 group.create_task(self._run_rounds())
                 group.create_task(self.tracker.load.measure())
                 group.create_task(keep_running("purge", self._purge_ended_jobs))
+                withdrawals = WithdrawalPurge(self.context)
+                group.create_task(keep_running("withdrawals", withdrawals.run))
                 for leader_task in self.context.leader_tasks:
                     run = partial(leader_task.run, self.tracker)
                     group.create_task(keep_running(leader_task.name, run))
--- a/src/zinniatrestle/scheduling/tests/test_damaged_rows.py
+++ b/src/zinniatrestle/scheduling/tests/test_damaged_rows.py
@@ -142,8 +142,9 @@
         with pytest.raises(RetryLaterError) as caught:
             await host.frontend.show(job)
         assert caught.value.code is ResultCode.DAMAGED_ROW
+        admission = host.frontend.admit("queues.example", "/usual/", "key-first")
         with pytest.raises(StoreUnavailableError) as caught:
-            await host.frontend.cancel(job, monotonic() + 3.0)
+            await host.frontend.cancel(admission, job, monotonic() + 3.0)
         assert caught.value.code is ResultCode.DAMAGED_ROW
 
     run_virtual(check())
--- a/src/zinniatrestle/serving/frontend.py
+++ b/src/zinniatrestle/serving/frontend.py
@@ -15,7 +15,7 @@
 )
 from zinniatrestle.events import Event, EventLog
 from zinniatrestle.ids import ApiKey, ClientAccountId, JobId
-from zinniatrestle.jobs import JobIntake, JobState
+from zinniatrestle.jobs import JobIntake, JobState, WithdrawalError
 from zinniatrestle.jobs.intake import JobRequest
 from zinniatrestle.metrics import Metrics
 from zinniatrestle.queues import Freshness, OperatorState, Queue
@@ -118,8 +118,7 @@
                 job, job_request, admission.queue, admission.account, give_up_at
             )
         except NotRunError as error:
-            self._record_refusal(error.code, job=job)
-            raise RetryLaterError(error.detail, error.code) from error
+            raise self._retry_later(job, error) from error
         self.metrics.accepted.add(1)
         self.metrics.acceptance.record(boot_time() - started_at)
 
@@ -131,11 +130,29 @@
             self._record_refusal(error.code, job=job)
             raise RetryLaterError(error.detail, error.code) from error
 
-    async def cancel(self, job: JobId, give_up_at: float):
-        """Cancel a job; raises as JobIntake.cancel does."""
-        await self.intake.cancel(job, give_up_at)
+    async def cancel(self, admission: Admission, job: JobId, give_up_at: float):
+        """Cancel a job.
+
+        Raises RetryLaterError if it was certainly not cancelled; other errors are those
+        of JobIntake.cancel.
+        """
+        try:
+            await self.intake.cancel(job, admission.account, give_up_at)
+        except WithdrawalError as error:
+            raise self._retry_later(job, error) from error
+        except NotFoundError:
+            self.metrics.withdrawn.add(1)
+            raise
         self.metrics.cancelled.add(1)
 
+    def _retry_later(self, job: JobId, error: NotRunError) -> RetryLaterError:
+        """Count a refusal, and return the error that tells the caller of it."""
+        self._record_refusal(error.code, job=job)
+        seconds = RETRY_AFTER_SECONDS
+        if isinstance(error, WithdrawalError):
+            seconds = error.seconds
+        return RetryLaterError(error.detail, error.code, seconds)
+
     async def pending(self, queue: Queue) -> int:
         """Return the number of waiting jobs of a queue.
 
--- a/src/zinniatrestle/serving/tests/test_frontend.py
+++ b/src/zinniatrestle/serving/tests/test_frontend.py
@@ -47,6 +47,10 @@
     )
 
 
+def cancel(host, job=JOB):
+    return host.frontend.cancel(admit(host), job, monotonic() + CALLER_TIMEOUT_SECONDS)
+
+
 def test_the_longest_matching_path_selects_the_queue():
     async def check(model, host):
         assert admit(host).queue.name == "usual"
@@ -179,7 +183,7 @@
             await host.frontend.show(JOB)
         assert caught.value.code is ResultCode.NO_SUCH_JOB
         with pytest.raises(NotFoundError):
-            await host.frontend.cancel(JOB, monotonic() + CALLER_TIMEOUT_SECONDS)
+            await cancel(host)
 
     run_with_host(check)
 
@@ -188,11 +192,11 @@
     async def check(model, host):
         await accept(host, job_request=JobRequest('{"seconds":30}', (step(4),)))
         await asyncio.sleep(1.0)
-        await host.frontend.cancel(JOB, monotonic() + CALLER_TIMEOUT_SECONDS)
+        await cancel(host)
         assert await host.frontend.show(JOB) is JobState.CANCELLED
         await asyncio.sleep(2.0)
         assert not any(worker.running for worker in model.fleet.workers.values())
-        await host.frontend.cancel(JOB, monotonic() + CALLER_TIMEOUT_SECONDS)
+        await cancel(host)
 
     run_with_host(check)
 
--- a/src/zinniatrestle/standins/model.py
+++ b/src/zinniatrestle/standins/model.py
@@ -12,7 +12,7 @@
 from zinniatrestle.advice import Adviser
 from zinniatrestle.clock import monotonic, wall_time
 from zinniatrestle.deployment import Addresses, Bounds, Deployment, Identity
-from zinniatrestle.errors import NotRunError, UnknownOutcomeError
+from zinniatrestle.errors import NotFoundError, NotRunError, UnknownOutcomeError
 from zinniatrestle.events import Event, EventLog
 from zinniatrestle.ids import (
     ClientAccountId,
@@ -29,12 +29,12 @@
 from zinniatrestle.jobs.messages import PROGRESS, decode_progress, row_name
 from zinniatrestle.machines import MachineWatch
 from zinniatrestle.metrics import Metrics
-from zinniatrestle.queues import DesiredStateReader, OperatorState
+from zinniatrestle.queues import DesiredStateReader, OperatorState, Queue
 from zinniatrestle.rows.feed import Feed
 from zinniatrestle.scheduling.context import Policy, SchedulerContext
 from zinniatrestle.scheduling.leader_loop import run_while_leader
 from zinniatrestle.scheduling.leadership import Leadership
-from zinniatrestle.serving import Frontend
+from zinniatrestle.serving import Admission, Frontend, RetryLaterError
 from zinniatrestle.standins.fleet import MemoryWorkerRows, SimulatedFleet
 from zinniatrestle.standins.host_orders import HostOrders
 from zinniatrestle.standins.machines import MemoryWaveRows, SimulatedMachines
@@ -126,7 +126,7 @@
         metrics = self.model.metrics
         self.operator = OperatorState()
         self.leadership = Leadership(self.store, self.deployment, events)
-        self.intake = JobIntake(self.store, events, self.deployment.store)
+        self.intake = JobIntake(self.store, events, self.deployment)
         reader = DesiredStateReader(MemoryOperatorRows(), self.operator, events)
         feed = Feed(self.store, reader, events, FEED_SECONDS)
         self.frontend = Frontend(
@@ -310,12 +310,14 @@
         seconds: float,
         account: str = "first",
         due_times: DueTimes | None = None,
+        gives_up: bool = False,
         **script,
     ) -> JobId:
         """Submit a job through any host, with up to five tries until it is accepted.
 
         The job counts as refused only if every try was refused. It is timed if there
-        are `due_times`.
+        are `due_times`. A caller that `gives_up` cancels the job after a try with an
+        unknown outcome.
         """
         job = JobId(f"{self.random.getrandbits(64):016x}")
         spec = TaskScript(seconds=seconds, steps=steps, **script).encoded()
@@ -353,6 +355,9 @@
                 await asyncio.sleep(0.3)
                 continue
             except UnknownOutcomeError:
+                if gives_up:
+                    await self.cancel(job)
+                    return job
                 continue
             outcome.accepted = True
             outcome.accepted_at = monotonic()
@@ -362,17 +367,26 @@
 
     async def cancel(self, job: JobId):
         """Cancel a job through any live host, with up to five tries."""
-        self.jobs[job].cancel_sent = True
+        outcome = self.jobs[job]
+        outcome.cancel_sent = True
+        queue = Queue(outcome.queue, "queues.example", f"/{outcome.queue}/", "service")
+        admission = Admission(queue, outcome.account)
         for _ in range(5):
             host = self.random.choice(self.hosts)
             if not host.alive:
                 await asyncio.sleep(0.2)
                 continue
             try:
-                await host.frontend.cancel(job, monotonic() + CALL_SECONDS)
+                await host.frontend.cancel(admission, job, monotonic() + CALL_SECONDS)
             except UnknownOutcomeError:
                 continue
-            self.jobs[job].cancelled_at = monotonic()
+            except RetryLaterError as error:
+                await asyncio.sleep(error.seconds)
+                continue
+            except NotFoundError:
+                # Acknowledged as well: the job isn't stored, and must not be later.
+                pass
+            outcome.cancelled_at = monotonic()
             return
 
     def shape(self, task: TaskId) -> Step:
--- a/tests/common/faults.py
+++ b/tests/common/faults.py
@@ -103,6 +103,15 @@
         host.store.lost_answer_share = 0.0
 
 
+async def lose_most_store_answers(model: Model, rng: random.Random):
+    """Lose most answers to writes, which are applied seconds later."""
+    for host in model.hosts:
+        host.store.lost_answer_share, host.store.late_commit_share = 0.9, 1.0
+    await asyncio.sleep(rng.uniform(1.0, 2.5))
+    for host in model.hosts:
+        host.store.lost_answer_share = 0.0
+
+
 async def drop_change_history(model: Model, rng: random.Random):
     model.rows.drop_history()
 
--- a/tests/end_to_end/test_client_limits.py
+++ b/tests/end_to_end/test_client_limits.py
@@ -88,6 +88,8 @@
         ("--body-timeout", "nan"),
         ("--write-timeout", "0"),
         ("--max-connections", "-1"),
+        ("--unknown-cancel-rate", "0"),
+        ("--unknown-cancel-rate", "inf"),
     ],
 )
 def test_an_invalid_flag_is_refused_at_startup(tmp_path, flag, value):
--- a/tests/model/test_users_workload.py
+++ b/tests/model/test_users_workload.py
@@ -254,6 +254,10 @@
         """Look for waits beside idle workers."""
         self.idle_waits.sample()
 
+    def gives_up(self) -> bool:
+        """Return whether the next caller cancels a job of unknown outcome."""
+        return False
+
     # Traffic
 
     async def _submit_all(self, kind: Kind):
@@ -298,6 +302,7 @@
             seconds,
             account,
             self._due_times() if kind.timed else None,
+            self.gives_up(),
             failures=failures,
         )
         if model.jobs[job].accepted and rng.random() < kind.cancel:
