--- a/src/zinniatrestle/jobs/tests/test_withdrawals.py
+++ b/src/zinniatrestle/jobs/tests/test_withdrawals.py
@@ -304,6 +304,21 @@
     run_with_short_retention(check)
 
 
+# Guards against a repetition that is applied after the row of its job was removed.
+def test_no_acceptance_is_applied_after_the_purge_of_its_ended_job():
+    async def check(model):
+        first, second, _ = model.hosts
+        writes = HeldWrites(model, first)
+        await lose_acceptance(first)
+        await accept(second)
+        await asyncio.sleep(3 * RETENTION)
+        assert model.state(JOB) is None
+        assert len(starts(model)) > 0
+        assert writes.apply() == {Outcome.MISMATCH}
+
+    run_with_short_retention(check)
+
+
 def test_a_purge_waits_until_a_new_epoch_has_begun():
     async def check(model):
         with pytest.raises(NotFoundError):
--- a/src/zinniatrestle/scheduling/scheduler.py
+++ b/src/zinniatrestle/scheduling/scheduler.py
@@ -23,6 +23,7 @@
     decode_submission,
     row_name,
 )
+from zinniatrestle.jobs.withdrawals import begin_epoch
 from zinniatrestle.rows import Change, Expect, StoredRow, Write
 from zinniatrestle.rows.feed import Feed, TableReader
 from zinniatrestle.scheduling.context import SchedulerContext
@@ -432,6 +433,10 @@
             await asyncio.sleep(retention_seconds / 10)
             purge_before = self.context.store.clock.earliest(boot_time())
             purge_before -= retention_seconds * MS_PER_SECOND
+            if not self.ended_jobs or self.ended_jobs[0][0] >= purge_before:
+                continue
+            if not await self._begin_intake_epoch():
+                continue
             while self.ended_jobs and self.ended_jobs[0][0] < purge_before:
                 _, job_id, version = self.ended_jobs[0]
                 name = row_name(job_id)
@@ -451,3 +456,15 @@
                     break
                 self.ended_jobs.pop(0)
                 self.ended_ids.discard(job_id)
+
+    async def _begin_intake_epoch(self) -> bool:
+        """Begin an epoch, so that no repeated acceptance is applied after a purge."""
+        fence = self.leadership.fence_expectation()
+        try:
+            await begin_epoch(self.context.store, fence, FEED_WAIT_SECONDS)
+        except PlatformError as error:
+            self.events.write_deduplicated(
+                Event.DEPENDENCY_LOST, error.detail, dependency="intake epoch"
+            )
+            return False
+        return True
