--- a/tests/model/test_withdrawals.py
+++ b/tests/model/test_withdrawals.py
@@ -4,6 +4,7 @@
 FIRST to LAST.
 """
 
+import asyncio
 import random
 
 import pytest
@@ -14,9 +15,11 @@
 
 from .test_users_workload import UsersWorkload, play_seeds
 
-CI_SEEDS = (1, 5)
+CI_SEEDS = (2, 4)
 # Share of the callers that cancel a job after a submission with an unknown outcome.
 GIVE_UP_SHARE = 0.7
+BURST_AT_SECONDS = 8.0
+BURST_JOBS = 20
 FAULTS = [
     faults.kill_any_host,
     faults.kill_leader,
@@ -37,6 +40,20 @@
         self.fault_gap = 2.5
         self.give_up_rng = random.Random(f"{seed}-give-up")
 
+    async def _inject_faults(self):
+        """Lose the answers to a burst of submissions, and inject further faults."""
+        self._inject_at(BURST_AT_SECONDS, faults.lose_most_store_answers)
+        bursting = asyncio.create_task(self._burst_of_submissions())
+        try:
+            await super()._inject_faults()
+        finally:
+            bursting.cancel()
+
+    async def _burst_of_submissions(self):
+        await asyncio.sleep(BURST_AT_SECONDS + 0.1)
+        for _ in range(BURST_JOBS):
+            self._submit(self.kinds[0])
+
     def gives_up(self) -> bool:
         """Return whether the next caller cancels a job of unknown outcome."""
         return self.give_up_rng.random() < GIVE_UP_SHARE
