--- a/src/zinniatrestle/events/tests/test_log.py
+++ b/src/zinniatrestle/events/tests/test_log.py
@@ -6,6 +6,7 @@
 import msgspec
 import pytest
 
+import zinniatrestle.events.log as log_module
 from zinniatrestle.events import Event, EventLog, RejectionLog
 from zinniatrestle.events.log import BUFFERED_LINES, MAX_REASONS
 
@@ -57,7 +58,7 @@
     stream = io.StringIO()
     log = open_log(stream)
     now = [100.0]
-    monkeypatch.setattr("zinniatrestle.events.log.time.monotonic", lambda: now[0])
+    monkeypatch.setattr(log_module.time, "monotonic", lambda: now[0])
     for _ in range(5):
         log.write_deduplicated(Event.REQUEST_REFUSED, "busy")
     log.write_deduplicated(Event.REQUEST_REFUSED, "other")
