--- a/src/zinniatrestle/scheduling/cluster_state.py
+++ b/src/zinniatrestle/scheduling/cluster_state.py
@@ -21,6 +21,7 @@
 from zinniatrestle.scheduling.session import WorkerSession
 from zinniatrestle.scheduling.speeds import SpeedEstimator
 from zinniatrestle.scheduling.state import (
+    FULL_PACE_PERCENT,
     MILLICORES_PER_CORE,
     Job,
     StepRun,
@@ -159,7 +160,7 @@
             task.free_since = task.status_at
         task.start_pending = False
         task.inherited = False
-        task.pace = 100
+        task.pace = FULL_PACE_PERCENT
         task.status = TaskStatus.DONE if task.completed else TaskStatus.WAITING
         self.unsaved_jobs.add(task.step.job)
         self._count_broken_gang(task.step)
--- a/src/zinniatrestle/scheduling/health.py
+++ b/src/zinniatrestle/scheduling/health.py
@@ -104,7 +104,7 @@
 
     def is_stalled(self, task: Task, expected: float) -> bool:
         """Return whether a run, expected to take `expected` seconds, has stalled."""
-        if task.percent >= 100 or task.pace < 100 or task.step.shape.best_effort:
+        if task.percent >= 100 or task.is_slowed or task.step.shape.best_effort:
             return False
         if task.step.shape.gang and not all_running(task.step.tasks):
             # The gang waits for members whose start is not confirmed yet.
--- a/src/zinniatrestle/scheduling/pacing.py
+++ b/src/zinniatrestle/scheduling/pacing.py
@@ -1,7 +1,12 @@
 """Throttle best-effort tasks before they harm the latency of serving tasks."""
 
 from zinniatrestle.ids import BootSeconds
-from zinniatrestle.scheduling.state import Task, TaskStatus, Worker
+from zinniatrestle.scheduling.state import (
+    FULL_PACE_PERCENT,
+    Task,
+    TaskStatus,
+    Worker,
+)
 
 # Ratio of a serving task's tail latency to its target at which the best-effort tasks
 # on its worker are slowed down.
@@ -15,7 +20,6 @@
 # Share of its pace that a best-effort task keeps when a latency is high but within
 # its target.
 REDUCTION_FACTOR = 0.4
-FULL_PACE_PERCENT = 100
 
 
 class PaceController:
@@ -30,7 +34,8 @@
         """Return the best-effort tasks whose pace is to change, with it in percent.
 
         `tail_latencies_ms` holds what the worker reported for its serving tasks. A
-        latency at or above its target suspends the best-effort tasks.
+        latency at or above its target suspends the best-effort tasks. A task whose pace
+        is unknown gets one that harms no serving task.
         """
         serving = []
         best_effort_tasks = []
@@ -50,13 +55,13 @@
             worst_ratio = max(worst_ratio, ratio)
         if worst_ratio >= 1.0:
             self.last_adjusted_at[worker] = now
-            return {task: 0 for task in best_effort_tasks if task.pace > 0}
+            return {task: 0 for task in best_effort_tasks if task.pace != 0}
         if worst_ratio >= HIGH_LATENCY_RATIO:
             self.last_adjusted_at[worker] = now
             slower = {}
             for task in best_effort_tasks:
-                if task.pace > 0:
-                    slower[task] = int(task.pace * REDUCTION_FACTOR)
+                if task.pace != 0:
+                    slower[task] = int((task.pace or 0) * REDUCTION_FACTOR)
             return slower
         if worst_ratio > LOW_LATENCY_RATIO:
             return {}
@@ -68,6 +73,10 @@
         self.last_adjusted_at[worker] = now
         faster = {}
         for task in best_effort_tasks:
-            if task.pace < FULL_PACE_PERCENT:
-                faster[task] = min(FULL_PACE_PERCENT, task.pace + INCREASE_PERCENT)
+            if not task.is_slowed:
+                continue
+            pace = (task.pace or 0) + INCREASE_PERCENT
+            if task.pace is None and not serving:
+                pace = FULL_PACE_PERCENT
+            faster[task] = min(FULL_PACE_PERCENT, pace)
         return faster
--- a/src/zinniatrestle/scheduling/rounds.py
+++ b/src/zinniatrestle/scheduling/rounds.py
@@ -38,7 +38,14 @@
 from zinniatrestle.scheduling.preemption import HIGHEST_PRIORITY, Preemptor
 from zinniatrestle.scheduling.remote_runs import tasks_to_move_near
 from zinniatrestle.scheduling.speeds import should_restart, slow_workers
-from zinniatrestle.scheduling.state import Job, StepRun, Task, TaskStatus, Worker
+from zinniatrestle.scheduling.state import (
+    FULL_PACE_PERCENT,
+    Job,
+    StepRun,
+    Task,
+    TaskStatus,
+    Worker,
+)
 from zinniatrestle.scheduling.tracker import Tracker
 from zinniatrestle.scheduling.unusable import UnusableWorkers
 from zinniatrestle.scheduling.wait_limits import WaitLimits
@@ -427,7 +434,7 @@
             task.inherited = False
             task.resumed = bool(task.checkpoint)
             task.reset_progress()
-            task.pace = 100
+            task.pace = FULL_PACE_PERCENT
             worker.add_task(task)
         job = step.job
         if job.state is JobState.PENDING:
--- a/src/zinniatrestle/scheduling/scheduler.py
+++ b/src/zinniatrestle/scheduling/scheduler.py
@@ -331,6 +331,8 @@
             task.status_at = boot_time()
             task.inherited = True
             task.worker = worker
+            if step.shape.best_effort:
+                task.pace = None
             worker.add_task(task)
             worker.lease.expires_at = max(worker.lease.expires_at, expires_at)
 
--- a/src/zinniatrestle/scheduling/session.py
+++ b/src/zinniatrestle/scheduling/session.py
@@ -398,7 +398,10 @@
         )
 
     async def _pace(self, task: Task, run: RunNumber, percent: int):
-        if not self.listener.may_order() or task.run != run:
+        if task.run != run:
+            return
+        if not self.listener.may_order():
+            task.pace = None
             return
         try:
             await self.orders.pace(
@@ -413,5 +416,8 @@
             self.events.write_deduplicated(
                 Event.RUN_PACED, error.detail, task=task.id, worker=self.worker.id
             )
+            if task.run == run:
+                task.pace = None
             return
-        task.pace = percent
+        if task.run == run:
+            task.pace = percent
--- a/src/zinniatrestle/scheduling/speeds.py
+++ b/src/zinniatrestle/scheduling/speeds.py
@@ -25,7 +25,6 @@
 SPEED_VALID_SECONDS = 8.0
 # A worker below this share of the usual speed is taken to be faulty.
 SLOW_SPEED = 0.5
-FULL_PACE_PERCENT = 100
 # A worker below this share of the usual speed takes half of the slack that an urgent
 # job usually has.
 USUAL_SPEED = 0.9
@@ -88,7 +87,7 @@
         """Return whether a run's progress shows the speed of its worker."""
         if task.status is not TaskStatus.RUNNING or not task.baseline_at:
             return False
-        if task.pace < FULL_PACE_PERCENT or task.resumed:
+        if task.is_slowed or task.resumed:
             return False
         if task.progress_rate is None and self._is_too_recent(task):
             return False
--- a/src/zinniatrestle/scheduling/state.py
+++ b/src/zinniatrestle/scheduling/state.py
@@ -32,6 +32,7 @@
 MS_PER_SECOND = 1000.0
 MILLICORES_PER_CORE = 1000.0
 DONE_PERCENT = 100.0
+FULL_PACE_PERCENT = 100
 # Workers report progress in whole percents, so a rate is only computed once progress
 # has advanced by this many percentage points, or after this many seconds.
 RATE_WINDOW_PERCENT = 10.0
@@ -140,8 +141,9 @@
         self.failed_workers: set[WorkerId] = set()
         # Workers that refused to start the task, and until when it avoids them.
         self.refused_until: dict[WorkerId, BootSeconds] = {}
-        # Percentage of its full speed at which a best-effort run works.
-        self.pace = 100
+        # Percentage of its full speed at which a best-effort run works; None while that
+        # is unknown, as a predecessor or an order without an answer may have set it.
+        self.pace: int | None = FULL_PACE_PERCENT
         # Seconds of its run time that its last preemption cost; 0 without one.
         self.restart_cost = 0.0
         # How often it was stopped to run nearer to its data.
@@ -189,6 +191,11 @@
         """Return whether a worker has confirmed the latest run."""
         return self.start_time_known or self.reported
 
+    @property
+    def is_slowed(self) -> bool:
+        """Return whether the run works, or may work, at less than its full speed."""
+        return self.pace is None or self.pace < FULL_PACE_PERCENT
+
     @property
     def is_allocated(self) -> bool:
         """Return whether resources of a worker are allocated to the task."""
--- a/src/zinniatrestle/standins/fleet.py
+++ b/src/zinniatrestle/standins/fleet.py
@@ -19,6 +19,7 @@
     TaskId,
     WorkerId,
 )
+from zinniatrestle.scheduling.state import FULL_PACE_PERCENT
 from zinniatrestle.standins.rows import MemoryRows
 from zinniatrestle.standins.runs import (
     EventKind,
@@ -270,9 +271,8 @@
             return
         if now < run.restored_at:
             return
-        run.work_seconds += passed / self._slowdown_factor(
-            worker, run, {rack for rack, _ in members}
-        )
+        slowdown = self._slowdown_factor(worker, run, {rack for rack, _ in members})
+        run.work_seconds += passed / slowdown * run.pace / FULL_PACE_PERCENT
         saved = int(run.work_seconds / CHECKPOINT_SECONDS)
         if self._has_checkpoints(run) and saved > float(run.checkpoint or 0):
             run.checkpoint = str(saved)
@@ -420,8 +420,12 @@
         percent: int,
         generation: Generation,
     ):
-        """Accept a change of a run's speed without applying it."""
-        self._check_generation(self.find_worker(worker), generation)
+        """Set the share of its speed at which a run works."""
+        target = self.find_worker(worker)
+        self._check_generation(target, generation)
+        current = target.running.get(task)
+        if current is not None and current.run == run:
+            current.pace = percent
 
     async def hold(
         self,
@@ -458,8 +462,9 @@
             raise UnansweredOrderError("The worker ended during the hold.")
         running = []
         for run in target.running.values():
+            load = target.tail_ms if run.shape.target_ms else 0.0
             running.append(
-                RunningTask(run.task, run.run, run.checkpoint, run.percent())
+                RunningTask(run.task, run.run, run.checkpoint, run.percent(), load)
             )
         return HoldAnswer(
             target.clock_ms(),
--- a/src/zinniatrestle/standins/runs.py
+++ b/src/zinniatrestle/standins/runs.py
@@ -10,6 +10,7 @@
 from zinniatrestle.clock import monotonic
 from zinniatrestle.ids import Generation, RunNumber, TaskId, WorkerId
 from zinniatrestle.jobs.messages import Step
+from zinniatrestle.scheduling.state import FULL_PACE_PERCENT
 from zinniatrestle.workers.messages import EndedRun, RunOutcome, WorkerEntry
 
 NO_GENERATION = Generation(0)
@@ -117,6 +118,8 @@
     restored_at: float = 0.0
     # All members of its gang have been present.
     at_work: bool = False
+    # The share of its speed at which it works, in percent.
+    pace: int = FULL_PACE_PERCENT
     # The time at which a stop in progress ends it.
     stops_at: float | None = None
 
@@ -165,6 +168,8 @@
     slow_factor: float = SLOW_WORKER_FACTOR
     # The rate of its own clock, in milliseconds per second.
     clock_rate: int = CLOCK_MS_PER_SECOND
+    # The tail latency in ms that it reports for serving tasks.
+    tail_ms: float = 0.0
     generation: Generation = NO_GENERATION
     # The end of the lease of all runs, in milliseconds of the worker's own clock.
     deadline: float = 0.0
