--- a/src/zinniatrestle/scheduling/cluster_state.py
+++ b/src/zinniatrestle/scheduling/cluster_state.py
@@ -13,6 +13,7 @@
 from zinniatrestle.scheduling.durations import Durations
 from zinniatrestle.scheduling.fleet import Fleet, FleetListener
 from zinniatrestle.scheduling.health import HealthMonitor
+from zinniatrestle.scheduling.health_records import InheritedHealth
 from zinniatrestle.scheduling.load import LoadMeter
 from zinniatrestle.scheduling.pacing import PaceController
 from zinniatrestle.scheduling.preemption_costs import work_lost
@@ -56,8 +57,7 @@
         handover = context.leadership.handover
         self.durations = Durations()
         self.durations.restore(handover.times)
-        # Health records of the predecessor for workers that have not joined yet.
-        self.health_records = dict(handover.health_records)
+        self.inherited_health = InheritedHealth(handover.health_records, boot_time())
         self.health = HealthMonitor()
         self.reliability = Reliability()
         self.reliability.restore(handover.reliability, boot_time())
--- a/src/zinniatrestle/scheduling/health_records.py
+++ b/src/zinniatrestle/scheduling/health_records.py
@@ -9,6 +9,32 @@
 
 # The records are part of the lease's row, which is written several times a second.
 MAX_HEALTH_RECORDS = 100
+# Records of workers that have not joined by then are dropped. Registry entries that
+# were lost with the store return much sooner.
+INHERITED_SECONDS = 30.0
+
+
+class InheritedHealth:
+    """Health records of a predecessor, for workers that have not joined yet."""
+
+    def __init__(self, records: dict[WorkerId, WorkerHealthRecord], now: BootSeconds):
+        self.records = dict(records)
+        self.inherited_at = now
+
+    def claim(self, worker: Worker, now: BootSeconds):
+        """Restore the health of a worker that joins, and drop its record."""
+        record = self.records.pop(worker.id, None)
+        if record is not None:
+            restore_health(worker, record, now)
+
+    def add_to(self, records: dict[WorkerId, WorkerHealthRecord], now: BootSeconds):
+        """Hand the records on that no worker has claimed, as far as there is room."""
+        if now - self.inherited_at > INHERITED_SECONDS:
+            self.records.clear()
+        for worker, record in self.records.items():
+            if len(records) >= MAX_HEALTH_RECORDS:
+                break
+            records.setdefault(worker, record)
 
 
 def export_health_records(
--- a/src/zinniatrestle/scheduling/scheduler.py
+++ b/src/zinniatrestle/scheduling/scheduler.py
@@ -417,9 +417,11 @@
         counted_at = self.context.store.clock.earliest(self.submissions.confirmed_at)
         self.leadership.pending_counts.update(PendingCounts(counts, counted_at))
         workers = self.tracker.fleet.workers.values()
+        health_records = export_health_records(workers, boot_time())
+        self.tracker.inherited_health.add_to(health_records, boot_time())
         self.leadership.handover = Handover(
             times=self.tracker.durations.export(),
-            health_records=export_health_records(workers, boot_time()),
+            health_records=health_records,
             lease_expiries=self.lease_expiries.export(self.tracker.fleet),
             leaving=export_leaving_workers(workers, self.context.store.clock),
             reliability=self.tracker.reliability.export(boot_time()),
--- a/src/zinniatrestle/scheduling/tracker.py
+++ b/src/zinniatrestle/scheduling/tracker.py
@@ -10,7 +10,6 @@
 from zinniatrestle.jobs.messages import job_of_task
 from zinniatrestle.scheduling.cluster_state import ClusterState
 from zinniatrestle.scheduling.fleet import FleetListener
-from zinniatrestle.scheduling.health_records import restore_health
 from zinniatrestle.scheduling.leadership import LeadershipStatus
 from zinniatrestle.scheduling.load import HOLD_WAIT_SECONDS
 from zinniatrestle.scheduling.placement import is_remote
@@ -47,9 +46,7 @@
 
     def joined(self, worker: Worker):
         """Open a session with a worker that joined."""
-        record = self.health_records.pop(worker.id, None)
-        if record is not None:
-            restore_health(worker, record, boot_time())
+        self.inherited_health.claim(worker, boot_time())
         if self.fleet.caught_up_at > 0:
             # Workers that were there before this scheduler may have proven themselves.
             self.reliability.record(worker.id, Evidence.JOIN, boot_time())
