--- a/src/zinniatrestle/standins/wire.py
+++ b/src/zinniatrestle/standins/wire.py
@@ -3,6 +3,7 @@
 import asyncio
 import base64
 import contextlib
+import random
 import socket
 from collections.abc import AsyncIterator
 from enum import Enum
@@ -33,6 +34,8 @@
 SHARED_TABLES = frozenset({"op", "servers", "status"})
 # Longer than any client's timeout.
 SILENCE_SECONDS = 30.0
+# When a late transaction is applied.
+LATE_SECONDS = (1.0, 6.0)
 # The number of parts of a TRICKLED answer, and the pause after each.
 ANSWER_PARTS = 8
 PART_PAUSE_SECONDS = 0.2
@@ -67,6 +70,9 @@
         self.rows = MemoryRows()
         self.host = HostRows(self.rows)
         self.fault = WireFault.NONE
+        # The share of transactions that get no answer and are applied seconds later.
+        self.late_share = 0.0
+        self.random = random.Random(0)
         self.calls: list[str] = []
 
     def app(self) -> Starlette:
@@ -96,6 +102,12 @@
         refusal = await self._apply_fault_before()
         if refusal is not None:
             return refusal
+        if self.random.random() < self.late_share:
+            seconds = self.random.uniform(*LATE_SECONDS)
+            loop = asyncio.get_running_loop()
+            loop.call_later(seconds, self.rows.apply, expects, writes)
+            await asyncio.sleep(SILENCE_SECONDS)
+            return Response(status_code=504)
         result = self.rows.apply(expects, writes)
         await self._apply_fault_after()
         rows = [_encode_row(row) for row in result.current.values()]
--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -14,6 +14,7 @@
 from common.idle_jobs import IdleJobs
 from common.platform_cluster import PlatformCluster, run_with_cluster
 
+from soak.successions import SuccessionCounts
 from zinniatrestle.clock import monotonic
 from zinniatrestle.jobs.messages import Step
 from zinniatrestle.standins.relay import LinkState, Relay
@@ -29,6 +30,8 @@
 JOB_END_TIMEOUT_SECONDS = 60.0
 JOBS_PER_SECOND = 2.0
 NOT_FOUND_STATUS = "410"
+# A call without an answer counts like one whose host does not know its outcome.
+UNKNOWN_STATUS = 504
 ENDED_STATES = frozenset({"completed", "failed", "cancelled"})
 
 
@@ -42,6 +45,9 @@
         # Separate, so that the draws of `rng` for a kept seed stay the same.
         self.further_rng = random.Random(f"{seed}-further")
         self.cut_rng = random.Random(f"{seed}-cuts")
+        self.give_up_rng = random.Random(f"{seed}-give-up")
+        self.late_rng = random.Random(f"{seed}-late")
+        self.succession_rng = random.Random(f"{seed}-successions")
         self.accepted: set[str] = set()
         self.refused: set[str] = set()
         self.unknown: set[str] = set()
@@ -61,6 +67,7 @@
             self._inject_last_faults(deadline),
             self._restart_workers(deadline),
             self._cut_off_workers(deadline),
+            self._delay_writes(deadline),
         )
         while monotonic() < deadline:
             await asyncio.sleep(self.rng.expovariate(JOBS_PER_SECOND))
@@ -73,6 +80,8 @@
         watching = asyncio.create_task(self.idle_jobs.watch(quiet_from))
         await self._wait_for_job_ends()
         watching.cancel()
+        successions = SuccessionCounts(self.cluster, self.succession_rng)
+        self.violations.extend(await successions.run())
         for job in self.idle_jobs.lost:
             self.violations.append(f"LOST: {job} runs nothing despite ample room")
         self._check_history()
@@ -93,11 +102,14 @@
                     host, job, self.rng.uniform(0.2, 3.0), steps
                 )
             except (aiohttp.ClientError, TimeoutError, OSError):
-                await asyncio.sleep(0.3)
-                continue
+                status = UNKNOWN_STATUS
             if status == 200:
                 self.accepted.add(job)
                 break
+            if status == UNKNOWN_STATUS and self.give_up_rng.random() < 0.5:
+                self.unknown.add(job)
+                await self._cancel_job(job)
+                return
             refusals += status in (429, 503)
             await asyncio.sleep(0.3)
         if job not in self.accepted:
@@ -112,7 +124,7 @@
 
     async def _cancel_job(self, job: str):
         self.cancelling.add(job)
-        self.idle_jobs.unfinished.pop(job)
+        self.idle_jobs.unfinished.pop(job, None)
         for _ in range(6):
             try:
                 status, _ = await self.cluster.call(
@@ -120,9 +132,10 @@
                 )
             except (aiohttp.ClientError, TimeoutError, OSError):
                 continue
-            if status == 200:
+            if status == 200 or (status == 410 and job not in self.accepted):
                 self.cancelled[job] = monotonic()
                 return
+            await asyncio.sleep(0.3)
 
     async def _inject_faults(self, deadline: float):
         faults = [
@@ -230,6 +243,14 @@
         await asyncio.sleep(self.rng.uniform(0.5, 3.0))
         self.cluster.wire.fault = WireFault.NONE
 
+    async def _delay_writes(self, deadline: float):
+        """Leave some writes without an answer, and apply them seconds later."""
+        while monotonic() < deadline:
+            await asyncio.sleep(self.late_rng.uniform(1.0, 4.0))
+            self.cluster.wire.late_share = self.late_rng.choice([0.35, 0.8])
+            await asyncio.sleep(self.late_rng.uniform(0.5, 2.0))
+            self.cluster.wire.late_share = 0.0
+
     async def _set_worker_fault(self):
         worker = self.rng.choice(list(self.cluster.fleet.workers.values()))
         worker.fault_mode = self.rng.choice([FaultMode.HANGS, FaultMode.SHEDS])
