--- a/src/zinniatrestle/standins/machines.py
+++ b/src/zinniatrestle/standins/machines.py
@@ -4,6 +4,7 @@
 """
 
 import asyncio
+import contextlib
 
 import msgspec
 
@@ -39,6 +40,8 @@
         self.machine = machine
         self.worker = worker
         self.state = MachineState.UP
+        # The highest fencing number that it has seen.
+        self.generation = Generation(0)
         # The start time of its maintenance in each wave.
         self.upkeeps: dict[int, float] = {}
 
@@ -46,19 +49,20 @@
 class SimulatedMachines(MachineCalls):
     """All machines of a fleet.
 
-    `generation` is the highest fencing number seen. `max_down` is the highest number of
-    machines that were down at once. Each machine is down for `upkeep_seconds`.
+    `max_down` is the highest number of machines that were down at once. Each machine is
+    down for `upkeep_seconds`.
     """
 
     def __init__(self, fleet: SimulatedFleet, upkeep_seconds: float):
         self.fleet = fleet
         self.upkeep_seconds = upkeep_seconds
-        self.generation = Generation(0)
         self.by_id: dict[MachineId, SimulatedMachine] = {}
         # The machines that the operator requested for each wave.
         self.waves: dict[int, tuple[MachineId, ...]] = {}
         # The number of next calls that are executed without an answer.
         self.answers_to_drop = 0
+        # The next calls get no answer, and are carried out after these seconds.
+        self.late_calls: list[float] = []
         self.calls = 0
         self.max_down = 0
         # Tasks that were running on a machine when it was taken down.
@@ -116,25 +120,52 @@
         A repeated call for the same wave has no effect. Raises MachineRefusedError or
         UnansweredMachineError.
         """
-        if generation < self.generation:
-            raise MachineRefusedError(MachineRefusal.STALE_GENERATION)
-        self.generation = generation
+        if self.late_calls:
+            seconds = self.late_calls.pop(0)
+            self._carry_out_later(seconds, machine, wave, generation)
+            await asyncio.sleep(timeout)
+            raise UnansweredMachineError(
+                "The machine service did not answer before the timeout."
+            )
+        has_begun = self._carry_out(machine, wave, generation)
+        if has_begun and self.answers_to_drop:
+            self.answers_to_drop -= 1
+            await asyncio.sleep(timeout)
+            raise UnansweredMachineError(
+                "The machine service did not answer before the timeout."
+            )
+
+    def _carry_out_later(
+        self, seconds: float, machine: MachineId, wave: int, generation: Generation
+    ):
+        async def carry_out():
+            await asyncio.sleep(seconds)
+            with contextlib.suppress(MachineRefusedError):
+                self._carry_out(machine, wave, generation)
+
+        task = asyncio.create_task(carry_out())
+        self.return_tasks.add(task)
+        task.add_done_callback(self.return_tasks.discard)
+
+    def _carry_out(self, machine: MachineId, wave: int, generation: Generation) -> bool:
+        """Take a machine down; return False if it was, in the same wave.
+
+        Raises MachineRefusedError.
+        """
         entry = self.by_id.get(machine)
         if entry is None:
             raise MachineRefusedError(MachineRefusal.UNKNOWN_MACHINE)
+        if generation < entry.generation:
+            raise MachineRefusedError(MachineRefusal.STALE_GENERATION)
+        entry.generation = generation
         if machine not in self.waves.get(wave, ()):
             raise MachineRefusedError(MachineRefusal.OTHER_WAVE)
         if wave in entry.upkeeps:
-            return
+            return False
         if entry.state is not MachineState.UP:
             raise MachineRefusedError(MachineRefusal.BUSY)
         self._take_down(entry, wave)
-        if self.answers_to_drop:
-            self.answers_to_drop -= 1
-            await asyncio.sleep(timeout)
-            raise UnansweredMachineError(
-                "The machine service did not answer before the timeout."
-            )
+        return True
 
     def _take_down(self, entry: SimulatedMachine, wave: int):
         entry.upkeeps[wave] = monotonic()
--- a/src/zinniatrestle/upkeep/messages.py
+++ b/src/zinniatrestle/upkeep/messages.py
@@ -21,8 +21,9 @@
     """Stored progress of a wave.
 
     `started_at` is in milliseconds of the store's clock; `begun` are the machines whose
-    maintenance has begun.
+    maintenance has begun, `ordered` those for which an order may have been sent.
     """
 
     started_at: float
     begun: tuple[MachineId, ...] = ()
+    ordered: tuple[MachineId, ...] = ()
--- a/src/zinniatrestle/upkeep/runner.py
+++ b/src/zinniatrestle/upkeep/runner.py
@@ -147,7 +147,7 @@
         record = msgspec.msgpack.decode(row.value, type=WaveRecord)
         since = self.store.clock.earliest(now) - record.started_at
         progress = WaveProgress(wave, BootSeconds(now - since / MS_PER_SECOND))
-        progress.begun = {machine: now for machine in record.begun}
+        progress.restore(record.begun, record.ordered, now)
         self.versions[wave.number] = row.version
         status = self.rows.status(wave.number, WaveState.RUNNING)
         status_row = await self.store.row(status.table, status.name)
@@ -174,6 +174,11 @@
                 self.cluster.stop_gang(task.step)
             if worker.tasks:
                 return
+        if machine not in progress.ordered:
+            # A successor has to know of the order before the platform does.
+            if not await self._save_progress(progress, machine):
+                return
+            progress.ordered.add(machine)
         if self.leadership.status is not LeadershipStatus.HOLDER:
             return
         wave = progress.wave.number
@@ -210,12 +215,22 @@
             progress.exclude(machine)
             self._uncordon_workers(progress)
 
-    async def _save_progress(self, progress: WaveProgress):
-        """Store the progress for a new leader; raises store errors."""
+    async def _save_progress(
+        self, progress: WaveProgress, ordering: MachineId | None = None
+    ) -> bool:
+        """Store the progress, and that a machine is to be ordered down.
+
+        Return whether it is stored; raises store errors.
+        """
         wave = progress.wave
         age = (boot_time() - progress.started_at) * MS_PER_SECOND
         started_at = self.store.clock.earliest(boot_time()) - age
-        record = WaveRecord(started_at, tuple(sorted(progress.begun)))
+        ordered = set(progress.ordered)
+        if ordering is not None:
+            ordered.add(ordering)
+        record = WaveRecord(
+            started_at, tuple(sorted(progress.begun)), tuple(sorted(ordered))
+        )
         name = self._row_name(wave)
         expects = [
             self.leadership.fence_expectation(),
@@ -225,12 +240,13 @@
         result = await self._transact(expects, [write])
         if result.applied:
             self.versions[wave.number] = result.version
-            return
+            return True
         current = result.current.get((WAVES, name))
         if current is None or current.version == self.versions[wave.number]:
             self.leadership.step_down("another generation holds the fence")
-            return
+            return False
         self.versions[wave.number] = current.version
+        return False
 
     async def _publish_state(self, progress: WaveProgress, state: WaveState):
         """Write the status row that operators read; raises store errors."""
--- a/src/zinniatrestle/upkeep/state.py
+++ b/src/zinniatrestle/upkeep/state.py
@@ -1,5 +1,7 @@
 """Progress of a wave."""
 
+from collections.abc import Iterable
+
 from zinniatrestle.ids import BootSeconds, MachineId, WorkerId
 from zinniatrestle.machines.messages import (
     Machine,
@@ -26,12 +28,30 @@
         self.cordoned: dict[WorkerId, MachineId] = {}
         # Machines whose call was not answered; it may still be carried out at any time.
         self.uncertain: set[MachineId] = set()
+        # Machines for which it is stored that an order may have been sent.
+        self.ordered: set[MachineId] = set()
         # Number of lists in a row, up to the latest, without a machine of the wave.
         self.missed: dict[MachineId, int] = {}
         # Machines whose maintenance the platform refuses in this wave.
         self.excluded: set[MachineId] = set()
         self.completed = False
 
+    def restore(
+        self,
+        begun: Iterable[MachineId],
+        ordered: Iterable[MachineId],
+        now: BootSeconds,
+    ):
+        """Restore what an earlier leader has stored.
+
+        Its orders without an answer may be carried out yet: their machines count as
+        down, and are ordered again.
+        """
+        self.begun = {machine: now for machine in begun}
+        self.ordered = set(ordered)
+        self.uncertain = self.ordered - self.begun.keys()
+        self.draining = {machine: now for machine in self.uncertain}
+
     def observe(self, listed: list[Machine]):
         """Update the states of the wave's machines from a list of all machines."""
         wave_machines = set(self.wave.machines)
@@ -43,6 +63,7 @@
             self.missed[machine] = 0 if is_listed else self.missed.get(machine, 0) + 1
             if self._is_gone(machine):
                 self.draining.pop(machine, None)
+                self.uncertain.discard(machine)
 
     def exclude(self, machine: MachineId):
         """Exclude a machine whose maintenance the platform refuses in this wave."""
--- a/src/zinniatrestle/upkeep/tests/test_waves.py
+++ b/src/zinniatrestle/upkeep/tests/test_waves.py
@@ -2,6 +2,7 @@
 
 import asyncio
 
+import msgspec
 import pytest
 
 from zinniatrestle.clock import monotonic
@@ -11,7 +12,7 @@
 from zinniatrestle.standins.machines import WAVE_STATUS
 from zinniatrestle.standins.model import Model, run_virtual, step
 from zinniatrestle.standins.rows import Reachability
-from zinniatrestle.upkeep.messages import WaveState
+from zinniatrestle.upkeep.messages import WAVES, WaveRecord, WaveState
 
 
 class WaveScenario:
@@ -137,6 +138,80 @@
     run_with_scenario(check)
 
 
+async def wait_for_late_call(scenario):
+    while scenario.model.machines.late_calls:
+        await asyncio.sleep(0.01)
+
+
+# Guards against a successor that takes a second machine down, since it doesn't know of
+# an order that its predecessor has sent.
+@pytest.mark.parametrize("seconds", [2.5, 4.0, 6.0])
+def test_a_late_order_of_a_former_leader_takes_no_second_machine_down(seconds):
+    async def check(scenario):
+        # Only one machine is idle for the former leader, and all for its successor.
+        for _ in range(5):
+            await scenario.model.submit("usual", (step(1, gpus=8, seconds=1.4),), 1.4)
+        await asyncio.sleep(0.5)
+        scenario.model.machines.late_calls = [seconds]
+        scenario.request_wave(count=6, max_concurrent=1, duration=60.0)
+        await wait_for_late_call(scenario)
+        await scenario.model.leader().kill()
+        await scenario.wait_until_completed(60.0)
+        assert scenario.model.machines.max_down == 1
+
+    run_with_scenario(check)
+
+
+# Guards against an order that no successor would know of.
+@pytest.mark.parametrize("late_share", [0.0, 0.5, 1.0])
+def test_each_order_is_stored_before_it_is_sent(late_share):
+    async def check(scenario):
+        model = scenario.model
+        begin_upkeep = model.machines.begin_upkeep
+        ordered: list[MachineId] = []
+
+        async def begin_stored_upkeep(machine, *arguments):
+            assert machine in stored_orders(model)
+            ordered.append(machine)
+            await begin_upkeep(machine, *arguments)
+
+        model.machines.begin_upkeep = begin_stored_upkeep
+        scenario.request_wave(count=3, max_concurrent=1, duration=60.0)
+        for host in model.hosts:
+            host.store.lost_answer_share = 0.5
+            host.store.late_commit_share = late_share
+        await asyncio.sleep(4.0)
+        for host in model.hosts:
+            host.store.lost_answer_share = 0.0
+        await scenario.wait_until_completed(60.0)
+        assert len(set(ordered)) == 3
+
+    run_with_scenario(check)
+
+
+def stored_orders(model) -> tuple[MachineId, ...]:
+    (record,) = model.rows.tables[WAVES].values()
+    return msgspec.msgpack.decode(record.value, type=WaveRecord).ordered
+
+
+def test_a_removed_machine_with_an_unanswered_order_does_not_hold_up_its_wave():
+    async def check(scenario):
+        model = scenario.model
+        model.machines.late_calls = [600.0]
+        scenario.request_wave(count=3, max_concurrent=1, duration=60.0)
+        await wait_for_late_call(scenario)
+        (removed,) = stored_orders(model)
+        worker = model.fleet.workers[model.machines.by_id[removed].worker]
+        model.fleet.crash(worker)
+        model.fleet.remove(worker)
+        del model.machines.by_id[removed]
+        names = [name for name in model.machines.waves[1] if name != removed]
+        model.machines.waves[1] = tuple(names)
+        await scenario.wait_until_completed(60.0)
+
+    run_with_scenario(check)
+
+
 def test_a_wave_completes_after_a_store_outage():
     async def check(scenario):
         scenario.request_wave(count=3, max_concurrent=1, duration=60.0)
