--- a/src/zinniatrestle/scheduling/pending_counts.py
+++ b/src/zinniatrestle/scheduling/pending_counts.py
@@ -10,6 +10,7 @@
 from zinniatrestle.events import Event, EventLog
 from zinniatrestle.ids import BootSeconds, QueueName
 from zinniatrestle.rows.clock import StoreClock
+from zinniatrestle.supervision import Supervisor
 
 # Callers wait no longer for counts to be read anew.
 READ_TIMEOUT_SECONDS = 0.5
@@ -44,6 +45,7 @@
         self.clock = clock
         self.events = events
         self.counts: PendingCounts | None = None
+        self.supervisor = Supervisor(events)
         self.reading: asyncio.Task | None = None
         self.read_at = BootSeconds(float("-inf"))
 
@@ -95,6 +97,8 @@
             self.events.write_deduplicated(
                 Event.DEPENDENCY_LOST, error.detail, dependency="pending counts"
             )
+        except Exception as error:
+            self.supervisor.log_failure("pending counts", error)
         finally:
             self.reading = None
             self.read_at = boot_time()
--- a/src/zinniatrestle/upkeep/planner.py
+++ b/src/zinniatrestle/upkeep/planner.py
@@ -67,8 +67,9 @@
     """Return the tasks to stop now on a machine that is being drained.
 
     Tasks that save checkpoints are stopped at once, long-running tasks as the
-    `max_unavailable` of their step allows. All others may run to their end until the
-    drain timeout.
+    `max_unavailable` of their step allows. A long-running task that no worker has
+    reported yet may be at work, and counts for others as unavailable. All other tasks
+    may run to their end until the drain timeout.
     """
     found: list[Task] = []
     stopping: dict[StepRun, int] = {}
@@ -78,16 +79,16 @@
             continue
         if shape.long_running:
             unavailable = count_unavailable(task.step) + stopping.get(task.step, 0)
-            at_full_pace = task.percent >= FULL_PACE_PERCENT
+            may_work = task.percent >= FULL_PACE_PERCENT or not task.reported
             if (
-                at_full_pace
+                may_work
                 and shape.max_unavailable
                 and unavailable >= shape.max_unavailable
             ):
                 continue
-            if at_full_pace and not shape.max_unavailable and stopping.get(task.step):
+            if may_work and not shape.max_unavailable and stopping.get(task.step):
                 continue
-            stopping[task.step] = stopping.get(task.step, 0) + int(at_full_pace)
+            stopping[task.step] = stopping.get(task.step, 0) + int(may_work)
             found.append(task)
             continue
         if shape.checkpointing or waited >= timeout_seconds:
--- a/src/zinniatrestle/upkeep/tests/test_planner.py
+++ b/src/zinniatrestle/upkeep/tests/test_planner.py
@@ -14,6 +14,7 @@
 from zinniatrestle.scheduling.durations import Durations
 from zinniatrestle.scheduling.forecast import Forecast
 from zinniatrestle.scheduling.preemption_costs import PreemptionCosts
+from zinniatrestle.scheduling.state import TaskStatus
 from zinniatrestle.upkeep.planner import drain_timeout, next_machines, tasks_to_stop
 from zinniatrestle.upkeep.state import MAX_MISSED_LISTS, WaveProgress
 
@@ -139,6 +140,29 @@
     assert len(tasks_to_stop(worker, 99.0, 10.0)) == stopped
 
 
+# Guards against a successor that takes tasks for unavailable of which it hasn't heard.
+@pytest.mark.parametrize("max_unavailable", [1, 2])
+def test_long_running_tasks_that_have_not_been_reported_are_not_stopped(
+    max_unavailable,
+):
+    worker = workers_in_racks(1)[0]
+    shape = Step(count=3, long_running=True, max_unavailable=max_unavailable)
+    tasks = running(shape, worker, 3)
+    for task in tasks:
+        task.status, task.inherited = TaskStatus.PLACED, True
+    assert tasks_to_stop(worker, 99.0, 10.0) == []
+    for task in tasks:
+        task.status, task.reported, task.percent = TaskStatus.RUNNING, True, 100
+    assert len(tasks_to_stop(worker, 99.0, 10.0)) == max_unavailable
+
+
+def test_a_long_running_task_that_is_reported_to_start_up_is_stopped():
+    worker = workers_in_racks(1)[0]
+    (task,) = running(Step(long_running=True, max_unavailable=1), worker)
+    task.reported = True
+    assert tasks_to_stop(worker, 99.0, 10.0) == [task]
+
+
 def test_a_long_running_task_stays_while_others_of_its_step_are_unavailable():
     worker = workers_in_racks(1)[0]
     tasks = running(Step(count=3, long_running=True, max_unavailable=1), worker, 2)
--- a/src/zinniatrestle/upkeep/tests/test_waves.py
+++ b/src/zinniatrestle/upkeep/tests/test_waves.py
@@ -101,6 +101,35 @@
     run_with_scenario(check)
 
 
+# Guards against a successor that stops all tasks at once, since it has no report yet.
+@pytest.mark.parametrize("silent", [0.0, 0.3, 1.0])
+def test_a_successor_keeps_to_the_max_unavailable_of_a_step(silent):
+    async def check(scenario):
+        model = scenario.model
+        shape = step(4, gpus=2, long_running=True, max_unavailable=1)
+        await model.submit("usual", (shape,), 10_000.0)
+        await asyncio.sleep(3.0)
+        watching = asyncio.create_task(sample_running_counts(model))
+        scenario.request_wave(count=6, max_concurrent=6, duration=90.0)
+        await asyncio.sleep(1.0)
+        workers = list(model.fleet.workers.values())
+        for worker in workers:
+            worker.reachable = False
+        former = model.leader()
+        await former.kill()
+        while model.leader() is None:
+            await asyncio.sleep(0.01)
+        await asyncio.sleep(silent)
+        for worker in workers:
+            worker.reachable = True
+        await asyncio.sleep(60.0)
+        watching.cancel()
+        assert min(await wait_for(watching)) >= 3
+        assert scenario.state() == WaveState.COMPLETED.value
+
+    run_with_scenario(check)
+
+
 async def sample_running_counts(model):
     counts = []
     try:
