--- a/src/zinniatrestle/jobs/intake.py
+++ b/src/zinniatrestle/jobs/intake.py
@@ -186,16 +186,14 @@
     ) -> TransactionResult:
         """Store a submission under the present epoch, or return why it does not apply.
 
-        Raises StoreUnavailableError and StoreUncertainError.
+        That is a row of the job, or a mark. Raises StoreUnavailableError and
+        StoreUncertainError.
         """
         began_at = boot_time()
         seconds = give_up_at - monotonic()
         while True:
-            expects = [
-                Expect(PROGRESS, name),
-                Expect(WITHDRAWALS, name),
-                self.epoch.expectation(),
-            ]
+            epoch = self.epoch.expectation()
+            expects = [Expect(PROGRESS, name), Expect(WITHDRAWALS, name), epoch]
             result = await transact_with_retries(
                 self.store,
                 expects,
@@ -203,10 +201,12 @@
                 give_up_at,
                 max_refusal_seconds=REFUSAL_RETRY_SECONDS,
             )
-            is_new_epoch = not result.applied and self.epoch.update(result)
-            exists = {(PROGRESS, name), (WITHDRAWALS, name)} & result.current.keys()
-            if not is_new_epoch or exists:
+            rows = {(PROGRESS, name), (WITHDRAWALS, name)} & result.current.keys()
+            if result.applied or rows:
                 return result
+            self.epoch.update(result)
+            if self.epoch.expectation() == epoch:
+                raise StoreUncertainError("The store's answer lacks a row.")
             # Nothing sent under the former epoch can be applied any more. The clock
             # includes the time for which this host was suspended, since a cancellation
             # counts on the end of this wait.
--- a/src/zinniatrestle/jobs/tests/test_withdrawals.py
+++ b/src/zinniatrestle/jobs/tests/test_withdrawals.py
@@ -352,6 +352,20 @@
     run_with_model(check)
 
 
+# Guards against jobs that are reported as accepted, but were not stored since another
+# call had learned of the epoch before.
+def test_jobs_that_meet_a_new_epoch_at_the_same_time_are_all_stored():
+    async def check(model):
+        host = model.hosts[0]
+        jobs = [JobId(f"{number:016x}") for number in range(20)]
+        for first in range(0, len(jobs), 5):
+            begin_epoch(model)
+            await asyncio.gather(*(accept(host, job) for job in jobs[first:][:5]))
+        assert [job for job in jobs if model.state(job) is None] == []
+
+    run_with_model(check)
+
+
 def test_a_job_whose_acceptance_was_applied_is_accepted_under_a_later_epoch():
     async def check(model):
         host = model.hosts[0]
--- a/src/zinniatrestle/jobs/withdrawals.py
+++ b/src/zinniatrestle/jobs/withdrawals.py
@@ -109,13 +109,10 @@
         """Return the check that each acceptance carries."""
         return Expect(INTAKE_EPOCHS, EPOCH_ROW, self.version)
 
-    def update(self, result: TransactionResult) -> bool:
-        """Take the epoch from a transaction that did not apply; tell if it is new."""
+    def update(self, result: TransactionResult):
+        """Take the epoch from a transaction that did not apply."""
         row = result.current.get((INTAKE_EPOCHS, EPOCH_ROW))
-        version = row.version if row is not None else ABSENT
-        is_new = version != self.version
-        self.version = version
-        return is_new
+        self.version = row.version if row is not None else ABSENT
 
 
 async def begin_epoch(store: RowStore, fence: Expect, timeout: float) -> RowVersion:
