--- a/src/zinniatrestle/scheduling/rounds.py
+++ b/src/zinniatrestle/scheduling/rounds.py
@@ -606,8 +606,10 @@
                 due += job.next_occurrence * submission.every_ms
                 if now_ms < due:
                     break
-                if job.unfinished_task_count() + job.tasks_per_occurrence > MAX_TASKS:
-                    # The job's progress row has room for this many tasks only.
+                kept = job.unfinished_task_count() + len(job.finished_steps)
+                if kept + job.tasks_per_occurrence > MAX_TASKS:
+                    # The job's progress row has room for this many tasks only, and a
+                    # finished step takes less of it than a task.
                     break
                 job.add_occurrence(job.next_occurrence)
                 job.next_occurrence += 1
--- a/src/zinniatrestle/scheduling/state.py
+++ b/src/zinniatrestle/scheduling/state.py
@@ -97,6 +97,8 @@
         self.stop_reason = ""
         # How the latest run is known to be over; empty if only a predecessor knows.
         self.latest_end = ""
+        # Failed runs count as attempts. A long-running task has no limit of those and
+        # keeps none of them.
         self.failed_runs: set[RunNumber] = set()
         # The latest run that was lost while it may have been done, until its end is
         # known. A later run may repeat what is done.
@@ -217,7 +219,8 @@
         """Restore the stored state, except for the assigned worker."""
         self.run = record.run
         self.placed_instance = record.instance
-        self.failed_runs = set(record.failed_runs)
+        if not self.step.shape.long_running:
+            self.failed_runs = set(record.failed_runs)
         self.checkpoint = record.checkpoint
         self.completed = record.done
         if record.done:
--- a/src/zinniatrestle/scheduling/tracker.py
+++ b/src/zinniatrestle/scheduling/tracker.py
@@ -434,8 +434,9 @@
             self._restore_health(worker, boot_time())
             self.complete(step.tasks if step.shape.gang else [task])
             return job
+        is_failure = end.outcome is RunOutcome.FAILED and not step.shape.long_running
         # The failure still counts as an attempt.
-        if end.outcome is RunOutcome.FAILED and end.run not in task.failed_runs:
+        if is_failure and end.run not in task.failed_runs:
             task.failed_runs.add(end.run)
             self.reliability.record_failure(worker.id, job.id, boot_time())
             self.fail_if_out_of_attempts(task)
@@ -532,7 +533,8 @@
             self.events.write(Event.WORKER_RESTORED, worker=worker.id)
 
     def _record_failure(self, worker: Worker, task: Task, now: BootSeconds):
-        task.failed_runs.add(task.run)
+        if not task.step.shape.long_running:
+            task.failed_runs.add(task.run)
         self.reliability.record_failure(worker.id, task.step.job.id, now)
         if self.health.record_failure(worker, task, now):
             self.quarantine(worker, f"task {task.id} failed", now)
