--- a/src/zinniatrestle/events/messages.py
+++ b/src/zinniatrestle/events/messages.py
@@ -33,6 +33,7 @@
     RUN_STOPPED = "run_stopped"
     RUN_ENDED = "run_ended"
     RUN_LOST = "run_lost"
+    RESTART_DELAYED = "restart_delayed"
     ENDS_LISTED_IN_PART = "ends_listed_in_part"
     RUN_PREEMPTED = "run_preempted"
     RUN_MOVED = "run_moved"
--- a/src/zinniatrestle/metrics.py
+++ b/src/zinniatrestle/metrics.py
@@ -36,6 +36,7 @@
         self.late_ends = meter.create_counter("late_ends", "1")
         self.preemptions = meter.create_counter("runs_preempted", "1")
         self.gangs_broken = meter.create_counter("gangs_broken", "1")
+        self.restarts_delayed = meter.create_counter("restarts_delayed", "1")
         # In core-seconds.
         self.work_lost = meter.create_counter("work_lost", "1")
         self.moves_to_make_room = meter.create_counter("moves_to_make_room", "1")
--- a/src/zinniatrestle/scheduling/state.py
+++ b/src/zinniatrestle/scheduling/state.py
@@ -5,6 +5,7 @@
 from dataclasses import dataclass
 from enum import Enum
 
+from zinniatrestle.clock import boot_time
 from zinniatrestle.ids import (
     BootSeconds,
     FailureDomainId,
@@ -100,6 +101,10 @@
         # Failed runs count as attempts. A long-running task has no limit of those and
         # keeps none of them.
         self.failed_runs: set[RunNumber] = set()
+        # Runs of a long-running task in a row that have ended early, and when it is
+        # restarted after them.
+        self.early_ends = 0
+        self.restart_at = BootSeconds(0.0)
         # The latest run that was lost while it may have been done, until its end is
         # known. A later run may repeat what is done.
         self.lost_run: LostRun | None = None
@@ -311,8 +316,18 @@
         return self.done or all(task.completed for task in self.tasks)
 
     def waiting_tasks(self) -> list[Task]:
-        """Return the tasks that are neither assigned nor done."""
-        return [task for task in self.tasks if task.status is TaskStatus.WAITING]
+        """Return the tasks that are neither assigned nor done, and may start now.
+
+        A long-running task that keeps ending early is held back, with its whole gang.
+        """
+        waiting = [task for task in self.tasks if task.status is TaskStatus.WAITING]
+        if not self.shape.long_running:
+            return waiting
+        now = boot_time()
+        due = [task for task in waiting if task.restart_at <= now]
+        if self.shape.gang and len(due) < len(waiting):
+            return []
+        return due
 
     def waited(self, now: BootSeconds) -> float:
         """Return for how many seconds the longest waiting task could have started."""
--- a/src/zinniatrestle/scheduling/tracker.py
+++ b/src/zinniatrestle/scheduling/tracker.py
@@ -14,6 +14,7 @@
 from zinniatrestle.scheduling.load import HOLD_WAIT_SECONDS
 from zinniatrestle.scheduling.placement import is_remote
 from zinniatrestle.scheduling.reliability import Evidence
+from zinniatrestle.scheduling.restarts import EARLY_END_SECONDS, restart_delay
 from zinniatrestle.scheduling.session import (
     MAX_CONCURRENT_ORDERS,
     SessionListener,
@@ -400,7 +401,7 @@
             worker=worker.id,
             how=end.outcome.value,
             seconds=round(now - task.started_at, 2) if task.start_time_known else None,
-            failures=len(task.failed_runs),
+            failures=len(task.failed_runs) or task.early_ends,
             lost=0.0
             if end.outcome is RunOutcome.DONE
             else self.lost_core_seconds(task),
@@ -409,6 +410,8 @@
         if end.checkpoint:
             at_stop = end.outcome is RunOutcome.STOPPED
             self.record_checkpoint(task, end.checkpoint, at_stop)
+        if end.outcome in (RunOutcome.DONE, RunOutcome.FAILED):
+            self._delay_restart(task, now)
         if end.outcome is RunOutcome.DONE:
             self._record_success(worker, task, now)
             return job
@@ -532,6 +535,30 @@
         if self.health.record_success(worker, now):
             self.events.write(Event.WORKER_RESTORED, worker=worker.id)
 
+    def _delay_restart(self, task: Task, now: BootSeconds):
+        """Choose when a long-running task restarts whose run has ended by itself."""
+        if not task.step.shape.long_running:
+            return
+        if task.has_run and now - task.started_at >= EARLY_END_SECONDS:
+            task.early_ends = 0
+            return
+        task.early_ends += 1
+        seconds = restart_delay(task.early_ends, task.id, task.run)
+        if not seconds:
+            return
+        task.restart_at = BootSeconds(now + seconds)
+        self.metrics.restarts_delayed.add(1)
+        self.events.write_deduplicated(
+            Event.RESTART_DELAYED,
+            f"tasks of job {task.step.job.id} keep ending early",
+            job=task.step.job.id,
+            task=task.id,
+            run=task.run,
+            worker=task.worker.id,
+            early_ends=task.early_ends,
+            seconds=round(seconds, 2),
+        )
+
     def _record_failure(self, worker: Worker, task: Task, now: BootSeconds):
         if not task.step.shape.long_running:
             task.failed_runs.add(task.run)
