--- a/src/zinniatrestle/events/messages.py
+++ b/src/zinniatrestle/events/messages.py
@@ -34,6 +34,7 @@
     RUN_ENDED = "run_ended"
     RUN_LOST = "run_lost"
     RESTART_DELAYED = "restart_delayed"
+    ROW_TOO_LARGE = "row_too_large"
     ENDS_LISTED_IN_PART = "ends_listed_in_part"
     RUN_PREEMPTED = "run_preempted"
     RUN_MOVED = "run_moved"
--- a/src/zinniatrestle/metrics.py
+++ b/src/zinniatrestle/metrics.py
@@ -37,6 +37,7 @@
         self.preemptions = meter.create_counter("runs_preempted", "1")
         self.gangs_broken = meter.create_counter("gangs_broken", "1")
         self.restarts_delayed = meter.create_counter("restarts_delayed", "1")
+        self.rows_too_large = meter.create_counter("rows_too_large", "1")
         # In core-seconds.
         self.work_lost = meter.create_counter("work_lost", "1")
         self.moves_to_make_room = meter.create_counter("moves_to_make_room", "1")
--- a/src/zinniatrestle/scheduling/progress_writer.py
+++ b/src/zinniatrestle/scheduling/progress_writer.py
@@ -9,6 +9,7 @@
 from zinniatrestle.errors import (
     LeaseLostError,
     MalformedInputError,
+    ResultCode,
     StoreUnavailableError,
     StoreUncertainError,
 )
@@ -70,6 +71,8 @@
         self.rejections = RejectionLog(events, f"table {PROGRESS}")
         # Jobs whose state can't be encoded.
         self.unwritable: set[JobId] = set()
+        # Jobs whose state does not fit into a row, until they have ended.
+        self.oversized: dict[JobId, Job] = {}
         # Jobs of the write that is under way.
         self.writing: dict[JobId, Job] = {}
         self.requests: list[SaveRequest] = []
@@ -150,11 +153,15 @@
         for name, job in list(self.dirty.items()):
             try:
                 value = self._encoded(job)
+                if not self._fits(value):
+                    self._set_aside(job, len(value))
+                    continue
             except Exception as error:
                 # Its changes count as not stored, and hold up no other job's.
                 self._log_unwritable(name, error)
                 continue
             self.unwritable.discard(name)
+            self.oversized.pop(name, None)
             if batch and size + len(value) > MAX_TRANSACTION_BYTES:
                 break
             size += len(value)
@@ -170,6 +177,22 @@
         self.unwritable.add(name)
         self.supervisor.log_failure("progress", error, job=name)
 
+    def _fits(self, value: bytes) -> bool:
+        return len(value) * BASE64_FACTOR <= self.limits.row_bytes
+
+    def _set_aside(self, job: Job, size: int):
+        """Leave out a job that the store would refuse, with all others of its batch."""
+        if job.id in self.oversized:
+            return
+        self.oversized[job.id] = job
+        self.events.write(
+            Event.ROW_TOO_LARGE,
+            job=job.id,
+            code=int(ResultCode.TOO_LARGE),
+            bytes=size,
+            limit=int(self.limits.row_bytes / BASE64_FACTOR),
+        )
+
     async def _try_write(self, batch: dict[JobId, Job]) -> bool:
         """Write a batch and return whether it is stored; raises LeaseLostError.
 
@@ -212,16 +235,22 @@
         return expects, writes, final
 
     def _encoded(self, job: Job) -> bytes:
-        """Return the encoded state of a job, without checkpoints if it is too large.
+        """Return the encoded state of a job, as far as it fits into a row.
 
-        The store would refuse the row for ever, and with it those of all other jobs.
+        Checkpoints are left out first. Of a job that has ended, its runs are, which
+        workers are told to stop once they report them.
         """
         progress = job.to_progress(self._now())
         value = encode_progress(progress)
-        if len(value) * BASE64_FACTOR <= self.limits.row_bytes:
+        if self._fits(value):
             return value
         for task in progress.tasks.values():
             task.checkpoint = ""
+        value = encode_progress(progress)
+        if self._fits(value) or not job.ended:
+            return value
+        progress.tasks = {}
+        progress.finished = []
         return encode_progress(progress)
 
     def _mark_written(
--- a/src/zinniatrestle/scheduling/scheduler.py
+++ b/src/zinniatrestle/scheduling/scheduler.py
@@ -370,6 +370,7 @@
                 tracker.stop_job(job, f"job {job.state.value}")
                 tracker.unsaved_jobs.add(job)
             self.progress_writer.ended.clear()
+            self._end_oversized()
             self._drop_ended()
             self._publish_handover()
             reason = self._pause_reason()
@@ -395,6 +396,15 @@
             return "the desired state was not confirmed in time"
         return ""
 
+    def _end_oversized(self):
+        """Fail jobs whose state the store can't hold: no run may start unsaved."""
+        for job in list(self.progress_writer.oversized.values()):
+            if job.ended:
+                continue
+            self.tracker.metrics.rows_too_large.add(1)
+            reason = "its progress does not fit into a row of the store"
+            self.tracker.end_job(job, JobState.FAILED, reason)
+
     def _drop_ended(self):
         for job in list(self.tracker.jobs.values()):
             if job.submission_deleted and job.id not in self.progress_writer.dirty:
--- a/src/zinniatrestle/scheduling/tests/test_crash_loops.py
+++ b/src/zinniatrestle/scheduling/tests/test_crash_loops.py
@@ -2,6 +2,9 @@
 
 import asyncio
 import itertools
+from unittest import mock
+
+import pytest
 
 from zinniatrestle.ids import RunNumber, TaskId
 from zinniatrestle.jobs import JobState
@@ -12,6 +15,7 @@
     MAX_DELAY_SECONDS,
     restart_delay,
 )
+from zinniatrestle.scheduling.state import Job
 from zinniatrestle.standins.checker import violations
 from zinniatrestle.standins.model import Model, run_virtual, step
 from zinniatrestle.standins.runs import EventKind
@@ -106,6 +110,37 @@
     run_with_crash_loop(check)
 
 
+# Guards against one row that the store refuses and that holds up all others.
+@pytest.mark.parametrize("oversized", [0, 50, 99])
+def test_a_job_whose_row_is_too_large_fails_alone(oversized):
+    async def check():
+        model = Model(1, hosts=2)
+        await model.start(workers=4, rack=4)
+        jobs = []
+        to_progress = Job.to_progress
+
+        def large_progress(job, now_ms):
+            progress = to_progress(job, now_ms)
+            if job.id in jobs[oversized : oversized + 1]:
+                progress.finished = [f"{n}.0" for n in range(20_000)]
+            return progress
+
+        with mock.patch.object(Job, "to_progress", large_progress):
+            for _ in range(100):
+                jobs.append(await model.submit("usual", (step(1, gpus=0),), 0.5))
+            await asyncio.sleep(40.0)
+        states = [model.state(job) for job in jobs]
+        assert states.count(JobState.COMPLETED) == 99
+        assert states[oversized] is JobState.FAILED
+        lines = [line for line in model.lines if line["event"] == "row_too_large"]
+        assert [(line["job"], line["code"]) for line in lines] == [
+            (jobs[oversized], 102)
+        ]
+        assert violations(model) == []
+
+    run_virtual(check())
+
+
 def test_a_crash_loop_is_logged_with_its_cause():
     async def check(model, job):
         await asyncio.sleep(20.0)
