--- a/src/zinniatrestle/scheduling/session.py
+++ b/src/zinniatrestle/scheduling/session.py
@@ -99,6 +99,10 @@
     def may_order(self) -> bool:
         """Return whether this host may send orders to workers now."""
 
+    @abstractmethod
+    def may_start(self, worker: Worker) -> bool:
+        """Return whether tasks may start at a worker now."""
+
     @abstractmethod
     def may_hold(self) -> bool:
         """Return whether this host may extend the leases at workers now."""
@@ -312,7 +316,8 @@
 
     async def _send_start(self, task: Task, run: RunNumber):
         deadline = None
-        # The task may have been stopped or moved while the order was queued.
+        # The task may have been stopped or moved while the order was queued, and the
+        # worker may have begun to drain or be evacuated.
         if self._is_still_wanted(task, run):
             deadline = self._deadline(boot_time(), START_VALID_SECONDS)
         if deadline is None:
@@ -360,8 +365,9 @@
 
     def _is_still_wanted(self, task: Task, run: RunNumber) -> bool:
         """Return whether the run is still to be started at this worker."""
-        wanted = task.run == run and task.status is TaskStatus.PLACED
-        return wanted and self.listener.may_order()
+        if task.run != run or task.status is not TaskStatus.PLACED:
+            return False
+        return self.listener.may_order() and self.listener.may_start(self.worker)
 
     async def _stop(self, task_id: TaskId, run: RunNumber):
         try:
--- a/src/zinniatrestle/scheduling/tracker.py
+++ b/src/zinniatrestle/scheduling/tracker.py
@@ -34,6 +34,7 @@
     Refusal,
     RunningTask,
     RunOutcome,
+    WorkerState,
 )
 
 # A worker may read its clock up to this time before it lists its runs.
@@ -148,6 +149,12 @@
         """Return whether this host holds the lease and may send orders."""
         return self.context.leadership.status is LeadershipStatus.HOLDER
 
+    def may_start(self, worker: Worker) -> bool:
+        """Return whether tasks may start at a worker that was chosen earlier."""
+        if worker.cordoned or worker.entry.state is not WorkerState.READY:
+            return False
+        return worker.entry.domain not in self.context.operator.evacuated
+
     def may_hold(self) -> bool:
         """Return whether leases of workers may be extended now."""
         return self.context.leadership.may_hold()
