--- a/src/zinniatrestle/scheduling/cluster_state.py
+++ b/src/zinniatrestle/scheduling/cluster_state.py
@@ -219,7 +219,7 @@
             return
         if not step.shape.gang:
             task.checkpoint = checkpoint
-            step.job.has_minor_changes = True
+            step.job.checkpoints_changed = True
             return
         is_newest = at_stop and not step.has_stop_checkpoint
         if checkpoint in step.replaced_checkpoints and not is_newest:
@@ -231,7 +231,7 @@
         step.has_stop_checkpoint = at_stop
         if task.checkpoint:
             step.replaced_checkpoints.append(task.checkpoint)
-        step.job.has_minor_changes = True
+        step.job.checkpoints_changed = True
         # A checkpoint reported by any member covers the whole gang.
         for member in step.tasks:
             member.checkpoint = checkpoint
--- a/src/zinniatrestle/scheduling/state.py
+++ b/src/zinniatrestle/scheduling/state.py
@@ -360,10 +360,12 @@
         self.next_occurrence = 0
         # The final progress is stored and the row of the submission is deleted.
         self.submission_deleted = False
-        # Whether it has begun or a task has a newer checkpoint since the job was last
-        # stored for that alone, and when that was.
-        self.has_minor_changes = False
-        self.minor_changes_saved_at = BootSeconds(0.0)
+        # That it has begun may not be stored yet.
+        self.start_unsaved = False
+        # Whether a task has a newer checkpoint than when the job was last stored for
+        # checkpoints alone, and when that was.
+        self.checkpoints_changed = False
+        self.checkpoints_saved_at = BootSeconds(0.0)
         self.accepted_at = BootSeconds(0.0)
         self.due_at = BootSeconds(0.0)
         if not submission.timed:
--- a/src/zinniatrestle/scheduling/tests/test_checkpoint_saves.py
+++ b/src/zinniatrestle/scheduling/tests/test_checkpoint_saves.py
@@ -26,8 +26,8 @@
 
 def changed_job(name: str, tasks: int, saved_at: float = 0.0):
     created = job(name * 16, Step(count=tasks))
-    created.has_minor_changes = True
-    created.minor_changes_saved_at = BootSeconds(saved_at)
+    created.checkpoints_changed = True
+    created.checkpoints_saved_at = BootSeconds(saved_at)
     return created
 
 
@@ -40,11 +40,36 @@
     jobs = [changed_job("a", 1), job("b" * 16)]
     assert due(saves, jobs) == ["a"]
     assert due(saves, jobs, after=1.0) == []
-    jobs[0].has_minor_changes = True
+    jobs[0].checkpoints_changed = True
     assert due(saves, jobs, after=1.5) == []
     assert due(saves, jobs, after=2.0) == ["a"]
 
 
+def begun_job(name: str, tasks: int):
+    created = job(name * 16, Step(count=tasks))
+    created.start_unsaved = True
+    return created
+
+
+# Guards against checkpoints that aren't stored while many jobs begin.
+def test_jobs_that_have_begun_take_nothing_from_the_rate_of_checkpoints():
+    saves = CheckpointSaves()
+    begun = [begun_job(name, 20) for name in "bcdef"]
+    saved = changed_job("a", 30, saved_at=NOW - 1)
+    assert due(saves, [*begun, saved]) == ["a", "b"]
+    saved.checkpoints_changed = True
+    assert due(saves, [*begun, saved], after=1.0) == ["a", "c"]
+    saved.checkpoints_changed = True
+    wide = changed_job("g", MAX_TASKS_PER_SECOND, saved_at=NOW - 2)
+    assert due(saves, [*begun, saved, wide], after=2.0) == ["g"]
+
+
+def test_a_wide_job_that_has_begun_is_stored_when_nothing_else_is():
+    saves = CheckpointSaves()
+    assert due(saves, [begun_job("a", 2 * MAX_TASKS_PER_SECOND)]) == ["a"]
+    assert due(saves, [begun_job("b", 1)], after=1.0) == []
+
+
 def test_jobs_are_stored_in_turn_within_the_rate():
     saves = CheckpointSaves()
     jobs = [
--- a/src/zinniatrestle/scheduling/tracker.py
+++ b/src/zinniatrestle/scheduling/tracker.py
@@ -602,7 +602,7 @@
         """Record that a task of a job has started, which is stored soon."""
         if job.has_started:
             return
-        job.has_started = job.has_minor_changes = True
+        job.has_started = job.start_unsaved = True
         self.metrics.waiting.record(max(0.0, boot_time() - job.due_at))
 
     def not_started(self, task: Task, run: RunNumber, refusal: Refusal):
