--- a/tests/common/raw_clients.py
+++ b/tests/common/raw_clients.py
@@ -10,6 +10,8 @@
 CONNECT_TIMEOUT_SECONDS = 5.0
 # Errors by which the host, or the lack of a free slot in its backlog, ends a client.
 REFUSALS = (errno.ECONNREFUSED, errno.ECONNRESET, errno.EPIPE, errno.EAGAIN)
+# Errors of a connection that has ended, or was never established.
+ENDS = (errno.ECONNRESET, errno.ENOTCONN, errno.EPIPE)
 
 
 class RawClients:
@@ -50,6 +52,19 @@
             if error.errno not in REFUSALS:
                 raise
 
+    async def wait_until_ended(self):
+        """Wait until the host has ended all connections; the caller limits the time."""
+        await asyncio.gather(*(self._read_to_end(client) for client in self.sockets))
+
+    async def _read_to_end(self, client: socket.socket):
+        loop = asyncio.get_running_loop()
+        try:
+            while await loop.sock_recv(client, RECEIVE_BUFFER_BYTES):
+                pass
+        except OSError as error:
+            if error.errno not in ENDS:
+                raise
+
     def close(self):
         """Close all connections."""
         for client in self.sockets:
--- a/tests/end_to_end/test_unbounded_clients.py
+++ b/tests/end_to_end/test_unbounded_clients.py
@@ -60,13 +60,19 @@
     data: bytes,
     repeated: bytes = b"",
     max_bytes: int = 0,
+    limits: dict[str, int] | None = None,
+    is_ended: bool = False,
 ):
-    """Check that a host withstands some clients that send to one of its ports."""
+    """Check that a host withstands some clients that send to one of its ports.
+
+    `limits` are further limits of the desired state. If `is_ended`, the host has to end
+    the connections of these clients.
+    """
+    desired_limits = {"maxBodyBytes": MAX_BODY_BYTES, **(limits or {})}
 
     async def check(cluster):
         (host,) = cluster.hosts
-        limits = {"maxBodyBytes": MAX_BODY_BYTES}
-        config = {**CONFIG, "version": 2, "limits": limits}
+        config = {**CONFIG, "version": 2, "limits": desired_limits}
         cluster.rows.put(
             TableName("op"), RowName("config"), msgspec.json.encode(config)
         )
@@ -88,6 +94,9 @@
                 answer = await answer_of_ordinary_request(cluster, host)
                 sending.cancel()
                 (ended,) = await asyncio.gather(sending, return_exceptions=True)
+                if is_ended:
+                    async with asyncio.timeout(WAIT_TIMEOUT_SECONDS):
+                        await raw.wait_until_ended()
         finally:
             raw.close()
         assert ended is None or isinstance(ended, asyncio.CancelledError)
@@ -101,8 +110,8 @@
         assert growth <= MAX_GROWTH_BYTES
         assert descriptors.peak <= MAX_FDS
 
-    limits = f"[limits]\nmemoryMb = {MEMORY_MB}\nmaxFds = {MAX_FDS}\n"
-    run_with_cluster(folder, check, hosts=1, settings=limits)
+    settings = f"[limits]\nmemoryMb = {MEMORY_MB}\nmaxFds = {MAX_FDS}\n"
+    run_with_cluster(folder, check, hosts=1, settings=settings)
 
 
 # Guards against heads that are kept although they are refused.
@@ -138,7 +147,59 @@
 # Guards against empty lines that count for no head.
 def test_endless_empty_lines(tmp_path):
     lines = b"\r\n" * 2048
-    check_clients(tmp_path, "frontend_port", 200, lines, lines, 2 * MIB)
+    check_clients(tmp_path, "frontend_port", 200, lines, lines, 2 * MIB, is_ended=True)
+
+
+# Guards against empty lines that count for no head once a request was served.
+@pytest.mark.parametrize(
+    "port, path, headers",
+    [
+        ("frontend_port", b"/q/", b""),
+        ("frontend_port", b"/q/", QUEUE),
+        ("readiness_port", b"/-/ready", b""),
+        ("frontend_port", b"/-/ready", b""),
+    ],
+    ids=[
+        "without-host",
+        "with-host-and-key",
+        "readiness",
+        "readiness-path-at-the-client-address",
+    ],
+)
+def test_endless_empty_lines_between_requests(tmp_path, port, path, headers):
+    lines = b"\r\n" * 2048
+    data = get(path, headers) + lines
+    check_clients(tmp_path, port, 200, data, lines, 2 * MIB, is_ended=True)
+
+
+# Guards against a head that is measured only if it is the first of its connection.
+@pytest.mark.parametrize(
+    "port, path, headers",
+    [
+        ("frontend_port", b"/q/", b""),
+        ("frontend_port", b"/q/", QUEUE),
+        ("readiness_port", b"/-/ready", b""),
+        ("frontend_port", b"/-/ready", b""),
+    ],
+    ids=[
+        "without-host",
+        "with-host-and-key",
+        "readiness",
+        "readiness-path-at-the-client-address",
+    ],
+)
+def test_heads_over_the_limit_behind_other_requests(tmp_path, port, path, headers):
+    requests = get(path, headers) * BATCH
+    head = b"GET " + path + b" HTTP/1.1\r\n" + headers + b"Long: " + b"a" * 80_000
+    check_clients(tmp_path, port, 300, requests + head, FILLER, 2 * MIB)
+
+
+# Guards against a limit on heads that holds for its default alone.
+@pytest.mark.parametrize("field", [b"Name: " + b"a" * 1000 + b"\r\n", b"a:b\r\n" * 100])
+def test_endless_heads_under_a_lower_limit(tmp_path, field):
+    head = b"GET / HTTP/1.1\r\n" + QUEUE
+    limits = {"maxHeaderBytes": 4096}
+    check_clients(tmp_path, "frontend_port", 300, head, field, 2 * MIB, limits)
 
 
 # Guards against requests that are turned into objects before their turn.
