--- a/src/zinniatrestle/scheduling/cluster_state.py
+++ b/src/zinniatrestle/scheduling/cluster_state.py
@@ -128,7 +128,7 @@
         self._record_break(task.step, reason)
         # The order of a predecessor may have stopped a run that it has started.
         if task.step.aborted_members and task.start_time_known:
-            task.step.stopped_members.add(task)
+            task.step.stopped_members |= {task}
         self.events.write(
             Event.RUN_STOPPED,
             task=task.id,
@@ -230,7 +230,7 @@
             return
         step.has_stop_checkpoint = at_stop
         if task.checkpoint:
-            step.replaced_checkpoints.append(task.checkpoint)
+            step.replace_checkpoint(task.checkpoint)
         step.job.checkpoints_changed = True
         # A checkpoint reported by any member covers the whole gang.
         for member in step.tasks:
@@ -319,7 +319,7 @@
 
     def suspect_stall(self, worker: Worker, task: Task, now: BootSeconds):
         """Avoid and quarantine a worker that may be why a run makes no progress."""
-        task.avoided_workers.add(worker.id)
+        task.avoided_workers |= {worker.id}
         suspects = {worker.id}
         if task.step.shape.gang:
             # A member that is ahead of another one waits for it.
--- a/src/zinniatrestle/scheduling/health.py
+++ b/src/zinniatrestle/scheduling/health.py
@@ -39,8 +39,8 @@
     def record_failure(self, worker: Worker, task: Task, now: BootSeconds) -> bool:
         """Record a failed run and return whether to quarantine the worker."""
         job = task.step.job.id
-        task.avoided_workers.add(worker.id)
-        task.failed_workers.add(worker.id)
+        task.avoided_workers |= {worker.id}
+        task.failed_workers |= {worker.id}
         others = []
         for failed_job, failed_at in list(worker.failed_jobs.items()):
             if now - failed_at > FAILURE_MEMORY_SECONDS:
--- a/src/zinniatrestle/scheduling/scheduler.py
+++ b/src/zinniatrestle/scheduling/scheduler.py
@@ -11,7 +11,7 @@
     StoreUnavailableError,
 )
 from zinniatrestle.events import Event, RejectionLog
-from zinniatrestle.ids import BootSeconds, JobId, RowVersion, WorkerId
+from zinniatrestle.ids import BootSeconds, JobId, RowVersion
 from zinniatrestle.jobs.messages import (
     CANCELLATIONS,
     PROGRESS,
@@ -39,7 +39,13 @@
 from zinniatrestle.scheduling.progress_writer import ProgressWriter
 from zinniatrestle.scheduling.rounds import Planner
 from zinniatrestle.scheduling.session import HOLD_SHARE
-from zinniatrestle.scheduling.state import Job, StepRun, TaskStatus, occurrence_of
+from zinniatrestle.scheduling.state import (
+    UNASSIGNED,
+    Job,
+    StepRun,
+    TaskStatus,
+    occurrence_of,
+)
 from zinniatrestle.scheduling.tracker import Tracker
 from zinniatrestle.scheduling.withdrawal_purge import WithdrawalPurge
 from zinniatrestle.supervision import Supervisor
@@ -317,7 +323,7 @@
     def _restore_step(self, step: StepRun):
         for task in step.tasks:
             worker_id, instance = task.previous_assignment
-            task.previous_assignment = (WorkerId(""), 0)
+            task.previous_assignment = UNASSIGNED
             if not worker_id:
                 continue
             fleet = self.tracker.fleet
--- a/src/zinniatrestle/scheduling/state.py
+++ b/src/zinniatrestle/scheduling/state.py
@@ -1,9 +1,10 @@
 """In-memory state of jobs, steps, tasks and workers in the scheduler."""
 
 import asyncio
-from collections import deque
+from collections.abc import Mapping, Set
 from dataclasses import dataclass
 from enum import Enum
+from types import MappingProxyType
 
 from zinniatrestle.clock import boot_time
 from zinniatrestle.ids import (
@@ -43,6 +44,13 @@
 ACCELERATOR_MILLICORES = 8000
 # A member's report lags behind those of its gang by a few checkpoints at most.
 MAX_REPLACED_CHECKPOINTS = 32
+# Shared by the tasks that have none.
+NO_RUNS: Set[RunNumber] = frozenset()
+NO_WORKERS: Set[WorkerId] = frozenset()
+NO_TASKS: Set["Task"] = frozenset()
+NO_REFUSALS: Mapping[WorkerId, BootSeconds] = MappingProxyType({})
+# No worker, and no instance of one.
+UNASSIGNED = (WorkerId(""), 0)
 
 
 class TaskStatus(Enum):
@@ -77,13 +85,61 @@
 
 
 class Task:
-    """One task of a step, and its latest run."""
+    """One task of a step, and its latest run.
+
+    A job may have a thousand tasks, so an instance has no dictionary, and attributes
+    that few tasks need are empty and shared at first.
+    """
+
+    __slots__ = (
+        "avoided_workers",
+        "baseline_at",
+        "baseline_percent",
+        "checkpoint",
+        "completed",
+        "confirmed_at",
+        "early_ends",
+        "failed_runs",
+        "failed_workers",
+        "free_since",
+        "id",
+        "index",
+        "inherited",
+        "latest_end",
+        "lost_run",
+        "made_room",
+        "moves",
+        "pace",
+        "percent",
+        "percent_changed_at",
+        "placed_instance",
+        "previous_assignment",
+        "progress_rate",
+        "refused_until",
+        "reported",
+        "reported_at",
+        "restart_at",
+        "restart_cost",
+        "resumed",
+        "run",
+        "start_deadline_ms",
+        "start_pending",
+        "start_time_known",
+        "started_at",
+        "status",
+        "status_at",
+        "step",
+        "stop_reason",
+        "ticket",
+        "window_at",
+        "window_percent",
+        "worker",
+    )
 
     def __init__(self, step: "StepRun", index: int):
         self.step = step
         self.index = index
         self.id = task_id(step.job.id, step.occurrence, step.number, index)
-        self.key = task_key(self.id)
         self.status = TaskStatus.WAITING
         # A run has ended as done. If it isn't the latest one, that is being stopped.
         self.completed = False
@@ -100,7 +156,7 @@
         self.latest_end = ""
         # Failed runs count as attempts. A long-running task has no limit of those and
         # keeps none of them.
-        self.failed_runs: set[RunNumber] = set()
+        self.failed_runs: Set[RunNumber] = NO_RUNS
         # Runs of a long-running task in a row that have ended early, and when it is
         # restarted after them.
         self.early_ends = 0
@@ -121,7 +177,7 @@
         self.inherited = False
         self.confirmed_at = BootSeconds(0.0)
         # Worker and worker instance to which an earlier scheduler assigned the task.
-        self.previous_assignment = (WorkerId(""), 0)
+        self.previous_assignment = UNASSIGNED
         # Instance on which the run was placed; another one may answer in its place.
         self.placed_instance = InstanceId(0)
         # The run started from a checkpoint.
@@ -143,11 +199,11 @@
         self.window_at = BootSeconds(0.0)
         self.reported_at = BootSeconds(0.0)
         # Workers on which the task failed or made no progress.
-        self.avoided_workers: set[WorkerId] = set()
+        self.avoided_workers: Set[WorkerId] = NO_WORKERS
         # Workers on which a run of the task failed.
-        self.failed_workers: set[WorkerId] = set()
+        self.failed_workers: Set[WorkerId] = NO_WORKERS
         # Workers that refused to start the task, and until when it avoids them.
-        self.refused_until: dict[WorkerId, BootSeconds] = {}
+        self.refused_until: Mapping[WorkerId, BootSeconds] = NO_REFUSALS
         # Percentage of its full speed at which a best-effort run works; None while that
         # is unknown, as a predecessor or an order without an answer may have set it.
         self.pace: int | None = FULL_PACE_PERCENT
@@ -188,6 +244,11 @@
         self.start_deadline_ms = None
         self.stop_reason = ""
 
+    @property
+    def key(self) -> str:
+        """Return the key of the task within its job."""
+        return task_key(self.id)
+
     @property
     def may_be_done(self) -> bool:
         """Return whether a run is done, or was lost and may have been done."""
@@ -225,7 +286,7 @@
         self.run = record.run
         self.placed_instance = record.instance
         if not self.step.shape.long_running:
-            self.failed_runs = set(record.failed_runs)
+            self.failed_runs = frozenset(record.failed_runs)
         self.checkpoint = record.checkpoint
         self.completed = record.done
         if record.done:
@@ -235,6 +296,25 @@
 class StepRun:
     """One step of one occurrence of a job."""
 
+    __slots__ = (
+        "aborted_members",
+        "break_cause",
+        "demand_counted",
+        "done",
+        "has_stop_checkpoint",
+        "job",
+        "key",
+        "lacked_capacity",
+        "number",
+        "occurrence",
+        "preemption_tried_at",
+        "ready_at",
+        "replaced_checkpoints",
+        "shape",
+        "stopped_members",
+        "tasks",
+    )
+
     def __init__(self, job: "Job", occurrence: int, number: int):
         self.job = job
         self.occurrence = occurrence
@@ -252,10 +332,10 @@
         self.lacked_capacity = False
         # Gang members whose latest run ended because another member had ended, and
         # those that were stopped only after such an end was known.
-        self.aborted_members: set[Task] = set()
-        self.stopped_members: set[Task] = set()
+        self.aborted_members: Set[Task] = NO_TASKS
+        self.stopped_members: Set[Task] = NO_TASKS
         # Checkpoints of a gang's latest run that newer ones have replaced.
-        self.replaced_checkpoints: deque[str] = deque(maxlen=MAX_REPLACED_CHECKPOINTS)
+        self.replaced_checkpoints: tuple[str, ...] = ()
         # Why a gang's latest run is over without being done; empty if it isn't known.
         self.break_cause = ""
         # The gang's checkpoint was saved at the stop of a member of its latest run.
@@ -290,7 +370,7 @@
                     avoided.add(worker)
         return avoided
 
-    def failed_workers(self, task: Task) -> set[WorkerId]:
+    def failed_workers(self, task: Task) -> Set[WorkerId]:
         """Return the workers on which runs of a task, or of its whole gang, failed."""
         if not self.shape.gang:
             return task.failed_workers
@@ -301,12 +381,16 @@
 
     def begin_run(self):
         """Clear what is known of a gang's former run, as a new one is placed."""
-        self.aborted_members.clear()
-        self.stopped_members.clear()
-        self.replaced_checkpoints.clear()
+        self.aborted_members = self.stopped_members = NO_TASKS
+        self.replaced_checkpoints = ()
         self.has_stop_checkpoint = False
         self.break_cause = ""
 
+    def replace_checkpoint(self, checkpoint: str):
+        """Note that a newer checkpoint of a gang's latest run replaces this one."""
+        kept = self.replaced_checkpoints[1 - MAX_REPLACED_CHECKPOINTS :]
+        self.replaced_checkpoints = (*kept, checkpoint)
+
     @property
     def completed(self) -> bool:
         """Return whether a run of each task has ended as done.
--- a/src/zinniatrestle/scheduling/tests/test_health.py
+++ b/src/zinniatrestle/scheduling/tests/test_health.py
@@ -139,7 +139,7 @@
 # refused by another worker before.
 def test_refusal_elsewhere_does_not_excuse_a_worker_that_fails_a_task():
     monitor, workers, gang = HealthMonitor(), workers_in_racks(1), gang_of_three()
-    gang.tasks[0].avoided_workers.add(workers[1].id)
+    gang.tasks[0].avoided_workers |= {workers[1].id}
     assert monitor.record_failure(workers[0], gang.tasks[0], NOW)
 
 
--- a/src/zinniatrestle/scheduling/tests/test_packing.py
+++ b/src/zinniatrestle/scheduling/tests/test_packing.py
@@ -168,12 +168,12 @@
     packed, other = large_worker("a"), large_worker("b")
     occupy(packed, "1", SMALL)
     step = first_step(job("2" * 16, shape_of(SMALL)))
-    step.tasks[0].avoided_workers.add(packed.id)
+    step.tasks[0].avoided_workers |= {packed.id}
     packing = packing_for(SMALL, ALL_GPUS)
     limits = constraints(now=NOW, packing=packing)
     found = BestFit().place(step, step.tasks, [packed, other], limits)
     assert list(found.values()) == [other]
-    step.tasks[0].avoided_workers.clear()
+    step.tasks[0].avoided_workers = frozenset()
     packed.health = WorkerHealth.QUARANTINED
     found = BestFit().place(step, step.tasks, [packed, other], limits)
     assert list(found.values()) == [other]
--- a/src/zinniatrestle/scheduling/tests/test_placement.py
+++ b/src/zinniatrestle/scheduling/tests/test_placement.py
@@ -151,7 +151,7 @@
 def test_a_task_avoids_the_worker_it_failed_on_as_long_as_others_could_hold_it():
     workers = workers_in_racks(1, size=2)
     step = first_step(job("a" * 16, Step(gpus=8)))
-    step.tasks[0].avoided_workers.add(workers[0].id)
+    step.tasks[0].avoided_workers |= {workers[0].id}
     occupy(workers[1], 1)
     assert BestFit().place(step, step.waiting_tasks(), workers, constraints()) == {}
     alone = BestFit().place(step, step.waiting_tasks(), workers[:1], constraints())
@@ -169,7 +169,7 @@
 def test_an_overdue_gang_prefers_workers_that_it_does_not_avoid():
     workers = workers_in_racks(1, size=3)
     step = first_step(job("a" * 16, Step(count=2, gpus=8, gang=True)))
-    step.tasks[0].avoided_workers.add(workers[0].id)
+    step.tasks[0].avoided_workers |= {workers[0].id}
     assignment = BestFit().place(
         step, step.waiting_tasks(), workers, constraints(choice=WorkerChoice.PERMITTED)
     )
@@ -182,7 +182,7 @@
     avoided, quarantined = worker("avoided"), worker("quarantined")
     quarantined.health = WorkerHealth.QUARANTINED
     step = first_step(job("a" * 16, Step(gpus=8, gang=gang)))
-    step.tasks[0].avoided_workers.add(avoided.id)
+    step.tasks[0].avoided_workers |= {avoided.id}
     assignment = BestFit().place(
         step, step.waiting_tasks(), [avoided, quarantined], constraints()
     )
@@ -195,7 +195,7 @@
     serving = job("f" * 16, Step(cpu=1000, gpus=8, long_running=True))
     run_on(first_step(serving).tasks[0], full)
     step = first_step(job("a" * 16, Step(gpus=1)))
-    step.tasks[0].avoided_workers.add(avoided.id)
+    step.tasks[0].avoided_workers |= {avoided.id}
     assignment = BestFit().place(
         step, step.waiting_tasks(), [avoided, full], constraints()
     )
@@ -372,7 +372,7 @@
     if reason == "last attempt":
         step.tasks[0].failed_runs = {1, 2}
     if reason == "avoided":
-        step.tasks[0].avoided_workers.add(workers[3].id)
+        step.tasks[0].avoided_workers |= {workers[3].id}
     if reason == "in use":
         run_on(first_step(job("c" * 16, Step(gpus=1))).tasks[0], workers[3])
         workers[3].free_gpus = 8
--- a/src/zinniatrestle/scheduling/tests/test_wait_limits.py
+++ b/src/zinniatrestle/scheduling/tests/test_wait_limits.py
@@ -238,9 +238,9 @@
 ):
     workers = workers_in_racks(4, size=1)
     waiting = waiting_step(Step(gpus=8), MAX_WAIT + 1.0, MIN_WAIT_SECONDS)
-    waiting.tasks[0].failed_runs.add(RunNumber(1))
+    waiting.tasks[0].failed_runs |= {RunNumber(1)}
     assert remaining(waiting, workers, reason) == 0.0
-    waiting.tasks[0].failed_runs.add(RunNumber(2))
+    waiting.tasks[0].failed_runs |= {RunNumber(2)}
     assert remaining(waiting, workers, reason) == pytest.approx(at_last_attempt)
 
 
@@ -248,7 +248,7 @@
     """Return a waiting step that has failed on the first two workers."""
     waiting = waiting_step(Step(count=count, gpus=8, gang=gang), 3 * MAX_WAIT, waited)
     for run in (1, 2):
-        waiting.tasks[0].failed_runs.add(RunNumber(run))
+        waiting.tasks[0].failed_runs |= {RunNumber(run)}
     waiting.tasks[0].avoided_workers = {"w00", "w01"}
     return waiting
 
--- a/src/zinniatrestle/scheduling/tests/test_waits.py
+++ b/src/zinniatrestle/scheduling/tests/test_waits.py
@@ -124,7 +124,7 @@
     workers = workers_in_racks(1, size=2)
     occupy(workers[1])
     step = first_step(job("a" * 16, Step(gpus=8)))
-    step.tasks[0].avoided_workers.add(workers[0].id)
+    step.tasks[0].avoided_workers |= {workers[0].id}
     wait = placement_wait(step, workers, constraints(), new_reservations(), None)
     assert wait.reason is WaitReason.AVOIDED_WORKERS
 
--- a/src/zinniatrestle/scheduling/tracker.py
+++ b/src/zinniatrestle/scheduling/tracker.py
@@ -360,7 +360,7 @@
         """Avoid a worker that answers holds and left a start without an answer."""
         if worker.id not in task.avoided_workers:
             self.reliability.record(worker.id, Evidence.UNANSWERED, boot_time())
-        task.avoided_workers.add(worker.id)
+        task.avoided_workers |= {worker.id}
         reason = f"the start of task {task.id} got no answer"
         self.quarantine(worker, reason, boot_time())
 
@@ -429,7 +429,7 @@
         if end.outcome is RunOutcome.MEMBER_ENDED or (
             end.outcome is RunOutcome.STOPPED and task in task.step.stopped_members
         ):
-            task.step.aborted_members.add(task)
+            task.step.aborted_members |= {task}
         self.stop_gang(task.step)
         self._infer_unreachable_end(task.step)
         return job
@@ -447,7 +447,7 @@
         is_failure = end.outcome is RunOutcome.FAILED and not step.shape.long_running
         # The failure still counts as an attempt.
         if is_failure and end.run not in task.failed_runs:
-            task.failed_runs.add(end.run)
+            task.failed_runs |= {end.run}
             self.reliability.record_failure(worker.id, job.id, boot_time())
             self.fail_if_out_of_attempts(task)
             return job
@@ -568,7 +568,7 @@
 
     def _record_failure(self, worker: Worker, task: Task, now: BootSeconds):
         if not task.step.shape.long_running:
-            task.failed_runs.add(task.run)
+            task.failed_runs |= {task.run}
         self.reliability.record_failure(worker.id, task.step.job.id, now)
         if self.health.record_failure(worker, task, now):
             self.quarantine(worker, f"task {task.id} failed", now)
@@ -622,9 +622,10 @@
         if refusal not in (Refusal.NOT_ORDERED, Refusal.BAD_TICKET):
             # By then runs that the worker is stopping have ended and are reported.
             seconds = self.context.deployment.bounds.stop + HOLD_WAIT_SECONDS
-            task.refused_until[worker.id] = BootSeconds(boot_time() + seconds)
+            until = BootSeconds(boot_time() + seconds)
+            task.refused_until = {**task.refused_until, worker.id: until}
         if refusal is Refusal.UNHEALTHY:
-            task.avoided_workers.add(worker.id)
+            task.avoided_workers |= {worker.id}
             self.reliability.record(worker.id, Evidence.REFUSAL, boot_time())
             self.quarantine(worker, "it rejects starts as unhealthy", boot_time())
         if refusal is Refusal.BAD_TICKET and self.advice is not None:
