Bound the accepted work that a host holds, and what one account has of it

Operators saw, in trials with clients inside the limits: one account submits jobs of a hundred bytes with 1,000 tasks each, and the host that schedules grows by 2.8 MB for each of them, by 480 MB for 189. The jobs are stored, so that a restarted host had 430 MB again, and each successor would end too on a machine of 200 or 300 MB.

Cause: nothing bounded accepted work that has not ended, not for an account, not for a host's memory, not for a successor. Ruled out: the connections and bodies of these clients, which the budget of ingress covers, and the log, whose buffer is bounded.

The leader holds work up to a share of its memory and defers the rest, which is read from the store again once there is room; an account may hold what is left free, so that no other account is deferred by it. Accounts from half of that on are named in the lease's row, and all hosts refuse their further jobs with 429 (code 216); between two counts a host accepts an eighth of the bound. A stored job is confirmed all the same, as 429 says that it never runs. Deferral makes the memory independent of what hosts know, of the machine that accepted the work, and of what was stored before.

--- a/src/zinniatrestle/errors.py
+++ b/src/zinniatrestle/errors.py
@@ -33,6 +33,7 @@
     OUTCOMES_FULL = 213
     JOB_WITHDRAWN = 214
     TOO_MANY_CANCELLATIONS = 215
+    BACKLOG_FULL = 216
     # 3xx: configuration.
     CONFLICT = 300
     GUARANTEE_NOT_HELD = 301
--- a/src/zinniatrestle/events/messages.py
+++ b/src/zinniatrestle/events/messages.py
@@ -26,6 +26,8 @@
     JOB_CANCELLED = "job_cancelled"
     JOB_WITHDRAWN = "job_withdrawn"
     WITHDRAWALS_PURGED = "withdrawals_purged"
+    JOB_DEFERRED = "job_deferred"
+    JOB_RESUMED = "job_resumed"
     JOB_ENDED = "job_ended"
     RUN_PLACED = "run_placed"
     RUN_REFUSED = "run_refused"
--- a/src/zinniatrestle/ingress/limits.py
+++ b/src/zinniatrestle/ingress/limits.py
@@ -41,6 +41,11 @@
     memory_mb: float = 0
     max_descriptors: int = 0
 
+    @property
+    def memory_bytes(self) -> float:
+        """Return the memory of the machine, or of a usual one, in bytes."""
+        return (self.memory_mb or DEFAULT_MEMORY_MB) * MIB
+
 
 @dataclass(frozen=True)
 class IngressSettings:
@@ -148,7 +153,7 @@
 
 def _memory(settings: IngressSettings, resources: Resources) -> float:
     """Return the bytes for all clients."""
-    return (resources.memory_mb or DEFAULT_MEMORY_MB) * MIB * settings.memory_share
+    return resources.memory_bytes * settings.memory_share
 
 
 def _usable_descriptors(resources: Resources, descriptors: int) -> int:
--- a/src/zinniatrestle/jobs/intake.py
+++ b/src/zinniatrestle/jobs/intake.py
@@ -221,6 +221,10 @@
             if boot_time() - began_at >= seconds:
                 raise StoreUnavailableError("The epoch of the intake has changed.")
 
+    async def is_stored(self, job: JobId) -> bool:
+        """Return whether a job has been accepted; raises StoreUnavailableError."""
+        return await self.store.row(PROGRESS, row_name(job)) is not None
+
     async def state(self, job: JobId) -> JobState:
         """Return a job's state; raises NotFoundError, StoreUnavailableError."""
         row = await self.store.row(PROGRESS, row_name(job))
--- a/src/zinniatrestle/metrics.py
+++ b/src/zinniatrestle/metrics.py
@@ -37,6 +37,7 @@
         self.preemptions = meter.create_counter("runs_preempted", "1")
         self.gangs_broken = meter.create_counter("gangs_broken", "1")
         self.restarts_delayed = meter.create_counter("restarts_delayed", "1")
+        self.jobs_deferred = meter.create_counter("jobs_deferred", "1")
         self.rows_too_large = meter.create_counter("rows_too_large", "1")
         # In core-seconds.
         self.work_lost = meter.create_counter("work_lost", "1")
@@ -69,6 +70,9 @@
         # Marks of cancelled jobs in the store, as the scheduler has read them last.
         self.withdrawals_stored = 0
         self.add_gauge("withdrawals_stored", "1", lambda: self.withdrawals_stored)
+        # Memory of the accepted jobs that the scheduler holds.
+        self.work_bytes = 0
+        self.add_gauge("work_bytes", "By", lambda: self.work_bytes)
         # Connections of clients, and what was closed or refused of them.
         self.listeners: list[ClientListener] = []
         self.ingress = IngressCounters()
--- a/src/zinniatrestle/platform/__main__.py
+++ b/src/zinniatrestle/platform/__main__.py
@@ -10,6 +10,7 @@
 from zinniatrestle.jobs import IntakeSettings
 from zinniatrestle.platform.daemon import DaemonSettings, serve_on_platform
 from zinniatrestle.platform.settings import SETTINGS_VARIABLE
+from zinniatrestle.scheduling.backlog import WorkSettings
 
 app = cyclopts.App(
     name="zinniatrestle.platform",
@@ -29,6 +30,7 @@
     write_timeout: float = IngressSettings.write_timeout,
     max_connections: int = IngressSettings.max_connections,
     unknown_cancel_rate: float = IntakeSettings.unknown_cancel_rate,
+    work_memory_share: float = WorkSettings.memory_share,
 ):
     """Serve until SIGTERM.
 
@@ -52,6 +54,8 @@
     unknown_cancel_rate
         Cancellations of unknown jobs that this host stores, in calls a second; others
         are refused with 429.
+    work_memory_share
+        Share of the machine's memory for accepted work while this host schedules.
     """
     import os
 
@@ -61,7 +65,14 @@
     )
     intake = IntakeSettings(unknown_cancel_rate)
     await serve_on_platform(
-        DaemonSettings(path, metrics_port, log_lines, ingress, intake)
+        DaemonSettings(
+            path,
+            metrics_port,
+            log_lines,
+            ingress,
+            intake,
+            WorkSettings(work_memory_share),
+        )
     )
 
 
--- a/src/zinniatrestle/platform/daemon.py
+++ b/src/zinniatrestle/platform/daemon.py
@@ -48,6 +48,7 @@
 from zinniatrestle.queues import DesiredStateReader, OperatorState
 from zinniatrestle.queues.follower import FEED_WAIT_SECONDS
 from zinniatrestle.rows.feed import Feed
+from zinniatrestle.scheduling.backlog import WorkSettings
 from zinniatrestle.scheduling.context import SchedulerContext
 from zinniatrestle.scheduling.leader_loop import run_while_leader
 from zinniatrestle.scheduling.leader_task import LeaderTask
@@ -78,11 +79,13 @@
     log_lines: int = BUFFERED_LINES
     ingress: IngressSettings = field(default_factory=IngressSettings)
     intake: IntakeSettings = field(default_factory=IntakeSettings)
+    work: WorkSettings = field(default_factory=WorkSettings)
 
     def check(self):
         """Check the settings; raises SettingsError."""
         self.ingress.check(setting_error)
         self.intake.check(setting_error)
+        self.work.check(setting_error)
         if self.log_lines < 1:
             raise SettingsError(
                 "log-lines must be at least 1, since log lines need a buffer."
@@ -132,6 +135,7 @@
             self.leadership,
             self.metrics,
             self.events,
+            self.options.work.max_bytes(self.deployment.resources),
         )
         self.frontend.is_store_reachable = lambda: self.feed.reachable
         self.metrics.add_gauge("log_lines_dropped", "1", lambda: self.events.dropped)
@@ -148,6 +152,7 @@
             events=self.events,
             adviser=PlatformAdviser(self.client, addresses.advice),
             leader_tasks=self._leader_tasks(),
+            work=self.options.work,
         )
 
     def _leader_tasks(self) -> list[LeaderTask]:
--- a/src/zinniatrestle/scheduling/context.py
+++ b/src/zinniatrestle/scheduling/context.py
@@ -8,6 +8,7 @@
 from zinniatrestle.metrics import Metrics
 from zinniatrestle.queues import OperatorState
 from zinniatrestle.rows import RowStore
+from zinniatrestle.scheduling.backlog import WorkSettings
 from zinniatrestle.scheduling.leader_task import LeaderTask
 from zinniatrestle.scheduling.leadership import Leadership
 from zinniatrestle.scheduling.order import OrderPolicy
@@ -41,3 +42,4 @@
     adviser: Adviser | None = None
     leader_tasks: list[LeaderTask] = field(default_factory=list)
     policy: Policy | None = None
+    work: WorkSettings = field(default_factory=WorkSettings)
--- a/src/zinniatrestle/scheduling/leadership.py
+++ b/src/zinniatrestle/scheduling/leadership.py
@@ -472,6 +472,7 @@
             pending=counts.jobs if counts is not None else {},
             handover=handover,
             counted_at=counts.counted_at if counts is not None else 0.0,
+            full_accounts=counts.full_accounts if counts is not None else (),
         )
 
     def _fence_write(self, generation: Generation) -> Write:
--- a/src/zinniatrestle/scheduling/messages.py
+++ b/src/zinniatrestle/scheduling/messages.py
@@ -128,6 +128,7 @@
     pending: dict[QueueName, int] = {}
     handover: Handover = msgspec.field(name="learned", default=Handover())
     counted_at: float | None = None
+    full_accounts: tuple[ClientAccountId, ...] = ()
 
     @property
     def counts(self) -> PendingCounts | None:
@@ -136,4 +137,4 @@
             return PendingCounts(self.pending, self.written_at)
         if not self.counted_at:
             return None
-        return PendingCounts(self.pending, self.counted_at)
+        return PendingCounts(self.pending, self.counted_at, self.full_accounts)
--- a/src/zinniatrestle/scheduling/pending_counts.py
+++ b/src/zinniatrestle/scheduling/pending_counts.py
@@ -8,7 +8,7 @@
 from zinniatrestle.clock import boot_time
 from zinniatrestle.errors import StoreUnavailableError
 from zinniatrestle.events import Event, EventLog
-from zinniatrestle.ids import BootSeconds, QueueName
+from zinniatrestle.ids import BootSeconds, ClientAccountId, QueueName
 from zinniatrestle.rows.clock import StoreClock
 from zinniatrestle.supervision import Supervisor
 
@@ -23,10 +23,12 @@
     """Number of waiting jobs of each queue that has any.
 
     All jobs that were accepted by `counted_at`, in ms of the store's clock, count.
+    `full_accounts` have as much accepted work as a host may hold of them.
     """
 
     jobs: dict[QueueName, int]
     counted_at: float
+    full_accounts: tuple[ClientAccountId, ...] = ()
 
 
 class CountSource(ABC):
@@ -61,6 +63,15 @@
         """Return the number of waiting jobs of all queues, or None if unknown."""
         return sum(self.counts.jobs.values()) if self.counts is not None else None
 
+    def is_full(self, account: ClientAccountId, longest_age: float) -> bool:
+        """Return whether an account is known to be full, by counts of at most some age.
+
+        The age is in seconds.
+        """
+        if self.counts is None or account not in self.counts.full_accounts:
+            return False
+        return self.age <= longest_age
+
     def update(self, counts: PendingCounts | None):
         """Keep counts that are newer than the known ones."""
         if counts is None or counts.counted_at > self.clock.latest(boot_time()):
--- a/src/zinniatrestle/scheduling/scheduler.py
+++ b/src/zinniatrestle/scheduling/scheduler.py
@@ -26,6 +26,7 @@
 from zinniatrestle.jobs.withdrawals import begin_epoch
 from zinniatrestle.rows import Change, Expect, StoredRow, Write
 from zinniatrestle.rows.feed import Feed, TableReader
+from zinniatrestle.scheduling.backlog import Backlog, DeferredJob
 from zinniatrestle.scheduling.context import SchedulerContext
 from zinniatrestle.scheduling.health_records import export_health_records
 from zinniatrestle.scheduling.leadership import LeadershipStatus
@@ -82,15 +83,21 @@
         if change.value is None:
             self.rejections.accept(change.name)
             return
+        submission = self.decode(change)
+        if submission is not None:
+            self.scheduler.add_job(submission, change.version)
+
+    def decode(self, change: Change) -> Submission | None:
+        """Return the submission in a row, or None if it is damaged, which is logged."""
         try:
             submission = decode_submission(change.value)
             if row_name(submission.job) != change.name:
                 raise MalformedInputError("The submission is that of another job.")
         except MalformedInputError as error:
             self.rejections.reject(change.name, error.detail)
-            return
+            return None
         self.rejections.accept(change.name)
-        self.scheduler.add_job(submission, change.version)
+        return submission
 
 
 class CancellationReader(TableReader):
@@ -134,6 +141,7 @@
         # Jobs of which a row was damaged when it was loaded. This scheduler leaves them
         # out, since their tasks may have run.
         self.damaged_jobs: set[JobId] = set()
+        self.backlog = Backlog(context.work.max_bytes(context.deployment.resources))
         self.progress_rejections = RejectionLog(self.events, f"table {PROGRESS}")
         store = context.store
         self.submission_reader = SubmissionReader(self)
@@ -172,6 +180,7 @@
                 group.create_task(self._run_rounds())
                 group.create_task(self.tracker.load.measure())
                 group.create_task(keep_running("purge", self._purge_ended_jobs))
+                group.create_task(keep_running("backlog", self._resume_jobs))
                 withdrawals = WithdrawalPurge(self.context)
                 group.create_task(keep_running("withdrawals", withdrawals.run))
                 for leader_task in self.context.leader_tasks:
@@ -214,9 +223,10 @@
                     feed.version = None
         self.damaged_jobs.update(self.submission_reader.rejections.reasons)
         for job_id, (progress, version) in self.stored_progress.items():
-            if job_id not in self.tracker.jobs and job_id not in self.damaged_jobs:
+            if job_id not in self.damaged_jobs and not self._is_known(job_id):
                 self._record_ended(progress.changed_at, job_id, version)
         self.ended_jobs.sort()
+        self._defer_excess()
         self.stored_progress.clear()
         self._restore_assignments()
         self._log_loaded()
@@ -235,11 +245,45 @@
     # Jobs
 
     def add_job(self, submission: Submission, version: RowVersion):
-        """Add a job unless it is known."""
-        if submission.job in self.tracker.jobs or submission.job in self.ended_ids:
+        """Add a job unless it is known, or defer it if there is no room for it."""
+        if self._is_known(submission.job) or submission.job in self.ended_ids:
             return
         if submission.job in self.damaged_jobs:
             return
+        if not self._must_hold(submission.job) and not self.backlog.has_room(
+            submission
+        ):
+            self._defer(submission)
+            return
+        self._hold(submission, version)
+
+    def _is_known(self, job_id: JobId) -> bool:
+        return job_id in self.tracker.jobs or job_id in self.backlog.deferred
+
+    def _must_hold(self, job_id: JobId) -> bool:
+        """Return whether tasks of a job may run, or it has to be ended."""
+        if job_id in self.early_cancellations:
+            return True
+        stored = self.stored_progress.get(job_id)
+        if stored is None:
+            return False
+        progress, _ = stored
+        return progress.has_started or bool(progress.tasks) or progress.state.ended
+
+    def _defer(self, submission: Submission):
+        self.backlog.defer(submission)
+        self.tracker.metrics.jobs_deferred.add(1)
+        self.events.write_deduplicated(
+            Event.JOB_DEFERRED,
+            f"account {submission.account} has too much accepted work",
+            job=submission.job,
+            account=submission.account,
+            deferred=len(self.backlog.deferred),
+            bytes=self.backlog.budget.bytes,
+        )
+
+    def _hold(self, submission: Submission, version: RowVersion):
+        """Hold a job in memory, to be scheduled."""
         job = Job(submission, version)
         store_now = self.context.store.clock.earliest(boot_time())
         waited = max(0.0, (store_now - submission.accepted_at) / MS_PER_SECOND)
@@ -252,10 +296,79 @@
             job.state = JobState.CANCELLED
             job.version = max(job.version, cancellation_version)
             self.tracker.unsaved_jobs.add(job)
+        never_runs = job.ended and (stored is None or not stored[0].tasks)
+        if never_runs:
+            job.steps.clear()
+        self.backlog.hold(submission, has_tasks=not never_runs)
         self.tracker.jobs[job.id] = job
         self.planner.headroom.learn_arrival(job)
         self.tracker.wake.set()
 
+    def _defer_excess(self):
+        """Defer jobs that were loaded before others that had to be held."""
+        budget = self.backlog.budget
+        for job in list(self.tracker.jobs.values()):
+            if budget.bytes <= budget.max_bytes:
+                return
+            if not job.ended and not self._must_hold(job.id):
+                self.backlog.release(job.id)
+                del self.tracker.jobs[job.id]
+                self._defer(job.submission)
+
+    async def _resume_jobs(self):
+        """Hold deferred jobs as soon as there is room for them."""
+        while True:
+            deferred = self.backlog.next_job()
+            if deferred is None:
+                self.backlog.changed.clear()
+                await self.backlog.changed.wait()
+                continue
+            name = row_name(deferred.job)
+            try:
+                submission = await self.context.store.row(SUBMISSIONS, name)
+                progress = await self.context.store.row(PROGRESS, name)
+            except StoreUnavailableError as error:
+                self.events.write_deduplicated(
+                    Event.DEPENDENCY_LOST, error.detail, dependency="deferred jobs"
+                )
+                await asyncio.sleep(LOAD_RETRY_SECONDS)
+                continue
+            self._resume(deferred, submission, progress)
+
+    def _resume(
+        self,
+        deferred: DeferredJob,
+        submission_row: StoredRow | None,
+        progress_row: StoredRow | None,
+    ):
+        """Hold a deferred job that was read again."""
+        job_id = deferred.job
+        self.backlog.forget(job_id)
+        if submission_row is None or progress_row is None:
+            self.early_cancellations.pop(job_id, None)
+            self.events.write(Event.JOB_RESUMED, job=job_id, found=False)
+            return
+        self._load_progress(progress_row)
+        if job_id in self.damaged_jobs:
+            return
+        change = Change(
+            submission_row.name, submission_row.version, submission_row.value
+        )
+        submission = self.submission_reader.decode(change)
+        if submission is not None:
+            self._hold(submission, submission_row.version)
+            job = self.tracker.jobs[job_id]
+            if job.ended:
+                self.tracker.unsaved_jobs.add(job)
+            self.events.write_deduplicated(
+                Event.JOB_RESUMED,
+                "there is room for deferred jobs",
+                job=job_id,
+                account=deferred.account,
+                deferred=len(self.backlog.deferred),
+            )
+        self.stored_progress.pop(job_id, None)
+
     def _restore(self, job: Job, progress: JobProgress, version: RowVersion):
         job.version = version
         job.state = progress.state
@@ -355,6 +468,7 @@
         job = self.tracker.jobs.get(job_id)
         if job is None:
             self.early_cancellations[job_id] = version
+            self.backlog.cancel(job_id)
             return
         if job.ended:
             return
@@ -416,6 +530,7 @@
             if job.submission_deleted and job.id not in self.progress_writer.dirty:
                 self.tracker.drop_advice(job)
                 del self.tracker.jobs[job.id]
+                self.backlog.release(job.id)
                 now = self.context.store.clock.earliest(boot_time())
                 self._record_ended(now, job.id, job.version)
 
@@ -429,9 +544,16 @@
         for job in self.tracker.waiting_jobs():
             queue = job.submission.queue
             counts[queue] = counts.get(queue, 0) + 1
+        for deferred in self.backlog.deferred.values():
+            if not deferred.is_timed and deferred.job not in self.backlog.cancelled:
+                counts[deferred.queue] = counts.get(deferred.queue, 0) + 1
         # Jobs that the feed has not confirmed since then may be missing.
         counted_at = self.context.store.clock.earliest(self.submissions.confirmed_at)
-        self.leadership.pending_counts.update(PendingCounts(counts, counted_at))
+        full_accounts = self.backlog.full_accounts()
+        self.tracker.metrics.work_bytes = self.backlog.budget.bytes
+        self.leadership.pending_counts.update(
+            PendingCounts(counts, counted_at, full_accounts)
+        )
         workers = self.tracker.fleet.workers.values()
         health_records = export_health_records(workers, boot_time())
         self.tracker.inherited_health.add_to(health_records, boot_time())
--- a/src/zinniatrestle/scheduling/state.py
+++ b/src/zinniatrestle/scheduling/state.py
@@ -1,7 +1,7 @@
 """In-memory state of jobs, steps, tasks and workers in the scheduler."""
 
 import asyncio
-from collections.abc import Mapping, Set
+from collections.abc import Iterator, Mapping, Set
 from dataclasses import dataclass
 from enum import Enum
 from types import MappingProxyType
@@ -482,11 +482,10 @@
         """Return whether all steps that a step depends on have completed."""
         return all(earlier.completed for earlier in self.dependencies(step))
 
-    def dependencies(self, step: StepRun) -> list[StepRun]:
-        """Return the steps that have to complete before a step starts."""
-        return [
-            self.steps[f"{step.occurrence}.{number}"] for number in step.shape.after
-        ]
+    def dependencies(self, step: StepRun) -> Iterator[StepRun]:
+        """Yield the steps that have to complete before a step starts."""
+        for number in step.shape.after:
+            yield self.steps[f"{step.occurrence}.{number}"]
 
     def allocated_tasks(self) -> list[Task]:
         """Return the tasks to which resources of a worker are allocated."""
--- a/src/zinniatrestle/serving/frontend.py
+++ b/src/zinniatrestle/serving/frontend.py
@@ -19,7 +19,9 @@
 from zinniatrestle.jobs.intake import JobRequest
 from zinniatrestle.metrics import Metrics
 from zinniatrestle.queues import Freshness, OperatorState, Queue
+from zinniatrestle.scheduling.backlog import work_bytes
 from zinniatrestle.scheduling.leadership import Leadership
+from zinniatrestle.serving.allowance import AcceptanceAllowance, AcceptedJob
 
 # Maximum age of the pending counts that callers get, by the promise made to them.
 MAX_COUNTS_AGE_SECONDS = 2.0
@@ -28,6 +30,11 @@
 FRESH_SHARE = 0.6
 # A caller that retries earlier would most likely get the same answer.
 RETRY_AFTER_SECONDS = 1.0
+# The same for an account of which work has to end first.
+BACKLOG_RETRY_SECONDS = 5.0
+# Maximum age of the record that an account is full. Without a leader there is no newer
+# one, and jobs are accepted again.
+MAX_FULL_AGE_SECONDS = 10.0
 
 
 class RetryLaterError(NotRunError):
@@ -40,6 +47,17 @@
         self.seconds = max(1, math.ceil(seconds))
 
 
+class BacklogFullError(RetryLaterError):
+    """Signal an account with as much accepted work as a host may hold of it."""
+
+    def __init__(self):
+        super().__init__(
+            "The account has too much accepted work that has not ended.",
+            ResultCode.BACKLOG_FULL,
+            BACKLOG_RETRY_SECONDS,
+        )
+
+
 class Admission(NamedTuple):
     """Queue and client account of an admitted request."""
 
@@ -58,6 +76,7 @@
         leadership: Leadership,
         metrics: Metrics,
         events: EventLog,
+        max_work_bytes: float = math.inf,
     ):
         self.bounds = bounds
         self.operator = operator
@@ -65,6 +84,7 @@
         self.leadership = leadership
         self.metrics = metrics
         self.events = events
+        self.allowance = AcceptanceAllowance(max_work_bytes)
         self.stopping = False
         # Replaced by the component that follows the store.
         self.is_store_reachable: Callable[[], bool] = lambda: True
@@ -113,6 +133,7 @@
                 "This host can't reach the store.", ResultCode.STORE_UNAVAILABLE
             )
         started_at = boot_time()
+        await self._require_room(admission.account, job, work_bytes(job_request))
         try:
             await self.intake.accept(
                 job, job_request, admission.queue, admission.account, give_up_at
@@ -122,6 +143,29 @@
         self.metrics.accepted.add(1)
         self.metrics.acceptance.record(boot_time() - started_at)
 
+    async def _require_room(self, account: ClientAccountId, job: JobId, size: int):
+        """Raise RetryLaterError if an account is full, unless the job is stored.
+
+        `size` is that of the job in bytes, which count as accepted from now on.
+        """
+        counts = self.leadership.pending_counts
+        if counts.counts is not None:
+            self.allowance.update(counts.counts.counted_at)
+        is_full = counts.is_full(account, MAX_FULL_AGE_SECONDS)
+        if not is_full and self.allowance.has_room(account, size):
+            accepted_at = self.intake.store.clock.latest(boot_time())
+            self.allowance.take(account, AcceptedJob(accepted_at, size))
+            return
+        try:
+            if await self.intake.is_stored(job):
+                return
+        except StoreUnavailableError as error:
+            raise self._retry_later(job, error) from error
+        self._record_refusal(
+            ResultCode.BACKLOG_FULL, job=job, account=account, counted=is_full
+        )
+        raise BacklogFullError
+
     async def show(self, job: JobId) -> JobState:
         """Return a job's state; raises NotFoundError and RetryLaterError."""
         try:
@@ -145,7 +189,9 @@
             raise
         self.metrics.cancelled.add(1)
 
-    def _retry_later(self, job: JobId, error: NotRunError) -> RetryLaterError:
+    def _retry_later(
+        self, job: JobId, error: NotRunError | StoreUnavailableError
+    ) -> RetryLaterError:
         """Count a refusal, and return the error that tells the caller of it."""
         self._record_refusal(error.code, job=job)
         seconds = RETRY_AFTER_SECONDS
--- a/src/zinniatrestle/standins/model.py
+++ b/src/zinniatrestle/standins/model.py
@@ -31,6 +31,7 @@
 from zinniatrestle.metrics import Metrics
 from zinniatrestle.queues import DesiredStateReader, OperatorState, Queue
 from zinniatrestle.rows.feed import Feed
+from zinniatrestle.scheduling.backlog import WorkSettings
 from zinniatrestle.scheduling.context import Policy, SchedulerContext
 from zinniatrestle.scheduling.leader_loop import run_while_leader
 from zinniatrestle.scheduling.leadership import Leadership
@@ -136,6 +137,7 @@
             self.leadership,
             metrics,
             events,
+            self.model.work.max_bytes(self.deployment.resources),
         )
         self.frontend.is_store_reachable = lambda: feed.reachable
         self.context = SchedulerContext(
@@ -164,6 +166,7 @@
             )
             self.context.leader_tasks.append(runner)
         self.context.policy = self.model.policy
+        self.context.work = self.model.work
         self.context.adviser = self.model.adviser
         self.tasks = [
             asyncio.create_task(self.leadership.run()),
@@ -243,8 +246,10 @@
         upkeep: bool = False,
         traits: FleetTraits | None = None,
         lists_machines: bool = False,
+        work: WorkSettings | None = None,
     ):
         self.upkeep = upkeep
+        self.work = work or WorkSettings()
         # Whether hosts learn from the list of machines which workers have ended.
         self.lists_machines = lists_machines
         self.adviser = adviser
--- a/src/zinniatrestle/web.py
+++ b/src/zinniatrestle/web.py
@@ -37,6 +37,7 @@
     ResultCode.KEY_REQUIRED: 400,
     ResultCode.QUEUE_FULL: 429,
     ResultCode.TOO_MANY_CANCELLATIONS: 429,
+    ResultCode.BACKLOG_FULL: 429,
     ResultCode.DEADLINE_PASSED: 504,
     ResultCode.UNKNOWN: 504,
     ResultCode.KIND_NOT_PERMITTED: 403,
