Bound the connections of strangers at the peers' address

Operators could see a daemon without descriptors for the store and callers: whoever reaches the peers' address opens any number of connections, each of which has 2 s for its handshake. 500 of them took 519 descriptors.

Cause: the server for peers accepted and kept every connection until its handshake had failed. Ruled out: memory, of which 500 such connections took 2.9 MB; frames over the limit, which end a connection at once.

At most 64 connections may be before the end of their handshake; a further one ends the oldest, so that a peer, whose handshake takes two round trips, still gets through. The event loop accepts 16 at once, as for clients; the system's queue is longer.

--- a/src/zinniatrestle/entry/metrics.py
+++ b/src/zinniatrestle/entry/metrics.py
@@ -43,6 +43,11 @@
             ("claims.written", "1", lambda: host.claims.written),
             ("configuration.revision", "1", lambda: host.follower.state.revision),
             ("peers.bytes", "By", self.peer_bytes),
+            (
+                "peers.handshakes_evicted",
+                "1",
+                lambda: host.mesh.server.evicted_handshakes,
+            ),
             ("peers.cross_region", "By", lambda: host.mesh.cross_region_bytes),
             ("gangs.running", "1", lambda: len(host.scheduler.gang_table.holding())),
             ("gangs.queued", "1", lambda: len(host.scheduler.gang_table.queued())),
--- a/src/zinniatrestle/ingress/server.py
+++ b/src/zinniatrestle/ingress/server.py
@@ -19,6 +19,17 @@
 LISTEN_BACKLOG = 1024
 
 
+def lengthen_queue(server: asyncio.Server):
+    """Let the system keep more connections than the event loop accepts at once."""
+    for listening in server.sockets:
+        descriptor = listening.fileno()
+        if not isinstance(descriptor, int):
+            # The sockets of a simulated network have none.
+            continue
+        with socket.socket(fileno=os.dup(descriptor)) as same:
+            same.listen(LISTEN_BACKLOG)
+
+
 class LimitedServer(HttpServer):
     """HTTP server that limits its clients."""
 
@@ -33,9 +44,7 @@
         """Listen, with a longer queue of the system than of the event loop."""
         await super().startup(sockets)
         for server in self.servers:
-            for listening in server.sockets:
-                with socket.socket(fileno=os.dup(listening.fileno())) as same:
-                    same.listen(LISTEN_BACKLOG)
+            lengthen_queue(server)
 
     async def shutdown(self, sockets: list[socket.socket] | None = None):
         """Serve the connections that clients have opened, and close them."""
--- a/src/zinniatrestle/peers/links.py
+++ b/src/zinniatrestle/peers/links.py
@@ -8,6 +8,7 @@
 from zinniatrestle.clock import wait_for_event
 from zinniatrestle.errors import PeerError, ResultCode, ZinniatrestleError
 from zinniatrestle.ids import HostId
+from zinniatrestle.ingress.server import ACCEPT_BATCH, lengthen_queue
 from zinniatrestle.logs import ComponentLog
 from zinniatrestle.peers.framing import (
     FrameStream,
@@ -23,6 +24,10 @@
 INITIAL_BACKOFF_SECONDS = 0.1
 MAX_BACKOFF_SECONDS = 2.0
 MAX_CONCURRENT_CALLS = 256
+# Connections that have not proven yet to be a peer's. Their number bounds what others
+# can take of the descriptors and the memory.
+MAX_HANDSHAKES = 64
+EVICTION_LOG_SECONDS = 1.0
 
 log = ComponentLog("peers")
 
@@ -184,10 +189,17 @@
         self.streams: set[FrameStream] = set()
         self.closed_bytes = 0
         self.listener: asyncio.Server | None = None
+        # The tasks of connections before the end of their handshake, oldest first.
+        self.handshakes: dict[asyncio.Task, None] = {}
+        self.evicted_handshakes = 0
+        self.eviction_logged_at = float("-inf")
 
     async def start(self, address: str, port: int):
         """Listen for peers."""
-        self.listener = await asyncio.start_server(self._connected, address, port)
+        self.listener = await asyncio.start_server(
+            self._connected, address, port, backlog=ACCEPT_BATCH
+        )
+        lengthen_queue(self.listener)
 
     @property
     def bytes(self) -> int:
@@ -213,10 +225,12 @@
         self.connections.add(task)
         stream = FrameStream(reader, writer)
         self.streams.add(stream)
+        self.handshakes[task] = None
+        self._evict_handshakes()
         try:
             await self._serve(stream)
         except asyncio.CancelledError:
-            # Only close() cancels this task, and no caller awaits its result.
+            # Only close() and an eviction cancel this task, and nobody awaits it.
             return
         except (PeerError, OSError, TimeoutError) as error:
             if isinstance(error, PeerError) and error.code is ResultCode.PEER_REFUSED:
@@ -225,11 +239,30 @@
             self.streams.discard(stream)
             self.closed_bytes += stream.sent_bytes + stream.received_bytes
             self.connections.discard(task)
+            self.handshakes.pop(task, None)
             stream.close()
 
+    def _evict_handshakes(self):
+        """End the oldest handshakes if there are too many; a peer's is short."""
+        while len(self.handshakes) > MAX_HANDSHAKES:
+            oldest = next(iter(self.handshakes))
+            del self.handshakes[oldest]
+            oldest.cancel()
+            self.evicted_handshakes += 1
+            now = asyncio.get_running_loop().time()
+            if now - self.eviction_logged_at < EVICTION_LOG_SECONDS:
+                continue
+            self.eviction_logged_at = now
+            log.warning(
+                "Ended a handshake, since over %d are open; %d so far.",
+                MAX_HANDSHAKES,
+                self.evicted_handshakes,
+            )
+
     async def _serve(self, stream: FrameStream):
         """Record heartbeats in order and answer each call in its own task."""
         hello = await accept_handshake(stream, self.identity, set(self.peers))
+        self.handshakes.pop(asyncio.current_task(), None)
         peer = self.peers[hello.host]
         limit = asyncio.Semaphore(MAX_CONCURRENT_CALLS)
         async with asyncio.TaskGroup() as calls:
