Play seeds of the model with hosts that hold few jobs

Two sets of seeded runs under faults: hosts that refuse work beyond a bound of some 15 jobs, and hosts that accept it all, as those of a former version would, so that the leader defers it.

--- a/tests/model/test_seeds.py
+++ b/tests/model/test_seeds.py
@@ -25,6 +25,8 @@
     withhold_list_of_machines,
 )
 
+from zinniatrestle.scheduling.backlog import WorkSettings
+from zinniatrestle.serving import allowance, frontend
 from zinniatrestle.standins.checker import (
     check_capacity,
     check_recorded_expiries,
@@ -43,6 +45,9 @@
 FAILOVER_SEEDS = range(8)
 UNREGISTERED_SEEDS = range(8)
 CUT_OFF_SEEDS = range(8)
+SMALL_MEMORY_SEEDS = range(8)
+# Room for some 15 waiting jobs of all accounts, in a machine of the usual 512 MB.
+SMALL_MEMORY = WorkSettings(memory_share=60_000 / (512 * 2**20))
 FAILOVER_REGRESSIONS: dict[int, str] = {
     14: "a former holder wrote with the fencing number that its successor had raised",
     17: "capacity that one plan had freed was freed again for another; neither got it",
@@ -166,9 +171,14 @@
 ]
 
 
-async def run_seed(seed: int, faults: list, lists_machines: bool = False) -> list[str]:
+async def run_seed(
+    seed: int,
+    faults: list,
+    lists_machines: bool = False,
+    work: WorkSettings | None = None,
+) -> list[str]:
     rng = random.Random(seed)
-    model = Model(seed, lists_machines=lists_machines)
+    model = Model(seed, lists_machines=lists_machines, work=work)
     model.callers = set()
     violations_found: list[str] = []
     await model.start(workers=12, rack=4)
@@ -216,3 +226,21 @@
 @pytest.mark.parametrize("seed", CI_SEEDS)
 def test_no_violations_where_the_list_of_machines_is_read(seed):
     assert run_virtual(run_seed(seed, FAULTS, lists_machines=True)) == []
+
+
+# Guards against accepted jobs that are lost or run twice as their host holds few jobs.
+@pytest.mark.parametrize("faults", [FAULTS, FAILOVER_FAULTS], ids=["all", "failover"])
+@pytest.mark.parametrize("seed", SMALL_MEMORY_SEEDS)
+def test_no_violations_where_hosts_refuse_work_beyond_the_bound(seed, faults):
+    assert run_virtual(run_seed(seed, faults, work=SMALL_MEMORY)) == []
+
+
+@pytest.mark.parametrize("faults", [FAULTS, FAILOVER_FAULTS], ids=["all", "failover"])
+@pytest.mark.parametrize("seed", SMALL_MEMORY_SEEDS)
+def test_no_violations_where_hosts_accept_work_beyond_the_bound(
+    seed, faults, monkeypatch
+):
+    # Like hosts that don't know of the bound.
+    monkeypatch.setattr(frontend, "MAX_FULL_AGE_SECONDS", float("-inf"))
+    monkeypatch.setattr(allowance, "UNCOUNTED_SHARE", float("inf"))
+    assert run_virtual(run_seed(seed, faults, work=SMALL_MEMORY)) == []
