Count timed jobs for the occurrences that are held

An account with eleven small timed jobs would have been refused, though little of them was ever in memory: counted each for as many occurrences as might ever overlap, 1.7 MB for the smallest one, against some 17 MB for one account on a machine of 200 MB. Found by reading, before landing.

A timed job counts for the occurrences that are held now, at least one.

--- a/src/zinniatrestle/scheduling/backlog.py
+++ b/src/zinniatrestle/scheduling/backlog.py
@@ -16,7 +16,7 @@
 from zinniatrestle.errors import SettingsError
 from zinniatrestle.ids import ClientAccountId, JobId, QueueName, StoreMilliseconds
 from zinniatrestle.ingress.limits import Resources
-from zinniatrestle.jobs.intake import MAX_TASKS, JobRequest
+from zinniatrestle.jobs.intake import JobRequest
 from zinniatrestle.jobs.messages import Submission
 
 # Memory of the objects of a job, beside its texts; of tasks also what a run adds.
@@ -48,19 +48,19 @@
             )
 
 
+def occurrence_bytes(job: Submission | JobRequest) -> int:
+    """Return the memory of the steps and tasks of one occurrence, in bytes."""
+    tasks = sum(step.count for step in job.steps)
+    return tasks * TASK_BYTES + len(job.steps) * STEP_BYTES
+
+
 def work_bytes(job: Submission | JobRequest) -> int:
-    """Return the memory that a job takes at most, in bytes."""
-    steps = job.steps
-    tasks = sum(step.count for step in steps)
-    step_bytes = tasks * TASK_BYTES + len(steps) * STEP_BYTES
-    if job.occurrences:
-        # As many of them overlap as a row of progress has room for.
-        step_bytes *= max(1, min(job.occurrences, MAX_TASKS // max(1, tasks)))
-    fixed_bytes = JOB_BYTES + len(job.spec)
-    for step in steps:
-        texts = len(step.label) + len(step.data_rack) + len(step.image)
-        fixed_bytes += texts + len(step.after) * DEPENDENCY_BYTES
-    return step_bytes + fixed_bytes
+    """Return the memory that a job takes with one occurrence, in bytes."""
+    size = JOB_BYTES + len(job.spec) + occurrence_bytes(job)
+    for step in job.steps:
+        size += len(step.label) + len(step.data_rack) + len(step.image)
+        size += len(step.after) * DEPENDENCY_BYTES
+    return size
 
 
 class WorkBudget:
@@ -102,10 +102,14 @@
 
 
 class HeldJob(NamedTuple):
-    """Account and size in bytes of a job that is held."""
+    """Account of a job that is held, and its sizes in bytes.
+
+    `further_bytes` is the part of `size` for occurrences beyond the first.
+    """
 
     account: ClientAccountId
     size: int
+    further_bytes: int = 0
 
 
 class DeferredJob(NamedTuple):
@@ -148,6 +152,29 @@
         self.held[submission.job] = HeldJob(submission.account, size)
         self.budget.add(submission.account, size)
 
+    def set_occurrences(self, submission: Submission, occurrences: int):
+        """Account for the occurrences of a timed job that are held."""
+        held = self.held.get(submission.job)
+        if held is None:
+            return
+        further_bytes = max(0, occurrences - 1) * occurrence_bytes(submission)
+        change = further_bytes - held.further_bytes
+        if not change:
+            return
+        self.held[submission.job] = HeldJob(
+            held.account, held.size + change, further_bytes
+        )
+        self.budget.add(held.account, change)
+        if change < 0:
+            self.changed.set()
+
+    def may_add_occurrence(self, submission: Submission, occurrences: int) -> bool:
+        """Return whether a timed job may hold another occurrence beside some."""
+        if not occurrences:
+            return True
+        size = occurrence_bytes(submission)
+        return self.budget.has_room(submission.account, size)
+
     def release(self, job: JobId):
         """Account for a job that is no longer held."""
         held = self.held.pop(job, None)
--- a/src/zinniatrestle/scheduling/cluster_state.py
+++ b/src/zinniatrestle/scheduling/cluster_state.py
@@ -9,6 +9,7 @@
 from zinniatrestle.events import Event
 from zinniatrestle.ids import BootSeconds, JobId, TaskId
 from zinniatrestle.jobs.messages import JobState, split_task_id
+from zinniatrestle.scheduling.backlog import Backlog
 from zinniatrestle.scheduling.context import SchedulerContext
 from zinniatrestle.scheduling.durations import Durations
 from zinniatrestle.scheduling.fleet import Fleet, FleetListener
@@ -71,6 +72,8 @@
         self.advice: AdviceCache | None = None
         if context.adviser is not None:
             self.advice = AdviceCache(context.adviser, context.events, self.wake.set)
+        max_bytes = context.work.max_bytes(context.deployment.resources)
+        self.backlog = Backlog(max_bytes)
         self.unsaved_jobs: set[Job] = set()
         self.save_tasks: set[asyncio.Task] = set()
 
@@ -190,6 +193,7 @@
         job = step.job
         job.finished_steps.add(step.key)
         job.drop_finished_occurrences()
+        self.backlog.set_occurrences(job.submission, job.occurrence_count)
         self._end_if_completed(job)
 
     def _end_if_completed(self, job: Job):
--- a/src/zinniatrestle/scheduling/rounds.py
+++ b/src/zinniatrestle/scheduling/rounds.py
@@ -611,5 +611,10 @@
                     # The job's progress row has room for this many tasks only, and a
                     # finished step takes less of it than a task.
                     break
+                backlog = self.tracker.backlog
+                if not backlog.may_add_occurrence(submission, job.occurrence_count):
+                    # It is added once other work of the account has ended.
+                    break
                 job.add_occurrence(job.next_occurrence)
                 job.next_occurrence += 1
+                backlog.set_occurrences(submission, job.occurrence_count)
--- a/src/zinniatrestle/scheduling/scheduler.py
+++ b/src/zinniatrestle/scheduling/scheduler.py
@@ -26,7 +26,7 @@
 from zinniatrestle.jobs.withdrawals import begin_epoch
 from zinniatrestle.rows import Change, Expect, StoredRow, Write
 from zinniatrestle.rows.feed import Feed, TableReader
-from zinniatrestle.scheduling.backlog import Backlog, DeferredJob
+from zinniatrestle.scheduling.backlog import DeferredJob
 from zinniatrestle.scheduling.context import SchedulerContext
 from zinniatrestle.scheduling.health_records import export_health_records
 from zinniatrestle.scheduling.leadership import LeadershipStatus
@@ -141,7 +141,7 @@
         # Jobs of which a row was damaged when it was loaded. This scheduler leaves them
         # out, since their tasks may have run.
         self.damaged_jobs: set[JobId] = set()
-        self.backlog = Backlog(context.work.max_bytes(context.deployment.resources))
+        self.backlog = self.tracker.backlog
         self.progress_rejections = RejectionLog(self.events, f"table {PROGRESS}")
         store = context.store
         self.submission_reader = SubmissionReader(self)
@@ -300,6 +300,8 @@
         if never_runs:
             job.steps.clear()
         self.backlog.hold(submission, has_tasks=not never_runs)
+        if submission.timed:
+            self.backlog.set_occurrences(submission, job.occurrence_count)
         self.tracker.jobs[job.id] = job
         self.planner.headroom.learn_arrival(job)
         self.tracker.wake.set()
--- a/src/zinniatrestle/scheduling/state.py
+++ b/src/zinniatrestle/scheduling/state.py
@@ -521,6 +521,11 @@
         """Return the number of tasks in one occurrence."""
         return sum(step.count for step in self.submission.steps)
 
+    @property
+    def occurrence_count(self) -> int:
+        """Return the number of occurrences that are held, also done ones."""
+        return len(self.steps) // max(1, len(self.submission.steps))
+
     def unfinished_task_count(self) -> int:
         """Return the number of tasks in the steps that are not done."""
         return sum(len(step.tasks) for step in self.steps.values())
--- a/src/zinniatrestle/scheduling/tests/test_deferred_jobs.py
+++ b/src/zinniatrestle/scheduling/tests/test_deferred_jobs.py
@@ -4,7 +4,7 @@
 
 import pytest
 
-from zinniatrestle.clock import monotonic
+from zinniatrestle.clock import monotonic, wall_time
 from zinniatrestle.errors import ResultCode
 from zinniatrestle.jobs import JobState
 from zinniatrestle.jobs.intake import JobRequest
@@ -101,6 +101,34 @@
     run_virtual(check())
 
 
+# Guards against occurrences that are left out, and against those of which many overlap.
+def test_all_occurrences_are_done_in_the_end_within_the_bound():
+    async def check():
+        model = await start_model()
+        host = model.hosts[0]
+        spec = TaskScript(seconds=0.5, steps=STEPS).encoded()
+        request = JobRequest(spec, STEPS, occurrences=60)
+        request.first_due_ms = round(wall_time() * 1000)
+        request.every_ms = 1
+        admission = admit(host)
+        deadline = monotonic() + CALL_SECONDS
+        await host.intake.accept(
+            "timed", request, admission.queue, admission.account, deadline
+        )
+        bound = SMALL.max_bytes(host.deployment.resources)
+        while not all_completed(model, ["timed"]):
+            await asyncio.sleep(0.1)
+            assert model.metrics.work_bytes <= bound
+        starts = [
+            line["task"]
+            for line in model.lines
+            if line["event"] == "run_placed" and line["task"].startswith("timed.")
+        ]
+        assert len(starts) == len(set(starts)) == 60
+
+    run_virtual(check())
+
+
 def test_a_job_of_another_account_does_not_wait_behind_deferred_ones():
     async def check():
         model = await start_model()
