Bound the run times that a leader hands on

Operators could lose all scheduling after months of changing routes: the lease's row has the run-time statistics of each queue that ever ended a task.

Cause: nothing was ever removed from Durations.queues, and a successor restores all of it. Ruled out, by reading: health records, reliability, arrivals, lease expiries and leaving workers, each of which has a bound.

The 200 queues whose tasks ended last are kept.

--- a/src/zinniatrestle/scheduling/durations.py
+++ b/src/zinniatrestle/scheduling/durations.py
@@ -20,6 +20,10 @@
 # Callers' estimates are preferred until this many runs have been measured.
 TRUSTED_RUNS = 5
 
+# Queues whose run times are kept, those of the latest ends. A successor gets them in a
+# row with all else that it inherits.
+MAX_QUEUES = 200
+
 EstimateDuration = Callable[[QueueName, Step], float]
 
 
@@ -84,8 +88,11 @@
         """Record the seconds that a complete run near its data took."""
         step = task.step
         queue = step.job.submission.queue
-        times = self.queues.setdefault(queue, QueueRunTimes())
+        times = self.queues.pop(queue, None) or QueueRunTimes()
         times.learn(seconds, step.shape.estimated_ms / MS_PER_SECOND)
+        self.queues[queue] = times
+        if len(self.queues) > MAX_QUEUES:
+            del self.queues[next(iter(self.queues))]
 
     def export(self) -> dict[QueueName, RunTimeStatistics]:
         """Return the statistics of each queue, for a successor."""
