--- a/src/zinniatrestle/scheduling/tests/test_deferred_jobs.py
+++ b/src/zinniatrestle/scheduling/tests/test_deferred_jobs.py
@@ -16,7 +16,9 @@
 )
 from zinniatrestle.scheduling.backlog import WorkSettings
 from zinniatrestle.serving import RetryLaterError
+from zinniatrestle.serving.frontend import MAX_FULL_AGE_SECONDS
 from zinniatrestle.standins.model import CALL_SECONDS, Model, run_virtual, step
+from zinniatrestle.standins.rows import Reachability
 from zinniatrestle.standins.runs import TaskScript
 
 # Room for about ten jobs of one task.
@@ -237,6 +239,40 @@
     run_virtual(check())
 
 
+def test_a_full_account_gets_no_conclusion_while_the_store_is_away():
+    async def check():
+        model = await start_model()
+        names = await store_jobs(model, seconds=30.0)
+        await asyncio.sleep(4.0)
+        host = next(host for host in model.hosts if host is not model.leader())
+        host.store.reachability = Reachability.REFUSED
+        for name in (names[-1], "new"):
+            with pytest.raises(RetryLaterError) as caught:
+                await submit(host, name)
+            assert caught.value.code is ResultCode.STORE_UNAVAILABLE
+
+    run_virtual(check())
+
+
+# Guards against accounts that stay full for ever once nobody counts any more.
+def test_an_account_is_no_longer_full_once_the_record_of_it_is_old():
+    async def check():
+        model = await start_model()
+        await store_jobs(model, seconds=90.0)
+        await asyncio.sleep(4.0)
+        host = model.hosts[0]
+        for other in model.hosts[1:]:
+            await other.kill()
+        with pytest.raises(RetryLaterError):
+            await submit(host, "new")
+        host.leadership.step_down("test")
+        host.leadership.released = True
+        await asyncio.sleep(MAX_FULL_AGE_SECONDS + 1.0)
+        await submit(host, "new")
+
+    run_virtual(check())
+
+
 def test_a_host_accepts_only_some_work_that_the_leader_has_not_counted():
     async def check():
         model = await start_model()
--- a/tests/end_to_end/test_client_limits.py
+++ b/tests/end_to_end/test_client_limits.py
@@ -90,6 +90,8 @@
         ("--max-connections", "-1"),
         ("--unknown-cancel-rate", "0"),
         ("--unknown-cancel-rate", "inf"),
+        ("--work-memory-share", "0"),
+        ("--work-memory-share", "1.5"),
     ],
 )
 def test_an_invalid_flag_is_refused_at_startup(tmp_path, flag, value):
