Test that single requests just inside the limits are served

A head of 65,000 bytes, 1,000 empty lines, bodies of 262,144 bytes plain with 1,000 steps and in a chunk, and readiness, on a host of 200 MB, the smallest in use.

--- a/tests/end_to_end/test_client_limits.py
+++ b/tests/end_to_end/test_client_limits.py
@@ -17,6 +17,8 @@
 
 CALLER = {"Host": "queue.example", "Api-Key": "key", "Connection": "keep-alive"}
 PATH = "/q/00000000000000ff"
+CHUNKED = {"Transfer-Encoding": "chunked"}
+MAX_BODY_BYTES = 262_144
 
 
 async def wait_for_line(host, event: str, **fields):
@@ -81,6 +83,48 @@
     run_with_cluster(tmp_path, check, hosts=1)
 
 
+# Guards against limits that a single request inside them meets.
+def test_requests_just_inside_the_limits_are_served(tmp_path):
+    steps = msgspec.json.encode({"steps": [{"cpu": 1}] * 1000})
+    step = msgspec.json.encode({"steps": [{"cpu": 1}]})
+    padded = step.ljust(MAX_BODY_BYTES)
+    chunked = b"%x\r\n%b\r\n0\r\n\r\n" % (len(padded), padded)
+    post = {**CALLER, "Connection": "close"}
+    calls = {
+        "a long head": (410, raw_call("GET", PATH, {**post, "Long": "a" * 65_000})),
+        "empty lines": (410, b"\r\n" * 1000 + raw_call("GET", PATH, post)),
+        "a long body of many steps": (
+            200,
+            raw_call("POST", "/q/00000000000000e1", post, steps.ljust(MAX_BODY_BYTES)),
+        ),
+        "a long body in a chunk": (
+            200,
+            raw_call(
+                "POST", "/q/00000000000000e2", {**post, **CHUNKED}, chunked
+            ).replace(b"Content-Length: %d\r\n" % len(chunked), b""),
+        ),
+        "readiness": (200, raw_call("GET", "/-/ready", {"Connection": "close"})),
+    }
+
+    async def check(cluster):
+        (host,) = cluster.hosts
+        config = {**CONFIG, "version": 2, "limits": {"maxBodyBytes": MAX_BODY_BYTES}}
+        encoded = msgspec.json.encode(config)
+        cluster.rows.put(TableName("op"), RowName("config"), encoded)
+        await wait_for_line(host, "desired_state", version=2)
+        for name, (status, data) in calls.items():
+            port = host.readiness_port if name == "readiness" else host.frontend_port
+            answer = await exchange(f"127.0.0.1:{port}", data)
+            assert (name, answer.status) == (name, status)
+
+    run_with_cluster(
+        tmp_path,
+        check,
+        hosts=1,
+        settings="[limits]\nmemoryMb = 200\nmaxFds = 400\n",
+    )
+
+
 @pytest.mark.parametrize(
     "flag, value",
     [
