Reserve some room for each account whatever others hold

Callers of other accounts would have waited, and been refused with 429, until the work of one account had ended: a successor with less memory than its predecessor holds all work that has begun, also beyond its bound, and then there was no room left for anybody. Found by reading, before landing.

A 256th of the bound is reserved for each account, and an account within half of that is never full. With 24 accounts the memory for work may exceed its bound by a tenth.

test_work_beyond_the_bound_leaves_room_for_some_of_each_other_account failed before.

--- a/src/zinniatrestle/scheduling/backlog.py
+++ b/src/zinniatrestle/scheduling/backlog.py
@@ -27,6 +27,9 @@
 # An account is full from this share of its bound on. The rest is for jobs that hosts
 # accept before they know it.
 FULL_SHARE = 0.5
+# Share of the bound that each account may hold whatever others do, since a successor
+# has to hold all work that has begun.
+RESERVED_SHARE = 1 / 256
 
 
 @dataclass(frozen=True)
@@ -68,6 +71,7 @@
 
     def __init__(self, max_bytes: float):
         self.max_bytes = max_bytes
+        self.reserved_bytes = max_bytes * RESERVED_SHARE
         self.bytes = 0
         self.bytes_by_account: Counter[ClientAccountId] = Counter()
 
@@ -75,18 +79,22 @@
         """Return whether an account may hold another job of some size.
 
         It may hold as much as is left free, so that with the work of an account the
-        bound of each falls. A job that is larger than that is held alone.
+        bound of each falls, but never below what is reserved for it. A job that is
+        larger than that is held alone.
         """
         if not self.bytes:
             return True
         held = self.bytes_by_account[account]
+        if held + size <= self.reserved_bytes:
+            return True
         free = self.max_bytes - self.bytes
         return size <= free and (not held or held + size <= free)
 
     def is_full(self, account: ClientAccountId, deferred: int) -> bool:
         """Return whether an account is close to its bound, with what is deferred."""
         held = self.bytes_by_account[account] + deferred
-        return held > FULL_SHARE * (self.max_bytes - self.bytes)
+        bound = max(self.reserved_bytes, self.max_bytes - self.bytes)
+        return held > FULL_SHARE * bound
 
     def add(self, account: ClientAccountId, size: int):
         """Account for a job, whether or not there is room."""
