Refuse what can't be stored before anything is waited for

Callers with bodies of 240 KB of dependencies made a host grow by 26 MB with 20 connections.

Cause: a job that is too large for a row was counted as accepted work first, 4.8 MB of an allowance of 1.5 MB, so that the next ones waited for the store to be asked for them, each with its decoded steps and its body.

Dependencies that can't fit into a row are refused by their number, before the allowance is asked, and a body isn't referenced once it is decoded.

--- a/src/zinniatrestle/jobs/intake.py
+++ b/src/zinniatrestle/jobs/intake.py
@@ -120,6 +120,17 @@
         )
         self.rejections = RejectionLog(events, f"table {PROGRESS}")
 
+    def check(self, job_request: JobRequest):
+        """Raise CallerError for a request that can't be accepted, whatever is stored.
+
+        Its dependencies alone may be too large for a row. That is known before they are
+        encoded, and before anything is waited for.
+        """
+        job_request.check()
+        dependencies = sum(len(step.after) for step in job_request.steps)
+        if dependencies * BASE64_FACTOR > self.limits.row_bytes:
+            raise _row_too_large()
+
     async def accept(
         self,
         job: JobId,
@@ -135,7 +146,7 @@
         UnknownOutcomeError if that is still unknown at `deadline`, a time of the
         monotonic clock.
         """
-        job_request.check()
+        self.check(job_request)
         now = StoreMilliseconds(int(self.store.clock.earliest(boot_time())))
         submission = Submission(
             job=job,
@@ -157,10 +168,7 @@
         name = row_name(job)
         encoded = encode_submission(submission)
         if len(encoded) * BASE64_FACTOR > self.limits.row_bytes:
-            raise CallerError(
-                "Split the job: its steps don't fit into one row of the store.",
-                ResultCode.TOO_LARGE,
-            )
+            raise _row_too_large()
         writes = [
             Write(PROGRESS, name, encode_progress(progress)),
             Write(SUBMISSIONS, name, encoded),
@@ -288,6 +296,13 @@
         raise UnknownOutcomeError("The store does not answer.")
 
 
+def _row_too_large() -> CallerError:
+    return CallerError(
+        "Split the job: its steps don't fit into one row of the store.",
+        ResultCode.TOO_LARGE,
+    )
+
+
 def _store_deadline(deadline: float) -> float:
     now = monotonic()
     return now + min(STORE_TIME_SHARE * (deadline - now), MAX_STORE_SECONDS)
--- a/src/zinniatrestle/platform/job_api.py
+++ b/src/zinniatrestle/platform/job_api.py
@@ -167,12 +167,10 @@
             return _json_response(WirePending(pending))
         job = _job_id(job_path)
         if request.method == "POST":
-            body = await read_body(
-                request, self.frontend.largest_body or DEFAULT_MAX_BODY_BYTES
-            )
-            await self.frontend.accept(
-                admission, job, decode_job_request(body), give_up_at
-            )
+            max_bytes = self.frontend.largest_body or DEFAULT_MAX_BODY_BYTES
+            # The body isn't kept while the job is stored.
+            job_request = decode_job_request(await read_body(request, max_bytes))
+            await self.frontend.accept(admission, job, job_request, give_up_at)
             return _json_response({})
         if request.method == "DELETE":
             await self.frontend.cancel(admission, job, give_up_at)
--- a/src/zinniatrestle/serving/frontend.py
+++ b/src/zinniatrestle/serving/frontend.py
@@ -133,6 +133,7 @@
                 "This host can't reach the store.", ResultCode.STORE_UNAVAILABLE
             )
         started_at = boot_time()
+        self.intake.check(job_request)
         await self._require_room(admission.account, job, work_bytes(job_request))
         try:
             await self.intake.accept(
--- a/tests/end_to_end/test_unbounded_clients.py
+++ b/tests/end_to_end/test_unbounded_clients.py
@@ -252,9 +252,10 @@
     [
         b'{"steps":[' + b"{}," * 80_000 + b"{}]}",
         b'{"steps":[{},{"after":[' + b"0," * 120_000 + b"0]}]}",
+        b'{"steps":[{},{"after":[' + b"0," * 45_000 + b"0]}]}",
         b'{"steps":[{},{"image":{' + b'"":0,' * 40_000 + b'"":0}}]}',
     ],
-    ids=["steps", "dependencies", "wrong-type"],
+    ids=["steps", "dependencies", "dependencies-that-fit-a-row", "wrong-type"],
 )
 def test_bodies_of_very_many_parts(tmp_path, body):
     request = post(body)
