Give the trackers of tests a setting for work

Seventeen tests that make a tracker beside a mocked context failed since, where the backlog moved to the tracker and takes its bound from that context: a product of a mock and a number.

--- a/tests/common/trackers.py
+++ b/tests/common/trackers.py
@@ -10,6 +10,7 @@
 from zinniatrestle.ids import BootSeconds, RunNumber
 from zinniatrestle.jobs.messages import Step
 from zinniatrestle.metrics import Metrics
+from zinniatrestle.scheduling.backlog import WorkSettings
 from zinniatrestle.scheduling.messages import Handover
 from zinniatrestle.scheduling.state import StepRun, Task, TaskStatus, Worker
 from zinniatrestle.scheduling.tracker import Tracker
@@ -27,6 +28,7 @@
     context.events = EventList()
     context.metrics = Metrics()
     context.adviser = context.policy = None
+    context.work = WorkSettings()
     context.leadership.handover = Handover()
     writer = SimpleNamespace(is_saving=lambda job: False)
     tracker = Tracker(context, writer)
