--- a/review/common-3/cluster.py
+++ b/review/common-3/cluster.py
@@ -10,11 +10,15 @@
 import socket
 import sys
 import time
+from collections.abc import Awaitable, Callable
 from pathlib import Path
 
 import aiohttp
 import msgspec
+from starlette.requests import Request
+from starlette.responses import Response
 
+from zinniatrestle.clock import boot_time
 from zinniatrestle.ids import RowName, TableName
 from zinniatrestle.jobs.messages import Step
 from zinniatrestle.standins.fleet import SimulatedFleet
@@ -25,12 +29,20 @@
     encode_server_row,
     serve_app,
 )
+from zinniatrestle.workers.messages import WorkerEntry, WorkerState
 
+Handler = Callable[[Request], Awaitable[Response]]
 ROOT = Path(__file__).resolve().parents[2]
 COMMAND = ("-m", "zinniatrestle.platform")
 OP = TableName("op")
 SERVERS = TableName("servers")
 HEARTBEAT_SECONDS = 1.5
+EXPIRY_SECONDS = 3 * HEARTBEAT_SECONDS
+EXPIRY_CHECK_SECONDS = 0.01
+# For how long the watches hear nothing before the history is dropped.
+DEAF_SECONDS = 1.0
+# Longer than any call waits.
+LOST_SECONDS = 30.0
 START_SECONDS = 30.0
 PASSED_VARIABLES = ("PATH", "HOME", "LANG")
 SETTINGS = """\
@@ -219,16 +231,88 @@
         return found
 
 
+class CompactingStore(WireStore):
+    """A store that forgets its history.
+
+    Its watches hear nothing for a second while changes are made. Then the history is
+    dropped, and they are cut.
+    """
+
+    def __init__(self):
+        super().__init__()
+        self.is_deaf = False
+        self.heard = asyncio.Event()
+
+    async def compact(self):
+        """Let the watches hear nothing for a second, and drop the history."""
+        self.is_deaf = True
+        self.heard.clear()
+        await asyncio.sleep(DEAF_SECONDS)
+        self.rows.drop_history()
+        self.is_deaf = False
+        self.heard.set()
+
+    async def feed(self, request: Request) -> Response:
+        """Return the changes of a table, or none while the watches hear nothing."""
+        if not self.is_deaf:
+            return await super().feed(request)
+        query = request.query_params
+        wait = int(query.get("waitMs", "0")) / 1000
+        with contextlib.suppress(TimeoutError):
+            async with asyncio.timeout(wait):
+                await self.heard.wait()
+        if not self.is_deaf:
+            return Response(status_code=410)
+        body = {"ver": int(query["after"]), "nowMs": int(boot_time() * 1000)}
+        return Response(msgspec.json.encode(body), media_type="application/json")
+
+
+class CuttableWorker(WireFleetWorker):
+    """A worker that can be cut off: what is sent to it is lost, and it runs on."""
+
+    def __init__(self, fleet: SimulatedFleet, entry: WorkerEntry):
+        super().__init__(fleet, entry)
+        self.is_cut = False
+
+    async def start(self, request: Request) -> Response:
+        """Start a run."""
+        return await self._pass(super().start, request)
+
+    async def stop(self, request: Request) -> Response:
+        """Stop a run."""
+        return await self._pass(super().stop, request)
+
+    async def hold(self, request: Request) -> Response:
+        """Extend the lease of all runs and return the runs and ends."""
+        return await self._pass(super().hold, request)
+
+    async def _pass(self, handle: Handler, request: Request) -> Response:
+        if not self.is_cut:
+            response = await handle(request)
+        if self.is_cut:
+            await asyncio.sleep(LOST_SECONDS)
+            return Response(status_code=503)
+        return response
+
+
 class Deployment:
     """The stand-ins and the hosts, and the calls of clients."""
 
     def __init__(self, folder: Path, record: Record):
         self.folder = folder
         self.record = record
-        self.wire = WireStore()
+        self.wire = CompactingStore()
         self.rows = self.wire.rows
         self.fleet = SimulatedFleet(self.rows, stop_seconds=0.1)
         self.addresses: dict[str, str] = {}
+        self.apps: dict[str, CuttableWorker] = {}
+        # Until when a draining worker stays at least, in monotonic seconds.
+        self.leaves_at: dict[str, float] = {}
+        # When each worker last wrote its entry.
+        self.beats_at: dict[str, float] = {}
+        self.next_beats_at: dict[str, float] = {}
+        # The workers that have left.
+        self.gone: set[str] = set()
         self.hosts: list[Host] = []
         self.session: aiohttp.ClientSession | None = None
 
@@ -238,17 +322,56 @@
         version = desired["version"]
         self.record.write(f"operator: desired state {version} is confirmed")
 
-    async def send_heartbeats(self):
-        """Write the entries of all workers again and again."""
-        while True:
-            for worker in self.fleet.workers.values():
-                entry = worker.entry
-                entry = msgspec.structs.replace(entry, sequence=entry.sequence + 1)
-                worker.entry = entry
-                row = encode_server_row(entry, self.addresses[entry.worker])
-                self.rows.put(SERVERS, RowName(entry.worker), row)
+    def beat(self, name: str):
+        """Write the entry of a worker, unless it is cut off."""
+        if self.apps[name].is_cut:
+            return
+        worker = self.fleet.workers[name]
+        entry = worker.entry
+        entry = msgspec.structs.replace(entry, sequence=entry.sequence + 1)
+        worker.entry = entry
+        row = msgspec.json.decode(encode_server_row(entry, self.addresses[name]))
+        if name in self.leaves_at:
+            left = max(0.0, self.leaves_at[name] - time.monotonic())
+            row["remainingMs"] = int(left * 1000)
+        self.rows.put(SERVERS, RowName(name), msgspec.json.encode(row))
+        self.beats_at[name] = time.monotonic()
+
+    async def send_heartbeats(self, name: str):
+        """Write the entry of a worker again and again."""
+        while name not in self.gone:
+            self.beat(name)
+            self.next_beats_at[name] = time.monotonic() + HEARTBEAT_SECONDS
             await asyncio.sleep(HEARTBEAT_SECONDS)
 
+    async def expire_entries(self):
+        """Remove the entries of workers that were silent for three intervals."""
+        while True:
+            await asyncio.sleep(EXPIRY_CHECK_SECONDS)
+            for name, beat_at in list(self.beats_at.items()):
+                if time.monotonic() - beat_at < EXPIRY_SECONDS:
+                    continue
+                del self.beats_at[name]
+                self.rows.put(SERVERS, RowName(name), None)
+                self.record.write(f"registry: the entry of {name} has expired")
+
+    def drain(self, name: str, seconds: float):
+        """Let a worker announce that it leaves, in so many seconds at least."""
+        self.leaves_at[name] = time.monotonic() + seconds
+        worker = self.fleet.workers[name]
+        worker.entry = msgspec.structs.replace(worker.entry, state=WorkerState.DRAINING)
+        self.beat(name)
+        self.record.write(f"worker {name}: drains, leaves in {seconds} s at least")
+
+    def leave(self, name: str):
+        """End a worker that has announced it, and remove its entry."""
+        self.gone.add(name)
+        self.fleet.crash(self.fleet.workers[name])
+        self.apps[name].is_cut = True
+        self.beats_at.pop(name, None)
+        self.rows.put(SERVERS, RowName(name), None)
+        self.record.write(f"worker {name}: has left")
+
     async def call(
         self,
         host: Host,
@@ -296,8 +419,9 @@
         """Record what the workers have run."""
         for event in self.fleet.history:
             outcome = f" {event.outcome.value}" if event.outcome else ""
+            at = event.at - self.record.started_at
             self.record.write(
-                f"worker {event.worker}: {event.kind.value} {event.task}"
+                f"worker {event.worker}: at {at:.3f} {event.kind.value} {event.task}"
                 f" run {event.run}{outcome}"
             )
 
@@ -305,7 +429,8 @@
 def job(seconds: float, count: int = 1) -> dict:
     """Return the body of a job of one step."""
     script = TaskScript(seconds=seconds, steps=(Step(count=count, cpu=1000),))
-    step = {"count": count, "cpu": 1000, "memMb": 100, "estimatedMs": 1000}
+    estimate = int(seconds * 1000)
+    step = {"count": count, "cpu": 1000, "memMb": 100, "estimatedMs": estimate}
     return {"spec": script.encoded(), "steps": [step]}
 
 
@@ -320,13 +445,17 @@
         for number in range(workers):
             domain = DOMAINS[number % len(DOMAINS)]
             worker = cluster.fleet.add(f"w{number}", f"r-{domain}", f"zone-{domain}")
-            app = WireFleetWorker(cluster.fleet, worker.entry).app()
-            address = await stack.enter_async_context(serve_app(app))
-            cluster.addresses[worker.entry.worker] = address
+            app = CuttableWorker(cluster.fleet, worker.entry)
+            name = worker.entry.worker
+            cluster.apps[name] = app
+            address = await stack.enter_async_context(serve_app(app.app()))
+            cluster.addresses[name] = address
         tasks = [
-            asyncio.create_task(cluster.send_heartbeats()),
+            asyncio.create_task(cluster.expire_entries()),
             asyncio.create_task(cluster.fleet.run()),
         ]
+        for name in cluster.fleet.workers:
+            tasks.append(asyncio.create_task(cluster.send_heartbeats(name)))
         try:
             for number in range(hosts):
                 host = Host(number, folder, store, "")
