--- a/review/12/case.py
+++ b/review/12/case.py
@@ -1,25 +1,36 @@
-"""Settings that change while processes start: SIGHUP ends them."""
+"""A draining worker is cut off while the store forgets its history."""
 
 import asyncio
 import os
-import signal
 import sys
 import tempfile
+import time
+from collections import defaultdict
+from itertools import pairwise
 from pathlib import Path
 
 FOLDER = Path(__file__).resolve().parent
 sys.path.insert(0, str(FOLDER.parent / "common-3"))
 
-from cluster import Host, Record, deployment  # noqa: E402
+from cluster import Deployment, Record, deployment, job  # noqa: E402
+
+from zinniatrestle.standins.runs import EventKind  # noqa: E402
 
 HELD, BROKEN, NOT_RUN = 0, 1, 2
-CHANGES = 3
-# From the start of a process to the signal.
-SIGNAL_SECONDS = 0.15
-# From the end of a process to its next start.
-RESTART_SECONDS = 0.5
-# A process that is not ended by the signal has started by then.
-STARTED_SECONDS = 3.0
+CYCLES = 13
+WORKERS = 18
+JOB_SECONDS = 8.5
+# How long a draining worker stays at least.
+LEAVE_SECONDS = 9.5
+# How long it is cut off from the store and from the hosts.
+STORE_CUT_SECONDS = 5.0
+HOST_CUT_SECONDS = 5.5
+# From the heartbeat of the worker, which comes early in the second in which watches
+# hear nothing, to the cut.
+CUT_DELAY_SECONDS = 0.1
+START_SECONDS = 3.0
+# From the start of a cycle to that of the next one.
+CYCLE_SECONDS = 7.0
 DESIRED = {
     "version": 1,
     "routes": [
@@ -41,57 +52,100 @@
 }
 
 
-async def change_settings(host: Host, record: Record, is_signalled: bool) -> int:
-    """Change a starting host's settings; return how often its process has ended."""
-    ends = 0
-    await host.stop()
-    record.write(f"platform: {host.name} is stopped (exit {host.process.returncode})")
-    await asyncio.sleep(RESTART_SECONDS)
-    await host.start()
-    record.write(f"platform: {host.name} starts again")
-    for change in range(CHANGES):
-        await asyncio.sleep(SIGNAL_SECONDS)
-        text = host.settings.read_text()
-        host.settings.write_text(f"{text}\n# change {change}\n")
-        record.write(f"platform: the settings of {host.name} change")
-        if is_signalled:
-            host.process.send_signal(signal.SIGHUP)
-            record.write(f"platform: SIGHUP to {host.name}")
-        try:
-            async with asyncio.timeout(STARTED_SECONDS):
-                code = await host.process.wait()
-        except TimeoutError:
-            record.write(f"platform: {host.name} runs on")
-            continue
-        ends += 1
-        record.write(f"platform: the process of {host.name} has ended, exit {code}")
-        await asyncio.sleep(RESTART_SECONDS)
-        await host.start()
-        record.write(f"platform: {host.name} starts again")
-    return ends
-
-
-async def run(record: Record, folder: Path, is_signalled: bool) -> int:
+async def sleep_until(at: float):
+    """Sleep until a time of the monotonic clock."""
+    await asyncio.sleep(max(0.0, at - time.monotonic()))
+
+
+async def first_worker(cluster: Deployment, name: str) -> str:
+    """Return the worker on which a job's task has started; raises TimeoutError."""
+    async with asyncio.timeout(START_SECONDS):
+        while True:
+            for event in cluster.fleet.history:
+                if event.kind is EventKind.START and event.task.startswith(name):
+                    return event.worker
+            await asyncio.sleep(0.02)
+
+
+async def run_cycle(cluster: Deployment, number: int, is_disturbed: bool):
+    """Drain the worker of a job, cut it off and compact the store's history."""
+    record = cluster.record
+    name = f"{number:016x}"
+    host = cluster.hosts[number % len(cluster.hosts)]
+    status = await cluster.call(host, "POST", f"/q/{name}", job(JOB_SECONDS), "key")
+    if status != 200:
+        raise TimeoutError
+    worker = await first_worker(cluster, name)
+    began_at = time.monotonic()
+    cluster.drain(worker, LEAVE_SECONDS)
+    if is_disturbed:
+        beat_at = cluster.next_beats_at[worker]
+        if beat_at < began_at + 0.2:
+            beat_at += 1.5
+        await sleep_until(beat_at - 0.02)
+        record.write("store: watches hear nothing")
+        compaction = asyncio.create_task(cluster.wire.compact())
+        await sleep_until(beat_at + CUT_DELAY_SECONDS)
+        cut_at = beat_at + CUT_DELAY_SECONDS
+        app = cluster.apps[worker]
+        app.cut()
+        app.is_cut_from_store = True
+        record.write(f"worker {worker}: is cut off, and runs on")
+        await compaction
+        record.write("store: the history is dropped")
+        await sleep_until(cut_at + STORE_CUT_SECONDS)
+        app.is_cut_from_store = False
+        record.write(f"worker {worker}: reaches the store again")
+        await sleep_until(cut_at + HOST_CUT_SECONDS)
+        app.is_cut = False
+        record.write(f"worker {worker}: is reached again")
+    await sleep_until(began_at + LEAVE_SECONDS)
+    cluster.leave(worker)
+
+
+def overlaps(cluster: Deployment) -> list[str]:
+    """Return the tasks of which two runs were at work at the same time."""
+    runs: dict[str, dict[tuple, list[float]]] = defaultdict(dict)
+    for event in cluster.fleet.history:
+        key = (event.worker, event.run)
+        if event.kind is EventKind.START:
+            runs[event.task][key] = [event.at, float("inf")]
+        elif event.kind is EventKind.END:
+            runs[event.task][key][1] = event.at
+    found = []
+    for task, spans in runs.items():
+        ordered = sorted(spans.values())
+        for (_, end), (start, _) in pairwise(ordered):
+            if start < end:
+                found.append(f"{task}: two runs for {end - start:.2f} s")
+    return found
+
+
+async def run(record: Record, folder: Path, is_disturbed: bool) -> int:
     """Return the result of the case."""
-    async with deployment(folder, record, DESIRED) as cluster:
-        changed = cluster.hosts[:2]
-        ends = [await change_settings(host, record, is_signalled) for host in changed]
-        for host in changed:
-            await cluster.wait_until_ready(host)
-            record.write(f"platform: {host.name} is ready")
-    record.write(f"processes that ended by themselves, by machine: {ends}")
-    return BROKEN if min(ends) >= CHANGES else HELD
+    async with deployment(folder, record, DESIRED, workers=WORKERS) as cluster:
+        await asyncio.sleep(1.0)
+        began_at = time.monotonic()
+        async with asyncio.TaskGroup() as group:
+            for number in range(CYCLES):
+                await sleep_until(began_at + number * CYCLE_SECONDS)
+                group.create_task(run_cycle(cluster, number, is_disturbed))
+        cluster.write_runs()
+        found = overlaps(cluster)
+    for text in found:
+        record.write(f"broken: {text}")
+    return BROKEN if found else HELD
 
 
 def main() -> int:
     """Run the case and return the exit code."""
     record = Record(FOLDER / "record.txt")
-    is_signalled = os.environ.get("TROUBLE", "1") != "0"
-    record.write(f"TROUBLE={int(is_signalled)}")
+    is_disturbed = os.environ.get("TROUBLE", "1") != "0"
+    record.write(f"TROUBLE={int(is_disturbed)}")
     with tempfile.TemporaryDirectory() as folder:
         try:
-            result = asyncio.run(run(record, Path(folder), is_signalled))
-        except TimeoutError:
+            result = asyncio.run(run(record, Path(folder), is_disturbed))
+        except* TimeoutError:
             result = NOT_RUN
     record.write(f"exit code {result}")
     return result
--- a/review/common-3/cluster.py
+++ b/review/common-3/cluster.py
@@ -6,6 +6,7 @@
 import logging
 import os
 import random
+import re
 import signal
 import socket
 import sys
@@ -29,7 +30,11 @@
     encode_server_row,
     serve_app,
 )
-from zinniatrestle.workers.messages import WorkerEntry, WorkerState
+from zinniatrestle.workers.messages import (
+    UnansweredOrderError,
+    WorkerEntry,
+    WorkerState,
+)
 
 Handler = Callable[[Request], Awaitable[Response]]
 ROOT = Path(__file__).resolve().parents[2]
@@ -121,7 +126,7 @@
 across = false
 historyS = 20
 [cloudApi]
-address = "{machines}"
+address = ""
 ratePerS = 60.0
 duties = []
 dutyPerS = 60.0
@@ -169,7 +174,7 @@
 class Host:
     """An entry host, started as the deploy file says."""
 
-    def __init__(self, number: int, folder: Path, store: str, machines: str):
+    def __init__(self, number: int, folder: Path, store: str, bounds: dict[str, int]):
         # Each host has an address of its own, as the port of the metrics is fixed.
         parts = [random.randint(1, 250) for _ in range(3)]
         self.ip = "127.{}.{}.{}".format(*parts)
@@ -179,8 +184,11 @@
         self.readiness = free_port(self.ip)
         self.settings = folder / f"{self.name}.toml"
         self.log = folder / f"{self.name}.log"
+        settings = SETTINGS
+        for name, value in bounds.items():
+            settings = re.sub(f"(?m)^{name} = .*$", f"{name} = {value}", settings)
         self.settings.write_text(
-            SETTINGS.format(
+            settings.format(
                 name=self.name,
                 ip=self.ip,
                 zone=f"zone-{domain}",
@@ -188,7 +196,6 @@
                 port=self.port,
                 readiness=self.readiness,
                 store=store,
-                machines=machines,
                 contracts=json.dumps(CONTRACTS),
             )
         )
@@ -268,11 +275,22 @@
 
 
 class CuttableWorker(WireFleetWorker):
-    """A worker that can be cut off: what is sent to it is lost, and it runs on."""
+    """A worker that can be cut off: what is sent to it is lost, and it runs on.
+
+    It is cut off from the hosts, or from the store, or from both.
+    """
 
     def __init__(self, fleet: SimulatedFleet, entry: WorkerEntry):
         super().__init__(fleet, entry)
         self.is_cut = False
+        self.is_cut_from_store = False
+        # What was under way when the worker was cut off is lost.
+        self.cuts = 0
+
+    def cut(self):
+        """Cut the worker off from the hosts."""
+        self.is_cut = True
+        self.cuts += 1
 
     async def start(self, request: Request) -> Response:
         """Start a run."""
@@ -287,9 +305,11 @@
         return await self._pass(super().hold, request)
 
     async def _pass(self, handle: Handler, request: Request) -> Response:
+        cuts = self.cuts
         if not self.is_cut:
-            response = await handle(request)
-        if self.is_cut:
+            with contextlib.suppress(UnansweredOrderError):
+                response = await handle(request)
+        if self.is_cut or self.cuts != cuts:
             await asyncio.sleep(LOST_SECONDS)
             return Response(status_code=503)
         return response
@@ -323,8 +343,8 @@
         self.record.write(f"operator: desired state {version} is confirmed")
 
     def beat(self, name: str):
-        """Write the entry of a worker, unless it is cut off."""
-        if self.apps[name].is_cut:
+        """Write the entry of a worker, unless it can't reach the store."""
+        if self.apps[name].is_cut_from_store:
             return
         worker = self.fleet.workers[name]
         entry = worker.entry
@@ -367,7 +387,8 @@
         """End a worker that has announced it, and remove its entry."""
         self.gone.add(name)
         self.fleet.crash(self.fleet.workers[name])
-        self.apps[name].is_cut = True
+        self.apps[name].cut()
+        self.apps[name].is_cut_from_store = True
         self.beats_at.pop(name, None)
         self.rows.put(SERVERS, RowName(name), None)
         self.record.write(f"worker {name}: has left")
@@ -426,16 +447,29 @@
             )
 
 
-def job(seconds: float, count: int = 1) -> dict:
-    """Return the body of a job of one step."""
-    script = TaskScript(seconds=seconds, steps=(Step(count=count, cpu=1000),))
-    estimate = int(seconds * 1000)
-    step = {"count": count, "cpu": 1000, "memMb": 100, "estimatedMs": estimate}
-    return {"spec": script.encoded(), "steps": [step]}
+def job(seconds: float, steps: int = 1) -> dict:
+    """Return the body of a job of some steps of one task, one after the other."""
+    shapes = tuple(Step(cpu=1000) for _ in range(steps))
+    script = TaskScript(seconds=seconds, steps=shapes)
+    body = []
+    for number in range(steps):
+        step = {"count": 1, "cpu": 1000, "memMb": 100}
+        step["estimatedMs"] = int(seconds * 1000)
+        if number:
+            step["after"] = [number - 1]
+        body.append(step)
+    return {"spec": script.encoded(), "steps": body}
 
 
 @contextlib.asynccontextmanager
-async def deployment(folder: Path, record: Record, desired: dict, hosts=3, workers=6):
+async def deployment(
+    folder: Path,
+    record: Record,
+    desired: dict,
+    hosts: int = 3,
+    workers: int = 6,
+    bounds: dict[str, int] | None = None,
+):
     """Start a deployment, and end all its processes afterwards."""
     cluster = Deployment(folder, record)
     async with contextlib.AsyncExitStack() as stack:
@@ -458,7 +492,7 @@
             tasks.append(asyncio.create_task(cluster.send_heartbeats(name)))
         try:
             for number in range(hosts):
-                host = Host(number, folder, store, "")
+                host = Host(number, folder, store, bounds or {})
                 cluster.hosts.append(host)
                 await host.start()
             for host in cluster.hosts:
