--- a/review/12/case.py
+++ b/review/12/case.py
@@ -17,6 +17,8 @@
 from zinniatrestle.standins.runs import EventKind  # noqa: E402
 
 HELD, BROKEN, NOT_RUN = 0, 1, 2
+# Deployments that run beside each other, and tries in each.
+DEPLOYMENTS = 2
 CYCLES = 13
 WORKERS = 18
 JOB_SECONDS = 8.5
@@ -121,8 +123,9 @@
     return found
 
 
-async def run(record: Record, folder: Path, is_disturbed: bool) -> int:
-    """Return the result of the case."""
+async def run_deployment(record: Record, folder: Path, is_disturbed: bool) -> list[str]:
+    """Return the tasks of one deployment that ran twice at the same time."""
+    folder.mkdir()
     async with deployment(folder, record, DESIRED, workers=WORKERS) as cluster:
         await asyncio.sleep(1.0)
         began_at = time.monotonic()
@@ -131,7 +134,18 @@
                 await sleep_until(began_at + number * CYCLE_SECONDS)
                 group.create_task(run_cycle(cluster, number, is_disturbed))
         cluster.write_runs()
-        found = overlaps(cluster)
+        return overlaps(cluster)
+
+
+async def run(record: Record, folder: Path, is_disturbed: bool) -> int:
+    """Return the result of the case."""
+    runs = []
+    async with asyncio.TaskGroup() as group:
+        for number in range(DEPLOYMENTS):
+            own = folder / str(number)
+            run = run_deployment(record, own, is_disturbed)
+            runs.append(group.create_task(run))
+    found = [text for run in runs for text in run.result()]
     for text in found:
         record.write(f"broken: {text}")
     return BROKEN if found else HELD
