Refuse unknown keys on queues that need none

Cause: account_for took a call with an unknown key on such a queue for a call without a key. That a queue needs no key says what becomes of calls without one, not of calls with a wrong one.

Ruled out: an old desired state, since the same host refuses the key on the other queue.

Change: a call with a key is refused unless the key is known; only a call without one depends on the queue. An empty one stays a call without a key.

--- a/src/zinniatrestle/platform/job_api.py
+++ b/src/zinniatrestle/platform/job_api.py
@@ -159,8 +159,7 @@
         give_up_at = monotonic() + _remaining_seconds(request)
         path = request.scope["path"]
         host = request.headers.get("host", "").partition(":")[0]
-        key = request.headers.get(KEY_HEADER)
-        admission = self.frontend.admit(host, path, ApiKey(key) if key else None)
+        admission = self.frontend.admit(host, path, _api_key(request))
         job_path = path[len(admission.queue.path) :]
         if request.method == "GET" and not job_path:
             pending = await self.frontend.pending(admission.queue)
@@ -194,6 +193,13 @@
         return Response(status_code=200 if self.frontend.ready() else 503)
 
 
+def _api_key(request: Request) -> ApiKey | None:
+    """Return the key of a call; several make one that is unknown."""
+    keys = [text.strip() for text in request.headers.getlist(KEY_HEADER)]
+    key = ", ".join(keys)
+    return ApiKey(key) if key else None
+
+
 def _job_id(text: str) -> JobId:
     digits = set("0123456789abcdefABCDEF")
     if len(text) != JOB_ID_DIGITS or not set(text) <= digits:
--- /dev/null
+++ b/src/zinniatrestle/platform/tests/test_keys.py
@@ -0,0 +1,92 @@
+"""Keys of calls: each queue refuses unknown ones, also one that needs no key."""
+
+import msgspec
+import pytest
+from common.raw_http import RawAnswer, exchange, raw_call
+
+from zinniatrestle.ids import RowName
+from zinniatrestle.platform.operator import PlatformOperatorRows
+from zinniatrestle.platform.tests.test_job_api import Callers, run_with_callers
+
+HOST = "queue.example"
+JOB_PATH = "00000000000000aa"
+JOB = msgspec.json.encode({"steps": [{}]})
+CALLS = [("POST", JOB_PATH), ("GET", JOB_PATH), ("GET", ""), ("DELETE", JOB_PATH)]
+REFUSED = 401
+
+
+def install(callers: Callers, version: int, keys: list[str]):
+    """Install a version with a queue that needs a key and one that needs none."""
+    routes = []
+    for name, is_anonymous in (("open", True), ("closed", False)):
+        route = {"name": name, "host": HOST, "pathPrefix": f"/{name}/", "service": "s"}
+        routes.append({**route, "allowAnonymous": is_anonymous})
+    tenants = [
+        {"name": "t", "apiKeys": ["k1", *keys]},
+        {"name": "other", "apiKeys": ["k2"]},
+    ]
+    config = {"version": version, "routes": routes, "tenants": tenants}
+    rows = PlatformOperatorRows()
+    decoded = rows.decode(RowName("config"), msgspec.json.encode(config))
+    assert callers.frontend.operator.install(decoded)
+
+
+async def call(
+    callers: Callers, method: str, path: str, keys: str | list[str] | None
+) -> RawAnswer:
+    headers = {"Host": HOST}
+    if keys is not None:
+        headers["Api-Key"] = keys
+    body = JOB if method == "POST" else b""
+    return await exchange(callers.address, raw_call(method, path, headers, body))
+
+
+# Guards against calls with a revoked key that run where none is needed (CONFIG, ROUTE).
+@pytest.mark.parametrize("queue", ["open", "closed"])
+@pytest.mark.parametrize(
+    "keys",
+    ["revoked", "never held", "K1", "k1, k2", ["k1", "k2"], ["k1", "k1"], ["", "k1"]],
+)
+def test_calls_with_an_unknown_key_are_refused_on_each_queue(queue, keys):
+    async def check(callers):
+        install(callers, 2, ["revoked"])
+        install(callers, 3, [])
+        for method, path in CALLS:
+            answer = await call(callers, method, f"/{queue}/{path}", keys)
+            assert (method, answer.status) == (method, REFUSED)
+        assert callers.is_empty()
+
+    run_with_callers(check)
+
+
+@pytest.mark.parametrize(
+    "keys, accepting",
+    [
+        (None, {"open"}),
+        ("", {"open"}),
+        ("  ", {"open"}),
+        ("k1", {"open", "closed"}),
+        (" k1\t ", {"open", "closed"}),
+        ("k2", {"open", "closed"}),
+    ],
+)
+def test_a_queue_that_needs_no_key_accepts_known_ones_and_none(keys, accepting):
+    async def check(callers):
+        install(callers, 2, [])
+        for queue in ("open", "closed"):
+            answer = await call(callers, "POST", f"/{queue}/{JOB_PATH}", keys)
+            assert answer.status == (200 if queue in accepting else REFUSED)
+
+    run_with_callers(check)
+
+
+def test_a_key_that_is_given_back_is_accepted_again():
+    async def check(callers):
+        statuses = []
+        for version, keys in ((2, ["k3"]), (3, []), (4, ["k3"])):
+            install(callers, version, keys)
+            answer = await call(callers, "POST", f"/open/{JOB_PATH}", "k3")
+            statuses.append(answer.status)
+        assert statuses == [200, REFUSED, 200]
+
+    run_with_callers(check)
--- a/src/zinniatrestle/queues/state.py
+++ b/src/zinniatrestle/queues/state.py
@@ -73,13 +73,16 @@
         raise NotFoundError("No queue has this host and path.")
 
     def account_for(self, queue: Queue, key: ApiKey | None) -> ClientAccountId:
-        """Return the client account of a key, or an empty id for anonymous callers.
+        """Return the client account of a key, or an empty id for callers without one.
 
-        Raises AuthenticationError for an unknown key if the queue is not anonymous.
+        Raises AuthenticationError for an unknown key, on any queue, and for a call
+        without a key if the queue is not anonymous.
         """
-        account = self.account_by_key.get(key) if key else None
-        if account is not None:
-            return account
-        if queue.anonymous:
-            return ClientAccountId("")
-        raise AuthenticationError("No client account has this key.")
+        if key is None:
+            if queue.anonymous:
+                return ClientAccountId("")
+            raise AuthenticationError("Send a key of a client account with the call.")
+        account = self.account_by_key.get(key)
+        if account is None:
+            raise AuthenticationError("No client account has this key.")
+        return account
--- a/src/zinniatrestle/queues/tests/test_state.py
+++ b/src/zinniatrestle/queues/tests/test_state.py
@@ -42,6 +42,20 @@
         state.account_for(queue, ApiKey("k"))
 
 
+# Guards against calls with a revoked key that run where none is needed (CONFIG, ROUTE).
+@pytest.mark.parametrize("key", ["revoked", "never held", ""])
+def test_an_unknown_key_is_refused_on_a_queue_that_needs_none(key):
+    queue = Queue("open", HOST, "/open/", "service", anonymous=True)
+    state = OperatorState()
+    for version, held in ((1, {"revoked", "k"}), (2, {"k"})):
+        accounts = (Account("account", frozenset(held)),)
+        state.install(DesiredState(version, (queue,), (), accounts))
+    with pytest.raises(AuthenticationError):
+        state.account_for(queue, ApiKey(key))
+    assert state.account_for(queue, ApiKey("k")) == "account"
+    assert state.account_for(queue, None) == ""
+
+
 @pytest.mark.parametrize(
     "now, expected", [(10.0, Freshness.FRESH), (13.5, Freshness.STALE)]
 )
--- a/tests/common/raw_http.py
+++ b/tests/common/raw_http.py
@@ -26,10 +26,10 @@
 def raw_call(
     method: str = "POST",
     path: str | bytes = "/",
-    headers: dict[str, str] | None = None,
+    headers: dict[str, str | list[str]] | None = None,
     body: bytes = b"",
 ) -> bytes:
-    """Return the bytes of a call."""
+    """Return the bytes of a call; a header with a list has a line for each value."""
     raw_path = path if isinstance(path, bytes) else path.encode("latin-1")
     lines = [method.encode() + b" " + raw_path + b" HTTP/1.1"]
     fields = {
@@ -38,7 +38,8 @@
         **(headers or {}),
     }
     for name, value in fields.items():
-        lines.append(f"{name}: {value}".encode("latin-1"))
+        for text in value if isinstance(value, list) else [value]:
+            lines.append(f"{name}: {text}".encode("latin-1"))
     return b"\r\n".join(lines) + b"\r\n\r\n" + body
 
 
