Show and cancel jobs for their own client account only

Callers with the key of any client account, or through a queue that needs none without a key, could learn the state of each job whose id they knew, and cancel it.

Change: the stored progress of a job has its account. A call about a job of another account is answered like one about an unknown id (410), with a line request_refused, and changes nothing; no mark of a withdrawn job is stored. Jobs without an account are everyone's. A job of the call's own queue can be asked for and cancelled without a key if the queue needs none.

Not done: a submission under the id of another account's job is answered like a repeated one.

--- a/src/zinniatrestle/jobs/intake.py
+++ b/src/zinniatrestle/jobs/intake.py
@@ -36,7 +36,7 @@
     IntakeSettings,
     Withdrawals,
 )
-from zinniatrestle.queues import Queue
+from zinniatrestle.queues import Admission, Queue
 from zinniatrestle.rows import Expect, RowStore, StoredRow, TransactionResult, Write
 from zinniatrestle.rows.retries import RETRY_SECONDS, transact_with_retries
 
@@ -164,7 +164,12 @@
             first_due_ms=job_request.first_due_ms,
             every_ms=job_request.every_ms,
         )
-        progress = JobProgress(queue=queue.name, timed=submission.timed, changed_at=now)
+        progress = JobProgress(
+            queue=queue.name,
+            timed=submission.timed,
+            changed_at=now,
+            account=account,
+        )
         name = row_name(job)
         encoded = encode_submission(submission)
         if len(encoded) * BASE64_FACTOR > self.limits.row_bytes:
@@ -233,12 +238,28 @@
         """Return whether a job has been accepted; raises StoreUnavailableError."""
         return await self.store.row(PROGRESS, row_name(job)) is not None
 
-    async def state(self, job: JobId) -> JobState:
+    async def state(self, job: JobId, admission: Admission) -> JobState:
         """Return a job's state; raises NotFoundError, StoreUnavailableError."""
         row = await self.store.row(PROGRESS, row_name(job))
         if row is None:
             raise NotFoundError("No such job.", ResultCode.NO_SUCH_JOB)
-        return self._decode_progress(row).state
+        progress = self._decode_progress(row)
+        self._check_access(job, admission, progress)
+        return progress.state
+
+    def _check_access(self, job: JobId, admission: Admission, progress: JobProgress):
+        """Raise NotFoundError for a job of another client account."""
+        if admission.permits(progress.queue, progress.account):
+            return
+        self.events.write_deduplicated(
+            Event.REQUEST_REFUSED,
+            "job of another account",
+            job=job,
+            account=admission.account,
+        )
+        raise NotFoundError(
+            "No such job of this client account.", ResultCode.NO_SUCH_JOB
+        )
 
     def _decode_progress(self, row: StoredRow) -> JobProgress:
         """Decode a job's progress; raises DamagedRowError."""
@@ -251,8 +272,8 @@
             self.rejections.accept(row.name)
         return progress
 
-    async def cancel(self, job: JobId, account: ClientAccountId, deadline: float):
-        """Cancel a job permanently, for a caller of a client account.
+    async def cancel(self, job: JobId, admission: Admission, deadline: float):
+        """Cancel a job permanently, for an admitted call.
 
         Raises NotFoundError, UnknownOutcomeError, TooManyWithdrawalsError and
         DamagedRowError. After NotFoundError no acceptance of the job that began before
@@ -268,13 +289,16 @@
             try:
                 row = await self.store.row(PROGRESS, name)
                 if row is None:
-                    if not await self.withdrawals.withdraw(job, account, deadline):
+                    if not await self.withdrawals.withdraw(
+                        job, admission.account, deadline
+                    ):
                         continue
                     raise NotFoundError("No such job.", ResultCode.NO_SUCH_JOB)
             except StoreUnavailableError:
                 await asyncio.sleep(RETRY_SECONDS)
                 continue
             progress = self._decode_progress(row)
+            self._check_access(job, admission, progress)
             if progress.state.ended:
                 return
             progress.state = JobState.CANCELLED
--- a/src/zinniatrestle/jobs/messages.py
+++ b/src/zinniatrestle/jobs/messages.py
@@ -138,6 +138,7 @@
     `finished` holds finished steps as OCCURRENCE.STEP; all occurrences before
     `finished_before` are finished as well. The keys of `tasks` are
     OCCURRENCE.STEP.INDEX. `started` means that a worker is known to have started one.
+    `account` is empty for a job that was submitted without a key.
     """
 
     state: JobState = JobState.PENDING
@@ -148,6 +149,7 @@
     finished: list[str] = []
     tasks: dict[str, TaskProgress] = {}
     started: bool = False
+    account: ClientAccountId = ClientAccountId("")
 
     @property
     def has_started(self) -> bool:
@@ -188,6 +190,7 @@
     places: list[tuple[WorkerId, InstanceId]] = []
     steps: dict[str, dict[int, StoredTask]] = {}
     started: bool = False
+    account: ClientAccountId = ClientAccountId("")
 
 
 def row_name(job: JobId) -> RowName:
@@ -260,6 +263,7 @@
         list(places),
         steps,
         progress.started,
+        progress.account,
     )
     return msgspec.msgpack.encode(stored)
 
@@ -287,4 +291,5 @@
         stored.finished,
         tasks,
         stored.started,
+        stored.account,
     )
--- a/src/zinniatrestle/jobs/tests/test_withdrawals.py
+++ b/src/zinniatrestle/jobs/tests/test_withdrawals.py
@@ -142,7 +142,7 @@
             await cancel(model.hosts[0])
         for host in model.hosts:
             with pytest.raises(NotFoundError) as caught:
-                await host.frontend.show(JOB)
+                await host.frontend.show(admit(host), JOB)
             assert caught.value.code is ResultCode.NO_SUCH_JOB
             with pytest.raises(RetryLaterError) as caught:
                 await accept(host)
--- a/src/zinniatrestle/platform/job_api.py
+++ b/src/zinniatrestle/platform/job_api.py
@@ -174,7 +174,7 @@
         if request.method == "DELETE":
             await self.frontend.cancel(admission, job, give_up_at)
             return _json_response({})
-        state = await self.frontend.show(job)
+        state = await self.frontend.show(admission, job)
         return _json_response(WireState(state.value))
 
 
--- a/src/zinniatrestle/platform/tests/test_keys.py
+++ b/src/zinniatrestle/platform/tests/test_keys.py
@@ -5,6 +5,7 @@
 from common.raw_http import RawAnswer, exchange, raw_call
 
 from zinniatrestle.ids import RowName
+from zinniatrestle.jobs.messages import PROGRESS, JobState, decode_progress
 from zinniatrestle.platform.operator import PlatformOperatorRows
 from zinniatrestle.platform.tests.test_job_api import Callers, run_with_callers
 
@@ -13,6 +14,7 @@
 JOB = msgspec.json.encode({"steps": [{}]})
 CALLS = [("POST", JOB_PATH), ("GET", JOB_PATH), ("GET", ""), ("DELETE", JOB_PATH)]
 REFUSED = 401
+NO_SUCH_JOB = 410
 
 
 def install(callers: Callers, version: int, keys: list[str]):
@@ -90,3 +92,42 @@
         assert statuses == [200, REFUSED, 200]
 
     run_with_callers(check)
+
+
+# Guards against callers who learn of, or cancel, the jobs of other client accounts.
+@pytest.mark.parametrize(
+    "submitted, asked, is_permitted",
+    [
+        (("closed", "k1"), ("closed", "k1"), True),
+        (("closed", "k1"), ("closed", "k3"), True),
+        (("closed", "k1"), ("open", "k1"), True),
+        (("closed", "k1"), ("closed", "k2"), False),
+        (("closed", "k1"), ("open", "k2"), False),
+        (("closed", "k1"), ("open", None), False),
+        (("open", "k1"), ("open", "k1"), True),
+        (("open", "k1"), ("open", "k2"), True),
+        (("open", "k1"), ("open", None), True),
+        (("open", "k1"), ("closed", "k2"), False),
+        (("open", None), ("open", None), True),
+        (("open", None), ("open", "k2"), True),
+        (("open", None), ("closed", "k2"), True),
+    ],
+)
+def test_a_job_is_shown_and_cancelled_for_its_account_only(
+    submitted, asked, is_permitted
+):
+    async def check(callers):
+        install(callers, 2, ["k3"])
+        queue, key = submitted
+        answer = await call(callers, "POST", f"/{queue}/{JOB_PATH}", key)
+        assert answer.status == 200
+        queue, key = asked
+        expected = 200 if is_permitted else NO_SUCH_JOB
+        for method in ("GET", "DELETE"):
+            answer = await call(callers, method, f"/{queue}/{JOB_PATH}", key)
+            assert (method, answer.status) == (method, expected)
+        progress = callers.rows.row(PROGRESS, RowName(JOB_PATH))
+        is_cancelled = decode_progress(progress.value).state is JobState.CANCELLED
+        assert is_cancelled == is_permitted
+
+    run_with_callers(check)
--- a/src/zinniatrestle/queues/__init__.py
+++ b/src/zinniatrestle/queues/__init__.py
@@ -3,6 +3,7 @@
 from zinniatrestle.queues.follower import DesiredStateReader
 from zinniatrestle.queues.messages import (
     Account,
+    Admission,
     AdviceTerms,
     DesiredState,
     Queue,
@@ -14,6 +15,7 @@
 
 __all__ = [
     "Account",
+    "Admission",
     "AdviceTerms",
     "DesiredState",
     "DesiredStateReader",
--- a/src/zinniatrestle/queues/messages.py
+++ b/src/zinniatrestle/queues/messages.py
@@ -46,6 +46,23 @@
     advice: AdviceTerms | None = None
 
 
+class Admission(msgspec.Struct, frozen=True):
+    """Queue and client account of an admitted call; no account if it has no key."""
+
+    queue: Queue
+    account: ClientAccountId
+
+    def permits(self, queue: QueueName, account: ClientAccountId) -> bool:
+        """Return whether the call may be about a job of a queue and an account.
+
+        A job without an account is everyone's, and so is one of the call's own queue if
+        that needs no key.
+        """
+        if not account or account == self.account:
+            return True
+        return self.queue.anonymous and queue == self.queue.name
+
+
 class Service(msgspec.Struct, frozen=True):
     """A pool of workers; with `enforces_capacity` they refuse tasks that don't fit."""
 
--- a/src/zinniatrestle/scheduling/state.py
+++ b/src/zinniatrestle/scheduling/state.py
@@ -546,6 +546,7 @@
             finished=sorted(self.finished_steps),
             tasks={} if self.ended and not self.allocated_tasks() else tasks,
             started=self.has_started,
+            account=self.submission.account,
         )
 
 
--- a/src/zinniatrestle/scheduling/tests/test_damaged_rows.py
+++ b/src/zinniatrestle/scheduling/tests/test_damaged_rows.py
@@ -139,10 +139,10 @@
         assert not [task for task in placed if task.startswith(job)]
         assert events_of(model, "task_failed") == []
         host = model.hosts[0]
+        admission = host.frontend.admit("queues.example", "/usual/", "key-first")
         with pytest.raises(RetryLaterError) as caught:
-            await host.frontend.show(job)
+            await host.frontend.show(admission, job)
         assert caught.value.code is ResultCode.DAMAGED_ROW
-        admission = host.frontend.admit("queues.example", "/usual/", "key-first")
         with pytest.raises(StoreUnavailableError) as caught:
             await host.frontend.cancel(admission, job, monotonic() + 3.0)
         assert caught.value.code is ResultCode.DAMAGED_ROW
--- a/src/zinniatrestle/serving/frontend.py
+++ b/src/zinniatrestle/serving/frontend.py
@@ -2,7 +2,6 @@
 
 import math
 from collections.abc import Callable
-from typing import NamedTuple
 
 from zinniatrestle.clock import boot_time
 from zinniatrestle.deployment import Bounds
@@ -18,7 +17,7 @@
 from zinniatrestle.jobs import JobIntake, JobState, WithdrawalError
 from zinniatrestle.jobs.intake import JobRequest
 from zinniatrestle.metrics import Metrics
-from zinniatrestle.queues import Freshness, OperatorState, Queue
+from zinniatrestle.queues import Admission, Freshness, OperatorState, Queue
 from zinniatrestle.scheduling.backlog import work_bytes
 from zinniatrestle.scheduling.leadership import Leadership
 from zinniatrestle.serving.allowance import AcceptanceAllowance, AcceptedJob
@@ -58,13 +57,6 @@
         )
 
 
-class Admission(NamedTuple):
-    """Queue and client account of an admitted request."""
-
-    queue: Queue
-    account: ClientAccountId
-
-
 class Frontend:
     """Admit callers by the desired state and answer them from the store."""
 
@@ -167,10 +159,10 @@
         )
         raise BacklogFullError
 
-    async def show(self, job: JobId) -> JobState:
+    async def show(self, admission: Admission, job: JobId) -> JobState:
         """Return a job's state; raises NotFoundError and RetryLaterError."""
         try:
-            return await self.intake.state(job)
+            return await self.intake.state(job, admission)
         except StoreUnavailableError as error:
             self._record_refusal(error.code, job=job)
             raise RetryLaterError(error.detail, error.code) from error
@@ -182,7 +174,7 @@
         of JobIntake.cancel.
         """
         try:
-            await self.intake.cancel(job, admission.account, give_up_at)
+            await self.intake.cancel(job, admission, give_up_at)
         except WithdrawalError as error:
             raise self._retry_later(job, error) from error
         except NotFoundError:
--- a/src/zinniatrestle/serving/tests/test_frontend.py
+++ b/src/zinniatrestle/serving/tests/test_frontend.py
@@ -106,9 +106,9 @@
         await accept(model.hosts[1])
         assert model.rows.row("progress", JOB) is not None
         await asyncio.sleep(10.0)
-        assert await host.frontend.show(JOB) is JobState.COMPLETED
+        assert await host.frontend.show(admit(host), JOB) is JobState.COMPLETED
         await accept(host)
-        assert await host.frontend.show(JOB) is JobState.COMPLETED
+        assert await host.frontend.show(admit(host), JOB) is JobState.COMPLETED
         assert version > 0
 
     run_with_host(check)
@@ -180,7 +180,7 @@
 def test_a_job_that_was_never_submitted_is_not_found():
     async def check(model, host):
         with pytest.raises(NotFoundError) as caught:
-            await host.frontend.show(JOB)
+            await host.frontend.show(admit(host), JOB)
         assert caught.value.code is ResultCode.NO_SUCH_JOB
         with pytest.raises(NotFoundError):
             await cancel(host)
@@ -193,7 +193,7 @@
         await accept(host, job_request=JobRequest('{"seconds":30}', (step(4),)))
         await asyncio.sleep(1.0)
         await cancel(host)
-        assert await host.frontend.show(JOB) is JobState.CANCELLED
+        assert await host.frontend.show(admit(host), JOB) is JobState.CANCELLED
         await asyncio.sleep(2.0)
         assert not any(worker.running for worker in model.fleet.workers.values())
         await cancel(host)
--- a/src/zinniatrestle/standins/model.py
+++ b/src/zinniatrestle/standins/model.py
@@ -29,13 +29,13 @@
 from zinniatrestle.jobs.messages import PROGRESS, decode_progress, row_name
 from zinniatrestle.machines import MachineWatch
 from zinniatrestle.metrics import Metrics
-from zinniatrestle.queues import DesiredStateReader, OperatorState, Queue
+from zinniatrestle.queues import Admission, DesiredStateReader, OperatorState, Queue
 from zinniatrestle.rows.feed import Feed
 from zinniatrestle.scheduling.backlog import WorkSettings
 from zinniatrestle.scheduling.context import Policy, SchedulerContext
 from zinniatrestle.scheduling.leader_loop import run_while_leader
 from zinniatrestle.scheduling.leadership import Leadership
-from zinniatrestle.serving import Admission, Frontend, RetryLaterError
+from zinniatrestle.serving import Frontend, RetryLaterError
 from zinniatrestle.standins.fleet import MemoryWorkerRows, SimulatedFleet
 from zinniatrestle.standins.host_orders import HostOrders
 from zinniatrestle.standins.machines import MemoryWaveRows, SimulatedMachines
