Acknowledge ends only to the instance that counts them

Cause: retries of start orders reach the new instance, which has the same id. The hold that was under way at the crash is repeated with the number of the former instance's last stored end, and the new instance drops its own ends up to that number before anybody has read them. Which instance answered is only known afterwards.

Change: a connection ends with the process at its other end. A hold acknowledges ends only over a connection that was opened before this instance was last known to serve, and none after a hold that failed, until the instance has answered again. A worker that closes its connections after each answer gets acknowledgements after three answered holds. The pool tells when a connection was opened, and the stand-in of orders has connections.

--- a/src/zinniatrestle/platform/connections.py
+++ b/src/zinniatrestle/platform/connections.py
@@ -11,8 +11,10 @@
 
 import httptools
 
-from zinniatrestle.clock import monotonic
+from zinniatrestle.clock import boot_time, monotonic
+from zinniatrestle.ids import BootSeconds
 from zinniatrestle.platform.http import (
+    Body,
     CallEffect,
     CallError,
     HttpAnswer,
@@ -43,6 +45,9 @@
         # Without a length the answer ends with the connection.
         self.has_length = False
         self.idle_since = 0.0
+        self.opened_at = BootSeconds(0.0)
+        # When the current call was sent.
+        self.sent_at = BootSeconds(0.0)
         # When data arrived last.
         self.received_at = 0.0
 
@@ -57,6 +62,7 @@
             raise CallError(CallEffect.NO_EFFECT, "the connection is closed")
         self.answer = asyncio.get_running_loop().create_future()
         self._begin_answer()
+        self.sent_at = boot_time()
         self.transport.write(request)
         return self.answer
 
@@ -84,6 +90,7 @@
     def connection_made(self, transport: asyncio.Transport):
         """Keep the transport."""
         self.transport = transport
+        self.opened_at = boot_time()
 
     def data_received(self, data: bytes):
         """Parse a part of the answer."""
@@ -136,7 +143,9 @@
         if not self._is_waiting():
             return
         status = self.parser.get_status_code()
-        self.answer.set_result(HttpAnswer(status, b"".join(self.chunks)))
+        self.answer.set_result(
+            HttpAnswer(status, b"".join(self.chunks), self.opened_at, self.sent_at)
+        )
         self.chunks = []
         if not self.parser.should_keep_alive():
             self.transport.close()
@@ -159,7 +168,7 @@
         address: str,
         path: str,
         timeout: float,
-        body: bytes | None = None,
+        body: Body | None = None,
         headers: dict[str, str] | None = None,
         query: dict[str, Any] | None = None,
         extra_body_seconds: float = 0.0,
@@ -172,7 +181,7 @@
         the connection is open; if it returns False nothing is sent.
         """
         target = f"{path}?{urlencode(query)}" if query else path
-        request = _encode(method, address, target, body, headers or {})
+        head = _head_lines(method, address, target, headers or {})
         ends_at = monotonic() + timeout
         connection = self._take_idle(address)
         if connection is None:
@@ -185,7 +194,9 @@
         self.busy.add(connection)
         answer = None
         try:
-            pending = connection.send(request)
+            if callable(body):
+                body = body(connection.opened_at)
+            pending = connection.send(_encode(head, body))
             gives_up_at = ends_at + extra_body_seconds
             # An answer that has arrived counts, also if this host was too busy to read
             # it before the timeout; a cancellation by a timer would drop it.
@@ -265,13 +276,11 @@
         return connection
 
 
-def _encode(
-    method: str, address: str, target: str, body: bytes | None, headers: dict[str, str]
+def _head_lines(
+    method: str, address: str, target: str, headers: dict[str, str]
 ) -> bytes:
+    """Return the lines of a request's head but those of its body; raises CallError."""
     lines = [f"{method} {target} HTTP/1.1", f"Host: {address}"]
-    if body is not None:
-        lines.append("Content-Type: application/json")
-        lines.append(f"Content-Length: {len(body)}")
     lines.extend(f"{name}: {value}" for name, value in headers.items())
     for line in lines:
         if not line.isprintable():
@@ -279,7 +288,13 @@
                 CallEffect.NO_EFFECT, f"the line {line!r} can't be sent as a header"
             )
     try:
-        head = "\r\n".join([*lines, "", ""]).encode()
+        return "\r\n".join([*lines, ""]).encode()
     except UnicodeEncodeError as error:
         raise CallError(CallEffect.NO_EFFECT, f"the header: {error}") from error
-    return head + (body or b"")
+
+
+def _encode(head: bytes, body: bytes | None) -> bytes:
+    if body is None:
+        return head + b"\r\n"
+    lines = f"Content-Type: application/json\r\nContent-Length: {len(body)}\r\n\r\n"
+    return head + lines.encode() + body
--- a/src/zinniatrestle/platform/http.py
+++ b/src/zinniatrestle/platform/http.py
@@ -5,6 +5,12 @@
 from enum import Enum
 from typing import Any
 
+from zinniatrestle.ids import BootSeconds
+
+UNKNOWN_TIME = BootSeconds(float("-inf"))
+# A body, or what returns it for the time at which the connection was opened.
+Body = bytes | Callable[[BootSeconds], bytes]
+
 
 class CallEffect(Enum):
     """Whether a failed call may have taken effect."""
@@ -33,11 +39,19 @@
 
 
 class HttpAnswer:
-    """Status and body of an answer."""
+    """Status and body of an answer, and the times of its connection and its call."""
 
-    def __init__(self, status: int, body: bytes):
+    def __init__(
+        self,
+        status: int,
+        body: bytes,
+        opened_at: BootSeconds = UNKNOWN_TIME,
+        sent_at: BootSeconds = UNKNOWN_TIME,
+    ):
         self.status = status
         self.body = body
+        self.opened_at = opened_at
+        self.sent_at = sent_at
 
 
 class HttpCaller(ABC):
@@ -50,7 +64,7 @@
         address: str,
         path: str,
         timeout: float,
-        body: bytes | None = None,
+        body: Body | None = None,
         headers: dict[str, str] | None = None,
         query: dict[str, Any] | None = None,
         extra_body_seconds: float = 0.0,
--- a/src/zinniatrestle/platform/orders.py
+++ b/src/zinniatrestle/platform/orders.py
@@ -17,10 +17,17 @@
     summarize,
 )
 from zinniatrestle.errors import MalformedInputError
-from zinniatrestle.ids import Generation, InstanceId, RunNumber, TaskId
-from zinniatrestle.platform.http import CallEffect, CallError, HttpAnswer, HttpCaller
+from zinniatrestle.ids import BootSeconds, Generation, InstanceId, RunNumber, TaskId
+from zinniatrestle.platform.http import (
+    Body,
+    CallEffect,
+    CallError,
+    HttpAnswer,
+    HttpCaller,
+)
 from zinniatrestle.workers.interfaces import OrderPermission, WorkerOrders
 from zinniatrestle.workers.messages import (
+    Acknowledgement,
     EndedRun,
     HoldAnswer,
     MalformedAnswerError,
@@ -177,7 +184,7 @@
         self, worker: WorkerEntry, order: StartOrder, timeout: float
     ) -> int:
         """Start a run and return the worker's clock in milliseconds."""
-        body = WireStart(
+        wire = WireStart(
             order.task,
             order.run,
             order.spec,
@@ -186,6 +193,7 @@
             order.checkpoint,
             order.ticket,
         )
+        body = msgspec.json.encode(wire)
         may_send = partial(self.permission.permits_orders, order.generation)
         answer = await self._call(worker, "/-/run-start", body, timeout, may_send)
         return _decode(answer.body, WireClock).clockMs
@@ -199,7 +207,7 @@
         timeout: float,
     ):
         """Stop a run, or prevent its start if the start order has not arrived yet."""
-        body = WireStop(task, run, generation)
+        body = msgspec.json.encode(WireStop(task, run, generation))
         may_send = partial(self.permission.permits_orders, generation)
         await self._call(worker, "/-/run-stop", body, timeout, may_send)
 
@@ -213,7 +221,7 @@
         timeout: float,
     ):
         """Let a run work at `percent` of its speed."""
-        body = WirePace(task, run, percent, generation)
+        body = msgspec.json.encode(WirePace(task, run, percent, generation))
         may_send = partial(self.permission.permits_orders, generation)
         await self._call(worker, "/-/pace", body, timeout, may_send)
 
@@ -221,24 +229,33 @@
         self,
         worker: WorkerEntry,
         generation: Generation,
-        acknowledged_end: int,
+        acknowledgement: Acknowledgement,
         deadline_ms: int | None,
         wait: float,
         timeout: float,
     ) -> HoldAnswer:
         """Extend the leases of all runs and wait up to `wait` s for one to end."""
-        body = WireHold(
-            generation, acknowledged_end, deadline_ms, int(wait * MS_PER_SECOND)
-        )
+
+        def encode(opened_at: BootSeconds) -> bytes:
+            number = acknowledgement.number_over(opened_at)
+            wait_ms = int(wait * MS_PER_SECOND)
+            return msgspec.json.encode(
+                WireHold(generation, number, deadline_ms, wait_ms)
+            )
+
         may_send = partial(self.permission.permits_holds, generation)
-        answer = await self._call(worker, "/-/hold", body, wait + timeout, may_send)
-        return decode_hold_answer(answer.body)
+        answer = await self._call(worker, "/-/hold", encode, wait + timeout, may_send)
+        return msgspec.structs.replace(
+            decode_hold_answer(answer.body),
+            acknowledged_end=acknowledgement.number_over(answer.opened_at),
+            sent_at=answer.sent_at,
+        )
 
     async def _call(
         self,
         worker: WorkerEntry,
         path: str,
-        body: Any,
+        body: Body,
         timeout: float,
         may_send: Callable[[], bool],
     ) -> HttpAnswer:
@@ -248,7 +265,7 @@
                 worker.address,
                 path,
                 timeout,
-                msgspec.json.encode(body),
+                body,
                 headers={INSTANCE_HEADER: worker.worker},
                 may_send=may_send,
             )
--- a/src/zinniatrestle/platform/tests/test_orders.py
+++ b/src/zinniatrestle/platform/tests/test_orders.py
@@ -14,13 +14,15 @@
 from common.permission import Permission
 from hypothesis import given
 
+from zinniatrestle.clock import boot_time
 from zinniatrestle.errors import WorkerError
-from zinniatrestle.ids import Generation, RowName, RunNumber, TaskId
+from zinniatrestle.ids import BootSeconds, Generation, RowName, RunNumber, TaskId
 from zinniatrestle.platform.connections import ConnectionPool
 from zinniatrestle.platform.orders import PlatformWorkerOrders, decode_hold_answer
 from zinniatrestle.platform.registry import PlatformWorkerRows
 from zinniatrestle.standins.wire import WireWorker, serve_app
 from zinniatrestle.workers.messages import (
+    Acknowledgement,
     MalformedAnswerError,
     Refusal,
     RefusedOrderError,
@@ -31,6 +33,7 @@
 
 TASK = TaskId("00000000000000aa.0.0.0")
 GENERATION = Generation(3)
+ALWAYS = Acknowledgement(57, BootSeconds(float("inf")))
 # Also the time for which a test waits for a worker that never answers.
 TIMEOUT_SECONDS = 1.0
 ENTRY = {
@@ -144,6 +147,28 @@
     run_with_worker(check)
 
 
+# Guards against a new instance that forgets ends which nobody has read (TWICE).
+def test_ends_are_acknowledged_only_over_connections_opened_before_a_time():
+    async def check(worker, orders, worker_entry):
+        worker.body = {"clockMs": 7000}
+        confirmed_at = boot_time()
+        for _ in range(2):
+            answer = await orders.hold(
+                worker_entry,
+                GENERATION,
+                Acknowledgement(57, confirmed_at),
+                None,
+                0.0,
+                TIMEOUT_SECONDS,
+            )
+            assert confirmed_at < answer.sent_at <= boot_time()
+            confirmed_at = answer.sent_at
+        assert [body["lastSeen"] for _, body, _ in worker.calls] == [0, 57]
+        assert answer.acknowledged_end == 57
+
+    run_with_worker(check)
+
+
 def test_a_hold_decodes_running_and_ended_runs():
     async def check(worker, orders, worker_entry):
         worker.body = {
@@ -153,7 +178,7 @@
             "ended": [[58, TASK, 1, "broken", ""]],
         }
         answer = await orders.hold(
-            worker_entry, GENERATION, 57, 12000, 0.1, TIMEOUT_SECONDS
+            worker_entry, GENERATION, ALWAYS, 12000, 0.1, TIMEOUT_SECONDS
         )
         assert (answer.clock_ms, answer.instance) == (7000, 17)
         assert answer.running[0].percent == 41
@@ -325,7 +350,7 @@
                 worker_entry, TASK, RunNumber(2), 50, GENERATION, TIMEOUT_SECONDS
             ),
             "hold": lambda: orders.hold(
-                worker_entry, GENERATION, 0, None, 0.0, TIMEOUT_SECONDS
+                worker_entry, GENERATION, ALWAYS, None, 0.0, TIMEOUT_SECONDS
             ),
         }
         with pytest.raises(RefusedOrderError) as caught:
--- a/src/zinniatrestle/scheduling/session.py
+++ b/src/zinniatrestle/scheduling/session.py
@@ -20,6 +20,7 @@
 from zinniatrestle.supervision import Supervisor
 from zinniatrestle.workers.interfaces import WorkerOrders
 from zinniatrestle.workers.messages import (
+    Acknowledgement,
     HoldAnswer,
     MalformedAnswerError,
     Refusal,
@@ -28,6 +29,9 @@
     UnansweredOrderError,
 )
 
+# Consecutive answered holds over new connections after which a worker counts as one
+# that closes its connections, so that it learns of stored ends all the same.
+MAX_WITHHELD = 3
 # Share of the longest permitted hold for which leases are extended. Runs on a worker
 # that is cut off can be restarted elsewhere after this time, and a successor has to
 # take over within it.
@@ -143,6 +147,11 @@
         self.events = events
         self.rejections = RejectionLog(events, "answer of a worker")
         self.supervisor = Supervisor(events)
+        # When the latest hold was sent that the worker's instance has answered, if none
+        # has failed since.
+        self.confirmed_at = BootSeconds(float("-inf"))
+        # Consecutive answered holds over new connections, which acknowledged no ends.
+        self.withheld = 0
         self.outbox: asyncio.Queue[Callable[[], Awaitable[None]]] = asyncio.Queue()
         # When a start or a stop was last left without an answer to any try.
         self.unanswered_at = BootSeconds(float("-inf"))
@@ -174,12 +183,13 @@
                 continue
             asked_at = boot_time()
             deadline = self._deadline(asked_at, self.hold_seconds)
+            acknowledgement = self._acknowledgement()
             timeout = HOLD_RETRY_TIMEOUT_SECONDS if misses else HOLD_TIMEOUT_SECONDS
             try:
                 answer = await self.orders.hold(
                     worker.entry,
                     self.generation,
-                    worker.acknowledged_end,
+                    acknowledgement,
                     deadline,
                     wait,
                     timeout,
@@ -190,6 +200,7 @@
                     await asyncio.sleep(RETRY_SECONDS)
                     continue
                 misses += 1
+                self._forget_confirmation()
                 wait = 0.0
                 if not self._handle_refused_hold(error):
                     return
@@ -199,6 +210,7 @@
                 if isinstance(error, MalformedAnswerError):
                     self.rejections.reject(worker.id, error.detail)
                 misses += 1
+                self._forget_confirmation()
                 wait = 0.0
                 if misses >= MISSES_UNTIL_SILENT:
                     self.listener.mark_silent(worker, refused=False)
@@ -214,6 +226,7 @@
             if self._is_from_another_instance(answer):
                 self.listener.instance_replaced(worker, answer.instance)
                 return
+            self._confirm(acknowledgement, answer)
             if answer.damage:
                 self.rejections.reject(worker.id, answer.damage)
             else:
@@ -229,6 +242,26 @@
                 await asyncio.wait({worker.save_task}, timeout=HOLD_WAIT_SECONDS)
             wait = self._next_wait(deadline)
 
+    def _acknowledgement(self) -> Acknowledgement:
+        """Return the ends that a hold acknowledges, if the same instance answers."""
+        confirmed_at = self.confirmed_at
+        if self.withheld >= MAX_WITHHELD:
+            confirmed_at = BootSeconds(float("inf"))
+        return Acknowledgement(self.worker.acknowledged_end, confirmed_at)
+
+    def _confirm(self, acknowledgement: Acknowledgement, answer: HoldAnswer):
+        """Note that the worker's instance has answered a hold."""
+        self.confirmed_at = max(self.confirmed_at, answer.sent_at)
+        if answer.acknowledged_end < acknowledgement.number:
+            self.withheld += 1
+        elif self.withheld < MAX_WITHHELD:
+            self.withheld = 0
+
+    def _forget_confirmation(self):
+        """Acknowledge nothing before the instance has answered again."""
+        self.confirmed_at = BootSeconds(float("-inf"))
+        self.withheld = 0
+
     def _is_from_another_instance(self, answer: HoldAnswer) -> bool:
         known = self.worker.entry.instance
         return bool(known and answer.instance) and answer.instance != known
--- a/src/zinniatrestle/scheduling/tests/test_odd_reports.py
+++ b/src/zinniatrestle/scheduling/tests/test_odd_reports.py
@@ -109,10 +109,10 @@
     acknowledged = []
     send_hold = HostOrders.hold
 
-    async def hold(self, worker, generation, acknowledged_end, *args):
-        acknowledged.append(acknowledged_end)
-        answer = await send_hold(self, worker, generation, acknowledged_end, *args)
-        if acknowledged_end >= 7:
+    async def hold(self, worker, generation, acknowledgement, *args):
+        answer = await send_hold(self, worker, generation, acknowledgement, *args)
+        acknowledged.append(answer.acknowledged_end)
+        if answer.acknowledged_end >= 7:
             return answer
         return msgspec.structs.replace(
             answer, unreadable_ends=(7,), damage="The end 7 can't be read."
--- a/src/zinniatrestle/scheduling/tests/test_restarted_workers.py
+++ b/src/zinniatrestle/scheduling/tests/test_restarted_workers.py
@@ -157,3 +157,41 @@
         return violations(model)
 
     assert run_virtual(play()) == []
+
+
+# Guards against done tasks that run again, as a new instance forgot their ends on the
+# acknowledgement of the former one's (TWICE).
+@pytest.mark.parametrize("dark_seconds", [0.05, 0.2, 0.5, 1.0])
+@pytest.mark.parametrize("latency_factor", [1.0, 40.0])
+def test_ends_of_a_new_instance_are_not_acknowledged_unread(
+    dark_seconds, latency_factor
+):
+    async def play():
+        model = Model(1)
+        await model.start(workers=2, rack=2)
+        submitting = asyncio.create_task(submit_short_tasks(model))
+        await asyncio.sleep(3.0)
+        for host in model.hosts:
+            host.store.latency_factor = latency_factor
+        for worker in model.fleet.workers.values():
+            model.fleet.crash(worker)
+            worker.reachable = worker.heartbeats = False
+            await asyncio.sleep(dark_seconds)
+            worker.reachable = True
+            model.fleet.restart(worker)
+            await asyncio.sleep(3.0)
+            worker.heartbeats = True
+            model.fleet.write(worker)
+        submitting.cancel()
+        assert await model.wait_for_jobs(40.0)
+        return violations(model)
+
+    assert run_virtual(play()) == []
+
+
+async def submit_short_tasks(model: Model):
+    submissions = set()
+    while True:
+        await asyncio.sleep(0.05)
+        submission = model.submit("usual", (step(gpus=1),), 0.1)
+        submissions.add(asyncio.create_task(submission))
--- a/src/zinniatrestle/standins/host_orders.py
+++ b/src/zinniatrestle/standins/host_orders.py
@@ -1,12 +1,24 @@
 """Orders of one host to stand-in workers, with partitions and late execution."""
 
 import asyncio
-
-from zinniatrestle.ids import Generation, RunNumber, TaskId
+from typing import NamedTuple
+
+import msgspec
+
+from zinniatrestle.clock import boot_time
+from zinniatrestle.ids import (
+    BootSeconds,
+    Generation,
+    InstanceId,
+    RunNumber,
+    TaskId,
+    WorkerId,
+)
 from zinniatrestle.standins.fleet import SimulatedFleet
 from zinniatrestle.standins.runs import OrderMode
 from zinniatrestle.workers.interfaces import WorkerOrders
 from zinniatrestle.workers.messages import (
+    Acknowledgement,
     HoldAnswer,
     Refusal,
     RefusedOrderError,
@@ -16,6 +28,13 @@
 )
 
 
+class HoldConnection(NamedTuple):
+    """The connection of the last answered hold, which ends with its instance."""
+
+    instance: InstanceId
+    opened_at: BootSeconds
+
+
 class HostOrders(WorkerOrders):
     """Send orders of one host to the workers of a fleet.
 
@@ -26,6 +45,7 @@
         self.fleet = fleet
         self.host = host
         self.delay = delay
+        self.connections: dict[WorkerId, HoldConnection] = {}
 
     async def start(
         self, worker: WorkerEntry, order: StartOrder, timeout: float
@@ -68,25 +88,40 @@
         self,
         worker: WorkerEntry,
         generation: Generation,
-        acknowledged_end: int,
+        acknowledgement: Acknowledgement,
         deadline_ms: int | None,
         wait: float,
         timeout: float,
     ) -> HoldAnswer:
         """Extend the lease of all runs; wait up to `wait` seconds for one to end."""
+        connection = self.connections.pop(worker.worker, None)
         await self._cross_network(worker, wait + timeout)
         self._refuse_connection(worker)
         self._reset_some(worker)
+        connection = self._connect(worker, connection)
+        sent_at = boot_time()
+        number = acknowledgement.number_over(connection.opened_at)
         if self._are_answers_lost(worker):
-            await self.fleet.hold(worker, generation, acknowledged_end, deadline_ms, 0)
+            await self.fleet.hold(worker, generation, number, deadline_ms, 0)
             await asyncio.sleep(wait + timeout)
             raise UnansweredOrderError("The answer was lost.")
-        answer = await self.fleet.hold(
-            worker, generation, acknowledged_end, deadline_ms, wait
-        )
+        answer = await self.fleet.hold(worker, generation, number, deadline_ms, wait)
         await self._cross_network(worker, timeout)
         self._reset_some(worker)
-        return answer
+        self.connections[worker.worker] = connection
+        return msgspec.structs.replace(answer, acknowledged_end=number, sent_at=sent_at)
+
+    def _connect(
+        self, worker: WorkerEntry, connection: HoldConnection | None
+    ) -> HoldConnection:
+        """Return a connection to the instance that serves, which may be the last one.
+
+        Raises RefusedOrderError if none does.
+        """
+        instance = self.fleet.find_worker(worker).entry.instance
+        if connection is None or connection.instance != instance:
+            return HoldConnection(instance, boot_time())
+        return connection
 
     async def _cross_network(self, worker: WorkerEntry, timeout: float):
         target = self.fleet.workers.get(worker.worker)
--- a/src/zinniatrestle/standins/tests/test_host_orders.py
+++ b/src/zinniatrestle/standins/tests/test_host_orders.py
@@ -1,11 +1,12 @@
 """Orders to stand-in workers are refused, lost or left without an answer."""
 
 import asyncio
+import math
 
 import pytest
 
 from zinniatrestle.clock import monotonic
-from zinniatrestle.ids import Generation, JobId, RunNumber
+from zinniatrestle.ids import BootSeconds, Generation, JobId, RunNumber
 from zinniatrestle.jobs.messages import task_id
 from zinniatrestle.standins.fleet import SimulatedFleet
 from zinniatrestle.standins.host_orders import HostOrders
@@ -13,6 +14,7 @@
 from zinniatrestle.standins.rows import MemoryRows
 from zinniatrestle.standins.runs import FleetTraits, TaskScript
 from zinniatrestle.workers.messages import (
+    Acknowledgement,
     Refusal,
     RefusedOrderError,
     StartOrder,
@@ -38,7 +40,7 @@
         return await self.orders.hold(
             self.worker.entry,
             GENERATION,
-            acknowledged_end,
+            Acknowledgement(acknowledged_end, BootSeconds(math.inf)),
             None,
             WAIT_SECONDS,
             TIMEOUT_SECONDS,
--- a/src/zinniatrestle/workers/__init__.py
+++ b/src/zinniatrestle/workers/__init__.py
@@ -2,6 +2,7 @@
 
 from zinniatrestle.workers.interfaces import WorkerOrders
 from zinniatrestle.workers.messages import (
+    Acknowledgement,
     EndedRun,
     HoldAnswer,
     MalformedAnswerError,
@@ -15,6 +16,7 @@
 )
 
 __all__ = [
+    "Acknowledgement",
     "EndedRun",
     "HoldAnswer",
     "MalformedAnswerError",
--- a/src/zinniatrestle/workers/interfaces.py
+++ b/src/zinniatrestle/workers/interfaces.py
@@ -3,7 +3,12 @@
 from abc import ABC, abstractmethod
 
 from zinniatrestle.ids import Generation, RowName, RunNumber, TableName, TaskId
-from zinniatrestle.workers.messages import HoldAnswer, StartOrder, WorkerEntry
+from zinniatrestle.workers.messages import (
+    Acknowledgement,
+    HoldAnswer,
+    StartOrder,
+    WorkerEntry,
+)
 
 
 class OrderPermission(ABC):
@@ -63,7 +68,7 @@
         self,
         worker: WorkerEntry,
         generation: Generation,
-        acknowledged_end: int,
+        acknowledgement: Acknowledgement,
         deadline_ms: int | None,
         wait: float,
         timeout: float,
@@ -71,7 +76,7 @@
         """Extend the leases of all runs and wait up to `wait` seconds for one to end.
 
         `deadline_ms` is the new expiry on the worker's clock; None extends nothing.
-        Ends up to number `acknowledged_end` are stored and need not be reported again.
+        Ends are acknowledged only where the instance that counts them may answer.
         The answer may take `timeout` seconds on top of `wait`.
         """
 
--- a/src/zinniatrestle/workers/messages.py
+++ b/src/zinniatrestle/workers/messages.py
@@ -6,6 +6,7 @@
 
 from zinniatrestle.errors import WorkerError
 from zinniatrestle.ids import (
+    BootSeconds,
     FailureDomainId,
     Generation,
     InstanceId,
@@ -117,13 +118,29 @@
     checkpoint: str
 
 
+class Acknowledgement(msgspec.Struct, frozen=True):
+    """Ends up to `number` are stored and need not be reported again.
+
+    `confirmed_at` is when the instance that counts them was last known to serve. Over a
+    connection that is opened later another instance may answer, with its own numbers.
+    """
+
+    number: int = 0
+    confirmed_at: BootSeconds = BootSeconds(float("-inf"))
+
+    def number_over(self, opened_at: BootSeconds) -> int:
+        """Return the number to send over a connection that was opened at a time."""
+        return self.number if opened_at <= self.confirmed_at else 0
+
+
 class HoldAnswer(msgspec.Struct, frozen=True):
     """The runs at a worker, and the ended ones that are not acknowledged yet.
 
     `clock_ms` is a reading of the worker's own monotonic clock. `unreadable_ends` has
     the numbers of listed ends that can't be decoded, and `damage` says what is wrong
     with the lists. Without `lists_all_ends` further runs may have ended, of which a
-    later answer tells once these ends are acknowledged.
+    later answer tells once these ends are acknowledged. `acknowledged_end` is the
+    number that the hold has acknowledged, and `sent_at` when it was sent.
     """
 
     clock_ms: int
@@ -133,6 +150,8 @@
     unreadable_ends: tuple[int, ...] = ()
     damage: str = ""
     lists_all_ends: bool = True
+    acknowledged_end: int = 0
+    sent_at: BootSeconds = BootSeconds(float("-inf"))
 
     @property
     def last_end(self) -> int:
