--- a/src/zinniatrestle/standins/relay.py
+++ b/src/zinniatrestle/standins/relay.py
@@ -35,6 +35,8 @@
         self.delay = delay
         self.link = LinkState.HEALTHY
         self.writers: set[asyncio.StreamWriter] = set()
+        # Counts the restarts of the target's machine.
+        self.restarts = 0
 
     async def start(self, address: str, port: int) -> asyncio.Server:
         """Listen on an address and port and return the server."""
@@ -48,6 +50,13 @@
         for writer in list(self.writers):
             writer.transport.abort()
 
+    def forget_connections(self):
+        """Forget the open connections, like a machine that has restarted.
+
+        Their answers are lost, and those on which something is sent are reset.
+        """
+        self.restarts += 1
+
     async def _handle_connection(
         self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
     ):
@@ -61,24 +70,33 @@
         except OSError:
             writer.close()
             return
-        self.writers.update((writer, target_streams[1]))
+        writers = (writer, target_streams[1])
+        self.writers.update(writers)
         try:
             await asyncio.gather(
-                self._forward(reader, target_streams[1], answers=False),
-                self._forward(target_streams[0], writer, answers=True),
+                self._forward(reader, writers, answers=False),
+                self._forward(target_streams[0], writers, answers=True),
             )
         finally:
-            self.writers.difference_update((writer, target_streams[1]))
+            self.writers.difference_update(writers)
 
     async def _forward(
         self,
         reader: asyncio.StreamReader,
-        writer: asyncio.StreamWriter,
+        writers: tuple[asyncio.StreamWriter, asyncio.StreamWriter],
         answers: bool,
     ):
+        restarts = self.restarts
+        writer = writers[0] if answers else writers[1]
         try:
             while data := await reader.read(CHUNK_BYTES):
                 await self._delay(answers)
+                if self.restarts != restarts:
+                    if answers:
+                        continue
+                    for each in writers:
+                        each.transport.abort()
+                    return
                 writer.write(data)
                 await writer.drain()
         except OSError:
--- a/src/zinniatrestle/standins/wire.py
+++ b/src/zinniatrestle/standins/wire.py
@@ -354,22 +354,23 @@
 
 def encode_server_row(entry: WorkerEntry, address: str) -> bytes:
     """Return a worker's entry, encoded as the platform's workers write it."""
-    return msgspec.json.encode(
-        {
-            "service": entry.service,
-            "address": address,
-            "zone": entry.domain,
-            "version": "v1",
-            "slots": 8,
-            "state": entry.state.value,
-            "coldRemainingMs": 0,
-            "capacity": {
-                "cpu": entry.cpu,
-                "memMb": entry.memory_mb,
-                "gpus": entry.gpus,
-            },
-            "labels": ["a", entry.rack],
-            "sequence": entry.sequence,
-            "born": entry.instance,
-        }
-    )
+    row = {
+        "service": entry.service,
+        "address": address,
+        "zone": entry.domain,
+        "version": "v1",
+        "slots": 8,
+        "state": entry.state.value,
+        "coldRemainingMs": 0,
+        "capacity": {
+            "cpu": entry.cpu,
+            "memMb": entry.memory_mb,
+            "gpus": entry.gpus,
+        },
+        "labels": ["a", entry.rack],
+        "sequence": entry.sequence,
+        "born": entry.instance,
+    }
+    if entry.remaining is not None:
+        row["remainingMs"] = int(entry.remaining * 1000)
+    return msgspec.json.encode(row)
--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -11,6 +11,7 @@
 from pathlib import Path
 
 import aiohttp
+import msgspec
 from common.idle_jobs import IdleJobs
 from common.platform_cluster import PlatformCluster, run_with_cluster
 
@@ -18,9 +19,9 @@
 from zinniatrestle.clock import monotonic
 from zinniatrestle.jobs.messages import Step
 from zinniatrestle.standins.relay import LinkState, Relay
-from zinniatrestle.standins.runs import EventKind, FaultMode
+from zinniatrestle.standins.runs import EventKind, FaultMode, SimulatedWorker
 from zinniatrestle.standins.wire import WireFault
-from zinniatrestle.workers.messages import RunOutcome
+from zinniatrestle.workers.messages import RunOutcome, WorkerState
 
 # Faults are injected in the first phase; afterwards all jobs must end within the
 # time-out, which covers the longest lease, a takeover and the longest job.
@@ -29,6 +30,8 @@
 LAST_FAULTS_SECONDS = 3.0
 JOB_END_TIMEOUT_SECONDS = 60.0
 JOBS_PER_SECOND = 2.0
+# How long the registry lists a worker without heartbeats.
+EXPIRY_SECONDS = 4.5
 NOT_FOUND_STATUS = "410"
 # A call without an answer counts like one whose host does not know its outcome.
 UNKNOWN_STATUS = 504
@@ -47,6 +50,9 @@
         self.cut_rng = random.Random(f"{seed}-cuts")
         self.give_up_rng = random.Random(f"{seed}-give-up")
         self.late_rng = random.Random(f"{seed}-late")
+        self.unheard_rng = random.Random(f"{seed}-unheard")
+        self.reborn_rng = random.Random(f"{seed}-reborn")
+        self.key_rng = random.Random(f"{seed}-keys")
         self.succession_rng = random.Random(f"{seed}-successions")
         self.accepted: set[str] = set()
         self.refused: set[str] = set()
@@ -68,6 +74,9 @@
             self._restart_workers(deadline),
             self._cut_off_workers(deadline),
             self._delay_writes(deadline),
+            self._hide_heartbeats(deadline),
+            self._restart_unlisted_workers(deadline),
+            self._call_with_unknown_keys(deadline),
         )
         while monotonic() < deadline:
             await asyncio.sleep(self.rng.expovariate(JOBS_PER_SECOND))
@@ -204,6 +213,106 @@
         if worker.alive:
             self.cluster.list_worker(worker)
 
+    async def _hide_heartbeats(self, deadline: float):
+        while monotonic() < deadline:
+            await asyncio.sleep(self.unheard_rng.uniform(0.5, 3.0))
+            self.background_tasks.append(asyncio.create_task(self._hide_heartbeat()))
+
+    async def _hide_heartbeat(self):
+        """Cut a draining worker off after a heartbeat that feeds do not tell of."""
+        job = f"{self.unheard_rng.getrandbits(64):016x}"
+        seconds = self.unheard_rng.uniform(8.0, 10.0)
+        await self._submit_plain_job(job, seconds, self.unheard_rng)
+        worker = self._worker_of(job)
+        if worker is None:
+            return
+        self.cluster.fleet.drain(worker, 20.0)
+        self.cluster.list_worker(worker)
+        await asyncio.sleep(self.unheard_rng.uniform(0.2, 1.5))
+        compaction = asyncio.create_task(self.cluster.rows.compact())
+        await asyncio.sleep(0.02)
+        sequence = worker.entry.sequence + 1
+        worker.entry = msgspec.structs.replace(worker.entry, sequence=sequence)
+        self.cluster.list_worker(worker)
+        link = self.cluster.worker_links[worker.entry.worker]
+        is_cut_here = link.link is not LinkState.RESET
+        if is_cut_here:
+            link.refuse()
+        await asyncio.sleep(EXPIRY_SECONDS)
+        self.cluster.unlist_worker(worker)
+        await compaction
+        await asyncio.sleep(self.unheard_rng.uniform(0.0, 2.0))
+        if is_cut_here:
+            await link.accept()
+        worker.entry = msgspec.structs.replace(worker.entry, state=WorkerState.READY)
+        if worker.alive:
+            self.cluster.list_worker(worker)
+
+    async def _submit_plain_job(self, job: str, seconds: float, rng: random.Random):
+        """Submit a job of one task once, and wait a moment for its start."""
+        steps = [{"count": 1, "gpus": 1}]
+        try:
+            host = rng.choice(self.cluster.hosts)
+            status = await self.cluster.submit(host, job, seconds, steps)
+        except (aiohttp.ClientError, TimeoutError, OSError):
+            status = UNKNOWN_STATUS
+        if status == 200:
+            self.accepted.add(job)
+            self.idle_jobs.unfinished[job] = [Step(count=1, gpus=1)]
+        else:
+            (self.refused if status in (429, 503) else self.unknown).add(job)
+        await asyncio.sleep(0.5)
+
+    def _worker_of(self, job: str) -> SimulatedWorker | None:
+        for worker in self.cluster.fleet.workers.values():
+            if any(task.startswith(job) for task in worker.running):
+                return worker
+        return None
+
+    async def _restart_unlisted_workers(self, deadline: float):
+        while monotonic() < deadline:
+            await asyncio.sleep(self.reborn_rng.uniform(1.0, 4.0))
+            restart = asyncio.create_task(self._restart_unlisted_worker())
+            self.background_tasks.append(restart)
+
+    async def _restart_unlisted_worker(self):
+        """Restart a worker that gets short tasks and reaches the registry later."""
+        for _ in range(10):
+            job = f"{self.reborn_rng.getrandbits(64):016x}"
+            submission = self._submit_plain_job(job, 0.1, self.reborn_rng)
+            self.background_tasks.append(asyncio.create_task(submission))
+        fleet = self.cluster.fleet
+        worker = self.reborn_rng.choice(list(fleet.workers.values()))
+        link = self.cluster.worker_links[worker.entry.worker]
+        if not worker.alive or link.link is not LinkState.HEALTHY:
+            return
+        fleet.crash(worker)
+        link.set_link(LinkState.SILENT)
+        await asyncio.sleep(self.reborn_rng.uniform(0.1, 1.0))
+        link.forget_connections()
+        fleet.restart(worker)
+        if link.link is LinkState.SILENT:
+            # It has not been cut off meanwhile.
+            link.set_link(LinkState.HEALTHY)
+        await asyncio.sleep(self.reborn_rng.uniform(1.0, 4.0))
+        if worker.alive:
+            self.cluster.list_worker(worker)
+
+    async def _call_with_unknown_keys(self, deadline: float):
+        while monotonic() < deadline:
+            await asyncio.sleep(self.key_rng.uniform(0.2, 1.0))
+            job = f"{self.key_rng.getrandbits(64):016x}"
+            host = self.key_rng.choice(self.cluster.hosts)
+            method = self.key_rng.choice(["POST", "GET", "DELETE"])
+            try:
+                status, _ = await self.cluster.call(
+                    host, method, f"/open/{job}", {"steps": [{}]}, "unknown"
+                )
+            except (aiohttp.ClientError, TimeoutError, OSError):
+                continue
+            if status in (200, 410):
+                self.violations.append(f"ROUTE: {method} with an unknown key: {status}")
+
     async def _kill_host(self):
         host = self.rng.choice(self.cluster.hosts)
         await self._restart_host(host, signal.SIGKILL, self.rng.uniform(0.1, 2.0))
