Test the revocation of a key of which feeds do not tell in time

With a second in which feeds tell of nothing, and the host cut off from the store after it, the key is refused within its bound in all four cases; nothing is changed in the product.

--- a/src/zinniatrestle/serving/tests/test_frontend.py
+++ b/src/zinniatrestle/serving/tests/test_frontend.py
@@ -98,6 +98,26 @@
     run_with_host(check)
 
 
+# Guards against a copy that counts as recent since feeds did not tell of a change.
+@pytest.mark.parametrize("cut_after", [0.2, 0.5, 0.8, 0.95])
+def test_a_key_that_feeds_do_not_revoke_in_time_is_refused_within_its_bound(
+    cut_after,
+):
+    async def check(model, host):
+        compaction = asyncio.create_task(model.rows.compact())
+        await asyncio.sleep(0.02)
+        model.operator.accounts = ()
+        model.operator.write()
+        await asyncio.sleep(cut_after)
+        host.store.reachability = Reachability.SILENT
+        await asyncio.sleep(model.bounds.revocation - cut_after)
+        await compaction
+        with pytest.raises((RetryLaterError, AuthenticationError)):
+            admit(host)
+
+    run_with_host(check)
+
+
 def test_a_job_is_accepted_once_however_often_it_is_submitted():
     async def check(model, host):
         await accept(host)
