Soak: leave the entry of a draining worker that runs on

"It is removed when the minion has left, or after three heartbeat intervals of silence" (PROTOCOL.md, "Service discovery"), so a draining worker that runs on keeps its entry for 4.5 s. The soak had no draining workers before, and removed entries of workers that were cut off at once. It does so for ready ones still; the entry of a draining one is removed when it has expired, as in the model, and not if it was written anew meanwhile.

--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -206,7 +206,9 @@
         if link.link is LinkState.RESET:
             return
         link.refuse()
-        if self.cut_rng.random() < 0.7:
+        is_unlisted = self.cut_rng.random() < 0.7
+        # A draining worker that removes its entry has ended.
+        if is_unlisted and worker.entry.state is WorkerState.READY:
             self.cluster.unlist_worker(worker)
         await asyncio.sleep(self.cut_rng.uniform(0.5, 6.0))
         await link.accept()
@@ -232,14 +234,16 @@
         compaction = asyncio.create_task(self.cluster.rows.compact())
         await asyncio.sleep(0.02)
         sequence = worker.entry.sequence + 1
-        worker.entry = msgspec.structs.replace(worker.entry, sequence=sequence)
+        entry = msgspec.structs.replace(worker.entry, sequence=sequence)
+        worker.entry = entry
         self.cluster.list_worker(worker)
         link = self.cluster.worker_links[worker.entry.worker]
         is_cut_here = link.link is not LinkState.RESET
         if is_cut_here:
             link.refuse()
         await asyncio.sleep(EXPIRY_SECONDS)
-        self.cluster.unlist_worker(worker)
+        if worker.entry is entry:
+            self.cluster.unlist_worker(worker)
         await compaction
         await asyncio.sleep(self.unheard_rng.uniform(0.0, 2.0))
         if is_cut_here:
