Answer feeds of the stand-in with the version up to which they tell

Cause: the stand-in of the store answered each feed with its newest version, also where the answer lacked changes up to it, and the host resumed from there. "To continue, resume from `ver`" (PROTOCOL.md) says that the rows up to `ver` have been told. A change between the reading and the answer was skipped in the same way.

Now the answer has the version of the reading.

--- a/src/zinniatrestle/platform/tests/test_store.py
+++ b/src/zinniatrestle/platform/tests/test_store.py
@@ -173,3 +173,20 @@
             await store.changes(TABLE, RowVersion(0), 0.0, CALL_TIMEOUT_SECONDS)
 
     run_with_store(check)
+
+
+# Guards against a stand-in that skips the changes of which its feeds did not tell.
+def test_a_change_that_a_feed_does_not_tell_of_leaves_a_gap():
+    async def check(wire, store):
+        await store.transact([], write(), CALL_TIMEOUT_SECONDS)
+        first = await store.changes(TABLE, RowVersion(0), 0.0, CALL_TIMEOUT_SECONDS)
+        compaction = asyncio.create_task(wire.rows.compact())
+        await asyncio.sleep(0)
+        wire.rows.put(TABLE, NAME, None)
+        second = await store.changes(TABLE, first.version, 0.0, CALL_TIMEOUT_SECONDS)
+        assert (second.changes, second.version) == ([], first.version)
+        await compaction
+        with pytest.raises(HistoryLostError):
+            await store.changes(TABLE, second.version, 0.0, CALL_TIMEOUT_SECONDS)
+
+    run_with_store(check)
--- a/src/zinniatrestle/standins/wire.py
+++ b/src/zinniatrestle/standins/wire.py
@@ -157,7 +157,8 @@
             else:
                 row["value"] = base64.b64encode(change.value).decode()
             rows.append(row)
-        return self._answer({"rows": rows})
+        # The store may have newer changes by now, which a later answer has.
+        return self._answer({"rows": rows, "ver": changes.version})
 
     async def _apply_fault_before(self) -> Response | None:
         if self.fault is WireFault.BUSY:
